--- /dev/null
+++ b/config/include/burdockgrade/snapshot.h
@@ -0,0 +1,120 @@
+#ifndef BURDOCKGRADE_SNAPSHOT_H
+#define BURDOCKGRADE_SNAPSHOT_H
+
+/** @file
+ * The head (the accepted version of everything) and the snapshot that a proxy
+ * serves from: complete, validated and immutable.
+ */
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "burdockgrade/contract.h"
+
+#define BG_REASON_BYTES 128
+#define BG_NONCE_BYTES 40
+
+enum bg_move_state {
+	BG_MOVE_NONE, /**< no server version was chosen yet */
+	BG_MOVE_IN_PROGRESS,
+	BG_MOVE_DONE,
+	BG_MOVE_ROLLED_BACK,
+};
+
+/** A move of traffic from one backend server version to another. */
+struct bg_move {
+	uint64_t generation; /**< rises with each move of the service */
+	enum bg_move_state state;
+	char from[BG_NAME_BYTES];
+	char to[BG_NAME_BYTES];
+	uint32_t step;
+	uint32_t share_permille; /**< cap on the share of `to` */
+	uint64_t started_ms;	 /**< wall clock */
+	uint64_t deadline_ms;	 /**< wall clock, the promised time */
+	uint64_t step_since_ms;	 /**< wall clock */
+	int is_late; /**< cannot be done safely by the promised time */
+	char reason[BG_REASON_BYTES];
+};
+
+/** What the head says of one service. */
+struct bg_head_service {
+	char name[BG_NAME_BYTES];
+	uint64_t rev;	   /**< revision of config/service/NAME/REV */
+	uint64_t changed;  /**< head version of the last change */
+	uint64_t digest;   /**< xxh64 of the contract's JSON */
+	int is_withdrawn;  /**< the last accept was withdrawn */
+	uint64_t since_ms; /**< wall clock of the last change */
+	struct bg_move move;
+};
+
+struct bg_head {
+	uint64_t version;
+	char writer[BG_NAME_BYTES];	  /**< of the last update */
+	char nonce[BG_NONCE_BYTES];	  /**< settles a lost answer */
+	struct bg_head_service *services; /**< sorted by name */
+	size_t service_count;
+};
+
+int bg_head_init(struct bg_head *out);
+void bg_head_free(struct bg_head *head);
+int bg_head_copy(struct bg_head *out, const struct bg_head *head);
+struct bg_head_service *bg_head_find(
+    const struct bg_head *head, const char *service);
+/** Adds a service or returns the one present. @return NULL if out of memory */
+struct bg_head_service *bg_head_add(struct bg_head *head, const char *service);
+void bg_head_remove(struct bg_head *head, const char *service);
+/** Encodes as JSON. @param out free() it */
+int bg_head_encode(char **out, const struct bg_head *head);
+int bg_head_decode(struct bg_head *out, const char *json, size_t json_bytes,
+    struct bg_error *err);
+/** Encodes one service (with its contract JSON) as the value of a SERVICE
+ * item. @param out free() it */
+int bg_head_service_encode(
+    char **out, const struct bg_head_service *svc, const char *contract_json);
+/** Decodes the value of a SERVICE item. @param out_contract may be NULL */
+int bg_head_service_decode(struct bg_head_service *out,
+    struct bg_contract *out_contract, const char *value, size_t value_bytes,
+    struct bg_error *err);
+/** Digest over names, changed versions and digests of all services. */
+uint64_t bg_head_digest(const struct bg_head *head);
+
+/** One service of a snapshot. */
+struct bg_service {
+	struct bg_head_service head;
+	struct bg_contract contract;
+};
+
+struct bg_snapshot {
+	uint32_t references;
+	uint64_t version;
+	struct bg_service *services; /**< sorted by name */
+	size_t service_count;
+};
+
+/**
+ * Builds and validates a snapshot: every service complete, every route and
+ * dependency present, no two routes alike, limits sane, digests match.
+ *
+ * @param version head version that the services make up
+ * @param head_digest expected bg_head_digest
+ * @return 0, or BG_EINVAL/BG_EPROTO with the reason in err; nothing is built
+ */
+int bg_snapshot_build(struct bg_snapshot **out, uint64_t version,
+    uint64_t head_digest, const struct bg_service *services,
+    size_t service_count, struct bg_error *err);
+struct bg_snapshot *bg_snapshot_acquire(struct bg_snapshot *snap);
+void bg_snapshot_release(struct bg_snapshot *snap);
+
+/** Finds a service by name, or NULL. */
+const struct bg_service *bg_snapshot_service(
+    const struct bg_snapshot *snap, const char *name);
+/**
+ * Finds the route with the longest prefix that matches path and method.
+ *
+ * @return 0, BG_ENOTFOUND (no such path) or BG_EINVAL (method not allowed)
+ */
+int bg_snapshot_route(const struct bg_service **out_service,
+    const struct bg_route **out_route, const struct bg_snapshot *snap,
+    const char *method, const char *path);
+
+#endif
--- /dev/null
+++ b/core/include/burdockgrade/log.h
@@ -0,0 +1,38 @@
+#ifndef BURDOCKGRADE_LOG_H
+#define BURDOCKGRADE_LOG_H
+
+/** @file
+ * Structured logs by log4c: one category a part, `key=value` fields.
+ */
+
+enum bg_log_level {
+	BG_LOG_ERROR,
+	BG_LOG_WARN,
+	BG_LOG_INFO,
+	BG_LOG_DEBUG,
+};
+
+/**
+ * Opens the log on standard error.
+ *
+ * @param level "error", "warn", "info" or "debug"
+ * @param name identifies the process in each line; copied
+ * @return 0 or BG_EINVAL for an unknown level
+ */
+int bg_log_init(const char *level, const char *name);
+void bg_log_free(void);
+
+/**
+ * Writes one line.
+ *
+ * @param part the fixed prefix of the part, for example "relay"
+ */
+void bg_log(enum bg_log_level level, const char *part, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
+
+#define bg_log_error(part, ...) bg_log(BG_LOG_ERROR, part, __VA_ARGS__)
+#define bg_log_warn(part, ...) bg_log(BG_LOG_WARN, part, __VA_ARGS__)
+#define bg_log_info(part, ...) bg_log(BG_LOG_INFO, part, __VA_ARGS__)
+#define bg_log_debug(part, ...) bg_log(BG_LOG_DEBUG, part, __VA_ARGS__)
+
+#endif
--- /dev/null
+++ b/mesh/src/link/link.c
@@ -0,0 +1,397 @@
+#include <event2/bufferevent.h>
+#include <event2/util.h>
+
+#include <assert.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <uthash.h>
+
+#include "burdockgrade/clock.h"
+#include "burdockgrade/link.h"
+#include "burdockgrade/log.h"
+
+#include "address.h"
+#include "frame.h"
+
+/* Interval of the silence check. */
+#define TICK_MS 250
+
+struct pending {
+	struct bg_link *link;
+	struct event *timeout;
+	xdrproc_t xres;
+	size_t res_bytes;
+	bg_link_reply_fn fn;
+	void *arg;
+	uint32_t xid;
+	uint32_t proc;
+	UT_hash_handle hh;
+};
+
+struct bg_link {
+	struct event_base *base;
+	struct bufferevent *bev;
+	struct event *tick;
+	struct event *failure;
+	struct pending *pending;
+	bg_link_close_fn on_close;
+	void *arg;
+	uint64_t last_received_ms;
+	uint64_t last_sent_ping_ms;
+	uint64_t opened_ms;
+	uint32_t connect_timeout_ms;
+	uint32_t next_xid;
+	int is_connected;
+	int is_closed;
+	int is_freed;
+	int in_callback;
+	char address[BG_ADDRESS_BYTES];
+};
+
+static void
+pending_free(struct pending *p)
+{
+	HASH_DEL(p->link->pending, p);
+	if (p->timeout != NULL)
+		event_free(p->timeout);
+	free(p);
+}
+
+static void
+pending_finish(struct pending *p, int code, void *res)
+{
+	bg_link_reply_fn fn = p->fn;
+	void *arg = p->arg;
+
+	pending_free(p);
+	if (fn != NULL)
+		fn(arg, code, res);
+}
+
+static void
+link_release(struct bg_link *link)
+{
+	if (link->bev != NULL)
+		bufferevent_free(link->bev);
+	if (link->tick != NULL)
+		event_free(link->tick);
+	if (link->failure != NULL)
+		event_free(link->failure);
+	free(link);
+}
+
+static void
+fail_pending(struct bg_link *link, int code)
+{
+	struct pending *p;
+
+	while ((p = link->pending) != NULL)
+		pending_finish(p, code, NULL);
+}
+
+static void
+link_close(struct bg_link *link, const char *why)
+{
+	if (link->is_closed)
+		return;
+	link->is_closed = 1;
+	bg_log_debug("link", "closed peer=%s reason=%s", link->address, why);
+	bufferevent_disable(link->bev, EV_READ | EV_WRITE);
+	event_del(link->tick);
+	link->in_callback++;
+	fail_pending(link, link->is_connected ? BG_EIO : BG_EUNAVAILABLE);
+	if (!link->is_freed && link->on_close != NULL)
+		link->on_close(link->arg);
+	link->in_callback--;
+	if (link->is_freed && link->in_callback == 0)
+		link_release(link);
+}
+
+/* Decodes the reply and runs the callback of its call. */
+static int
+handle_reply(struct bg_link *link, const struct bg_frame *frame)
+{
+	struct rpc_msg msg;
+	struct pending *p;
+	XDR xdrs;
+	void *res = NULL;
+	int error = BG_EPROTO;
+
+	memset(&msg, 0, sizeof(msg));
+	msg.acpted_rply.ar_results.proc = (xdrproc_t)bg_xdr_empty;
+	xdrmem_create(&xdrs, frame->data, frame->data_bytes, XDR_DECODE);
+	if (!xdr_replymsg(&xdrs, &msg) || msg.rm_direction != REPLY)
+		goto done;
+	error = 0;
+	HASH_FIND(hh, link->pending, &msg.rm_xid, sizeof(uint32_t), p);
+	if (p == NULL)
+		goto done;
+	bg_frame_count(p->proc, 0, frame->data_bytes);
+	if (msg.rm_reply.rp_stat != MSG_ACCEPTED ||
+	    msg.acpted_rply.ar_stat != SUCCESS) {
+		pending_finish(p, BG_EPROTO, NULL);
+		goto done;
+	}
+	if (p->xres != NULL) {
+		xdrproc_t xres = p->xres;
+
+		if ((res = calloc(1, p->res_bytes)) == NULL) {
+			pending_finish(p, BG_ENOMEM, NULL);
+			goto done;
+		}
+		if (xres(&xdrs, res))
+			pending_finish(p, 0, res);
+		else
+			error = BG_EPROTO;
+		xdr_free(xres, res);
+		free(res);
+		goto done;
+	}
+	pending_finish(p, 0, NULL);
+done:
+	xdr_destroy(&xdrs);
+	return error;
+}
+
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+	struct bg_link *link = arg;
+	struct bg_frame frame;
+	int found = 0;
+	int error = 0;
+
+	link->last_received_ms = bg_clock_now_ms();
+	link->in_callback++;
+	while (!link->is_closed && error == 0 &&
+	    (found = bg_frame_read(&frame, bufferevent_get_input(bev))) > 0) {
+		error = handle_reply(link, &frame);
+		free(frame.data);
+	}
+	link->in_callback--;
+	if (link->is_freed) {
+		if (link->in_callback == 0)
+			link_release(link);
+		return;
+	}
+	if (found < 0 || error != 0)
+		link_close(link, "invalid message");
+}
+
+static void
+on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct bg_link *link = arg;
+
+	if (what & BEV_EVENT_CONNECTED) {
+		bg_set_nodelay(bufferevent_getfd(bev));
+		link->is_connected = 1;
+		link->last_received_ms = bg_clock_now_ms();
+		return;
+	}
+	link_close(link, what & BEV_EVENT_EOF ? "peer closed" : "socket error");
+}
+
+static void
+on_failure(evutil_socket_t fd, short what, void *arg)
+{
+	link_close(arg, "connect failed");
+}
+
+static void
+send_ping(struct bg_link *link, uint64_t now_ms)
+{
+	if (bg_link_call(NULL, link, BG_PROC_PING, NULL, NULL, NULL, 0, 0, NULL,
+		NULL) == 0)
+		link->last_sent_ping_ms = now_ms;
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct bg_link *link = arg;
+	uint64_t now_ms = bg_clock_now_ms();
+
+	if (!link->is_connected) {
+		if (now_ms - link->opened_ms > link->connect_timeout_ms)
+			link_close(link, "connect timeout");
+		return;
+	}
+	if (now_ms - link->last_received_ms > BG_LINK_SILENCE_MS &&
+	    link->pending != NULL) {
+		link_close(link, "silent");
+		return;
+	}
+	if (now_ms - link->last_received_ms >= BG_LINK_PING_MS &&
+	    now_ms - link->last_sent_ping_ms >= BG_LINK_PING_MS)
+		send_ping(link, now_ms);
+}
+
+static void
+start_connect(
+    struct bg_link *link, const struct sockaddr_in *sin, const char *local_ip)
+{
+	static const struct timeval now = {0, 0};
+	evutil_socket_t fd;
+
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd >= 0 && bg_bind_source(fd, local_ip) == 0 &&
+	    bufferevent_setfd(link->bev, fd) == 0) {
+		bufferevent_setcb(link->bev, on_read, NULL, on_event, link);
+		bufferevent_enable(link->bev, EV_READ | EV_WRITE);
+		if (bufferevent_socket_connect(link->bev,
+			(const struct sockaddr *)sin, sizeof(*sin)) == 0)
+			return;
+	} else if (fd >= 0)
+		close(fd);
+	/* Reported from the loop, so that callers are never re-entered. */
+	event_add(link->failure, &now);
+}
+
+int
+bg_link_init(struct bg_link **out, struct event_base *base, const char *address,
+    const struct bg_link_options *opts, bg_link_close_fn on_close, void *arg,
+    struct bg_error *err)
+{
+	static const struct timeval tick = {0, TICK_MS * 1000};
+	struct sockaddr_in sin;
+	struct bg_link *link;
+
+	assert(opts->version == BG_LINK_OPTIONS_VERSION);
+	if (bg_parse_address(&sin, address) != 0)
+		return bg_error_set(err, BG_EINVAL, "connect", address,
+		    "not an IP address with a port");
+	if ((link = calloc(1, sizeof(*link))) == NULL)
+		return BG_ENOMEM;
+	snprintf(link->address, sizeof(link->address), "%s", address);
+	link->base = base;
+	link->on_close = on_close;
+	link->arg = arg;
+	link->next_xid = 1;
+	link->connect_timeout_ms = opts->connect_timeout_ms;
+	link->opened_ms = bg_clock_now_ms();
+	link->bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+	link->tick = event_new(base, -1, EV_PERSIST, on_tick, link);
+	link->failure = event_new(base, -1, 0, on_failure, link);
+	if (link->bev == NULL || link->tick == NULL || link->failure == NULL) {
+		link_release(link);
+		return BG_ENOMEM;
+	}
+	event_add(link->tick, &tick);
+	start_connect(link, &sin, opts->local_ip);
+	*out = link;
+	return 0;
+}
+
+void
+bg_link_free(struct bg_link *link)
+{
+	if (link == NULL || link->is_freed)
+		return;
+	link->is_freed = 1;
+	link->is_closed = 1;
+	link->in_callback++;
+	fail_pending(link, BG_ECANCELED);
+	link->in_callback--;
+	if (link->in_callback == 0)
+		link_release(link);
+}
+
+static void
+on_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	struct pending *p = arg;
+	struct bg_link *link = p->link;
+
+	link->in_callback++;
+	pending_finish(p, BG_ETIMEOUT, NULL);
+	link->in_callback--;
+	if (link->is_freed && link->in_callback == 0)
+		link_release(link);
+}
+
+static int
+arm_timeout(struct pending *p, uint32_t timeout_ms)
+{
+	struct timeval tv = {timeout_ms / 1000, (timeout_ms % 1000) * 1000};
+
+	if (timeout_ms == 0)
+		return 0;
+	p->timeout = evtimer_new(p->link->base, on_timeout, p);
+	if (p->timeout == NULL || evtimer_add(p->timeout, &tv) != 0)
+		return BG_ENOMEM;
+	return 0;
+}
+
+int
+bg_link_call(uint32_t *out_xid, struct bg_link *link, uint32_t proc,
+    xdrproc_t xargs, void *args, xdrproc_t xres, size_t res_bytes,
+    uint32_t timeout_ms, bg_link_reply_fn fn, void *arg)
+{
+	struct pending *p;
+	int error;
+
+	if (link->is_closed)
+		return BG_EUNAVAILABLE;
+	if ((p = calloc(1, sizeof(*p))) == NULL)
+		return BG_ENOMEM;
+	p->link = link;
+	p->xid = link->next_xid++;
+	p->proc = proc;
+	p->xres = xres;
+	p->res_bytes = res_bytes;
+	p->fn = fn;
+	p->arg = arg;
+	HASH_ADD(hh, link->pending, xid, sizeof(uint32_t), p);
+	if ((error = arm_timeout(p, timeout_ms)) == 0)
+		error = bg_frame_write_call(bufferevent_get_output(link->bev),
+		    p->xid, proc, xargs, args);
+	if (error != 0) {
+		pending_free(p);
+		return error;
+	}
+	if (out_xid != NULL)
+		*out_xid = p->xid;
+	return 0;
+}
+
+void
+bg_link_cancel(struct bg_link *link, uint32_t xid)
+{
+	struct bg_xcancel_args args = {xid};
+	struct pending *p;
+
+	HASH_FIND(hh, link->pending, &xid, sizeof(uint32_t), p);
+	if (p == NULL)
+		return;
+	pending_free(p);
+	if (!link->is_closed)
+		bg_frame_write_call(bufferevent_get_output(link->bev),
+		    link->next_xid++, BG_PROC_CANCEL,
+		    (xdrproc_t)xdr_bg_xcancel_args, &args);
+}
+
+uint64_t
+bg_link_silence_ms(const struct bg_link *link)
+{
+	if (!link->is_connected || link->last_received_ms == 0)
+		return UINT64_MAX;
+	return bg_clock_now_ms() - link->last_received_ms;
+}
+
+const char *
+bg_link_address(const struct bg_link *link)
+{
+	return link->address;
+}
+
+int
+bg_link_is_connected(const struct bg_link *link)
+{
+	return link->is_connected && !link->is_closed;
+}
--- /dev/null
+++ b/mesh/tests/test_link.c
@@ -0,0 +1,253 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/clock.h"
+#include "burdockgrade/link.h"
+
+/* Upper bound of one test's event loop; a lost event fails, not hangs. */
+#define LOOP_MAX_MS 5000
+
+struct fixture {
+	struct event_base *base;
+	struct bg_link_server *server;
+	struct bg_link *link;
+	struct bg_rpc *held;
+	int calls;
+	int replies;
+	int closes;
+	int cancels;
+	int last_code;
+	uint32_t last_epoch;
+	char address[BG_ADDRESS_BYTES];
+};
+
+static struct fixture fx;
+
+static void
+handle_copy(void *arg, struct bg_rpc *rpc, void *args)
+{
+	struct bg_xcopy_args *copy = args;
+	struct bg_xcopy_res res = {1, copy->epoch};
+
+	fx.calls++;
+	bg_rpc_reply(rpc, (xdrproc_t)xdr_bg_xcopy_res, &res);
+}
+
+static void
+on_cancel(void *arg)
+{
+	fx.cancels++;
+	bg_rpc_drop(arg);
+	fx.held = NULL;
+}
+
+static void
+handle_finish(void *arg, struct bg_rpc *rpc, void *args)
+{
+	fx.calls++;
+	fx.held = rpc;
+	bg_rpc_on_cancel(rpc, on_cancel, rpc);
+}
+
+static void
+on_reply(void *arg, int code, void *res)
+{
+	struct bg_xcopy_res *copy = res;
+
+	fx.replies++;
+	fx.last_code = code;
+	fx.last_epoch = copy == NULL ? 0 : (uint32_t)copy->epoch;
+}
+
+static void
+on_close(void *arg)
+{
+	fx.closes++;
+}
+
+static void
+setup(void)
+{
+	struct bg_link_options opts = BG_LINK_OPTIONS_INIT;
+	struct bg_rpc_handler copy = {BG_PROC_COPY,
+	    (xdrproc_t)xdr_bg_xcopy_args, sizeof(struct bg_xcopy_args),
+	    handle_copy, NULL};
+	struct bg_rpc_handler finish = {BG_PROC_FINISH,
+	    (xdrproc_t)xdr_bg_xfinish_args, sizeof(struct bg_xfinish_args),
+	    handle_finish, NULL};
+
+	memset(&fx, 0, sizeof(fx));
+	fx.base = event_base_new();
+	ck_assert_int_eq(
+	    bg_link_server_init(&fx.server, fx.base, "127.0.0.1:0", NULL), 0);
+	bg_link_server_handle(fx.server, &copy);
+	bg_link_server_handle(fx.server, &finish);
+	snprintf(fx.address, sizeof(fx.address), "127.0.0.1:%u",
+	    bg_link_server_port(fx.server));
+	ck_assert_int_eq(bg_link_init(&fx.link, fx.base, fx.address, &opts,
+			     on_close, NULL, NULL),
+	    0);
+}
+
+static void
+teardown(void)
+{
+	bg_link_free(fx.link);
+	bg_link_server_free(fx.server);
+	if (fx.held != NULL)
+		bg_rpc_drop(fx.held);
+	event_base_free(fx.base);
+}
+
+static void
+run_until(const int *counter, int value)
+{
+	uint64_t end_ms = bg_clock_now_ms() + LOOP_MAX_MS;
+	struct timeval step = {0, 10000};
+
+	while (*counter < value && bg_clock_now_ms() < end_ms) {
+		event_base_loopexit(fx.base, &step);
+		event_base_dispatch(fx.base);
+	}
+	ck_assert_int_ge(*counter, value);
+}
+
+static int
+call_copy(uint64_t epoch, uint32_t timeout_ms)
+{
+	struct bg_xcopy_args args;
+
+	memset(&args, 0, sizeof(args));
+	args.data_centre = "a";
+	args.holder = "127.0.0.1:1";
+	args.epoch = epoch;
+	return bg_link_call(NULL, fx.link, BG_PROC_COPY,
+	    (xdrproc_t)xdr_bg_xcopy_args, &args, (xdrproc_t)xdr_bg_xcopy_res,
+	    sizeof(struct bg_xcopy_res), timeout_ms, on_reply, NULL);
+}
+
+static int
+call_finish(uint32_t *out_xid, uint32_t timeout_ms)
+{
+	struct bg_xfinish_args args;
+
+	memset(&args, 0, sizeof(args));
+	args.data_centre = "a";
+	args.key = "k";
+	return bg_link_call(out_xid, fx.link, BG_PROC_FINISH,
+	    (xdrproc_t)xdr_bg_xfinish_args, &args,
+	    (xdrproc_t)xdr_bg_xfinish_res, sizeof(struct bg_xfinish_res),
+	    timeout_ms, on_reply, NULL);
+}
+
+/* Guards against a reply that reaches another call than its own. */
+START_TEST(call_gets_its_own_reply)
+{
+	setup();
+	ck_assert_int_eq(call_copy(41, 1000), 0);
+	run_until(&fx.replies, 1);
+	ck_assert_int_eq(fx.last_code, 0);
+	ck_assert_uint_eq(fx.last_epoch, 41);
+	teardown();
+}
+END_TEST
+
+/* Guards against "maybe run" where nothing was written, and the reverse. */
+START_TEST(refused_connection_says_unavailable)
+{
+	setup();
+	bg_link_free(fx.link);
+	fx.link = NULL;
+	bg_link_server_stop_listening(fx.server);
+	{
+		struct bg_link_options opts = BG_LINK_OPTIONS_INIT;
+
+		ck_assert_int_eq(bg_link_init(&fx.link, fx.base, fx.address,
+				     &opts, on_close, NULL, NULL),
+		    0);
+	}
+	ck_assert_int_eq(call_copy(1, 1000), 0);
+	run_until(&fx.closes, 1);
+	ck_assert_int_eq(fx.last_code, BG_EUNAVAILABLE);
+	teardown();
+}
+END_TEST
+
+START_TEST(connection_lost_after_write_says_io)
+{
+	setup();
+	ck_assert_int_eq(call_finish(NULL, 0), 0);
+	run_until(&fx.calls, 1);
+	bg_link_server_free(fx.server);
+	fx.server = NULL;
+	run_until(&fx.closes, 1);
+	ck_assert_int_eq(fx.last_code, BG_EIO);
+	ck_assert_int_eq(fx.cancels, 1);
+	teardown();
+}
+END_TEST
+
+/* Guards against a caller that waits for ever on a peer that never answers. */
+START_TEST(call_without_answer_times_out)
+{
+	setup();
+	ck_assert_int_eq(call_finish(NULL, 50), 0);
+	run_until(&fx.replies, 1);
+	ck_assert_int_eq(fx.last_code, BG_ETIMEOUT);
+	teardown();
+}
+END_TEST
+
+/* Guards against work that goes on after its caller hung up. */
+START_TEST(cancel_reaches_the_handler)
+{
+	uint32_t xid;
+
+	setup();
+	ck_assert_int_eq(call_finish(&xid, 0), 0);
+	run_until(&fx.calls, 1);
+	bg_link_cancel(fx.link, xid);
+	run_until(&fx.cancels, 1);
+	ck_assert_int_eq(fx.replies, 0);
+	teardown();
+}
+END_TEST
+
+/* Guards against a stale reply after the call was given up. */
+START_TEST(free_fails_pending_calls)
+{
+	setup();
+	ck_assert_int_eq(call_finish(NULL, 0), 0);
+	run_until(&fx.calls, 1);
+	bg_link_free(fx.link);
+	fx.link = NULL;
+	ck_assert_int_eq(fx.replies, 1);
+	ck_assert_int_eq(fx.last_code, BG_ECANCELED);
+	teardown();
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("link");
+	TCase *tc = tcase_create("link");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, call_gets_its_own_reply);
+	tcase_add_test(tc, refused_connection_says_unavailable);
+	tcase_add_test(tc, connection_lost_after_write_says_io);
+	tcase_add_test(tc, call_without_answer_times_out);
+	tcase_add_test(tc, cancel_reaches_the_handler);
+	tcase_add_test(tc, free_fails_pending_calls);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
