--- a/core/include/burdockgrade/settings.h
+++ b/core/include/burdockgrade/settings.h
@@ -67,4 +67,12 @@
 int bg_settings_load(
     struct bg_settings *out, const char *path, struct bg_error *err);
 
+/**
+ * The same with the complete list of errors.
+ *
+ * @param out_report one line for each error; NULL without any; free() it
+ */
+int bg_settings_load_report(struct bg_settings *out, char **out_report,
+    const char *path, struct bg_error *err);
+
 #endif
--- /dev/null
+++ b/core/src/settings.c
@@ -0,0 +1,333 @@
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/settings.h"
+#include "burdockgrade/toml.h"
+
+#define DEFAULT_PLATFORM_TIMEOUT_MS 2000
+#define PLATFORM_TIMEOUT_MIN_MS 10
+#define PLATFORM_TIMEOUT_MAX_MS 60000
+/* Three levels of 16 hold 4,096 nodes, above the target of 970. */
+#define DEFAULT_FANOUT 16
+#define FANOUT_MIN 2
+#define FANOUT_MAX 256
+/* A slot is a running call; more than this is a typing error. */
+#define SLOTS_MAX 10000
+#define CONNECTIONS_MAX 10000
+#define DEFAULT_BODY_BYTES (1024 * 1024)
+#define BODY_MIN_BYTES 1024
+#define BODY_MAX_BYTES (16 * 1024 * 1024)
+#define DEFAULT_BUFFERED_BYTES (64 * 1024 * 1024)
+/* A node may use 256 MB in total (section 1.3 of docs/design.md). */
+#define BUFFERED_MAX_BYTES (192 * 1024 * 1024)
+#define DEFAULT_DRAIN_MS 30000
+#define DRAIN_MAX_MS 600000
+/* An announcement reaches every node within 2 s of the relay's confirmation. */
+#define DEFAULT_ANNOUNCE_MS 2000
+#define ANNOUNCE_MAX_MS 60000
+
+static const char *const LEVELS[] = {"error", "warn", "info", "debug", NULL};
+
+void
+bg_settings_init(struct bg_settings *out)
+{
+	memset(out, 0, sizeof(*out));
+	snprintf(out->node.region, sizeof(out->node.region), "default");
+	out->platform.timeout_ms = DEFAULT_PLATFORM_TIMEOUT_MS;
+	out->mesh.fanout = DEFAULT_FANOUT;
+	snprintf(
+	    out->server.probe_path, sizeof(out->server.probe_path), "/health");
+	out->limits.body_bytes = DEFAULT_BODY_BYTES;
+	out->limits.buffered_bytes = DEFAULT_BUFFERED_BYTES;
+	out->limits.drain_ms = DEFAULT_DRAIN_MS;
+	out->limits.announce_ms = DEFAULT_ANNOUNCE_MS;
+	snprintf(out->log.level, sizeof(out->log.level), "info");
+}
+
+static int
+is_ip(const char *text)
+{
+	struct in_addr addr;
+
+	return inet_pton(AF_INET, text, &addr) == 1;
+}
+
+/* An address to connect to, hence without port 0. */
+static int
+is_ip_port(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	char ip[INET_ADDRSTRLEN];
+	size_t digits;
+	long port;
+
+	if (colon == NULL || (size_t)(colon - text) >= sizeof(ip))
+		return 0;
+	digits = strspn(colon + 1, "0123456789");
+	if (digits == 0 || digits > 5 || colon[1 + digits] != '\0')
+		return 0;
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
+	port = strtol(colon + 1, NULL, 10);
+	return is_ip(ip) && port > 0 && port <= UINT16_MAX;
+}
+
+/* Names are parts of keys and of status lines, which split at '/' and ' '. */
+static int
+is_name(const char *text)
+{
+	for (; *text != '\0'; text++)
+		if (!isalnum((unsigned char)*text) &&
+		    strchr("-_.", *text) == NULL)
+			return 0;
+	return 1;
+}
+
+static int
+is_path(const char *text)
+{
+	return text[0] == '/' && strpbrk(text, " ?#") == NULL;
+}
+
+/* Reads a string that has to pass a test. */
+static void
+read_checked(char out[BG_SETTING_BYTES], struct bg_toml *doc,
+    const struct bg_toml_table *tbl, const char *key, enum bg_toml_need need,
+    int (*is_valid)(const char *), const char *expected)
+{
+	char text[BG_SETTING_BYTES];
+
+	if (!bg_toml_string(text, sizeof(text), doc, tbl, key, need))
+		return;
+	if (!is_valid(text)) {
+		bg_toml_fail(
+		    doc, tbl, key, "expected %s, found \"%s\"", expected, text);
+		return;
+	}
+	memcpy(out, text, sizeof(text));
+}
+
+static void
+read_name(char out[BG_SETTING_BYTES], struct bg_toml *doc,
+    const struct bg_toml_table *tbl, const char *key, enum bg_toml_need need)
+{
+	read_checked(out, doc, tbl, key, need, is_name,
+	    "letters, digits, '-', '_' and '.'");
+}
+
+static void
+read_ip_port(char out[BG_SETTING_BYTES], struct bg_toml *doc,
+    const struct bg_toml_table *tbl, const char *key, enum bg_toml_need need)
+{
+	read_checked(out, doc, tbl, key, need, is_ip_port,
+	    "an IPv4 address and port as \"10.0.0.1:7000\"");
+}
+
+static void
+read_port(uint16_t *out, struct bg_toml *doc, const struct bg_toml_table *tbl,
+    const char *key)
+{
+	uint32_t port;
+
+	if (bg_toml_u32(&port, doc, tbl, key, 0, UINT16_MAX, BG_TOML_OPTIONAL))
+		*out = (uint16_t)port;
+}
+
+static void
+read_node(struct bg_settings *set, struct bg_toml *doc,
+    const struct bg_toml_table *tbl)
+{
+	if (tbl == NULL)
+		return;
+	read_checked(set->node.address, doc, tbl, "address", BG_TOML_REQUIRED,
+	    is_ip, "an IPv4 address as \"10.0.0.1\"");
+	read_name(
+	    set->node.data_centre, doc, tbl, "data_centre", BG_TOML_REQUIRED);
+	read_name(set->node.region, doc, tbl, "region", BG_TOML_OPTIONAL);
+	read_port(&set->node.customer_port, doc, tbl, "customer_port");
+	read_port(&set->node.mesh_port, doc, tbl, "mesh_port");
+	read_ip_port(
+	    set->node.advertise, doc, tbl, "advertise", BG_TOML_OPTIONAL);
+	if (set->node.customer_port != 0 &&
+	    set->node.customer_port == set->node.mesh_port)
+		bg_toml_fail(doc, tbl, "mesh_port",
+		    "expected another port than node.customer_port, found %u",
+		    set->node.mesh_port);
+}
+
+static void
+read_platform(struct bg_settings *set, struct bg_toml *doc,
+    const struct bg_toml_table *tbl)
+{
+	read_ip_port(
+	    set->platform.address, doc, tbl, "address", BG_TOML_REQUIRED);
+	bg_toml_u32(&set->platform.timeout_ms, doc, tbl, "timeout_ms",
+	    PLATFORM_TIMEOUT_MIN_MS, PLATFORM_TIMEOUT_MAX_MS, BG_TOML_OPTIONAL);
+}
+
+static void
+read_seeds(struct bg_settings *set, struct bg_toml *doc,
+    const struct bg_toml_table *tbl)
+{
+	char seed[BG_SETTING_BYTES];
+	size_t count = bg_toml_array_count(
+	    doc, tbl, "seeds", BG_SEEDS_MAX, BG_TOML_OPTIONAL);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (!bg_toml_string_at(
+			seed, sizeof(seed), doc, tbl, "seeds", i))
+			continue;
+		if (!is_ip_port(seed)) {
+			bg_toml_fail_at(doc, tbl, "seeds", i,
+			    "expected an IPv4 address and port as "
+			    "\"10.0.0.1:7000\", found \"%s\"",
+			    seed);
+			continue;
+		}
+		memcpy(set->mesh.seeds[set->mesh.seed_count++], seed,
+		    sizeof(seed));
+	}
+}
+
+static void
+read_mesh(struct bg_settings *set, struct bg_toml *doc,
+    const struct bg_toml_table *tbl)
+{
+	read_seeds(set, doc, tbl);
+	bg_toml_u32(&set->mesh.fanout, doc, tbl, "fanout", FANOUT_MIN,
+	    FANOUT_MAX, BG_TOML_OPTIONAL);
+	bg_toml_bool(&set->mesh.direct_watch, doc, tbl, "direct_watch",
+	    BG_TOML_OPTIONAL);
+}
+
+/* The table describes one backend server; its keys only make sense together. */
+static void
+read_server(struct bg_settings *set, struct bg_toml *doc,
+    const struct bg_toml_table *tbl)
+{
+	int is_known;
+
+	if (tbl == NULL)
+		return;
+	read_ip_port(
+	    set->server.address, doc, tbl, "address", BG_TOML_REQUIRED);
+	read_name(set->server.service, doc, tbl, "service", BG_TOML_REQUIRED);
+	read_name(set->server.version, doc, tbl, "version", BG_TOML_REQUIRED);
+	read_checked(set->server.probe_path, doc, tbl, "probe_path",
+	    BG_TOML_OPTIONAL, is_path, "a path that starts with '/'");
+	is_known = bg_toml_u32(&set->server.slots, doc, tbl, "slots", 1,
+	    SLOTS_MAX, BG_TOML_REQUIRED);
+	is_known &= bg_toml_u32(&set->server.connections, doc, tbl,
+	    "connections", 1, CONNECTIONS_MAX, BG_TOML_REQUIRED);
+	/* A running call occupies a connection of its own. */
+	if (is_known && set->server.connections < set->server.slots)
+		bg_toml_fail(doc, tbl, "connections",
+		    "expected at least server.slots (%u), found %u",
+		    set->server.slots, set->server.connections);
+}
+
+static void
+read_limits(struct bg_settings *set, struct bg_toml *doc,
+    const struct bg_toml_table *tbl)
+{
+	uint32_t buffered_bytes;
+
+	bg_toml_u32(&set->limits.body_bytes, doc, tbl, "body_bytes",
+	    BODY_MIN_BYTES, BODY_MAX_BYTES, BG_TOML_OPTIONAL);
+	if (bg_toml_u32(&buffered_bytes, doc, tbl, "buffered_bytes",
+		BODY_MIN_BYTES, BUFFERED_MAX_BYTES, BG_TOML_OPTIONAL))
+		set->limits.buffered_bytes = buffered_bytes;
+	/* A request and its answer have to fit at the same time. */
+	if (set->limits.buffered_bytes < 2ULL * set->limits.body_bytes)
+		bg_toml_fail(doc, tbl, "buffered_bytes",
+		    "expected at least twice limits.body_bytes (%u), found "
+		    "%llu",
+		    set->limits.body_bytes,
+		    (unsigned long long)set->limits.buffered_bytes);
+	bg_toml_u32(&set->limits.drain_ms, doc, tbl, "drain_ms", 0,
+	    DRAIN_MAX_MS, BG_TOML_OPTIONAL);
+	bg_toml_u32(&set->limits.announce_ms, doc, tbl, "announce_ms", 0,
+	    ANNOUNCE_MAX_MS, BG_TOML_OPTIONAL);
+}
+
+/* Checks that span tables. */
+static void
+check_together(struct bg_settings *set, struct bg_toml *doc)
+{
+	const struct bg_toml_table *root = bg_toml_root(doc);
+
+	if (set->mesh.direct_watch && !bg_toml_has(root, "platform"))
+		bg_toml_fail(doc, root, "platform",
+		    "expected platform.address, since mesh.direct_watch is "
+		    "true, found no such key");
+	else if (!bg_toml_has(root, "platform") && set->mesh.seed_count == 0)
+		bg_toml_fail(doc, root, "platform",
+		    "expected platform.address or mesh.seeds, found neither");
+	if (set->node.advertise[0] == '\0' && set->node.mesh_port != 0)
+		snprintf(set->node.advertise, sizeof(set->node.advertise),
+		    "%.15s:%u", set->node.address, set->node.mesh_port);
+}
+
+static void
+read_settings(struct bg_settings *set, struct bg_toml *doc)
+{
+	const struct bg_toml_table *root = bg_toml_root(doc);
+	const struct bg_toml_table *log;
+	const struct bg_toml_table *limits;
+	int level;
+
+	read_node(
+	    set, doc, bg_toml_subtable(doc, root, "node", BG_TOML_REQUIRED));
+	read_platform(set, doc,
+	    bg_toml_subtable(doc, root, "platform", BG_TOML_OPTIONAL));
+	read_mesh(
+	    set, doc, bg_toml_subtable(doc, root, "mesh", BG_TOML_OPTIONAL));
+	read_server(
+	    set, doc, bg_toml_subtable(doc, root, "server", BG_TOML_OPTIONAL));
+	limits = bg_toml_subtable(doc, root, "limits", BG_TOML_OPTIONAL);
+	if (limits != NULL)
+		read_limits(set, doc, limits);
+	log = bg_toml_subtable(doc, root, "log", BG_TOML_OPTIONAL);
+	if (bg_toml_word(&level, doc, log, "level", LEVELS, BG_TOML_OPTIONAL))
+		snprintf(set->log.level, sizeof(set->log.level), "%s",
+		    LEVELS[level]);
+	check_together(set, doc);
+}
+
+int
+bg_settings_load_report(struct bg_settings *out, char **out_report,
+    const char *path, struct bg_error *err)
+{
+	struct bg_toml *doc;
+	int error;
+
+	*out_report = NULL;
+	bg_settings_init(out);
+	if ((error = bg_toml_load(&doc, path)) != 0)
+		return bg_error_set(
+		    err, error, "settings", NULL, "%s: out of memory", path);
+	read_settings(out, doc);
+	error = bg_toml_finish(doc, err);
+	if (error != 0 && bg_toml_report(out_report, doc) != 0)
+		error = bg_error_set(err, BG_ENOMEM, "settings", NULL,
+		    "%s: out of memory", path);
+	bg_toml_free(doc);
+	return error;
+}
+
+int
+bg_settings_load(
+    struct bg_settings *out, const char *path, struct bg_error *err)
+{
+	char *report;
+	int error;
+
+	error = bg_settings_load_report(out, &report, path, err);
+	free(report);
+	return error;
+}
--- /dev/null
+++ b/core/tests/test_settings.c
@@ -0,0 +1,420 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "burdockgrade/settings.h"
+#include "burdockgrade/toml.h"
+
+static const char COMPLETE[] = "[node]\n"
+			       "address = \"127.1.0.1\"\n"
+			       "data_centre = \"kgl-a\"\n"
+			       "region = \"kigali\"\n"
+			       "customer_port = 8000\n"
+			       "mesh_port = 7000\n"
+			       "[platform]\n"
+			       "address = \"127.0.0.1:9000\"\n"
+			       "timeout_ms = 500\n"
+			       "[mesh]\n"
+			       "seeds = [\"127.1.0.2:7000\", "
+			       "\"127.2.0.1:7000\"]\n"
+			       "fanout = 8\n"
+			       "direct_watch = true\n"
+			       "[server]\n"
+			       "address = \"127.1.0.1:8080\"\n"
+			       "service = \"orders\"\n"
+			       "version = \"2.1\"\n"
+			       "slots = 18\n"
+			       "connections = 110\n"
+			       "probe_path = \"/ready\"\n"
+			       "[limits]\n"
+			       "body_bytes = 65536\n"
+			       "buffered_bytes = 131072\n"
+			       "drain_ms = 1000\n"
+			       "announce_ms = 0\n"
+			       "[log]\n"
+			       "level = \"debug\"\n";
+
+static char path[64];
+static struct bg_settings set;
+static struct bg_error err;
+static char *report;
+
+static void
+write_file(const char *text, size_t text_bytes)
+{
+	FILE *fp;
+	int fd;
+
+	snprintf(path, sizeof(path), "/tmp/bg-settings-XXXXXX");
+	fd = mkstemp(path);
+	ck_assert_int_ge(fd, 0);
+	fp = fdopen(fd, "w");
+	ck_assert_ptr_nonnull(fp);
+	ck_assert_uint_eq(fwrite(text, 1, text_bytes, fp), text_bytes);
+	fclose(fp);
+}
+
+static int
+load_bytes(const char *text, size_t text_bytes)
+{
+	int error;
+
+	free(report);
+	memset(&err, 0, sizeof(err));
+	write_file(text, text_bytes);
+	error = bg_settings_load_report(&set, &report, path, &err);
+	unlink(path);
+	return error;
+}
+
+static int
+load(const char *text)
+{
+	return load_bytes(text, strlen(text));
+}
+
+/* Asserts that the report has exactly this line after the file's name. */
+static void
+expect_line(const char *line)
+{
+	char wanted[512];
+
+	snprintf(wanted, sizeof(wanted), "%s:%s\n", path, line);
+	ck_assert_ptr_nonnull(report);
+	ck_assert_msg(strstr(report, wanted) != NULL, "no line \"%s\" in:\n%s",
+	    wanted, report);
+}
+
+static size_t
+count_lines(void)
+{
+	size_t lines = 0;
+	const char *c;
+
+	for (c = report; c != NULL && *c != '\0'; c++)
+		lines += *c == '\n';
+	return lines;
+}
+
+/* Guards against a key that is read into another field or not at all. */
+START_TEST(complete_file_sets_every_field)
+{
+	ck_assert_msg(load(COMPLETE) == 0, "%s", err.message);
+	ck_assert_ptr_null(report);
+	ck_assert_str_eq(set.node.address, "127.1.0.1");
+	ck_assert_str_eq(set.node.data_centre, "kgl-a");
+	ck_assert_str_eq(set.node.region, "kigali");
+	ck_assert_uint_eq(set.node.customer_port, 8000);
+	ck_assert_uint_eq(set.node.mesh_port, 7000);
+	ck_assert_str_eq(set.node.advertise, "127.1.0.1:7000");
+	ck_assert_str_eq(set.platform.address, "127.0.0.1:9000");
+	ck_assert_uint_eq(set.platform.timeout_ms, 500);
+	ck_assert_uint_eq(set.mesh.seed_count, 2);
+	ck_assert_str_eq(set.mesh.seeds[1], "127.2.0.1:7000");
+	ck_assert_uint_eq(set.mesh.fanout, 8);
+	ck_assert_int_eq(set.mesh.direct_watch, 1);
+	ck_assert_str_eq(set.server.address, "127.1.0.1:8080");
+	ck_assert_str_eq(set.server.service, "orders");
+	ck_assert_str_eq(set.server.version, "2.1");
+	ck_assert_uint_eq(set.server.slots, 18);
+	ck_assert_uint_eq(set.server.connections, 110);
+	ck_assert_str_eq(set.server.probe_path, "/ready");
+	ck_assert_uint_eq(set.limits.body_bytes, 65536);
+	ck_assert_uint_eq(set.limits.buffered_bytes, 131072);
+	ck_assert_uint_eq(set.limits.drain_ms, 1000);
+	ck_assert_uint_eq(set.limits.announce_ms, 0);
+	ck_assert_str_eq(set.log.level, "debug");
+}
+END_TEST
+
+/* Guards against a default that a minimal file does not get. */
+START_TEST(minimal_file_gets_defaults)
+{
+	ck_assert_int_eq(load("node = { address = \"127.0.0.1\", "
+			      "data_centre = \"a\" }\n"
+			      "mesh.seeds = [\"127.0.0.1:1\"]\n"),
+	    0);
+	ck_assert_str_eq(set.node.region, "default");
+	ck_assert_str_eq(set.node.advertise, "");
+	ck_assert_str_eq(set.server.address, "");
+	ck_assert_uint_eq(set.platform.timeout_ms, 2000);
+	ck_assert_uint_eq(set.mesh.fanout, 16);
+	ck_assert_uint_eq(set.limits.body_bytes, 1024 * 1024);
+	ck_assert_uint_eq(set.limits.buffered_bytes, 64 * 1024 * 1024);
+	ck_assert_uint_eq(set.limits.drain_ms, 30000);
+	ck_assert_str_eq(set.log.level, "info");
+}
+END_TEST
+
+/* Guards against a report that stops at the first error or loses a line. */
+START_TEST(all_errors_are_reported_with_line_and_key)
+{
+	ck_assert_int_eq(load("[node]\n"
+			      "address = \"localhost\"\n"
+			      "data_centre = \"a/b\"\n"
+			      "mesh_port = 70000\n"
+			      "colour = \"red\"\n"
+			      "[platform]\n"
+			      "address = \"127.0.0.1\"\n"
+			      "timeout_ms = \"fast\"\n"
+			      "[mesh]\n"
+			      "seeds = [\n"
+			      "\"127.0.0.1:1\",\n"
+			      "\"127.0.0.1:0\"]\n"
+			      "[log]\n"
+			      "level = \"loud\"\n"
+			      "[extra]\n"),
+	    BG_EINVAL);
+	expect_line("2: node.address: expected an IPv4 address as "
+		    "\"10.0.0.1\", found \"localhost\"");
+	expect_line("3: node.data_centre: expected letters, digits, '-', '_' "
+		    "and '.', found \"a/b\"");
+	expect_line("4: node.mesh_port: expected an integer from 0 to 65535, "
+		    "found 70000");
+	expect_line("5: node.colour: expected no such key");
+	expect_line("7: platform.address: expected an IPv4 address and port "
+		    "as \"10.0.0.1:7000\", found \"127.0.0.1\"");
+	expect_line("8: platform.timeout_ms: expected an integer from 10 to "
+		    "60000, found \"fast\"");
+	expect_line("12: mesh.seeds: expected an IPv4 address and port as "
+		    "\"10.0.0.1:7000\", found \"127.0.0.1:0\"");
+	expect_line("14: log.level: expected one of \"error\", \"warn\", "
+		    "\"info\", \"debug\", found \"loud\"");
+	expect_line("15: extra: expected no such key");
+	ck_assert_uint_eq(count_lines(), 9);
+	/* The fixed-size message ends with whole lines and a count. */
+	ck_assert_ptr_nonnull(strstr(err.message, "node.address"));
+	ck_assert_ptr_nonnull(strstr(err.message, " more"));
+}
+END_TEST
+
+/* Guards against a server that would run with limits of 0 or no name. */
+START_TEST(server_keys_are_required_together)
+{
+	ck_assert_int_eq(load("[node]\naddress = \"127.0.0.1\"\n"
+			      "data_centre = \"a\"\n"
+			      "[platform]\naddress = \"127.0.0.1:1\"\n"
+			      "[server]\nservice = \"orders\"\n"
+			      "connections = 3\n"),
+	    BG_EINVAL);
+	expect_line("6: server.address: expected a string, found no such key");
+	expect_line("6: server.version: expected a string, found no such key");
+	expect_line("6: server.slots: expected an integer from 1 to 10000, "
+		    "found no such key");
+	ck_assert_uint_eq(count_lines(), 3);
+}
+END_TEST
+
+/* Guards against limits that contradict each other. */
+START_TEST(cross_checks_name_the_other_key)
+{
+	ck_assert_int_eq(load("[node]\naddress = \"127.0.0.1\"\n"
+			      "data_centre = \"a\"\n"
+			      "customer_port = 7\nmesh_port = 7\n"
+			      "[mesh]\ndirect_watch = true\n"
+			      "[server]\naddress = \"127.0.0.1:80\"\n"
+			      "service = \"s\"\nversion = \"1\"\n"
+			      "slots = 9\nconnections = 8\n"
+			      "[limits]\nbody_bytes = 4096\n"
+			      "buffered_bytes = 8191\n"),
+	    BG_EINVAL);
+	expect_line("5: node.mesh_port: expected another port than "
+		    "node.customer_port, found 7");
+	expect_line("13: server.connections: expected at least server.slots "
+		    "(9), found 8");
+	expect_line("16: limits.buffered_bytes: expected at least twice "
+		    "limits.body_bytes (4096), found 8191");
+	expect_line("1: platform: expected platform.address, since "
+		    "mesh.direct_watch is true, found no such key");
+	ck_assert_uint_eq(count_lines(), 4);
+}
+END_TEST
+
+/* Guards against a node that can learn the floor from nobody. */
+START_TEST(platform_or_seeds_is_required)
+{
+	ck_assert_int_eq(
+	    load("[node]\naddress = \"127.0.0.1\"\ndata_centre = \"a\"\n"),
+	    BG_EINVAL);
+	expect_line("1: platform: expected platform.address or mesh.seeds, "
+		    "found neither");
+}
+END_TEST
+
+static const struct {
+	const char *text;
+	const char *line;
+} BROKEN[] = {
+    {"", "1: file: expected TOML keys, found an empty file"},
+    {" \n\t\r\n", "1: file: expected TOML keys, found an empty file"},
+};
+
+/* Guards against a list of missing keys where the file itself is at fault. */
+START_TEST(broken_files_give_one_clear_error)
+{
+	ck_assert_int_eq(
+	    load_bytes(BROKEN[_i].text, strlen(BROKEN[_i].text)), BG_EINVAL);
+	expect_line(BROKEN[_i].line);
+	ck_assert_uint_eq(count_lines(), 1);
+}
+END_TEST
+
+/* Guards against bytes that are not text being taken over from a file. */
+START_TEST(invalid_utf8_is_refused_with_its_line)
+{
+	char wanted[128];
+
+	ck_assert_int_eq(
+	    load("[node]\naddress = \"127.0.0.\xff\"\n"), BG_EINVAL);
+	snprintf(wanted, sizeof(wanted),
+	    "%s:2: file: expected TOML in UTF-8, found: ", path);
+	ck_assert_msg(strstr(report, wanted) == report, "%s", report);
+	ck_assert_uint_eq(count_lines(), 1);
+}
+END_TEST
+
+/* Guards against a syntax error, a duplicate key or a NUL byte that passes. */
+START_TEST(syntax_errors_have_their_line)
+{
+	static const struct {
+		const char *text;
+		size_t bytes;
+		const char *line;
+	} cases[] = {
+	    {"[node\n", 6, ":1: file: expected TOML"},
+	    {"a = 1\na = 2\n", 12, ":2: file: expected TOML"},
+	    {"a = 1\n\0b = 2\n", 13, ":2: file: expected TOML"},
+	};
+
+	ck_assert_int_eq(
+	    load_bytes(cases[_i].text, cases[_i].bytes), BG_EINVAL);
+	ck_assert_msg(strstr(report, cases[_i].line) != NULL, "%s", report);
+	ck_assert_uint_eq(count_lines(), 1);
+}
+END_TEST
+
+/* Guards against a string that C would cut at an escaped NUL. */
+START_TEST(control_characters_in_strings_are_refused)
+{
+	ck_assert_int_eq(load("[node]\naddress = \"127.0.0.1\\u0000x\"\n"
+			      "data_centre = \"a\"\n"
+			      "[platform]\naddress = \"127.0.0.1:1\"\n"),
+	    BG_EINVAL);
+	expect_line("2: node.address: expected a string of 1 to 63 bytes "
+		    "without control characters, found \"127.0.0.1?x\"");
+}
+END_TEST
+
+/* Guards against reading without bound: the limit is exact. */
+START_TEST(file_size_is_limited)
+{
+	size_t bytes = BG_TOML_MAX_BYTES + 1;
+	char *text = malloc(bytes);
+
+	memset(text, '\n', bytes);
+	text[0] = 'a';
+	text[1] = '=';
+	text[2] = '1';
+	ck_assert_int_eq(load_bytes(text, bytes), BG_EINVAL);
+	expect_line("1: file: expected at most 1 MiB, found more");
+	ck_assert_uint_eq(count_lines(), 1);
+	ck_assert_int_eq(load_bytes(text, bytes - 1), BG_EINVAL);
+	expect_line("1: a: expected no such key");
+	free(text);
+}
+END_TEST
+
+/* Guards against a missing file that looks like a wrong one. */
+START_TEST(unreadable_file_is_an_io_error)
+{
+	ck_assert_int_eq(
+	    bg_settings_load(&set, "/nonexistent/x.toml", &err), BG_EIO);
+	ck_assert_str_eq(err.message,
+	    "/nonexistent/x.toml: file: expected a readable file, found: No "
+	    "such file or directory");
+	/* A folder opens, but does not read. */
+	ck_assert_int_eq(bg_settings_load(&set, "/tmp", &err), BG_EIO);
+}
+END_TEST
+
+/* Guards against exhausted stack on nested input. */
+START_TEST(deep_nesting_is_refused)
+{
+	char text[20000];
+
+	memset(text, '[', sizeof(text) - 1);
+	text[sizeof(text) - 1] = '\0';
+	text[0] = 'a';
+	text[1] = '=';
+	ck_assert_int_eq(load(text), BG_EINVAL);
+	ck_assert_uint_eq(count_lines(), 1);
+}
+END_TEST
+
+/* Guards against rounding that changes an objective, and against NaN. */
+START_TEST(scaled_numbers_are_exact)
+{
+	static const struct {
+		const char *text;
+		int valid;
+		uint32_t value;
+	} cases[] = {
+	    {"x = 99.9\n", 1, 9990},
+	    {"x = 99.99\n", 1, 9999},
+	    {"x = 99\n", 1, 9900},
+	    {"x = 99.995\n", 0, 0},
+	    {"x = 100.01\n", 0, 0},
+	    {"x = nan\n", 0, 0},
+	    {"x = -inf\n", 0, 0},
+	    {"x = 9223372036854775807\n", 0, 0},
+	    {"x = \"99\"\n", 0, 0},
+	};
+	struct bg_toml *doc;
+	uint32_t value = 0;
+
+	ck_assert_int_eq(
+	    bg_toml_parse(&doc, "f", cases[_i].text, strlen(cases[_i].text)),
+	    0);
+	ck_assert_int_eq(bg_toml_scaled(&value, doc, bg_toml_root(doc), "x",
+			     100, 5000, 10000, BG_TOML_REQUIRED),
+	    cases[_i].valid);
+	ck_assert_uint_eq(value, cases[_i].value);
+	ck_assert_int_eq(
+	    bg_toml_finish(doc, &err), cases[_i].valid ? 0 : BG_EINVAL);
+	bg_toml_free(doc);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("settings");
+	TCase *tc = tcase_create("settings");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, complete_file_sets_every_field);
+	tcase_add_test(tc, minimal_file_gets_defaults);
+	tcase_add_test(tc, all_errors_are_reported_with_line_and_key);
+	tcase_add_test(tc, server_keys_are_required_together);
+	tcase_add_test(tc, cross_checks_name_the_other_key);
+	tcase_add_test(tc, platform_or_seeds_is_required);
+	tcase_add_loop_test(tc, broken_files_give_one_clear_error, 0, 2);
+	tcase_add_test(tc, invalid_utf8_is_refused_with_its_line);
+	tcase_add_loop_test(tc, syntax_errors_have_their_line, 0, 3);
+	tcase_add_test(tc, control_characters_in_strings_are_refused);
+	tcase_add_test(tc, file_size_is_limited);
+	tcase_add_test(tc, unreadable_file_is_an_io_error);
+	tcase_add_test(tc, deep_nesting_is_refused);
+	tcase_add_loop_test(tc, scaled_numbers_are_exact, 0, 9);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	free(report);
+	return failed == 0 ? 0 : 1;
+}
