--- /dev/null
+++ b/standins/platform/control.c
@@ -0,0 +1,109 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "platform.h"
+
+static int
+set_outage(struct platform *plt, const json_t *value)
+{
+	if (json_is_boolean(value))
+		plt->outage = json_is_true(value) ? OUTAGE_REFUSE : OUTAGE_NONE;
+	else if (json_is_string(value) &&
+	    strcmp(json_string_value(value), "silent") == 0)
+		plt->outage = OUTAGE_SILENT;
+	else
+		return -1;
+	return 0;
+}
+
+static int
+set_number(uint32_t *out, const json_t *value)
+{
+	if (!json_is_integer(value) || json_integer_value(value) < 0 ||
+	    json_integer_value(value) > UINT32_MAX)
+		return -1;
+	*out = (uint32_t)json_integer_value(value);
+	return 0;
+}
+
+static int
+set_cuts(struct platform *plt, const json_t *value)
+{
+	const json_t *item;
+	size_t i;
+
+	if (!json_is_array(value) || json_array_size(value) > CUTS_MAX)
+		return -1;
+	for (i = 0; i < json_array_size(value); i++) {
+		item = json_array_get(value, i);
+		if (!json_is_string(item) || json_string_length(item) == 0 ||
+		    json_string_length(item) >= PREFIX_BYTES)
+			return -1;
+	}
+	plt->cut_count = json_array_size(value);
+	for (i = 0; i < plt->cut_count; i++)
+		snprintf(plt->cuts[i], PREFIX_BYTES, "%s",
+		    json_string_value(json_array_get(value, i)));
+	return 0;
+}
+
+static int
+set_switch(struct platform *plt, const char *name, const json_t *value)
+{
+	if (strcmp(name, "outage") == 0)
+		return set_outage(plt, value);
+	if (strcmp(name, "delay_ms") == 0)
+		return set_number(&plt->delay_ms, value);
+	if (strcmp(name, "answer_delay_ms") == 0)
+		return set_number(&plt->answer_delay_ms, value);
+	if (strcmp(name, "lose_next_write_answers") == 0)
+		return set_number(&plt->lose_next_write_answers, value);
+	if (strcmp(name, "reads_per_s") == 0)
+		return set_number(&plt->reads.limit, value);
+	if (strcmp(name, "writes_per_s") == 0)
+		return set_number(&plt->writes.limit, value);
+	if (strcmp(name, "cut") == 0)
+		return set_cuts(plt, value);
+	return -1;
+}
+
+void
+platform_control(struct platform *plt, evhtp_request_t *req)
+{
+	json_t *body = serve_read_json(req);
+	json_t *value;
+	const char *name;
+	char text[128];
+
+	if (body == NULL)
+		return;
+	json_object_foreach(body, name, value)
+	{
+		if (set_switch(plt, name, value) == 0)
+			continue;
+		snprintf(text, sizeof(text), "%s: unknown or invalid\n", name);
+		serve_reply(req, EVHTP_RES_BADREQ, text, strlen(text));
+		json_decref(body);
+		return;
+	}
+	json_decref(body);
+	platform_review_watches(plt);
+	serve_reply_json(req, EVHTP_RES_OK, json_object());
+}
+
+void
+platform_stats(struct platform *plt, evhtp_request_t *req)
+{
+	serve_reply_json(req, EVHTP_RES_OK,
+	    json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "reads",
+		(json_int_t)plt->reads.total, "writes",
+		(json_int_t)plt->writes.total, "watches",
+		(json_int_t)plt->watch_count, "rejected",
+		(json_int_t)plt->reads.rejected +
+		    (json_int_t)plt->writes.rejected,
+		"highest_reads_per_s", (json_int_t)plt->reads.highest,
+		"highest_writes_per_s", (json_int_t)plt->writes.highest,
+		"lost_answers", (json_int_t)plt->lost_answers, "objects",
+		(json_int_t)HASH_COUNT(plt->store.objects), "revision",
+		(json_int_t)plt->store.revision));
+}
