--- a/config/include/burdockgrade/contract.h
+++ b/config/include/burdockgrade/contract.h
@@ -66,6 +66,9 @@
 /** Decodes JSON strictly. @return 0 or BG_EPROTO with the reason in err */
 int bg_contract_decode(struct bg_contract *out, const char *json,
     size_t json_bytes, struct bg_error *err);
+/** xxh64 (seed 0) of the encoded form, as in the head. @return 0, BG_EINVAL if
+ * a string is not UTF-8, or BG_ENOMEM */
+int bg_contract_digest(uint64_t *out, const struct bg_contract *ctr);
 /** Checks limits and consistency of one contract. */
 int bg_contract_validate(const struct bg_contract *ctr, struct bg_error *err);
 
--- /dev/null
+++ b/config/src/contract_set.c
@@ -0,0 +1,164 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "contract_set.h"
+
+const struct bg_contract *
+bg_contract_set_find(
+    const struct bg_contract *const *set, size_t count, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (strcmp(set[i]->name, name) == 0)
+			return set[i];
+	return NULL;
+}
+
+const struct bg_contract *
+bg_contract_set_clash(const struct bg_contract *const *set, size_t count,
+    const struct bg_contract *ctr, const struct bg_route *rt)
+{
+	const struct bg_route *other;
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < count; i++) {
+		if (strcmp(set[i]->name, ctr->name) == 0)
+			continue;
+		for (j = 0; j < set[i]->route_count; j++) {
+			other = &set[i]->routes[j];
+			if ((other->methods & rt->methods) != 0 &&
+			    strcmp(other->prefix, rt->prefix) == 0)
+				return set[i];
+		}
+	}
+	return NULL;
+}
+
+int
+bg_contract_set_check(
+    const struct bg_contract *const *set, size_t count, struct bg_error *err)
+{
+	const struct bg_contract *ctr;
+	const struct bg_contract *other;
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < count; i++) {
+		ctr = set[i];
+		for (j = 0; j < ctr->dependency_count; j++)
+			if (bg_contract_set_find(
+				set, count, ctr->dependencies[j]) == NULL)
+				return bg_error_set(err, BG_EINVAL, "validate",
+				    NULL,
+				    "service %s: dependency %s: expected a "
+				    "service that exists",
+				    ctr->name, ctr->dependencies[j]);
+		for (j = 0; j < ctr->route_count; j++) {
+			other = bg_contract_set_clash(
+			    set, count, ctr, &ctr->routes[j]);
+			if (other != NULL)
+				return bg_error_set(err, BG_EINVAL, "validate",
+				    NULL,
+				    "service %s: route %s: expected a path "
+				    "and method that %s does not have",
+				    ctr->name, ctr->routes[j].name,
+				    other->name);
+		}
+	}
+	return 0;
+}
+
+struct search {
+	const struct bg_contract *const *set;
+	size_t count;
+	const char *target;
+	size_t *previous; /* index of the service that led here, plus 1 */
+	size_t *queue;
+	size_t queued;
+};
+
+static void
+enqueue(struct search *sea, size_t from, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < sea->count; i++) {
+		if (strcmp(sea->set[i]->name, name) != 0 ||
+		    sea->previous[i] != 0)
+			continue;
+		sea->previous[i] = from + 1;
+		sea->queue[sea->queued++] = i;
+	}
+}
+
+/* Writes "target -> ... -> last -> target" from the links backwards. */
+static void
+write_path(char *out, size_t out_bytes, const struct search *sea, size_t start)
+{
+	size_t chain[BG_DEPENDENCIES_MAX];
+	size_t depth = 0;
+	size_t at = start;
+	size_t len;
+
+	do {
+		at = sea->previous[at] - 1;
+		chain[depth++] = at;
+	} while (at != start && depth < BG_DEPENDENCIES_MAX);
+	len = (size_t)snprintf(out, out_bytes, "%s", sea->target);
+	if (at == start)
+		depth--;
+	else
+		len += (size_t)snprintf(out + len, out_bytes - len, " -> ...");
+	while (depth-- > 0 && len < out_bytes)
+		len += (size_t)snprintf(out + len, out_bytes - len, " -> %s",
+		    sea->set[chain[depth]]->name);
+	if (len < out_bytes)
+		snprintf(out + len, out_bytes - len, " -> %s", sea->target);
+}
+
+/* Breadth first from the target, so that the shortest cycle is shown. */
+static int
+search_cycle(struct search *sea, char *out_path, size_t out_path_bytes)
+{
+	const struct bg_contract *ctr;
+	size_t start = 0;
+	size_t head;
+	size_t j;
+
+	while (start < sea->count &&
+	    strcmp(sea->set[start]->name, sea->target) != 0)
+		start++;
+	if (start == sea->count)
+		return 0;
+	for (j = 0; j < sea->set[start]->dependency_count; j++)
+		enqueue(sea, start, sea->set[start]->dependencies[j]);
+	for (head = 0; head < sea->queued; head++) {
+		if (sea->queue[head] == start) {
+			write_path(out_path, out_path_bytes, sea, start);
+			return 1;
+		}
+		ctr = sea->set[sea->queue[head]];
+		for (j = 0; j < ctr->dependency_count; j++)
+			enqueue(sea, sea->queue[head], ctr->dependencies[j]);
+	}
+	return 0;
+}
+
+int
+bg_contract_set_cycle(char *out_path, size_t out_path_bytes,
+    const struct bg_contract *const *set, size_t count, const char *name)
+{
+	struct search sea = {set, count, name, NULL, NULL, 0};
+	int found = BG_ENOMEM;
+
+	sea.previous = calloc(count + 1, sizeof(*sea.previous));
+	sea.queue = calloc(count + 1, sizeof(*sea.queue));
+	if (sea.previous != NULL && sea.queue != NULL)
+		found = search_cycle(&sea, out_path, out_path_bytes);
+	free(sea.previous);
+	free(sea.queue);
+	return found;
+}
--- /dev/null
+++ b/config/src/questionnaire_set.c
@@ -0,0 +1,135 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/questionnaire.h"
+
+#include "contract_set.h"
+
+#define CYCLE_BYTES 512
+
+struct check {
+	FILE *report;
+	const struct bg_contract **set; /**< what would be in force */
+	size_t set_count;
+	size_t problems;
+	int code;
+};
+
+static void add_problem(struct check *chk, const struct bg_questionnaire *qn,
+    uint32_t line, const char *fmt, ...) __attribute__((format(printf, 4, 5)));
+
+static void
+add_problem(struct check *chk, const struct bg_questionnaire *qn, uint32_t line,
+    const char *fmt, ...)
+{
+	va_list ap;
+
+	fprintf(chk->report, "%s:%u: ", qn->path, line);
+	va_start(ap, fmt);
+	vfprintf(chk->report, fmt, ap);
+	va_end(ap);
+	fputc('\n', chk->report);
+	chk->problems++;
+}
+
+static void
+check_one(struct check *chk, const struct bg_questionnaire *qn)
+{
+	const struct bg_contract *ctr = &qn->contract;
+	const struct bg_contract *other;
+	char cycle[CYCLE_BYTES];
+	size_t i;
+	int found;
+
+	for (i = 0; i < ctr->dependency_count; i++)
+		if (bg_contract_set_find(
+			chk->set, chk->set_count, ctr->dependencies[i]) == NULL)
+			add_problem(chk, qn, qn->dependencies_line,
+			    "dependencies: expected a service that exists, "
+			    "found \"%s\"",
+			    ctr->dependencies[i]);
+	for (i = 0; i < ctr->route_count; i++) {
+		other = bg_contract_set_clash(
+		    chk->set, chk->set_count, ctr, &ctr->routes[i]);
+		if (other != NULL)
+			add_problem(chk, qn, qn->route_lines[i],
+			    "route.path: expected a path and method that "
+			    "service \"%s\" does not have, found \"%s\"",
+			    other->name, ctr->routes[i].prefix);
+	}
+	found = bg_contract_set_cycle(
+	    cycle, sizeof(cycle), chk->set, chk->set_count, ctr->name);
+	if (found < 0)
+		chk->code = found;
+	else if (found)
+		add_problem(chk, qn, qn->dependencies_line,
+		    "dependencies: expected no cycle, found %s", cycle);
+}
+
+/* Index of an earlier questionnaire of the same service, or at. */
+static size_t
+first_of_service(const struct bg_questionnaire *qns, size_t at)
+{
+	size_t i;
+
+	for (i = 0; i < at; i++)
+		if (strcmp(qns[i].contract.name, qns[at].contract.name) == 0)
+			return i;
+	return at;
+}
+
+static void
+check_all(struct check *chk, const struct bg_questionnaire *qns, size_t count,
+    const struct bg_contract *accepted, size_t accepted_count)
+{
+	size_t i;
+	size_t first;
+
+	for (i = 0; i < count; i++) {
+		if ((first = first_of_service(qns, i)) == i)
+			chk->set[chk->set_count++] = &qns[i].contract;
+		else
+			add_problem(chk, &qns[i], qns[i].name_line,
+			    "name: expected each service once, found \"%s\" "
+			    "in %s as well",
+			    qns[i].contract.name, qns[first].path);
+	}
+	for (i = 0; i < accepted_count; i++)
+		if (bg_contract_set_find(
+			chk->set, chk->set_count, accepted[i].name) == NULL)
+			chk->set[chk->set_count++] = &accepted[i];
+	for (i = 0; i < count; i++)
+		check_one(chk, &qns[i]);
+}
+
+int
+bg_questionnaire_validate_set(char **out_report,
+    const struct bg_questionnaire *qns, size_t count,
+    const struct bg_contract *accepted, size_t accepted_count,
+    struct bg_error *err)
+{
+	struct check chk = {0};
+	size_t report_bytes;
+
+	*out_report = NULL;
+	chk.set = calloc(count + accepted_count + 1, sizeof(const struct bg_contract *));
+	chk.report = open_memstream(out_report, &report_bytes);
+	if (chk.set == NULL || chk.report == NULL)
+		chk.code = BG_ENOMEM;
+	else
+		check_all(&chk, qns, count, accepted, accepted_count);
+	if (chk.report != NULL && fclose(chk.report) != 0)
+		chk.code = BG_ENOMEM;
+	free(chk.set);
+	if (chk.code == 0 && chk.problems > 0)
+		return bg_error_set(err, BG_EINVAL, "validate", NULL, "%.*s",
+		    (int)strcspn(*out_report, "\n"), *out_report);
+	free(*out_report);
+	*out_report = NULL;
+	if (chk.code != 0)
+		return bg_error_set(
+		    err, chk.code, "validate", NULL, "out of memory");
+	return 0;
+}
--- /dev/null
+++ b/config/src/snapshot.c
@@ -0,0 +1,197 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/snapshot.h"
+
+#include "contract_set.h"
+
+static int
+compare_services(const void *a, const void *b)
+{
+	const struct bg_service *x = a;
+	const struct bg_service *y = b;
+
+	return strcmp(x->head.name, y->head.name);
+}
+
+static int
+fail(struct bg_error *err, const struct bg_service *svc, const char *problem)
+{
+	return bg_error_set(err, BG_EINVAL, "snapshot", NULL,
+	    "service %.63s: expected %s", svc->head.name, problem);
+}
+
+static int
+validate_move(const struct bg_service *svc, struct bg_error *err)
+{
+	const struct bg_move *mv = &svc->head.move;
+
+	if ((unsigned)mv->state > BG_MOVE_ROLLED_BACK)
+		return fail(err, svc, "a move state");
+	if (mv->share_permille > 1000)
+		return fail(err, svc, "a move share of at most 1000");
+	if (mv->state != BG_MOVE_NONE && mv->to[0] == '\0')
+		return fail(err, svc, "a move with a server version");
+	return 0;
+}
+
+static int
+validate_service(
+    const struct bg_service *svc, uint64_t version, struct bg_error *err)
+{
+	uint64_t digest;
+	int error;
+
+	if (strcmp(svc->head.name, svc->contract.name) != 0)
+		return fail(err, svc, "the contract of this service");
+	if (svc->head.changed > version)
+		return fail(err, svc, "no change after the head version");
+	if ((error = bg_contract_validate(&svc->contract, err)) != 0)
+		return error;
+	if ((error = bg_contract_digest(&digest, &svc->contract)) != 0)
+		return bg_error_set(
+		    err, error, "snapshot", NULL, "contract digest failed");
+	if (digest != svc->head.digest)
+		return fail(err, svc, "the contract of the digest");
+	return validate_move(svc, err);
+}
+
+/* Digest of the services that are present, to compare with the head's. */
+static int
+digest_services(uint64_t *out, const struct bg_snapshot *snap)
+{
+	struct bg_head head;
+	size_t i;
+
+	bg_head_init(&head);
+	head.services = calloc(snap->service_count + 1, sizeof(*head.services));
+	if (head.services == NULL)
+		return BG_ENOMEM;
+	head.service_count = snap->service_count;
+	for (i = 0; i < snap->service_count; i++)
+		head.services[i] = snap->services[i].head;
+	*out = bg_head_digest(&head);
+	bg_head_free(&head);
+	return 0;
+}
+
+static int
+validate_together(const struct bg_snapshot *snap, struct bg_error *err)
+{
+	const struct bg_contract **set;
+	size_t i;
+	int error;
+
+	set = calloc(
+	    snap->service_count + 1, sizeof(const struct bg_contract *));
+	if (set == NULL)
+		return bg_error_set(
+		    err, BG_ENOMEM, "snapshot", NULL, "out of memory");
+	for (i = 0; i < snap->service_count; i++)
+		set[i] = &snap->services[i].contract;
+	error = bg_contract_set_check(set, snap->service_count, err);
+	free(set);
+	return error;
+}
+
+static int
+validate(
+    const struct bg_snapshot *snap, uint64_t head_digest, struct bg_error *err)
+{
+	uint64_t digest;
+	size_t i;
+	int error;
+
+	for (i = 0; i < snap->service_count; i++) {
+		if (i > 0 &&
+		    strcmp(snap->services[i - 1].head.name,
+			snap->services[i].head.name) == 0)
+			return fail(
+			    err, &snap->services[i], "each service once");
+		error =
+		    validate_service(&snap->services[i], snap->version, err);
+		if (error != 0)
+			return error;
+	}
+	if ((error = digest_services(&digest, snap)) != 0)
+		return bg_error_set(
+		    err, error, "snapshot", NULL, "out of memory");
+	if (digest != head_digest)
+		return bg_error_set(err, BG_EINVAL, "snapshot", NULL,
+		    "version %llu: expected the services of the head digest",
+		    (unsigned long long)snap->version);
+	return validate_together(snap, err);
+}
+
+int
+bg_snapshot_build(struct bg_snapshot **out, uint64_t version,
+    uint64_t head_digest, const struct bg_service *services,
+    size_t service_count, struct bg_error *err)
+{
+	struct bg_snapshot *snap;
+	int error;
+
+	*out = NULL;
+	if ((snap = calloc(1, sizeof(*snap))) == NULL)
+		return bg_error_set(
+		    err, BG_ENOMEM, "snapshot", NULL, "out of memory");
+	snap->references = 1;
+	snap->version = version;
+	snap->services = calloc(service_count + 1, sizeof(*services));
+	if (snap->services == NULL) {
+		error = bg_error_set(
+		    err, BG_ENOMEM, "snapshot", NULL, "out of memory");
+		goto done;
+	}
+	snap->service_count = service_count;
+	if (service_count > 0)
+		memcpy(snap->services, services,
+		    service_count * sizeof(*services));
+	qsort(
+	    snap->services, service_count, sizeof(*services), compare_services);
+	error = validate(snap, head_digest, err);
+done:
+	if (error != 0)
+		bg_snapshot_release(snap);
+	else
+		*out = snap;
+	return error;
+}
+
+struct bg_snapshot *
+bg_snapshot_acquire(struct bg_snapshot *snap)
+{
+	if (snap != NULL)
+		snap->references++;
+	return snap;
+}
+
+void
+bg_snapshot_release(struct bg_snapshot *snap)
+{
+	if (snap == NULL || --snap->references > 0)
+		return;
+	free(snap->services);
+	free(snap);
+}
+
+const struct bg_service *
+bg_snapshot_service(const struct bg_snapshot *snap, const char *name)
+{
+	size_t low = 0;
+	size_t high = snap->service_count;
+	size_t mid;
+	int order;
+
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		order = strcmp(snap->services[mid].head.name, name);
+		if (order == 0)
+			return &snap->services[mid];
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/config/src/template.c
@@ -0,0 +1,88 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "burdockgrade/questionnaire.h"
+
+#include "limits.h"
+
+/* clang-format off */
+static const char TEMPLATE[] =
+"# Questionnaire of the service %s.\n"
+"#\n"
+"# Answer each question, then run:\n"
+"#   burdockgrade check FILE     checks the answers\n"
+"#   burdockgrade plan FILE      shows what would change\n"
+"#   burdockgrade accept FILE    brings it into force everywhere\n"
+"# An answer in quotes that is empty or a number that is 0 still has to be\n"
+"# given. Keep this file in version control.\n"
+"\n"
+"# Name of the service: letters, digits, '-', '_' and '.'. The name is what\n"
+"# dependencies of other services and the status text refer to.\n"
+"name = \"%s\"\n"
+"\n"
+"# Services that this one calls while it handles a call. Each has to exist or\n"
+"# be accepted together with this one, and there must be no cycle. Time spent\n"
+"# waiting for them is not counted against this service's versions.\n"
+"dependencies = []\n"
+"\n"
+"# One [[route]] for each kind of call, at most 16. The longest path that\n"
+"# matches decides.\n"
+"[[route]]\n"
+"# A short name, used in the status, in reports and in metrics.\n"
+"name = \"\"\n"
+"# The path and everything below it, for example \"/orders/checkouts\".\n"
+"path = \"\"\n"
+"# Any of \"GET\", \"HEAD\", \"POST\", \"PUT\", \"DELETE\", \"PATCH\".\n"
+"methods = []\n"
+"# true: running the call twice has the same effect as once, so it may be\n"
+"# retried. false: each call carries an Idempotency-Key and runs at most once\n"
+"# (orders, payments, prints, shipments). GET and HEAD have to be true.\n"
+"idempotent = false\n"
+"# Time after which the caller has no more use for the answer, 1 to 600000.\n"
+"deadline_ms = 0\n"
+"# An answer that takes longer counts as slow when a new server version is\n"
+"# compared with the old one; at most deadline_ms.\n"
+"slow_ms = 0\n"
+"# Which calls are refused first when the servers are full: \"low\" (browsing),\n"
+"# then \"normal\", \"high\" last (checkouts, releases).\n"
+"criticality = \"\"\n"
+"\n"
+"[servers]\n"
+"# Calls that one backend server runs at the same time, 1 to 10000.\n"
+"slots = 0\n"
+"# Connections that one backend server accepts; at least slots.\n"
+"connections = 0\n"
+"\n"
+"[move]\n"
+"# \"auto\": traffic begins to move as soon as servers of a new version are\n"
+"# ready. \"operator\": it waits for `burdockgrade move`.\n"
+"start = \"\"\n"
+"# Promised time within which a good new version has taken over, in seconds,\n"
+"# 1 to 86400.\n"
+"take_over_s = 0\n"
+"# Time after the move during which the version is still watched and rolled\n"
+"# back if it turns bad, in seconds, 0 to 86400. 600 if left out.\n"
+"soak_s = 600\n"
+"# Worst share of failed calls that is acceptable, 0.1 to 50.\n"
+"max_error_percent = 0\n"
+"\n"
+"[objective]\n"
+"# Share of calls that have to be answered well, 50 to 99.99.\n"
+"availability_percent = 0\n"
+"# Period over which the objective holds, 1 to 90 days. 30 if left out.\n"
+"window_days = 30\n";
+/* clang-format on */
+
+int
+bg_questionnaire_template(char **out, const char *service)
+{
+	*out = NULL;
+	if (!bg_is_name(service) || strlen(service) >= BG_NAME_BYTES)
+		return BG_EINVAL;
+	/* NOLINTNEXTLINE(clang-diagnostic-format-nonliteral) */
+	if (asprintf(out, TEMPLATE, service, service) < 0) {
+		*out = NULL;
+		return BG_ENOMEM;
+	}
+	return 0;
+}
