Add the replicated table and the members

The mesh needs one mergeable state for configuration, membership, marks and summaries. The table keeps items under a total order with a log for cursors, digests over 64 buckets and a memory of forgotten keys, so that a replica that still has an old dead member does not bring it back. The roster decodes MEMBER items, keeps the time at which a death was first seen, and gives candidates of last resort below half of a service's known servers.

--- a/mesh/include/burdockgrade/members.h
+++ b/mesh/include/burdockgrade/members.h
@@ -43,7 +43,8 @@
 struct bg_roster {
 	struct bg_member *members; /**< sorted by service, then address */
 	size_t member_count;
-	uint64_t generation; /**< rises with each rebuild */
+	uint64_t generation;  /**< rises with each rebuild */
+	uint32_t *by_address; /**< indices into members, by address */
 };
 
 int bg_roster_init(struct bg_roster *out);
@@ -58,4 +59,17 @@
 const struct bg_member *bg_roster_find(
     const struct bg_roster *ros, const char *address);
 
+/** Servers marked dead this recently remain candidates of last resort. */
+#define BG_MEMBER_LAST_RESORT_MS 600000
+
+/** 1 if fewer than half of a service's known servers are live; then those that
+ * died recently remain candidates, since stale data is better than none.
+ * @param members as returned by bg_roster_service */
+int bg_members_below_half(
+    const struct bg_member *members, size_t count, uint64_t now_ms);
+/** 1 if calls may go to a member in state ready.
+ * @param below_half result of bg_members_below_half */
+int bg_member_is_candidate(
+    const struct bg_member *member, int below_half, uint64_t now_ms);
+
 #endif
--- a/mesh/include/burdockgrade/table.h
+++ b/mesh/include/burdockgrade/table.h
@@ -96,6 +96,13 @@
 int bg_table_select(struct bg_xitems *out, uint64_t *out_cursor,
     const struct bg_table *tbl, const struct bg_table_select *sel);
 
+/** 1 if a change after the cursor came from this origin. */
+int bg_table_has_origin(
+    const struct bg_table *tbl, uint64_t cursor, uint64_t origin);
+/** 1 if the selection by cursor is not empty. */
+int bg_table_has_news(
+    const struct bg_table *tbl, const struct bg_table_select *sel);
+
 /** Merges a received list. @return number of changed items or a code < 0 */
 int bg_table_merge_list(
     struct bg_table *tbl, const struct bg_xitems *items, uint64_t origin);
@@ -104,7 +111,10 @@
 void bg_table_digests(
     uint64_t out[BG_DIGEST_BUCKETS], const struct bg_table *tbl);
 
-/** Removes an item that is no longer needed anywhere (old dead members). */
+/**
+ * Removes an item that is no longer needed anywhere (old dead members). An
+ * item of the same or a lower (major, minor) is not merged again.
+ */
 void bg_table_forget(struct bg_table *tbl, uint32_t kind, const char *key);
 
 #endif
--- /dev/null
+++ b/mesh/src/members/members.c
@@ -0,0 +1,288 @@
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/members.h"
+
+/* Members for which the roster reserves room at first. */
+#define ROOM_MIN 16
+
+int
+bg_member_encode(struct bg_item *out, const struct bg_member *member)
+{
+	json_t *json;
+	char *text;
+
+	json = json_pack("{s:s, s:s, s:s, s:s, s:i, s:I, s:I, s:I}", "dc",
+	    member->data_centre, "region", member->region, "service",
+	    member->service, "version", member->server_version, "state",
+	    (int)member->state, "slots", (json_int_t)member->slots, "conns",
+	    (json_int_t)member->connections, "ready",
+	    (json_int_t)member->ready_since_ms);
+	if (json == NULL)
+		return BG_EINVAL;
+	text = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
+	json_decref(json);
+	if (text == NULL)
+		return BG_ENOMEM;
+	memset(out, 0, sizeof(*out));
+	out->kind = BG_ITEM_MEMBER;
+	out->key = member->address;
+	out->major = member->incarnation;
+	out->minor = 2 * member->seq + (member->is_dead != 0);
+	out->value = text;
+	out->value_bytes = (uint32_t)strlen(text);
+	return 0;
+}
+
+static int
+copy_name(char *out, size_t out_bytes, const char *text)
+{
+	if (strlen(text) >= out_bytes)
+		return BG_EPROTO;
+	strcpy(out, text); /* NOLINT: the length is checked above */
+	return 0;
+}
+
+static int
+unpack_member(struct bg_member *out, json_t *json)
+{
+	const char *dc;
+	const char *region;
+	const char *service;
+	const char *version;
+	json_int_t slots;
+	json_int_t conns;
+	json_int_t ready;
+	int state;
+
+	if (json_unpack(json, "{s:s, s:s, s:s, s:s, s:i, s:I, s:I, s:I}", "dc",
+		&dc, "region", &region, "service", &service, "version",
+		&version, "state", &state, "slots", &slots, "conns", &conns,
+		"ready", &ready) != 0)
+		return BG_EPROTO;
+	if (state < BG_MEMBER_STARTING || state > BG_MEMBER_LEAVING ||
+	    slots < 0 || slots > UINT32_MAX || conns < 0 ||
+	    conns > UINT32_MAX || ready < 0)
+		return BG_EPROTO;
+	out->state = (enum bg_member_state)state;
+	out->slots = (uint32_t)slots;
+	out->connections = (uint32_t)conns;
+	out->ready_since_ms = (uint64_t)ready;
+	if (copy_name(out->data_centre, sizeof(out->data_centre), dc) != 0 ||
+	    copy_name(out->region, sizeof(out->region), region) != 0 ||
+	    copy_name(out->service, sizeof(out->service), service) != 0)
+		return BG_EPROTO;
+	return copy_name(
+	    out->server_version, sizeof(out->server_version), version);
+}
+
+int
+bg_member_decode(struct bg_member *out, const struct bg_item *item)
+{
+	json_t *json;
+	int error;
+
+	memset(out, 0, sizeof(*out));
+	if (item->kind != BG_ITEM_MEMBER ||
+	    copy_name(out->address, sizeof(out->address), item->key) != 0)
+		return BG_EPROTO;
+	json = json_loadb(item->value, item->value_bytes, 0, NULL);
+	if (json == NULL)
+		return BG_EPROTO;
+	error = unpack_member(out, json);
+	json_decref(json);
+	out->incarnation = item->major;
+	out->seq = item->minor / 2;
+	out->is_dead = (int)(item->minor & 1);
+	return error;
+}
+
+int
+bg_roster_init(struct bg_roster *out)
+{
+	memset(out, 0, sizeof(*out));
+	return 0;
+}
+
+void
+bg_roster_free(struct bg_roster *ros)
+{
+	free(ros->members);
+	free(ros->by_address);
+	memset(ros, 0, sizeof(*ros));
+}
+
+struct rebuild {
+	const struct bg_roster *old;
+	struct bg_member *members;
+	size_t count;
+	size_t room;
+	uint64_t now_ms;
+};
+
+static int
+add_member(void *arg, const struct bg_item *item)
+{
+	struct rebuild *rb = arg;
+	const struct bg_member *old;
+	struct bg_member *grown;
+	struct bg_member *m;
+
+	if (rb->count == rb->room) {
+		rb->room = rb->room == 0 ? ROOM_MIN : 2 * rb->room;
+		grown = realloc(rb->members, rb->room * sizeof(*grown));
+		if (grown == NULL)
+			return BG_ENOMEM;
+		rb->members = grown;
+	}
+	m = &rb->members[rb->count];
+	/* An item of another release that does not decode is left out. */
+	if (bg_member_decode(m, item) != 0)
+		return 0;
+	rb->count++;
+	if (!m->is_dead)
+		return 0;
+	m->dead_observed_ms = rb->now_ms;
+	old = bg_roster_find(rb->old, m->address);
+	if (old != NULL && old->is_dead && old->incarnation == m->incarnation &&
+	    old->seq == m->seq)
+		m->dead_observed_ms = old->dead_observed_ms;
+	return 0;
+}
+
+static int
+compare_members(const void *a, const void *b)
+{
+	const struct bg_member *ma = a;
+	const struct bg_member *mb = b;
+	int diff = strcmp(ma->service, mb->service);
+
+	return diff != 0 ? diff : strcmp(ma->address, mb->address);
+}
+
+static int
+compare_addresses(const void *a, const void *b, void *arg)
+{
+	const struct bg_member *members = arg;
+
+	return strcmp(members[*(const uint32_t *)a].address,
+	    members[*(const uint32_t *)b].address);
+}
+
+int
+bg_roster_rebuild(
+    struct bg_roster *ros, const struct bg_table *tbl, uint64_t now_ms)
+{
+	struct rebuild rb = {ros, NULL, 0, 0, now_ms};
+	uint32_t *by_address = NULL;
+	size_t i;
+	int error;
+
+	error = bg_table_each(tbl, BG_ITEM_MEMBER, add_member, &rb);
+	if (error == 0) {
+		by_address = malloc((rb.count + 1) * sizeof(*by_address));
+		if (by_address == NULL)
+			error = BG_ENOMEM;
+	}
+	if (error != 0) {
+		free(rb.members);
+		return error;
+	}
+	if (rb.count > 0)
+		qsort(
+		    rb.members, rb.count, sizeof(*rb.members), compare_members);
+	for (i = 0; i < rb.count; i++)
+		by_address[i] = (uint32_t)i;
+	qsort_r(by_address, rb.count, sizeof(*by_address), compare_addresses,
+	    rb.members);
+	free(ros->members);
+	free(ros->by_address);
+	ros->members = rb.members;
+	ros->by_address = by_address;
+	ros->member_count = rb.count;
+	ros->generation++;
+	return 0;
+}
+
+size_t
+bg_roster_service(const struct bg_member **out, const struct bg_roster *ros,
+    const char *service)
+{
+	size_t low = 0;
+	size_t high = ros->member_count;
+	size_t end;
+
+	while (low < high) {
+		size_t mid = low + (high - low) / 2;
+
+		if (strcmp(ros->members[mid].service, service) < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	for (end = low; end < ros->member_count &&
+	     strcmp(ros->members[end].service, service) == 0;
+	     end++)
+		;
+	*out = ros->members + low;
+	return end - low;
+}
+
+const struct bg_member *
+bg_roster_find(const struct bg_roster *ros, const char *address)
+{
+	size_t low = 0;
+	size_t high = ros->member_count;
+
+	while (low < high) {
+		size_t mid = low + (high - low) / 2;
+		const struct bg_member *m = &ros->members[ros->by_address[mid]];
+		int diff = strcmp(m->address, address);
+
+		if (diff == 0)
+			return m;
+		if (diff < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return NULL;
+}
+
+static int
+died_recently(const struct bg_member *member, uint64_t now_ms)
+{
+	return now_ms - member->dead_observed_ms < BG_MEMBER_LAST_RESORT_MS;
+}
+
+int
+bg_members_below_half(
+    const struct bg_member *members, size_t count, uint64_t now_ms)
+{
+	size_t live = 0;
+	size_t known = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		/* Servers that announced their leave are not missed. */
+		if (members[i].state == BG_MEMBER_LEAVING)
+			continue;
+		live += !members[i].is_dead;
+		known +=
+		    !members[i].is_dead || died_recently(&members[i], now_ms);
+	}
+	return 2 * live < known;
+}
+
+int
+bg_member_is_candidate(
+    const struct bg_member *member, int below_half, uint64_t now_ms)
+{
+	if (member->state != BG_MEMBER_READY)
+		return 0;
+	if (!member->is_dead)
+		return 1;
+	return below_half && died_recently(member, now_ms);
+}
--- /dev/null
+++ b/mesh/src/table/table.c
@@ -0,0 +1,485 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+#include "burdockgrade/error.h"
+#include "burdockgrade/table.h"
+
+/* Forgotten keys that are remembered, so that a replica that still has an item
+ * does not bring it back. Above the number of nodes replaced in 10 minutes. */
+#define FORGOTTEN_MAX 1024
+#define IDENT_BYTES (BG_KEY_BYTES + 16)
+
+struct entry {
+	char ident[IDENT_BYTES]; /* "KIND/KEY" */
+	struct bg_item item;
+	uint64_t origin;
+	uint64_t log_seq;
+	uint64_t digest;
+	struct entry *prev;
+	struct entry *next;
+	UT_hash_handle hh;
+};
+
+struct forgotten {
+	char ident[IDENT_BYTES];
+	uint64_t major;
+	uint64_t minor;
+	UT_hash_handle hh;
+};
+
+struct bg_table {
+	struct entry *entries;
+	struct entry *log; /* in the order of the last change */
+	struct forgotten *forgotten;
+	uint64_t cursor;
+	uint64_t digests[BG_DIGEST_BUCKETS];
+};
+
+int
+bg_table_init(struct bg_table **out)
+{
+	if ((*out = calloc(1, sizeof(**out))) == NULL)
+		return BG_ENOMEM;
+	return 0;
+}
+
+static void
+entry_free(struct entry *e)
+{
+	free((char *)e->item.key);
+	free((char *)e->item.value);
+	free(e);
+}
+
+void
+bg_table_free(struct bg_table *tbl)
+{
+	struct entry *e;
+	struct entry *tmp;
+	struct forgotten *f;
+	struct forgotten *f_tmp;
+
+	if (tbl == NULL)
+		return;
+	HASH_ITER(hh, tbl->entries, e, tmp)
+	{
+		HASH_DEL(tbl->entries, e);
+		entry_free(e);
+	}
+	HASH_ITER(hh, tbl->forgotten, f, f_tmp)
+	{
+		HASH_DEL(tbl->forgotten, f);
+		free(f);
+	}
+	free(tbl);
+}
+
+enum bg_item_scope
+bg_item_scope(uint32_t kind)
+{
+	switch (kind) {
+	case BG_ITEM_ACK:
+	case BG_ITEM_STAT:
+		return BG_SCOPE_UP;
+	case BG_ITEM_DCSTAT:
+		return BG_SCOPE_RELAYS;
+	default:
+		return BG_SCOPE_ALL;
+	}
+}
+
+int
+bg_item_compare(const struct bg_item *a, const struct bg_item *b)
+{
+	uint32_t common;
+	int diff;
+
+	if (a->major != b->major)
+		return a->major < b->major ? -1 : 1;
+	if (a->minor != b->minor)
+		return a->minor < b->minor ? -1 : 1;
+	common =
+	    a->value_bytes < b->value_bytes ? a->value_bytes : b->value_bytes;
+	diff = common == 0 ? 0 : memcmp(a->value, b->value, common);
+	if (diff != 0)
+		return diff;
+	if (a->value_bytes == b->value_bytes)
+		return 0;
+	return a->value_bytes < b->value_bytes ? -1 : 1;
+}
+
+static void
+make_ident(char out[IDENT_BYTES], uint32_t kind, const char *key)
+{
+	snprintf(out, IDENT_BYTES, "%u/%s", kind, key);
+}
+
+static unsigned
+bucket_of(const char *ident)
+{
+	return (unsigned)(XXH64(ident, strlen(ident), 0) % BG_DIGEST_BUCKETS);
+}
+
+static uint64_t
+item_digest(const char *ident, const struct bg_item *item)
+{
+	uint64_t parts[3] = {item->major, item->minor, 0};
+	uint64_t seed = XXH64(ident, strlen(ident), 0);
+
+	parts[2] = XXH64(
+	    item->value == NULL ? "" : item->value, item->value_bytes, seed);
+	return XXH64(parts, sizeof(parts), seed);
+}
+
+/* Adds or removes the entry's contribution: XOR is its own inverse. */
+static void
+toggle_digest(struct bg_table *tbl, const struct entry *e)
+{
+	if (bg_item_scope(e->item.kind) == BG_SCOPE_ALL)
+		tbl->digests[bucket_of(e->ident)] ^= e->digest;
+}
+
+static struct entry *
+find_entry(const struct bg_table *tbl, uint32_t kind, const char *key)
+{
+	char ident[IDENT_BYTES];
+	struct entry *e;
+
+	make_ident(ident, kind, key);
+	HASH_FIND_STR(tbl->entries, ident, e);
+	return e;
+}
+
+static struct entry *
+entry_new(const char *ident, const struct bg_item *item)
+{
+	struct entry *e;
+
+	if ((e = calloc(1, sizeof(*e))) == NULL)
+		return NULL;
+	snprintf(e->ident, sizeof(e->ident), "%s", ident);
+	e->item.kind = item->kind;
+	if ((e->item.key = strdup(item->key)) == NULL) {
+		free(e);
+		return NULL;
+	}
+	return e;
+}
+
+static int
+is_forgotten(
+    struct bg_table *tbl, const char *ident, const struct bg_item *item)
+{
+	struct forgotten *f;
+
+	HASH_FIND_STR(tbl->forgotten, ident, f);
+	if (f == NULL)
+		return 0;
+	if (item->major < f->major ||
+	    (item->major == f->major && item->minor <= f->minor))
+		return 1;
+	HASH_DEL(tbl->forgotten, f);
+	free(f);
+	return 0;
+}
+
+static void
+log_append(struct bg_table *tbl, struct entry *e, uint64_t origin)
+{
+	e->origin = origin;
+	e->log_seq = ++tbl->cursor;
+	DL_APPEND(tbl->log, e);
+}
+
+static int
+item_is_valid(const struct bg_item *item)
+{
+	return item->key != NULL && item->key[0] != '\0' &&
+	    strlen(item->key) <= BG_KEY_BYTES &&
+	    item->value_bytes <= BG_BODY_BYTES &&
+	    (item->value != NULL || item->value_bytes == 0);
+}
+
+int
+bg_table_merge(int *out_changed, struct bg_table *tbl,
+    const struct bg_item *item, uint64_t origin)
+{
+	char ident[IDENT_BYTES];
+	char *value;
+	struct entry *e;
+
+	*out_changed = 0;
+	if (!item_is_valid(item))
+		return BG_EINVAL;
+	make_ident(ident, item->kind, item->key);
+	HASH_FIND_STR(tbl->entries, ident, e);
+	if (e != NULL && bg_item_compare(item, &e->item) <= 0)
+		return 0;
+	if (e == NULL && is_forgotten(tbl, ident, item))
+		return 0;
+	/* One byte more, so that text values are terminated for readers. */
+	if ((value = malloc((size_t)item->value_bytes + 1)) == NULL)
+		return BG_ENOMEM;
+	if (item->value_bytes > 0)
+		memcpy(value, item->value, item->value_bytes);
+	value[item->value_bytes] = '\0';
+	if (e != NULL) {
+		toggle_digest(tbl, e);
+		DL_DELETE(tbl->log, e);
+	} else {
+		if ((e = entry_new(ident, item)) == NULL) {
+			free(value);
+			return BG_ENOMEM;
+		}
+		HASH_ADD_STR(tbl->entries, ident, e);
+	}
+	free((char *)e->item.value);
+	e->item.value = value;
+	e->item.value_bytes = item->value_bytes;
+	e->item.major = item->major;
+	e->item.minor = item->minor;
+	e->digest = item_digest(ident, &e->item);
+	toggle_digest(tbl, e);
+	log_append(tbl, e, origin);
+	*out_changed = 1;
+	return 0;
+}
+
+int
+bg_table_get(struct bg_item *out, const struct bg_table *tbl, uint32_t kind,
+    const char *key)
+{
+	struct entry *e = find_entry(tbl, kind, key);
+
+	if (e == NULL)
+		return BG_ENOTFOUND;
+	*out = e->item;
+	return 0;
+}
+
+static int
+compare_keys(const void *a, const void *b)
+{
+	const struct entry *const *ea = a;
+	const struct entry *const *eb = b;
+
+	return strcmp((*ea)->item.key, (*eb)->item.key);
+}
+
+int
+bg_table_each(const struct bg_table *tbl, uint32_t kind,
+    int (*fn)(void *arg, const struct bg_item *item), void *arg)
+{
+	struct entry **sorted;
+	struct entry *e;
+	size_t count = 0;
+	size_t i;
+	int result = 0;
+
+	sorted =
+	    malloc((HASH_COUNT(tbl->entries) + 1) * sizeof(struct entry *));
+	if (sorted == NULL)
+		return BG_ENOMEM;
+	for (e = tbl->entries; e != NULL; e = e->hh.next) {
+		if (e->item.kind == kind)
+			sorted[count++] = e;
+	}
+	qsort(sorted, count, sizeof(struct entry *), compare_keys);
+	for (i = 0; i < count && result == 0; i++)
+		result = fn(arg, &sorted[i]->item);
+	free(sorted);
+	return result;
+}
+
+uint64_t
+bg_table_cursor(const struct bg_table *tbl)
+{
+	return tbl->cursor;
+}
+
+/* The first log entry behind a cursor. Walks back from the end, since cursors
+ * are close to it. */
+static struct entry *
+log_after(const struct bg_table *tbl, uint64_t cursor)
+{
+	struct entry *e;
+	struct entry *first = NULL;
+
+	if (tbl->log == NULL)
+		return NULL;
+	for (e = tbl->log->prev; e->log_seq > cursor; e = e->prev) {
+		first = e;
+		if (e == tbl->log)
+			break;
+	}
+	return first;
+}
+
+static int
+is_selected(const struct bg_table_select *sel, const struct entry *e)
+{
+	if ((sel->scope_mask & (1u << bg_item_scope(e->item.kind))) == 0)
+		return 0;
+	if (sel->not_origin != 0 && e->origin == sel->not_origin)
+		return 0;
+	return sel->bucket_mask == 0 ||
+	    (sel->bucket_mask >> bucket_of(e->ident) & 1) != 0;
+}
+
+static int
+copy_item(struct bg_xitem *out, const struct bg_item *item)
+{
+	out->kind = item->kind;
+	out->major = item->major;
+	out->minor = item->minor;
+	if ((out->key = strdup(item->key)) == NULL)
+		return BG_ENOMEM;
+	out->value.value_val = malloc((size_t)item->value_bytes + 1);
+	if (out->value.value_val == NULL) {
+		free(out->key);
+		return BG_ENOMEM;
+	}
+	memcpy(out->value.value_val, item->value, item->value_bytes);
+	out->value.value_len = item->value_bytes;
+	return 0;
+}
+
+static size_t
+wire_size(const struct bg_item *item)
+{
+	return 32 + strlen(item->key) + item->value_bytes;
+}
+
+int
+bg_table_select(struct bg_xitems *out, uint64_t *out_cursor,
+    const struct bg_table *tbl, const struct bg_table_select *sel)
+{
+	struct entry *first;
+	struct entry *e;
+	size_t bytes = 0;
+	size_t room = 0;
+
+	memset(out, 0, sizeof(*out));
+	*out_cursor = tbl->cursor;
+	first = sel->bucket_mask != 0 ? tbl->log : log_after(tbl, sel->cursor);
+	for (e = first; e != NULL; e = e->next)
+		room += (size_t)is_selected(sel, e);
+	if (room == 0)
+		return 0;
+	if (room > BG_ITEMS_MAX)
+		room = BG_ITEMS_MAX;
+	out->items.items_val = calloc(room, sizeof(struct bg_xitem));
+	if (out->items.items_val == NULL)
+		return BG_ENOMEM;
+	for (e = first; e != NULL; e = e->next) {
+		if (!is_selected(sel, e))
+			continue;
+		bytes += wire_size(&e->item);
+		if (out->items.items_len == room ||
+		    (sel->max_bytes != 0 && out->items.items_len > 0 &&
+			bytes > sel->max_bytes)) {
+			*out_cursor = e->log_seq - 1;
+			break;
+		}
+		if (copy_item(&out->items.items_val[out->items.items_len],
+			&e->item) != 0) {
+			xdr_free((xdrproc_t)xdr_bg_xitems, (char *)out);
+			return BG_ENOMEM;
+		}
+		out->items.items_len++;
+	}
+	return 0;
+}
+
+int
+bg_table_has_origin(
+    const struct bg_table *tbl, uint64_t cursor, uint64_t origin)
+{
+	const struct entry *e;
+
+	for (e = log_after(tbl, cursor); e != NULL; e = e->next) {
+		if (e->origin == origin)
+			return 1;
+	}
+	return 0;
+}
+
+int
+bg_table_has_news(const struct bg_table *tbl, const struct bg_table_select *sel)
+{
+	const struct entry *e;
+
+	for (e = log_after(tbl, sel->cursor); e != NULL; e = e->next) {
+		if (is_selected(sel, e))
+			return 1;
+	}
+	return 0;
+}
+
+int
+bg_table_merge_list(
+    struct bg_table *tbl, const struct bg_xitems *items, uint64_t origin)
+{
+	struct bg_item item;
+	u_int i;
+	int changed;
+	int total = 0;
+	int error;
+
+	for (i = 0; i < items->items.items_len; i++) {
+		const struct bg_xitem *x = &items->items.items_val[i];
+
+		item.kind = x->kind;
+		item.key = x->key;
+		item.major = x->major;
+		item.minor = x->minor;
+		item.value = x->value.value_val;
+		item.value_bytes = x->value.value_len;
+		if ((error = bg_table_merge(&changed, tbl, &item, origin)) != 0)
+			return error;
+		total += changed;
+	}
+	return total;
+}
+
+void
+bg_table_digests(uint64_t out[BG_DIGEST_BUCKETS], const struct bg_table *tbl)
+{
+	memcpy(out, tbl->digests, sizeof(tbl->digests));
+}
+
+static void
+remember_forgotten(struct bg_table *tbl, const struct entry *e)
+{
+	struct forgotten *f;
+
+	if (HASH_COUNT(tbl->forgotten) >= FORGOTTEN_MAX) {
+		f = tbl->forgotten; /* the oldest, in order of addition */
+		HASH_DEL(tbl->forgotten, f);
+		free(f);
+	}
+	if ((f = calloc(1, sizeof(*f))) == NULL)
+		return;
+	memcpy(f->ident, e->ident, sizeof(f->ident));
+	f->major = e->item.major;
+	f->minor = e->item.minor;
+	HASH_ADD_STR(tbl->forgotten, ident, f);
+}
+
+void
+bg_table_forget(struct bg_table *tbl, uint32_t kind, const char *key)
+{
+	struct entry *e = find_entry(tbl, kind, key);
+
+	if (e == NULL)
+		return;
+	remember_forgotten(tbl, e);
+	toggle_digest(tbl, e);
+	DL_DELETE(tbl->log, e);
+	HASH_DEL(tbl->entries, e);
+	entry_free(e);
+}
--- /dev/null
+++ b/mesh/tests/prop_table.cpp
@@ -0,0 +1,398 @@
+// Properties of the replicated table and of membership.
+
+#include <rapidcheck.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+// In C++, a function with the name of a struct counts as shadowing.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
+extern "C" {
+#include "burdockgrade/members.h"
+#include "burdockgrade/table.h"
+}
+#pragma GCC diagnostic pop
+
+namespace {
+
+struct Item {
+	uint32_t kind;
+	std::string key;
+	uint64_t major;
+	uint64_t minor;
+	std::string value;
+};
+
+class Table {
+      public:
+	Table()
+	{
+		RC_ASSERT(bg_table_init(&table) == 0);
+	}
+	~Table()
+	{
+		bg_table_free(table);
+	}
+	Table(const Table &) = delete;
+	Table &operator=(const Table &) = delete;
+
+	void
+	merge(const Item &in, uint64_t origin = 0)
+	{
+		struct bg_item item = {};
+		int changed;
+
+		item.kind = in.kind;
+		item.key = in.key.c_str();
+		item.major = in.major;
+		item.minor = in.minor;
+		item.value = in.value.data();
+		item.value_bytes = static_cast<uint32_t>(in.value.size());
+		RC_ASSERT(bg_table_merge(&changed, table, &item, origin) == 0);
+	}
+
+	std::vector<uint64_t>
+	digests() const
+	{
+		std::vector<uint64_t> out(BG_DIGEST_BUCKETS);
+
+		bg_table_digests(out.data(), table);
+		return out;
+	}
+
+	// The whole content, for comparison.
+	std::map<std::string, std::string>
+	content() const
+	{
+		std::map<std::string, std::string> out;
+
+		for (uint32_t kind = 1; kind <= BG_ITEM_DCSTAT; kind++)
+			bg_table_each(table, kind, add, &out);
+		return out;
+	}
+
+	struct bg_table *table;
+
+      private:
+	static int
+	add(void *arg, const struct bg_item *item)
+	{
+		auto *out =
+		    static_cast<std::map<std::string, std::string> *>(arg);
+
+		(*out)[std::to_string(item->kind) + "/" + item->key] =
+		    std::to_string(item->major) + "." +
+		    std::to_string(item->minor) + " " +
+		    std::string(item->value, item->value_bytes);
+		return 0;
+	}
+};
+
+// Few kinds, keys and versions, so that items collide often.
+rc::Gen<Item>
+genItem()
+{
+	return rc::gen::build<Item>(
+	    rc::gen::set(&Item::kind,
+		rc::gen::element<uint32_t>(BG_ITEM_HEAD, BG_ITEM_SERVICE,
+		    BG_ITEM_MEMBER, BG_ITEM_MARK)),
+	    rc::gen::set(&Item::key,
+		rc::gen::element<std::string>("a", "b", "c", "d", "e", "f")),
+	    rc::gen::set(&Item::major, rc::gen::inRange<uint64_t>(0, 4)),
+	    rc::gen::set(&Item::minor, rc::gen::inRange<uint64_t>(0, 4)),
+	    rc::gen::set(&Item::value,
+		rc::gen::element<std::string>("", "x", "xy", "z")));
+}
+
+rc::Gen<std::vector<Item>>
+genItems()
+{
+	return rc::gen::container<std::vector<Item>>(genItem());
+}
+
+// A reply on its way: the items behind the cursor at which it was asked for.
+struct Reply {
+	struct bg_xitems items = {};
+	uint64_t cursor = 0;
+};
+
+class Replica {
+      public:
+	explicit Replica(uint64_t origin) : id(origin)
+	{
+	}
+
+	Reply
+	select(const Replica &asker) const
+	{
+		struct bg_table_select sel = {};
+		Reply out;
+
+		sel.cursor = asker.cursor;
+		sel.not_origin = asker.id;
+		sel.scope_mask = ~0u;
+		sel.max_bytes = 100;
+		RC_ASSERT(bg_table_select(
+			      &out.items, &out.cursor, table.table, &sel) == 0);
+		return out;
+	}
+
+	void
+	take(const Reply &reply, const Replica &from)
+	{
+		RC_ASSERT(bg_table_merge_list(
+			      table.table, &reply.items, from.id) >= 0);
+		if (reply.cursor > cursor)
+			cursor = reply.cursor;
+	}
+
+	Table table;
+	uint64_t id;
+	uint64_t cursor = 0; // in the other replica's log
+};
+
+void
+release(Reply &reply)
+{
+	xdr_free(reinterpret_cast<xdrproc_t>(xdr_bg_xitems),
+	    reinterpret_cast<char *>(&reply.items));
+}
+
+// Exchanges without faults until neither side has news.
+void
+settle(Replica &a, Replica &b)
+{
+	for (int round = 0; round < 1000; round++) {
+		Reply to_b = a.select(b);
+		Reply to_a = b.select(a);
+		bool is_quiet =
+		    to_b.cursor == b.cursor && to_a.cursor == a.cursor;
+
+		b.take(to_b, a);
+		a.take(to_a, b);
+		release(to_b);
+		release(to_a);
+		if (is_quiet)
+			return;
+	}
+	RC_FAIL("exchange does not end");
+}
+
+// One step of a run with faults.
+struct Step {
+	int action; // 0, 1: change a, b; 2, 3: ask; 4: deliver; 5: lose
+	Item item;
+	size_t pick;
+};
+
+rc::Gen<Step>
+genStep()
+{
+	return rc::gen::build<Step>(
+	    rc::gen::set(&Step::action, rc::gen::inRange(0, 7)),
+	    rc::gen::set(&Step::item, genItem()),
+	    rc::gen::set(&Step::pick, rc::gen::inRange<size_t>(0, 100)));
+}
+
+// Replies under way; delivery picks any of them, and may leave a copy behind.
+void
+run_step(const Step &step, Replica &a, Replica &b,
+    std::vector<std::pair<bool, Reply>> &under_way)
+{
+	if (step.action == 0)
+		a.table.merge(step.item);
+	else if (step.action == 1)
+		b.table.merge(step.item);
+	else if (step.action == 2)
+		under_way.emplace_back(true, b.select(a));
+	else if (step.action == 3)
+		under_way.emplace_back(false, a.select(b));
+	else if (!under_way.empty()) {
+		auto it = under_way.begin() +
+		    static_cast<long>(step.pick % under_way.size());
+
+		if (step.action != 5)
+			(it->first ? a : b).take(it->second, it->first ? b : a);
+		if (step.action != 6) {
+			release(it->second);
+			under_way.erase(it);
+		}
+	}
+}
+
+} // namespace
+
+int
+main()
+{
+	int is_good = 1;
+
+	// Guards against replicas that differ for good after items took
+	// different ways.
+	is_good &= rc::check("merges commute and repeat harmlessly", [] {
+		const auto items = *genItems();
+		auto shuffled = items;
+		const auto again = *genItems();
+		Table a;
+		Table b;
+
+		for (const auto &item : again)
+			shuffled.push_back(item);
+		for (const auto &item : items)
+			shuffled.push_back(item);
+		const auto order = *rc::gen::container<std::vector<size_t>>(
+		    shuffled.size(), rc::gen::inRange<size_t>(0, 1000));
+		for (size_t i = 0; i < shuffled.size(); i++)
+			std::swap(
+			    shuffled[i], shuffled[order[i] % shuffled.size()]);
+		for (const auto &item : items)
+			a.merge(item);
+		for (const auto &item : again)
+			a.merge(item);
+		for (const auto &item : shuffled)
+			b.merge(item);
+		RC_ASSERT(a.content() == b.content());
+		RC_ASSERT(a.digests() == b.digests());
+	});
+
+	// Guards against a result that depends on which replica met first.
+	is_good &= rc::check("merges associate", [] {
+		const auto x = *genItems();
+		const auto y = *genItems();
+		const auto z = *genItems();
+		Table xy_z;
+		Table x_yz;
+
+		for (const auto *list : {&x, &y, &z})
+			for (const auto &item : *list)
+				xy_z.merge(item);
+		for (const auto *list : {&y, &z, &x})
+			for (const auto &item : *list)
+				x_yz.merge(item);
+		RC_ASSERT(xy_z.content() == x_yz.content());
+		RC_ASSERT(xy_z.digests() == x_yz.digests());
+	});
+
+	// Guards against items that a lost, repeated or late reply leaves out.
+	is_good &= rc::check("replicas end equal", [] {
+		const auto steps =
+		    *rc::gen::container<std::vector<Step>>(genStep());
+		std::vector<std::pair<bool, Reply>> under_way;
+		Replica a(11);
+		Replica b(12);
+
+		for (const auto &step : steps)
+			run_step(step, a, b, under_way);
+		settle(a, b);
+		for (auto &entry : under_way) {
+			(entry.first ? a : b)
+			    .take(entry.second, entry.first ? b : a);
+			release(entry.second);
+		}
+		RC_ASSERT(a.table.content() == b.table.content());
+		RC_ASSERT(a.table.digests() == b.table.digests());
+	});
+
+	// Guards against a reconnect that resumes with a gap.
+	is_good &= rc::check("differing buckets make replicas equal", [] {
+		const auto mine = *genItems();
+		const auto theirs = *genItems();
+		struct bg_table_select sel = {};
+		struct bg_xitems items;
+		uint64_t cursor;
+		Table a;
+		Table b;
+
+		for (const auto &item : mine)
+			a.merge(item);
+		for (const auto &item : theirs)
+			b.merge(item);
+		for (size_t i = 0; i < BG_DIGEST_BUCKETS; i++)
+			if (a.digests()[i] != b.digests()[i])
+				sel.bucket_mask |= 1ull << i;
+		RC_ASSERT(
+		    (sel.bucket_mask == 0) == (a.content() == b.content()));
+		if (sel.bucket_mask == 0)
+			return;
+		sel.scope_mask = ~0u;
+		for (auto *pair : {&a, &b}) {
+			Table &to = pair == &a ? b : a;
+
+			RC_ASSERT(bg_table_select(
+				      &items, &cursor, pair->table, &sel) == 0);
+			RC_ASSERT(
+			    bg_table_merge_list(to.table, &items, 1) >= 0);
+			xdr_free(reinterpret_cast<xdrproc_t>(xdr_bg_xitems),
+			    reinterpret_cast<char *>(&items));
+		}
+		RC_ASSERT(a.content() == b.content());
+		RC_ASSERT(a.digests() == b.digests());
+	});
+
+	// Guards against a difference that the periodic comparison misses.
+	is_good &= rc::check("a digest mismatch is always found", [] {
+		const auto items = *genItems();
+		Item one = *genItem();
+		Table a;
+		Table b;
+
+		for (const auto &item : items) {
+			a.merge(item);
+			b.merge(item);
+		}
+		b.merge(one);
+		RC_ASSERT((a.digests() == b.digests()) ==
+		    (a.content() == b.content()));
+		one.major = 9; // above every generated one
+		a.merge(one);
+		RC_ASSERT(a.digests() != b.digests());
+	});
+
+	// Guards against a living node that stays marked as dead.
+	is_good &= rc::check("a dead mark loses to a later announcement", [] {
+		const auto seq = *rc::gen::inRange<uint64_t>(0, 1000);
+		const auto later = *rc::gen::inRange<uint64_t>(1, 1000);
+		const auto is_mark_first = *rc::gen::arbitrary<bool>();
+		const Item mark = {BG_ITEM_MEMBER, "n", 5, 2 * seq + 1, "{}"};
+		const Item news = {
+		    BG_ITEM_MEMBER, "n", 5, 2 * (seq + later), "{}"};
+		struct bg_item out;
+		Table a;
+
+		a.merge(is_mark_first ? mark : news);
+		a.merge(is_mark_first ? news : mark);
+		RC_ASSERT(
+		    bg_table_get(&out, a.table, BG_ITEM_MEMBER, "n") == 0);
+		RC_ASSERT(out.minor == 2 * (seq + later));
+	});
+
+	// Guards against a service without candidates while its servers may
+	// still be alive.
+	is_good &= rc::check("below half old knowledge is kept", [] {
+		const auto flags =
+		    *rc::gen::nonEmpty(rc::gen::container<std::vector<bool>>(
+			rc::gen::arbitrary<bool>()));
+		std::vector<struct bg_member> members(flags.size());
+		size_t live = 0;
+		size_t candidates = 0;
+		int below;
+
+		for (size_t i = 0; i < flags.size(); i++) {
+			members[i] = {};
+			members[i].state = BG_MEMBER_READY;
+			members[i].is_dead = flags[i];
+			members[i].dead_observed_ms = 1000;
+			live += !flags[i];
+		}
+		below =
+		    bg_members_below_half(members.data(), members.size(), 2000);
+		for (const auto &m : members)
+			candidates += static_cast<size_t>(
+			    bg_member_is_candidate(&m, below, 2000));
+		RC_ASSERT(below == (2 * live < flags.size()));
+		RC_ASSERT(candidates == (below ? flags.size() : live));
+	});
+	return is_good ? 0 : 1;
+}
