--- /dev/null
+++ b/daemon/src/main.c
@@ -0,0 +1,111 @@
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "burdockgrade/log.h"
+#include "burdockgrade/settings.h"
+
+#include "node.h"
+
+/* Exit codes, as those of the operators' command. */
+#define EXIT_OK 0
+#define EXIT_FAILED 1
+#define EXIT_USAGE 2
+
+#define OPTION_CHECK 1
+
+const char *argp_program_version = "burdockgraded 0.1.0";
+
+struct arguments {
+	const char *config;
+	int is_check;
+};
+
+static const struct argp_option OPTIONS[] = {
+    {"config", 'c', "FILE", 0, "Settings file (TOML); required", 0},
+    {"check-settings", OPTION_CHECK, NULL, 0,
+	"Check the settings file and exit", 0},
+    {NULL, 0, NULL, 0, NULL, 0},
+};
+
+static error_t
+parse_option(int key, char *value, struct argp_state *state)
+{
+	struct arguments *args = state->input;
+
+	switch (key) {
+	case 'c':
+		args->config = value;
+		return 0;
+	case OPTION_CHECK:
+		args->is_check = 1;
+		return 0;
+	case ARGP_KEY_ARG:
+		argp_error(state, "unexpected argument: %s", value);
+		return EINVAL;
+	case ARGP_KEY_END:
+		if (args->config == NULL)
+			argp_error(state, "--config FILE is required");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp PARSER = {OPTIONS, parse_option, NULL,
+    "Node of burdockgrade: proxy, configuration and membership beside one "
+    "backend server.",
+    NULL, NULL, NULL};
+
+static int
+load(struct bg_settings *out, const char *path)
+{
+	struct bg_error err = {0};
+	char *report = NULL;
+	int error;
+
+	error = bg_settings_load_report(out, &report, path, &err);
+	if (error != 0)
+		fprintf(stderr, "%s\n", report != NULL ? report : err.message);
+	free(report);
+	return error;
+}
+
+static int
+run(const struct bg_settings *settings)
+{
+	static struct bg_node node;
+	struct bg_error err = {0};
+	int error;
+
+	if ((error = bg_node_init(&node, settings, &err)) != 0) {
+		bg_log_error("node", "not started step=%s peer=%s reason=%s",
+		    err.step, err.peer, err.message);
+		return error;
+	}
+	error = bg_node_run(&node);
+	bg_node_free(&node);
+	return error;
+}
+
+int
+main(int argc, char **argv)
+{
+	struct arguments args = {0};
+	static struct bg_settings settings;
+	int error;
+
+	argp_err_exit_status = EXIT_USAGE;
+	argp_parse(&PARSER, argc, argv, 0, NULL, &args);
+	if (load(&settings, args.config) != 0)
+		return EXIT_USAGE;
+	if (args.is_check) {
+		printf("%s: settings are valid\n", args.config);
+		return EXIT_OK;
+	}
+	if (bg_log_init(settings.log.level, settings.node.address) != 0)
+		return EXIT_USAGE;
+	error = run(&settings);
+	bg_log_free();
+	return error == 0 ? EXIT_OK : EXIT_FAILED;
+}
--- a/mesh/include/burdockgrade/mesh.h
+++ b/mesh/include/burdockgrade/mesh.h
@@ -90,8 +90,9 @@
 	uint64_t refused_version;   /**< highest refused by a member, or 0 */
 	char refused_by[BG_ADDRESS_BYTES];
 	char refused_reason[BG_REASON_BYTES];
-	uint64_t written_ms; /**< wall clock of the relay */
-	int is_leased;	     /**< written under a valid lease */
+	uint64_t written_ms;	     /**< wall clock of the relay */
+	int is_leased;		     /**< written under a valid lease */
+	char root[BG_ADDRESS_BYTES]; /**< mesh address of the writer */
 };
 
 int bg_summary_encode(char **out, const struct bg_summary *sum);
--- a/mesh/include/burdockgrade/wire_xdr.h
+++ b/mesh/include/burdockgrade/wire_xdr.h
@@ -61,6 +61,7 @@
 	u_int want_floor;
 	u_int wait_ms;
 	u_int raw_bytes;
+	u_quad_t items_digest;
 	struct {
 		u_int items_len;
 		char *items_val;
@@ -94,6 +95,7 @@
 	u_int lease_remaining_ms;
 	u_quad_t floor_version;
 	u_int raw_bytes;
+	u_quad_t items_digest;
 	struct {
 		u_int items_len;
 		char *items_val;
--- a/mesh/src/wire/wire_xdr.c
+++ b/mesh/src/wire/wire_xdr.c
@@ -100,6 +100,8 @@
 		IXDR_PUT_U_LONG(buf, objp->wait_ms);
 		IXDR_PUT_U_LONG(buf, objp->raw_bytes);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->items_digest))
+			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, BG_BODY_BYTES))
 			 return FALSE;
 		return TRUE;
@@ -133,6 +135,8 @@
 		objp->wait_ms = IXDR_GET_U_LONG(buf);
 		objp->raw_bytes = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_u_quad_t (xdrs, &objp->items_digest))
+			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, BG_BODY_BYTES))
 			 return FALSE;
 	 return TRUE;
@@ -159,6 +163,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->raw_bytes))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->items_digest))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, BG_BODY_BYTES))
 		 return FALSE;
 	return TRUE;
@@ -208,6 +214,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->raw_bytes))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->items_digest))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, BG_BODY_BYTES))
 		 return FALSE;
 	return TRUE;
--- a/mesh/src/wire/wire_xdr.x
+++ b/mesh/src/wire/wire_xdr.x
@@ -27,7 +27,10 @@
 };
 
 /* SYNC. The items of both directions are an encoded bg_xitems, compressed by
- * zstd if raw_bytes is not 0. */
+ * zstd if raw_bytes is not 0. items_digest is the xxh64 of the bytes sent: an
+ * item with a changed byte could win every merge. floor_version is the version
+ * plus one; 0 says nothing. A lease_object_version of 0 is a root without
+ * lease. */
 struct bg_xsync_args {
 	bg_xaddress address;
 	unsigned hyper incarnation;
@@ -39,6 +42,7 @@
 	unsigned int want_floor;
 	unsigned int wait_ms;
 	unsigned int raw_bytes;
+	unsigned hyper items_digest;
 	opaque items<BG_BODY_BYTES>;
 };
 
@@ -64,6 +68,7 @@
 	unsigned int lease_remaining_ms;
 	unsigned hyper floor_version;
 	unsigned int raw_bytes;
+	unsigned hyper items_digest;
 	opaque items<BG_BODY_BYTES>;
 };
 
--- /dev/null
+++ b/mesh/tests/cluster.h
@@ -0,0 +1,450 @@
+#ifndef BG_TESTS_CLUSTER_H
+#define BG_TESTS_CLUSTER_H
+
+/** @file
+ * Real processes for tests: bg-platform and nodes, each node on a loopback
+ * address of its own (127.DC.0.N). Programs are taken from the folder BG_BIN.
+ * Processes that a failed test leaves behind are ended by check, which kills
+ * the test's process group.
+ */
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "burdockgrade/clock.h"
+#include "burdockgrade/platform.h"
+#include "burdockgrade/snapshot.h"
+
+/* Bound of each wait; far above every limit of the mesh, so that a busy
+ * machine does not change the verdict. */
+#define CLUSTER_WAIT_MS 40000
+#define CLUSTER_POLL_MS 20
+#define CLUSTER_NODES_MAX 24
+#define CLUSTER_TEXT_BYTES 65536
+
+struct cluster_node {
+	pid_t pid; /* 0: not running */
+	int dc;
+	int number;
+	char ip[INET_ADDRSTRLEN];
+	uint16_t mesh_port;
+	uint16_t customer_port;
+	char address[BG_ADDRESS_BYTES]; /* announced */
+	char extra[512];		/* further settings */
+};
+
+struct cluster {
+	char folder[64];
+	pid_t platform_pid;
+	char platform[BG_ADDRESS_BYTES];
+	struct cluster_node nodes[CLUSTER_NODES_MAX];
+	size_t node_count;
+	uint64_t head_version; /* of the platform's object */
+	struct bg_head head;
+	uint32_t fanout;
+	size_t seed_count; /* first nodes that are seeds of all */
+};
+
+static inline void
+cluster_pause(void)
+{
+	struct timespec ts = {0, CLUSTER_POLL_MS * 1000000};
+
+	nanosleep(&ts, NULL);
+}
+
+/* Starts a program of BG_BIN. Its standard output and error go to a file. */
+static inline pid_t
+cluster_spawn(const char *program, char **argv, const char *log)
+{
+	extern char **environ;
+	posix_spawn_file_actions_t actions;
+	char path[512];
+	pid_t pid;
+
+	ck_assert_ptr_nonnull(getenv("BG_BIN"));
+	snprintf(path, sizeof(path), "%s/%s", getenv("BG_BIN"), program);
+	argv[0] = path;
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addopen(
+	    &actions, 1, log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	posix_spawn_file_actions_adddup2(&actions, 1, 2);
+	ck_assert_int_eq(
+	    posix_spawn(&pid, path, &actions, NULL, argv, environ), 0);
+	posix_spawn_file_actions_destroy(&actions);
+	return pid;
+}
+
+/* A port that is free at this moment. */
+static inline uint16_t
+cluster_port(const char *ip)
+{
+	struct sockaddr_in sin;
+	socklen_t bytes = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	memset(&sin, 0, sizeof(sin));
+	sin.sin_family = AF_INET;
+	ck_assert_int_eq(inet_pton(AF_INET, ip, &sin.sin_addr), 1);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	getsockname(fd, (struct sockaddr *)&sin, &bytes);
+	close(fd);
+	return ntohs(sin.sin_port);
+}
+
+/* Reads the line "listening IP:PORT" that a stand-in writes first. */
+static inline void
+cluster_read_address(char out[BG_ADDRESS_BYTES], const char *log)
+{
+	uint64_t end_ms = bg_clock_now_ms() + CLUSTER_WAIT_MS;
+	int found = 0;
+	FILE *fp;
+
+	while (found != 1 && bg_clock_now_ms() < end_ms) {
+		if ((fp = fopen(log, "r")) != NULL) {
+			found = fscanf(fp, "listening %63s\n", out);
+			fclose(fp);
+		}
+		cluster_pause();
+	}
+	ck_assert_int_eq(found, 1);
+}
+
+static inline void
+cluster_init(struct cluster *out)
+{
+	char *argv[] = {NULL, "--listen", "127.0.0.1:0", NULL};
+	char log[128];
+
+	memset(out, 0, sizeof(*out));
+	snprintf(out->folder, sizeof(out->folder), "/tmp/bg-cluster-XXXXXX");
+	ck_assert_ptr_nonnull(mkdtemp(out->folder));
+	snprintf(log, sizeof(log), "%s/platform.log", out->folder);
+	out->platform_pid = cluster_spawn("bg-platform", argv, log);
+	cluster_read_address(out->platform, log);
+	out->fanout = 16;
+	out->seed_count = 2;
+	bg_head_init(&out->head);
+}
+
+static inline struct cluster_node *
+cluster_add(struct cluster *cl, int dc, int number)
+{
+	struct cluster_node *node = &cl->nodes[cl->node_count++];
+
+	node->dc = dc;
+	node->number = number;
+	snprintf(node->ip, sizeof(node->ip), "127.%d.0.%d", dc, number);
+	node->mesh_port = cluster_port(node->ip);
+	node->customer_port = cluster_port(node->ip);
+	snprintf(node->address, sizeof(node->address), "127.%d.0.%d:%u", dc,
+	    number, node->mesh_port);
+	return node;
+}
+
+static inline void
+cluster_write_settings(
+    const struct cluster *cl, const struct cluster_node *node, const char *path)
+{
+	FILE *fp = fopen(path, "w");
+	size_t i;
+
+	ck_assert_ptr_nonnull(fp);
+	fprintf(fp,
+	    "[node]\naddress = \"%s\"\ndata_centre = \"dc%d\"\n"
+	    "customer_port = %u\nmesh_port = %u\nadvertise = \"%s\"\n"
+	    "[platform]\naddress = \"%s\"\ntimeout_ms = 1000\n"
+	    "[limits]\nannounce_ms = 100\n[log]\nlevel = \"debug\"\n"
+	    "[mesh]\nfanout = %u\nseeds = [",
+	    node->ip, node->dc, node->customer_port, node->mesh_port,
+	    node->address, cl->platform, cl->fanout);
+	for (i = 0; i < cl->seed_count && i < cl->node_count; i++)
+		fprintf(
+		    fp, "%s\"%s\"", i > 0 ? ", " : "", cl->nodes[i].address);
+	fprintf(fp, "]\n%s", node->extra);
+	fclose(fp);
+}
+
+static inline void
+node_start(struct cluster *cl, struct cluster_node *node)
+{
+	char path[128];
+	char log[128];
+	char *argv[] = {NULL, "--config", path, NULL};
+
+	ck_assert_int_eq(node->pid, 0);
+	snprintf(path, sizeof(path), "%s/%s.toml", cl->folder, node->ip);
+	snprintf(log, sizeof(log), "%s/%s.log", cl->folder, node->ip);
+	cluster_write_settings(cl, node, path);
+	node->pid = cluster_spawn("burdockgraded", argv, log);
+}
+
+static inline void
+node_signal(const struct cluster_node *node, int signo)
+{
+	ck_assert_int_gt(node->pid, 0);
+	ck_assert_int_eq(kill(node->pid, signo), 0);
+}
+
+/* Ends the process at once and waits for it. */
+static inline void
+node_kill(struct cluster_node *node)
+{
+	node_signal(node, SIGKILL);
+	ck_assert_int_eq(waitpid(node->pid, NULL, 0), node->pid);
+	node->pid = 0;
+}
+
+/* Stops gracefully; the exit must be clean, also under a sanitizer. */
+static inline void
+node_stop(struct cluster_node *node)
+{
+	int status;
+
+	node_signal(node, SIGTERM);
+	ck_assert_int_eq(waitpid(node->pid, &status, 0), node->pid);
+	node->pid = 0;
+	ck_assert_msg(WIFEXITED(status) && WEXITSTATUS(status) == 0,
+	    "%s: exit status %d", node->ip, status);
+}
+
+/* One HTTP request. @return 0, or -1 without a complete answer */
+static inline int
+cluster_http(const char *ip, uint16_t port, const char *request, char *out,
+    size_t out_bytes)
+{
+	struct timeval limit = {2, 0};
+	struct sockaddr_in sin;
+	size_t used = 0;
+	ssize_t n = -1;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	memset(&sin, 0, sizeof(sin));
+	sin.sin_family = AF_INET;
+	sin.sin_port = htons(port);
+	inet_pton(AF_INET, ip, &sin.sin_addr);
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	out[0] = '\0';
+	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) == 0 &&
+	    send(fd, request, strlen(request), MSG_NOSIGNAL) ==
+		(ssize_t)strlen(request)) {
+		while (used + 1 < out_bytes &&
+		    (n = recv(fd, out + used, out_bytes - used - 1, 0)) > 0)
+			used += (size_t)n;
+		out[used] = '\0';
+	}
+	close(fd);
+	return n == 0 && used > 0 ? 0 : -1;
+}
+
+/* A counter or gauge; -1 if the node does not answer, 0 if it has none. */
+static inline long
+node_metric(const struct cluster_node *node, const char *name)
+{
+	static char text[CLUSTER_TEXT_BYTES];
+	char line[128];
+	const char *at;
+
+	if (cluster_http(node->ip, node->customer_port,
+		"GET /metrics HTTP/1.1\r\nHost: x\r\n"
+		"Connection: close\r\n\r\n",
+		text, sizeof(text)) != 0)
+		return -1;
+	snprintf(line, sizeof(line), "\n%s ", name);
+	at = strstr(text, line);
+	return at == NULL ? 0 : strtol(at + strlen(line), NULL, 10);
+}
+
+/* Waits until a value is reached; stops at the deadline. @return the value */
+static inline long
+node_wait(const struct cluster_node *node, const char *name, long wanted)
+{
+	uint64_t end_ms = bg_clock_now_ms() + CLUSTER_WAIT_MS;
+	long value;
+
+	while ((value = node_metric(node, name)) != wanted &&
+	    bg_clock_now_ms() < end_ms)
+		cluster_pause();
+	ck_assert_msg(value == wanted, "%s: %s is %ld, expected %ld", node->ip,
+	    name, value, wanted);
+	return value;
+}
+
+/* Waits until every running node reports the value. */
+static inline void
+cluster_wait(const struct cluster *cl, const char *name, long wanted)
+{
+	size_t i;
+
+	for (i = 0; i < cl->node_count; i++) {
+		if (cl->nodes[i].pid != 0)
+			node_wait(&cl->nodes[i], name, wanted);
+	}
+}
+
+/* Waits until exactly one running node of a data centre is the relay. */
+static inline struct cluster_node *
+cluster_relay(struct cluster *cl, int dc)
+{
+	uint64_t end_ms = bg_clock_now_ms() + CLUSTER_WAIT_MS;
+	struct cluster_node *relay = NULL;
+	int count = 0;
+	size_t i;
+
+	while (count != 1 && bg_clock_now_ms() < end_ms) {
+		count = 0;
+		for (i = 0; i < cl->node_count; i++) {
+			struct cluster_node *node = &cl->nodes[i];
+
+			if (node->pid == 0 || node->dc != dc ||
+			    node_metric(node, "burdock_mesh_relay") != 1)
+				continue;
+			relay = node;
+			count++;
+		}
+		cluster_pause();
+	}
+	ck_assert_msg(count == 1, "dc%d: %d relays", dc, count);
+	return relay;
+}
+
+static inline void
+cluster_control(const struct cluster *cl, const char *json)
+{
+	char request[512];
+	char answer[1024];
+	char ip[BG_ADDRESS_BYTES];
+	char *colon;
+
+	snprintf(ip, sizeof(ip), "%s", cl->platform);
+	colon = strchr(ip, ':');
+	*colon = '\0';
+	snprintf(request, sizeof(request),
+	    "POST /control HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    strlen(json), json);
+	ck_assert_int_eq(cluster_http(ip, (uint16_t)atoi(colon + 1), request,
+			     answer, sizeof(answer)),
+	    0);
+	ck_assert_msg(strncmp(answer, "HTTP/1.1 200", 12) == 0, "%s", answer);
+}
+
+/* A valid contract unless the dependency does not exist. */
+static inline void
+cluster_fill(
+    struct bg_contract *out, const char *service, const char *dependency)
+{
+	memset(out, 0, sizeof(*out));
+	snprintf(out->name, sizeof(out->name), "%s", service);
+	snprintf(out->routes[0].name, BG_NAME_BYTES, "browse");
+	snprintf(out->routes[0].prefix, BG_PREFIX_BYTES, "/%s", service);
+	out->routes[0].methods = BG_METHOD_GET;
+	out->routes[0].is_idempotent = 1;
+	out->routes[0].deadline_ms = 1000;
+	out->routes[0].slow_ms = 200;
+	out->route_count = 1;
+	if (dependency != NULL) {
+		snprintf(out->dependencies[0], BG_NAME_BYTES, "%s", dependency);
+		out->dependency_count = 1;
+	}
+	out->slots = 6;
+	out->connections = 120;
+	out->take_over_ms = 60000;
+	out->soak_ms = 600000;
+	out->max_error_permille = 10;
+	out->slo_permyriad = 9990;
+	out->slo_window_days = 30;
+}
+
+static inline void
+cluster_put(const struct cluster *cl, const char *key, uint64_t expected,
+    const char *body, uint64_t *out_version)
+{
+	struct bg_platform_options opts = BG_PLATFORM_OPTIONS_INIT;
+	struct bg_platform_answer ans;
+	struct bg_error err;
+
+	opts.address = cl->platform;
+	ck_assert_int_eq(bg_platform_put_wait(&ans, &opts, key, expected, body,
+			     strlen(body), &err),
+	    0);
+	if (out_version != NULL)
+		*out_version = ans.object_version;
+	bg_platform_answer_free(&ans);
+}
+
+/* Publishes the next head version with a new revision of one service.
+ * @param dependency name of another service, or NULL */
+static inline uint64_t
+cluster_publish_with(
+    struct cluster *cl, const char *service, const char *dependency)
+{
+	struct bg_head_service *svc = bg_head_add(&cl->head, service);
+	struct bg_contract ctr;
+	char key[128];
+	char *json;
+
+	cluster_fill(&ctr, service, dependency);
+	cl->head.version++;
+	svc->rev++;
+	svc->changed = cl->head.version;
+	svc->since_ms = bg_clock_wall_ms();
+	ck_assert_int_eq(bg_contract_digest(&svc->digest, &ctr), 0);
+	ck_assert_int_eq(bg_contract_encode(&json, &ctr), 0);
+	snprintf(key, sizeof(key), "config/service/%s/%llu", service,
+	    (unsigned long long)svc->rev);
+	cluster_put(cl, key, 0, json, NULL);
+	free(json);
+	ck_assert_int_eq(bg_head_encode(&json, &cl->head), 0);
+	cluster_put(
+	    cl, "config/head", cl->head_version, json, &cl->head_version);
+	free(json);
+	return cl->head.version;
+}
+
+static inline uint64_t
+cluster_publish(struct cluster *cl, const char *service)
+{
+	return cluster_publish_with(cl, service, NULL);
+}
+
+/* Ends every process; nodes must exit cleanly. */
+static inline void
+cluster_free(struct cluster *cl)
+{
+	char command[96];
+	size_t i;
+
+	for (i = 0; i < cl->node_count; i++) {
+		if (cl->nodes[i].pid != 0)
+			node_signal(&cl->nodes[i], SIGTERM);
+	}
+	for (i = 0; i < cl->node_count; i++) {
+		int status;
+
+		if (cl->nodes[i].pid == 0)
+			continue;
+		ck_assert_int_eq(
+		    waitpid(cl->nodes[i].pid, &status, 0), cl->nodes[i].pid);
+		ck_assert_msg(WIFEXITED(status) && WEXITSTATUS(status) == 0,
+		    "%s: exit status %d", cl->nodes[i].ip, status);
+	}
+	kill(cl->platform_pid, SIGTERM);
+	waitpid(cl->platform_pid, NULL, 0);
+	bg_head_free(&cl->head);
+	snprintf(command, sizeof(command), "rm -r %s", cl->folder);
+	ck_assert_int_eq(system(command), 0); /* NOLINT(cert-env33-c) */
+}
+
+#endif
