Test the mesh with real processes and heal a replaced node

An orphan no longer admits children, which had formed trees without root for 6 s after a relay died in an outage, and a process asks for the floor once instead of with each call.

--- a/mesh/src/mesh/children.c
+++ b/mesh/src/mesh/children.c
@@ -10,6 +10,7 @@
 #include "mesh/admission.h"
 #include "mesh/children.h"
 #include "mesh/codec.h"
+#include "mesh/floor.h"
 #include "mesh/liveness.h"
 #include "mesh/offer.h"
 #include "mesh/uplink.h"
@@ -219,8 +220,9 @@
 		answer_news(s);
 		return;
 	}
+	/* Items that came from this address are not left out: its process may
+	 * have been replaced by one with empty memory. */
 	sel.scope_mask = 1u << BG_SCOPE_ALL;
-	sel.not_origin = s->origin;
 	offer.cursor = bg_table_cursor(chn->table);
 	if (sel.bucket_mask != 0 &&
 	    bg_offers_get(&offer, &chn->offers, chn->table, &sel,
@@ -281,7 +283,8 @@
 		return 1;
 	}
 	chn->handler.view(chn->handler.arg, &view);
-	if (view.expires_ms <= bg_clock_now_ms() ||
+	if ((!is_root && parent == NULL) ||
+	    view.expires_ms <= bg_clock_now_ms() ||
 	    strcmp(view.address, args->address) == 0 ||
 	    (parent != NULL && strcmp(parent, args->address) == 0)) {
 		refuse(chn, rpc, BG_XSYNC_BUSY, "", BUSY_RETRY_MS, 0);
@@ -383,11 +386,12 @@
 	snprintf(s->socket, sizeof(s->socket), "%s", bg_rpc_peer(rpc));
 	replace_waiting(s, rpc);
 	s->reply_by_ms = now_ms + wait_ms;
-	/* Each call asks anew: its reply states a head that was read after the
-	 * call arrived. */
-	s->floor_request = args->want_floor
-	    ? s->owner->handler.floor_request(s->owner->handler.arg)
-	    : 0;
+	if (args->want_floor == BG_FLOOR_NO)
+		s->floor_request = 0;
+	else if (args->want_floor == BG_FLOOR_ANEW || is_attach ||
+	    s->floor_request == 0)
+		s->floor_request =
+		    s->owner->handler.floor_request(s->owner->handler.arg);
 	if (args->digests.digests_len == BG_DIGEST_BUCKETS)
 		answer_buckets(s, args, is_attach);
 	else if (wait_ms == 0)
@@ -577,7 +581,9 @@
 	if (chn == NULL)
 		return;
 	HASH_ITER(hh, chn->sessions, s, tmp)
-	session_free(s);
+	{
+		session_free(s);
+	}
 	bg_offers_free(&chn->offers);
 	free(chn);
 }
--- a/mesh/src/mesh/children.h
+++ b/mesh/src/mesh/children.h
@@ -27,7 +27,7 @@
 	void (*view)(void *arg, struct bg_root_view *out);
 	/** 1 if this node is the root. */
 	int (*is_root)(void *arg);
-	/** Address of the own parent, or NULL. */
+	/** Address of the own parent, or NULL if not attached. */
 	const char *(*parent)(void *arg);
 	/** A request for the floor. @return its number */
 	uint64_t (*floor_request)(void *arg);
--- a/mesh/src/mesh/floor.h
+++ b/mesh/src/mesh/floor.h
@@ -12,6 +12,14 @@
  * version plus one, so that an empty platform (version 0) can be told. */
 #define BG_FLOOR_WIRE_NONE 0
 
+/** want_floor in SYNC. A process asks once: any read after that is late enough
+ * for it. An inner node asks anew for children that came in the meantime. */
+enum bg_floor_want {
+	BG_FLOOR_NO = 0,
+	BG_FLOOR_YES = 1,
+	BG_FLOOR_ANEW = 2,
+};
+
 /** What a node knows of its floor. */
 struct bg_floor {
 	int is_known;
--- a/mesh/src/mesh/install.c
+++ b/mesh/src/mesh/install.c
@@ -142,8 +142,9 @@
 	} else if (mesh->parent != NULL &&
 	    bg_uplink_is_attached(mesh->parent)) {
 		bg_floor_read_started(&mesh->floor_reads);
-		mesh->floor_call = bg_uplink_call_number(mesh->parent) + 1;
+		mesh->floor_call = 0;
 		bg_uplink_send(mesh->parent);
+		mesh->floor_call = bg_uplink_call_number(mesh->parent);
 	}
 }
 
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -65,7 +65,8 @@
 
 	struct bg_floor floor;
 	struct bg_floor_reads floor_reads;
-	uint64_t floor_call;  /**< call of the parent that asks for a read */
+	uint64_t floor_call;  /**< call to the parent that asks for a read; 0
+				 while it is made */
 	uint64_t own_read_ms; /**< next own read of the head */
 	struct bg_backoff own_read_backoff;
 	struct bg_reader *reader;
--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -194,7 +194,9 @@
 {
 	const struct bg_mesh *mesh = arg;
 
-	return mesh->parent == NULL ? NULL : bg_uplink_address(mesh->parent);
+	if (mesh->parent == NULL || !bg_uplink_is_attached(mesh->parent))
+		return NULL;
+	return bg_uplink_address(mesh->parent);
 }
 
 static uint64_t
@@ -202,7 +204,8 @@
 {
 	struct bg_mesh *mesh = arg;
 
-	schedule_flush(mesh, 1);
+	/* Requests of many children are settled by one read. */
+	schedule_flush(mesh, 0);
 	return bg_floor_request(&mesh->floor_reads);
 }
 
--- a/mesh/src/mesh/peers.c
+++ b/mesh/src/mesh/peers.c
@@ -78,10 +78,10 @@
 	bg_mesh_raise_incarnation(peer->mesh, known_incarnation);
 }
 
-static int
+static enum bg_floor_want
 wants_floor(void *arg)
 {
-	return 0;
+	return BG_FLOOR_NO;
 }
 
 static void
--- a/mesh/src/mesh/reader.c
+++ b/mesh/src/mesh/reader.c
@@ -114,7 +114,7 @@
 		retry_later(rdr);
 	else if (bg_head_item_encode(&value, &rdr->head) == 0) {
 		emit(rdr, BG_ITEM_HEAD, BG_HEAD_KEY, rdr->head.version, value);
-		bg_log_info("relay", "read version=%llu services=%zu",
+		bg_log_debug("relay", "read version=%llu services=%zu",
 		    (unsigned long long)rdr->head.version,
 		    rdr->head.service_count);
 	}
--- a/mesh/src/mesh/role.c
+++ b/mesh/src/mesh/role.c
@@ -345,12 +345,14 @@
 	bg_mesh_raise_incarnation(arg, known_incarnation);
 }
 
-static int
+static enum bg_floor_want
 wants_floor(void *arg)
 {
 	const struct bg_mesh *mesh = arg;
 
-	return !mesh->floor.is_known || mesh->floor_reads.is_reading;
+	if (mesh->floor_reads.is_reading)
+		return mesh->floor_call == 0 ? BG_FLOOR_ANEW : BG_FLOOR_YES;
+	return mesh->floor.is_known ? BG_FLOOR_NO : BG_FLOOR_YES;
 }
 
 static void
@@ -442,8 +444,8 @@
 check_parent(struct bg_mesh *mesh, uint64_t now_ms)
 {
 	if (mesh->parent == NULL || !bg_uplink_is_attached(mesh->parent) ||
-	    mesh->view.expires_ms > now_ms ||
-	    now_ms - mesh->parent_fresh_ms < 2ull * ROOTLESS_MS)
+	    now_ms < mesh->view.expires_ms + ROOTLESS_MS ||
+	    now_ms < mesh->parent_fresh_ms + ROOTLESS_MS)
 		return;
 	on_lost(mesh, "no root", "", 0);
 }
--- a/mesh/src/mesh/uplink.c
+++ b/mesh/src/mesh/uplink.c
@@ -123,12 +123,13 @@
 
 	if (!upl->is_attached)
 		return select_attach(out, upto, upl);
-	sel.cursor = upl->sent;
-	sel.not_origin = upl->origin;
-	sel.scope_mask = scope_mask(upl);
 	sel.max_bytes = BG_ITEMS_RAW_BYTES / 2;
-	if (upl->bucket_mask == 0)
+	if (upl->bucket_mask == 0) {
+		sel.cursor = upl->sent;
+		sel.not_origin = upl->origin;
+		sel.scope_mask = scope_mask(upl);
 		return bg_table_select(out, upto, upl->table, &sel);
+	}
 	/* The changes since the attach follow with the next call. */
 	*upto = upl->sent;
 	sel.bucket_mask = upl->bucket_mask;
@@ -186,8 +187,7 @@
 	args.role = upl->role;
 	args.cursor_incarnation = upl->parent_incarnation;
 	args.cursor = upl->cursor;
-	args.want_floor =
-	    (u_int)upl->handler.wants_floor(upl->handler.arg) != 0;
+	args.want_floor = upl->handler.wants_floor(upl->handler.arg);
 	args.wait_ms = upl->is_attached && !is_bucket_call ? POLL_MS : 0;
 	if (now_ms >= upl->digests_due_ms) {
 		upl->digests_due_ms = now_ms + DIGESTS_MS;
--- a/mesh/src/mesh/uplink.h
+++ b/mesh/src/mesh/uplink.h
@@ -11,6 +11,8 @@
 #include "burdockgrade/link.h"
 #include "burdockgrade/table.h"
 
+#include "mesh/floor.h"
+
 /** role of a SYNC call. */
 enum bg_sync_role {
 	BG_SYNC_CHILD = 0,
@@ -31,8 +33,8 @@
 	    uint32_t retry_ms);
 	/** The parent knows a higher incarnation of this node. */
 	void (*stale)(void *arg, uint64_t known_incarnation);
-	/** 1 if the next call has to ask for the floor. */
-	int (*wants_floor)(void *arg);
+	/** Whether the next call asks for the floor. */
+	enum bg_floor_want (*wants_floor)(void *arg);
 	void *arg;
 };
 
--- a/mesh/tests/cluster.h
+++ b/mesh/tests/cluster.h
@@ -37,7 +37,7 @@
 	pid_t pid; /* 0: not running */
 	int dc;
 	int number;
-	char ip[INET_ADDRSTRLEN];
+	char ip[32];
 	uint16_t mesh_port;
 	uint16_t customer_port;
 	char address[BG_ADDRESS_BYTES]; /* announced */
