--- a/config/src/questionnaire_set.c
+++ b/config/src/questionnaire_set.c
@@ -114,7 +114,8 @@
 	size_t report_bytes;
 
 	*out_report = NULL;
-	chk.set = calloc(count + accepted_count + 1, sizeof(const struct bg_contract *));
+	chk.set = calloc(
+	    count + accepted_count + 1, sizeof(const struct bg_contract *));
 	chk.report = open_memstream(out_report, &report_bytes);
 	if (chk.set == NULL || chk.report == NULL)
 		chk.code = BG_ENOMEM;
--- a/config/src/snapshot.c
+++ b/config/src/snapshot.c
@@ -82,8 +82,8 @@
 	size_t i;
 	int error;
 
-	set = calloc(
-	    snap->service_count + 1, sizeof(const struct bg_contract *));
+	set =
+	    calloc(snap->service_count + 1, sizeof(const struct bg_contract *));
 	if (set == NULL)
 		return bg_error_set(
 		    err, BG_ENOMEM, "snapshot", NULL, "out of memory");
--- /dev/null
+++ b/config/tests/test_contract.c
@@ -0,0 +1,252 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/contract.h"
+
+#include "sample.h"
+
+/* xxh64 of the text below, computed by a separate implementation. */
+#define DIGEST_OF_SAMPLE 2994077952517869229ULL
+
+static struct bg_contract ctr;
+static struct bg_contract got;
+static struct bg_error err;
+
+static void
+setup(void)
+{
+	sample_contract(&ctr, "orders");
+	sample_depend(&ctr, "catalogue");
+	memset(&err, 0, sizeof(err));
+}
+
+/* Guards against a field that is lost on the way to the proxies. */
+START_TEST(encode_and_decode_keep_every_field)
+{
+	char *json;
+
+	ctr.routes[1].criticality = BG_CRITICALITY_HIGH;
+	ctr.routes[0].methods |= BG_METHOD_HEAD | BG_METHOD_PATCH;
+	ck_assert_int_eq(bg_contract_encode(&json, &ctr), 0);
+	ck_assert_int_eq(bg_contract_decode(&got, json, strlen(json), &err), 0);
+	ck_assert_mem_eq(&got, &ctr, sizeof(ctr));
+	free(json);
+}
+END_TEST
+
+/* Guards against a text that differs between builds, which would change the
+ * digest of an unchanged contract and refuse it everywhere. */
+START_TEST(encoding_is_stable)
+{
+	uint64_t digest;
+	char *json;
+
+	ck_assert_int_eq(bg_contract_encode(&json, &ctr), 0);
+	ck_assert_str_eq(json,
+	    "{\"connections\":120,\"dependencies\":[\"catalogue\"],"
+	    "\"max_error_permille\":10,\"move_auto_start\":true,"
+	    "\"name\":\"orders\",\"routes\":[{\"criticality\":\"normal\","
+	    "\"deadline_ms\":1000,\"idempotent\":true,\"methods\":[\"GET\"],"
+	    "\"name\":\"read\",\"prefix\":\"/orders\",\"slow_ms\":200},"
+	    "{\"criticality\":\"normal\",\"deadline_ms\":1000,"
+	    "\"idempotent\":false,\"methods\":[\"POST\"],\"name\":\"jobs\","
+	    "\"prefix\":\"/orders/jobs\",\"slow_ms\":200}],"
+	    "\"slo_permyriad\":9990,\"slo_window_days\":30,\"slots\":6,"
+	    "\"soak_ms\":600000,\"take_over_ms\":60000}");
+	free(json);
+	ck_assert_int_eq(bg_contract_digest(&digest, &ctr), 0);
+	ck_assert_uint_eq(digest, DIGEST_OF_SAMPLE);
+}
+END_TEST
+
+/* Guards against JSON that another version would read differently. Each entry
+ * replaces the first text by the second in a valid encoding. */
+static const char *const DAMAGES[][2] = {
+    {"\"slots\":6", "\"slots\":-6"},
+    {"\"slots\":6", "\"slots\":6.0"},
+    {"\"slots\":6", "\"slots\":\"6\""},
+    {"\"slots\":6", "\"slots\":4294967296"},
+    {"\"slots\":6", "\"slots\":6,\"slots\":6"},
+    {"\"slots\":6", "\"slots\":6,\"extra\":1"},
+    {"\"slots\":6,", ""},
+    {"true,\"name\"", "1,\"name\""},
+    {"\"GET\"", "\"get\""},
+    {"[\"GET\"]", "[\"GET\",\"GET\"]"},
+    {"[\"GET\"]", "\"GET\""},
+    {"[\"GET\"]", "[1]"},
+    {"\"normal\"", "\"urgent\""},
+    {"[\"catalogue\"]", "[null]"},
+    {"[\"catalogue\"]", "{}"},
+    {"\"prefix\":", "\"path\":"},
+    {"\"idempotent\":true,", ""},
+    {"\"name\":\"orders\"", "\"name\":\"\\u0000\""},
+    {"\"name\":\"orders\"", "\"name\":\"\xff\""},
+    {"{\"connections\"", "[{\"connections\""},
+    {"60000}", "60000}}"},
+    {"60000}", "60000"},
+    {"60000}", "60000}x"},
+};
+#define DAMAGE_COUNT ((int)(sizeof(DAMAGES) / sizeof(DAMAGES[0])))
+
+START_TEST(decode_is_strict)
+{
+	const char *from = DAMAGES[_i][0];
+	char damaged[4096];
+	char *json;
+	char *at;
+
+	ck_assert_int_eq(bg_contract_encode(&json, &ctr), 0);
+	at = strstr(json, from);
+	ck_assert_ptr_nonnull(at);
+	snprintf(damaged, sizeof(damaged), "%.*s%s%s", (int)(at - json), json,
+	    DAMAGES[_i][1], at + strlen(from));
+	ck_assert_int_eq(
+	    bg_contract_decode(&got, damaged, strlen(damaged), &err),
+	    BG_EPROTO);
+	ck_assert_str_ne(err.message, "");
+	free(json);
+}
+END_TEST
+
+/* Guards against an overflow of the fixed arrays by long input. */
+START_TEST(decode_bounds_arrays_and_names)
+{
+	char long_name[BG_NAME_BYTES + 1];
+	char json[8192];
+	size_t len;
+	int i;
+
+	len = (size_t)snprintf(json, sizeof(json), "{\"dependencies\":[");
+	for (i = 0; i <= BG_DEPENDENCIES_MAX; i++)
+		len += (size_t)snprintf(json + len, sizeof(json) - len,
+		    "%s\"d%d\"", i == 0 ? "" : ",", i);
+	snprintf(json + len, sizeof(json) - len,
+	    "],\"name\":\"a\","
+	    "\"routes\":[]}");
+	ck_assert_int_eq(
+	    bg_contract_decode(&got, json, strlen(json), &err), BG_EPROTO);
+	ck_assert_ptr_nonnull(strstr(err.message, "dependencies"));
+
+	memset(long_name, 'x', sizeof(long_name) - 1);
+	long_name[sizeof(long_name) - 1] = '\0';
+	snprintf(json, sizeof(json), "{\"name\":\"%s\"}", long_name);
+	ck_assert_int_eq(
+	    bg_contract_decode(&got, json, strlen(json), &err), BG_EPROTO);
+	ck_assert_ptr_nonnull(strstr(err.message, "name"));
+}
+END_TEST
+
+/* Guards against an encoder that fails half-way and leaks or crashes. */
+START_TEST(encode_refuses_text_that_is_not_utf8)
+{
+	char *json;
+
+	ctr.routes[1].name[0] = (char)0xff;
+	ck_assert_int_eq(bg_contract_encode(&json, &ctr), BG_EINVAL);
+	ck_assert_ptr_null(json);
+	setup();
+	ctr.dependencies[0][0] = (char)0xff;
+	ck_assert_int_eq(bg_contract_encode(&json, &ctr), BG_EINVAL);
+	setup();
+	ctr.name[0] = (char)0xff;
+	ck_assert_int_eq(bg_contract_encode(&json, &ctr), BG_EINVAL);
+}
+END_TEST
+
+START_TEST(sample_is_valid)
+{
+	ck_assert_msg(bg_contract_validate(&ctr, &err) == 0, "%s", err.message);
+}
+END_TEST
+
+/* Guards against a contract with which a proxy could not work. Each case makes
+ * one change to a valid contract; the second text has to be in the message. */
+#define REFUSED(change, text)                                                  \
+	do {                                                                   \
+		setup();                                                       \
+		change;                                                        \
+		ck_assert_int_eq(bg_contract_validate(&ctr, &err), BG_EINVAL); \
+		ck_assert_msg(strstr(err.message, text) != NULL, "%s: %s",     \
+		    #change, err.message);                                     \
+	} while (0)
+
+START_TEST(limits_are_checked)
+{
+	REFUSED(ctr.name[0] = '\0', "name");
+	REFUSED(ctr.name[0] = '/', "name");
+	REFUSED(ctr.route_count = 0, "routes");
+	REFUSED(ctr.route_count = BG_ROUTES_MAX + 1, "routes");
+	REFUSED(ctr.slots = 0, "slots");
+	REFUSED(ctr.slots = 10001, "slots");
+	REFUSED(ctr.connections = 5, "connections");
+	REFUSED(ctr.connections = 10001, "connections");
+	REFUSED(ctr.take_over_ms = 999, "take_over_ms");
+	REFUSED(ctr.take_over_ms = 86400001, "take_over_ms");
+	REFUSED(ctr.soak_ms = 86400001, "soak_ms");
+	REFUSED(ctr.max_error_permille = 0, "max_error_permille");
+	REFUSED(ctr.max_error_permille = 501, "max_error_permille");
+	REFUSED(ctr.slo_permyriad = 4999, "slo_permyriad");
+	REFUSED(ctr.slo_permyriad = 10000, "slo_permyriad");
+	REFUSED(ctr.slo_window_days = 0, "slo_window_days");
+	REFUSED(ctr.slo_window_days = 91, "slo_window_days");
+	REFUSED(ctr.dependency_count = BG_DEPENDENCIES_MAX + 1, "dependencies");
+	REFUSED(sample_depend(&ctr, "orders"), "other services");
+	REFUSED(sample_depend(&ctr, "catalogue"), "once");
+	REFUSED(sample_depend(&ctr, "a b"), "service names");
+}
+END_TEST
+
+START_TEST(routes_are_checked)
+{
+	REFUSED(ctr.routes[0].methods = 0, "method");
+	REFUSED(ctr.routes[0].methods = 1 << 6, "method");
+	REFUSED(ctr.routes[0].deadline_ms = 0, "deadline_ms");
+	REFUSED(ctr.routes[0].deadline_ms = 600001, "deadline_ms");
+	REFUSED(ctr.routes[0].slow_ms = 0, "slow_ms");
+	REFUSED(ctr.routes[0].slow_ms = 1001, "slow_ms");
+	REFUSED(ctr.routes[0].is_idempotent = 0, "idempotent");
+	REFUSED(
+	    ctr.routes[0].criticality = (enum bg_criticality)3, "criticality");
+	REFUSED(strcpy(ctr.routes[1].name, "read"), "name");
+	REFUSED(strcpy(ctr.routes[1].name, ""), "name");
+	REFUSED(sample_route(&ctr, "more", "/orders/jobs",
+		    BG_METHOD_POST | BG_METHOD_PUT),
+	    "second route");
+	REFUSED(strcpy(ctr.routes[0].prefix, "orders"), "starts with");
+	REFUSED(strcpy(ctr.routes[0].prefix, ""), "starts with");
+	REFUSED(strcpy(ctr.routes[0].prefix, "/orders/"), "end with");
+	REFUSED(strcpy(ctr.routes[0].prefix, "/a//b"), "segments");
+	REFUSED(strcpy(ctr.routes[0].prefix, "/a/../b"), "segments");
+	REFUSED(strcpy(ctr.routes[0].prefix, "/a/."), "segments");
+	REFUSED(strcpy(ctr.routes[0].prefix, "/a%20b"), "letters");
+	REFUSED(strcpy(ctr.routes[0].prefix, "/a?b"), "letters");
+	REFUSED(strcpy(ctr.routes[0].prefix, "/status"), "node serves");
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("contract");
+	TCase *tc = tcase_create("contract");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, NULL);
+	tcase_add_test(tc, encode_and_decode_keep_every_field);
+	tcase_add_test(tc, encoding_is_stable);
+	tcase_add_loop_test(tc, decode_is_strict, 0, DAMAGE_COUNT);
+	tcase_add_test(tc, decode_bounds_arrays_and_names);
+	tcase_add_test(tc, encode_refuses_text_that_is_not_utf8);
+	tcase_add_test(tc, sample_is_valid);
+	tcase_add_test(tc, limits_are_checked);
+	tcase_add_test(tc, routes_are_checked);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/config/tests/test_snapshot.c
@@ -0,0 +1,448 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/snapshot.h"
+
+#include "sample.h"
+
+static struct bg_error err;
+
+static uint64_t
+digest_of(const struct bg_service *services, size_t count)
+{
+	struct bg_head head;
+	uint64_t digest;
+	size_t i;
+
+	bg_head_init(&head);
+	for (i = 0; i < count; i++)
+		*bg_head_add(&head, services[i].head.name) = services[i].head;
+	digest = bg_head_digest(&head);
+	bg_head_free(&head);
+	return digest;
+}
+
+static int
+build(struct bg_snapshot **out, uint64_t version,
+    const struct bg_service *services, size_t count)
+{
+	return bg_snapshot_build(
+	    out, version, digest_of(services, count), services, count, &err);
+}
+
+static void
+fill_head(struct bg_head *head)
+{
+	struct bg_head_service *svc;
+
+	bg_head_init(head);
+	head->version = 42;
+	strcpy(head->writer, "anna@salle-coupe");
+	strcpy(head->nonce, "f00d");
+	svc = bg_head_add(head, "orders");
+	svc->rev = 7;
+	svc->changed = 41;
+	svc->digest = UINT64_MAX;
+	svc->since_ms = 1790000000000;
+	svc->is_withdrawn = 1;
+	svc->move.generation = 3;
+	svc->move.state = BG_MOVE_ROLLED_BACK;
+	strcpy(svc->move.from, "1.0");
+	strcpy(svc->move.to, "1.1");
+	svc->move.step = 2;
+	svc->move.share_permille = 100;
+	svc->move.started_ms = 1790000000001;
+	svc->move.deadline_ms = 1790000000002;
+	svc->move.step_since_ms = 1790000000003;
+	svc->move.is_late = 1;
+	strcpy(svc->move.reason, "errors 12% on \"jobs\"");
+	bg_head_add(head, "catalogue");
+}
+
+/* Guards against an order or a duplicate that breaks the search by name. */
+START_TEST(head_keeps_services_sorted_and_single)
+{
+	static const char *const names[] = {"m", "c", "x", "c", "a", "m"};
+	struct bg_head head;
+	struct bg_head copy;
+	size_t i;
+
+	bg_head_init(&head);
+	for (i = 0; i < 6; i++)
+		bg_head_add(&head, names[i])->rev++;
+	ck_assert_uint_eq(head.service_count, 4);
+	for (i = 1; i < head.service_count; i++)
+		ck_assert_int_lt(
+		    strcmp(head.services[i - 1].name, head.services[i].name),
+		    0);
+	ck_assert_uint_eq(bg_head_find(&head, "c")->rev, 2);
+	ck_assert_ptr_null(bg_head_find(&head, "b"));
+	ck_assert_int_eq(bg_head_copy(&copy, &head), 0);
+	bg_head_remove(&head, "a");
+	bg_head_remove(&head, "x");
+	bg_head_remove(&head, "none");
+	ck_assert_uint_eq(head.service_count, 2);
+	ck_assert_ptr_null(bg_head_find(&head, "a"));
+	ck_assert_ptr_nonnull(bg_head_find(&head, "m"));
+	ck_assert_uint_eq(copy.service_count, 4);
+	ck_assert_ptr_nonnull(bg_head_find(&copy, "a"));
+	bg_head_free(&copy);
+	bg_head_free(&head);
+}
+END_TEST
+
+/* Guards against a field of the head or a move that is lost. */
+START_TEST(head_survives_encoding)
+{
+	struct bg_head head;
+	struct bg_head got;
+	char *json;
+
+	fill_head(&head);
+	ck_assert_int_eq(bg_head_encode(&json, &head), 0);
+	ck_assert_int_eq(bg_head_decode(&got, json, strlen(json), &err), 0);
+	ck_assert_uint_eq(got.version, 42);
+	ck_assert_str_eq(got.writer, head.writer);
+	ck_assert_str_eq(got.nonce, head.nonce);
+	ck_assert_uint_eq(got.service_count, 2);
+	ck_assert_mem_eq(
+	    got.services, head.services, 2 * sizeof(struct bg_head_service));
+	ck_assert_uint_eq(bg_head_digest(&got), bg_head_digest(&head));
+	free(json);
+	bg_head_free(&got);
+	bg_head_free(&head);
+}
+END_TEST
+
+/* Guards against a number that JSON cannot carry and that would come back as
+ * another one. */
+START_TEST(head_refuses_numbers_above_the_range)
+{
+	struct bg_head head;
+	char *json;
+
+	fill_head(&head);
+	head.version = (uint64_t)INT64_MAX + 1;
+	ck_assert_int_eq(bg_head_encode(&json, &head), BG_EINVAL);
+	head.version = 1;
+	head.services[1].move.deadline_ms = UINT64_MAX;
+	ck_assert_int_eq(bg_head_encode(&json, &head), BG_EINVAL);
+	ck_assert_ptr_null(json);
+	bg_head_free(&head);
+}
+END_TEST
+
+/* Guards against a digest that misses a change: another name, changed version
+ * or content has to give another digest, other fields do not matter. */
+START_TEST(head_digest_covers_name_changed_and_digest)
+{
+	struct bg_head head;
+	uint64_t digest;
+
+	fill_head(&head);
+	digest = bg_head_digest(&head);
+	head.services[1].move.step++;
+	ck_assert_uint_eq(bg_head_digest(&head), digest);
+	head.services[1].changed++;
+	ck_assert_uint_ne(bg_head_digest(&head), digest);
+	head.services[1].changed--;
+	head.services[1].digest--;
+	ck_assert_uint_ne(bg_head_digest(&head), digest);
+	head.services[1].digest++;
+	head.services[1].name[0]++;
+	ck_assert_uint_ne(bg_head_digest(&head), digest);
+	head.services[1].name[0]--;
+	head.service_count = 1;
+	ck_assert_uint_ne(bg_head_digest(&head), digest);
+	bg_head_free(&head);
+}
+END_TEST
+
+/* Guards against a service item whose contract belongs to another digest. */
+START_TEST(service_item_checks_its_contract)
+{
+	struct bg_service svc;
+	struct bg_service got;
+	char *contract;
+	char *value;
+
+	sample_service(&svc, "orders", 4);
+	ck_assert_int_eq(bg_contract_encode(&contract, &svc.contract), 0);
+	ck_assert_int_eq(
+	    bg_head_service_encode(&value, &svc.head, contract), 0);
+	ck_assert_int_eq(bg_head_service_decode(&got.head, &got.contract, value,
+			     strlen(value), &err),
+	    0);
+	ck_assert_mem_eq(&got, &svc, sizeof(svc));
+	ck_assert_int_eq(
+	    bg_head_service_decode(&got.head, NULL, value, strlen(value), &err),
+	    0);
+	free(value);
+	svc.head.digest++;
+	ck_assert_int_eq(
+	    bg_head_service_encode(&value, &svc.head, contract), 0);
+	ck_assert_int_eq(
+	    bg_head_service_decode(&got.head, NULL, value, strlen(value), &err),
+	    BG_EPROTO);
+	free(value);
+	ck_assert_int_eq(
+	    bg_head_service_encode(&value, &svc.head, "{"), BG_EINVAL);
+	ck_assert_ptr_null(value);
+	free(contract);
+}
+END_TEST
+
+/* Guards against a snapshot that shares memory with its input, or is freed
+ * while a call still uses it. */
+START_TEST(snapshot_is_a_sorted_copy_with_references)
+{
+	struct bg_service svcs[3];
+	struct bg_snapshot *snap;
+
+	sample_service(&svcs[0], "printing", 3);
+	sample_service(&svcs[1], "catalogue", 1);
+	sample_service(&svcs[2], "orders", 2);
+	ck_assert_msg(build(&snap, 3, svcs, 3) == 0, "%s", err.message);
+	memset(svcs, 0, sizeof(svcs));
+	ck_assert_str_eq(snap->services[0].head.name, "catalogue");
+	ck_assert_str_eq(snap->services[2].head.name, "printing");
+	ck_assert_ptr_eq(
+	    bg_snapshot_service(snap, "orders"), &snap->services[1]);
+	ck_assert_ptr_null(bg_snapshot_service(snap, "order"));
+	ck_assert_ptr_eq(bg_snapshot_acquire(snap), snap);
+	bg_snapshot_release(snap);
+	ck_assert_uint_eq(snap->version, 3);
+	bg_snapshot_release(snap);
+	ck_assert_ptr_null(bg_snapshot_acquire(NULL));
+	bg_snapshot_release(NULL);
+}
+END_TEST
+
+/* Guards against a fresh platform, on which nothing was accepted yet, being
+ * taken for an error. */
+START_TEST(snapshot_without_services_is_valid)
+{
+	const struct bg_service *svc;
+	const struct bg_route *rt;
+	struct bg_snapshot *snap;
+
+	ck_assert_int_eq(build(&snap, 0, NULL, 0), 0);
+	ck_assert_int_eq(
+	    bg_snapshot_route(&svc, &rt, snap, "GET", "/"), BG_ENOTFOUND);
+	bg_snapshot_release(snap);
+}
+END_TEST
+
+static void
+expect_refusal(const struct bg_service *svcs, size_t count, const char *text)
+{
+	struct bg_snapshot *snap = NULL;
+
+	ck_assert_int_eq(build(&snap, 9, svcs, count), BG_EINVAL);
+	ck_assert_ptr_null(snap);
+	ck_assert_msg(strstr(err.message, text) != NULL, "%s", err.message);
+}
+
+static void
+renew_digest(struct bg_service *svc)
+{
+	ck_assert_int_eq(
+	    bg_contract_digest(&svc->head.digest, &svc->contract), 0);
+}
+
+/* Guards against a snapshot in force that is incomplete or contradictory. */
+START_TEST(snapshot_is_refused_as_a_whole)
+{
+	struct bg_service svcs[2];
+	struct bg_snapshot *snap;
+
+	sample_service(&svcs[0], "catalogue", 1);
+	sample_service(&svcs[1], "orders", 2);
+	sample_depend(&svcs[1].contract, "printing");
+	renew_digest(&svcs[1]);
+	expect_refusal(svcs, 2, "dependency printing");
+
+	sample_service(&svcs[1], "orders", 2);
+	strcpy(svcs[1].contract.routes[1].prefix, "/catalogue/jobs");
+	renew_digest(&svcs[1]);
+	expect_refusal(svcs, 2, "route jobs: expected a path and method");
+
+	sample_service(&svcs[1], "orders", 2);
+	svcs[1].contract.slots = 0;
+	renew_digest(&svcs[1]);
+	expect_refusal(svcs, 2, "slots");
+
+	sample_service(&svcs[1], "orders", 2);
+	svcs[1].contract.slots++;
+	expect_refusal(svcs, 2, "contract of the digest");
+
+	sample_service(&svcs[1], "orders", 10);
+	expect_refusal(svcs, 2, "head version");
+
+	sample_service(&svcs[1], "orders", 2);
+	strcpy(svcs[1].head.name, "other");
+	expect_refusal(svcs, 2, "contract of this service");
+
+	sample_service(&svcs[1], "orders", 2);
+	svcs[1].head.move.state = BG_MOVE_IN_PROGRESS;
+	expect_refusal(svcs, 2, "server version");
+	strcpy(svcs[1].head.move.to, "2");
+	svcs[1].head.move.share_permille = 1001;
+	expect_refusal(svcs, 2, "share");
+	svcs[1].head.move.state = (enum bg_move_state)4;
+	expect_refusal(svcs, 2, "move state");
+
+	sample_service(&svcs[1], "catalogue", 1);
+	ck_assert_int_eq(
+	    bg_snapshot_build(&snap, 9, 0, svcs, 2, &err), BG_EINVAL);
+	ck_assert_ptr_nonnull(strstr(err.message, "once"));
+
+	sample_service(&svcs[1], "orders", 2);
+	ck_assert_int_eq(
+	    bg_snapshot_build(&snap, 9, digest_of(svcs, 2) + 1, svcs, 2, &err),
+	    BG_EINVAL);
+	ck_assert_ptr_nonnull(strstr(err.message, "head digest"));
+	/* A service that is missing shows in the same digest. */
+	ck_assert_int_eq(
+	    bg_snapshot_build(&snap, 9, digest_of(svcs, 2), svcs, 1, &err),
+	    BG_EINVAL);
+}
+END_TEST
+
+static const struct {
+	const char *method;
+	const char *path;
+	const char *route; /* NULL: not found, "": method not allowed */
+} ROUTES[] = {
+    {"GET", "/shop", "shop"},
+    {"GET", "/shop/stock", "stock"},
+    {"GET", "/shop/stock/bolt?size=4", "stock"},
+    {"GET", "/shop/stock?size=4", "stock"},
+    {"GET", "/shop/stock#top", "stock"},
+    {"GET", "/shop/stock/", "stock"},
+    /* A prefix ends at a segment. */
+    {"GET", "/shop/stockings", "shop"},
+    {"GET", "/shopping", NULL},
+    {"GET", "/sho", NULL},
+    /* The method counts before the length of the prefix. */
+    {"POST", "/shop/stock", "jobs"},
+    {"POST", "/shop", "jobs"},
+    {"DELETE", "/shop/stock", ""},
+    {"get", "/shop/stock", ""},
+    {"", "/shop", ""},
+    {"GET", "/other", NULL},
+    {"GET", "", NULL},
+    {"GET", "shop", NULL},
+    {"GET", "http://x/shop", NULL},
+    /* Another spelling of a path must not reach another route. */
+    {"GET", "/shop/%73tock", "stock"},
+    {"GET", "/%73%68op", "shop"},
+    {"GET", "/other/../shop", NULL},
+    {"GET", "/shop/stock/..", NULL},
+    {"GET", "/shop/stock/%2e%2E/x", NULL},
+    {"GET", "/shop/./stock", NULL},
+    {"GET", "/shop/%2e", NULL},
+    {"GET", "/shop/..x", "shop"},
+    {"GET", "/shop/%", "shop"},
+    {"GET", "/shop/%7", "shop"},
+    {"GET", "/shop/%zz", "shop"},
+    {"GET", "/shop/%00", "shop"},
+    {"GET", "/shop%2fstock", NULL},
+};
+
+/* Guards against a call that reaches another service than the path says. */
+START_TEST(route_is_the_longest_prefix)
+{
+	const struct bg_service *svc;
+	const struct bg_route *rt;
+	struct bg_service svcs[2];
+	struct bg_snapshot *snap;
+	int code;
+
+	sample_service(&svcs[0], "a", 1);
+	svcs[0].contract.route_count = 0;
+	sample_route(&svcs[0].contract, "stock", "/shop/stock",
+	    BG_METHOD_GET | BG_METHOD_HEAD);
+	renew_digest(&svcs[0]);
+	sample_service(&svcs[1], "b", 1);
+	svcs[1].contract.route_count = 0;
+	sample_route(&svcs[1].contract, "shop", "/shop", BG_METHOD_GET);
+	sample_route(&svcs[1].contract, "jobs", "/shop", BG_METHOD_POST);
+	renew_digest(&svcs[1]);
+	ck_assert_msg(build(&snap, 1, svcs, 2) == 0, "%s", err.message);
+
+	code = bg_snapshot_route(
+	    &svc, &rt, snap, ROUTES[_i].method, ROUTES[_i].path);
+	if (ROUTES[_i].route == NULL) {
+		ck_assert_int_eq(code, BG_ENOTFOUND);
+	} else if (ROUTES[_i].route[0] == '\0') {
+		ck_assert_int_eq(code, BG_EINVAL);
+	} else {
+		ck_assert_int_eq(code, 0);
+		ck_assert_str_eq(rt->name, ROUTES[_i].route);
+		ck_assert_str_eq(
+		    svc->head.name, strcmp(rt->name, "stock") == 0 ? "a" : "b");
+	}
+	if (code != 0) {
+		ck_assert_ptr_null(svc);
+		ck_assert_ptr_null(rt);
+	}
+	bg_snapshot_release(snap);
+}
+END_TEST
+
+/* Guards against a buffer overrun by a long path, and a root route that
+ * matches nothing. */
+START_TEST(root_route_and_long_paths)
+{
+	const struct bg_service *svc;
+	const struct bg_route *rt;
+	struct bg_service one;
+	struct bg_snapshot *snap;
+	char path[9000];
+
+	sample_service(&one, "a", 1);
+	strcpy(one.contract.routes[0].prefix, "/");
+	renew_digest(&one);
+	ck_assert_msg(build(&snap, 1, &one, 1) == 0, "%s", err.message);
+	ck_assert_int_eq(bg_snapshot_route(&svc, &rt, snap, "GET", "/x"), 0);
+	memset(path, 'x', sizeof(path));
+	path[0] = '/';
+	path[8191] = '\0';
+	ck_assert_int_eq(bg_snapshot_route(&svc, &rt, snap, "GET", path), 0);
+	path[8191] = 'x';
+	path[8192] = '\0';
+	ck_assert_int_eq(
+	    bg_snapshot_route(&svc, &rt, snap, "GET", path), BG_ENOTFOUND);
+	bg_snapshot_release(snap);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("snapshot");
+	TCase *tc = tcase_create("snapshot");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, head_keeps_services_sorted_and_single);
+	tcase_add_test(tc, head_survives_encoding);
+	tcase_add_test(tc, head_refuses_numbers_above_the_range);
+	tcase_add_test(tc, head_digest_covers_name_changed_and_digest);
+	tcase_add_test(tc, service_item_checks_its_contract);
+	tcase_add_test(tc, snapshot_is_a_sorted_copy_with_references);
+	tcase_add_test(tc, snapshot_without_services_is_valid);
+	tcase_add_test(tc, snapshot_is_refused_as_a_whole);
+	tcase_add_loop_test(tc, route_is_the_longest_prefix, 0,
+	    (int)(sizeof(ROUTES) / sizeof(ROUTES[0])));
+	tcase_add_test(tc, root_route_and_long_paths);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- a/core/src/toml.cpp
+++ b/core/src/toml.cpp
@@ -343,7 +343,6 @@
 		if (node == nullptr || !node->is_array_of_tables() ||
 		    (item = node->as_array()->get(index)) == nullptr)
 			return as_handle(nullptr);
-		doc->known.insert(item);
 		doc->paths[item->as_table()] = dotted(doc, as_table(tbl), key);
 		return as_handle(item->as_table());
 	});
@@ -595,7 +594,8 @@
 	va_end(ap);
 }
 
-/* Reports keys that no getter asked for, down to the unknown one itself. */
+/* Reports keys that no getter asked for. A table that was not handed out has a
+ * problem of its own already. */
 static void
 add_unknown(bg_toml *doc, const toml::table &tbl)
 {
@@ -605,10 +605,11 @@
 			    dotted(doc, &tbl, key.str()),
 			    "expected no such key");
 		} else if (auto sub = node.as_table()) {
-			add_unknown(doc, *sub);
+			if (doc->paths.count(sub) != 0)
+				add_unknown(doc, *sub);
 		} else if (node.is_array_of_tables()) {
 			for (auto &&item : *node.as_array())
-				if (doc->known.count(&item) != 0)
+				if (doc->paths.count(item.as_table()) != 0)
 					add_unknown(doc, *item.as_table());
 		}
 	}
