--- /dev/null
+++ b/moves/src/burn/burn.c
@@ -0,0 +1,279 @@
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/burn.h"
+
+/* Routes of one service times the versions of three days; more are dropped. */
+#define SERIES_MAX	256
+
+/* A budget of 30 days is used up by 2% within an hour. */
+#define PAGE_FAST_RATE	14.4
+/* 5% of it within six hours. */
+#define PAGE_SLOW_RATE	6.0
+/* 10% of it within three days. */
+#define TICKET_RATE	1.0
+
+struct minute {
+	uint64_t minute; /* since the Unix epoch */
+	uint32_t calls;
+	uint32_t bad;
+};
+
+struct series {
+	char service[BG_NAME_BYTES];
+	char route[BG_NAME_BYTES];
+	char server_version[BG_NAME_BYTES];
+	struct minute *minutes; /* ring by minute modulo BG_BURN_MINUTES */
+};
+
+struct bg_burn {
+	struct series *series[SERIES_MAX];
+	size_t series_count;
+};
+
+int
+bg_burn_init(struct bg_burn **out)
+{
+	*out = calloc(1, sizeof(**out));
+	return *out == NULL ? BG_ENOMEM : 0;
+}
+
+void
+bg_burn_free(struct bg_burn *brn)
+{
+	size_t i;
+
+	if (brn == NULL)
+		return;
+	for (i = 0; i < brn->series_count; i++) {
+		free(brn->series[i]->minutes);
+		free(brn->series[i]);
+	}
+	free(brn);
+}
+
+static int
+is_series(const struct series *srs, const char *service, const char *route,
+    const char *server_version)
+{
+	return strcmp(srs->service, service) == 0 &&
+	    (route[0] == '\0' || strcmp(srs->route, route) == 0) &&
+	    (server_version[0] == '\0' ||
+	        strcmp(srs->server_version, server_version) == 0);
+}
+
+static struct series *
+add_series(struct bg_burn *brn, const char *service, const char *route,
+    const char *server_version)
+{
+	struct series *srs;
+
+	if (brn->series_count == SERIES_MAX ||
+	    (srs = calloc(1, sizeof(*srs))) == NULL)
+		return NULL;
+	srs->minutes = calloc(BG_BURN_MINUTES, sizeof(*srs->minutes));
+	if (srs->minutes == NULL) {
+		free(srs);
+		return NULL;
+	}
+	snprintf(srs->service, sizeof(srs->service), "%s", service);
+	snprintf(srs->route, sizeof(srs->route), "%s", route);
+	snprintf(srs->server_version, sizeof(srs->server_version), "%s",
+	    server_version);
+	brn->series[brn->series_count++] = srs;
+	return srs;
+}
+
+static struct series *
+find_series(struct bg_burn *brn, const char *service, const char *route,
+    const char *server_version)
+{
+	size_t i;
+
+	for (i = 0; i < brn->series_count; i++) {
+		if (is_series(brn->series[i], service, route, server_version))
+			return brn->series[i];
+	}
+	return add_series(brn, service, route, server_version);
+}
+
+static void
+add_minute(struct series *srs, uint64_t minute, uint32_t calls, uint32_t bad)
+{
+	struct minute *slot = &srs->minutes[minute % BG_BURN_MINUTES];
+
+	/* A later minute takes over the slot; an earlier one is too old. */
+	if (minute < slot->minute)
+		return;
+	if (minute > slot->minute) {
+		slot->minute = minute;
+		slot->calls = 0;
+		slot->bad = 0;
+	}
+	slot->calls += calls;
+	slot->bad += bad;
+}
+
+void
+bg_burn_count(struct bg_burn *brn, const char *service, const char *route,
+    const char *server_version, uint64_t now_minute, int is_bad)
+{
+	struct series *srs;
+
+	srs = find_series(brn, service, route, server_version);
+	if (srs != NULL)
+		add_minute(srs, now_minute, 1, is_bad ? 1 : 0);
+}
+
+void
+bg_burn_window(struct bg_burn_sum *out, const struct bg_burn *brn,
+    const char *service, const char *route, const char *server_version,
+    uint64_t from_minute, uint64_t to_minute)
+{
+	const struct minute *slot;
+	size_t i;
+	size_t m;
+
+	out->calls = 0;
+	out->bad = 0;
+	for (i = 0; i < brn->series_count; i++) {
+		if (!is_series(brn->series[i], service, route,
+		        server_version))
+			continue;
+		for (m = 0; m < BG_BURN_MINUTES; m++) {
+			slot = &brn->series[i]->minutes[m];
+			if (slot->minute < from_minute ||
+			    slot->minute > to_minute)
+				continue;
+			out->calls += slot->calls;
+			out->bad += slot->bad;
+		}
+	}
+}
+
+static json_t *
+encode_series(const struct series *srs)
+{
+	json_t *minutes = json_array();
+	const struct minute *slot;
+	size_t m;
+
+	for (m = 0; m < BG_BURN_MINUTES; m++) {
+		slot = &srs->minutes[m];
+		if (slot->calls == 0)
+			continue;
+		json_array_append_new(minutes,
+		    json_pack("[I,I,I]", (json_int_t)slot->minute,
+		        (json_int_t)slot->calls, (json_int_t)slot->bad));
+	}
+	return json_pack("{s:s,s:s,s:s,s:o}", "service", srs->service, "route",
+	    srs->route, "version", srs->server_version, "minutes", minutes);
+}
+
+int
+bg_burn_encode(char **out, const struct bg_burn *brn)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < brn->series_count; i++)
+		json_array_append_new(list, encode_series(brn->series[i]));
+	*out = json_dumps(list, JSON_COMPACT);
+	json_decref(list);
+	return *out == NULL ? BG_ENOMEM : 0;
+}
+
+static int
+merge_series(struct bg_burn *brn, json_t *entry)
+{
+	struct series *srs;
+	const char *service;
+	const char *route;
+	const char *version;
+	json_int_t minute;
+	json_int_t calls;
+	json_int_t bad;
+	json_t *minutes;
+	json_t *slot;
+	size_t i;
+
+	if (json_unpack(entry, "{s:s,s:s,s:s,s:o}", "service", &service,
+	        "route", &route, "version", &version, "minutes",
+	        &minutes) != 0 ||
+	    route[0] == '\0' || version[0] == '\0')
+		return BG_EPROTO;
+	srs = find_series(brn, service, route, version);
+	if (srs == NULL)
+		return BG_ENOMEM;
+	json_array_foreach(minutes, i, slot)
+	{
+		if (json_unpack(slot, "[I,I,I]", &minute, &calls, &bad) != 0 ||
+		    minute < 0 || calls < 0 || bad < 0 || bad > calls)
+			return BG_EPROTO;
+		add_minute(srs, (uint64_t)minute, (uint32_t)calls,
+		    (uint32_t)bad);
+	}
+	return 0;
+}
+
+int
+bg_burn_merge(struct bg_burn *brn, const char *json, size_t json_bytes)
+{
+	json_t *list = json_loadb(json, json_bytes, 0, NULL);
+	json_t *entry;
+	size_t i;
+	int error = BG_EPROTO;
+
+	if (!json_is_array(list))
+		goto done;
+	error = 0;
+	json_array_foreach(list, i, entry)
+	{
+		if ((error = merge_series(brn, entry)) != 0)
+			goto done;
+	}
+done:
+	json_decref(list);
+	return error;
+}
+
+void
+bg_burn_each(const struct bg_burn *brn,
+    void (*fn)(void *arg, const char *service, const char *route,
+        const char *server_version),
+    void *arg)
+{
+	size_t i;
+
+	for (i = 0; i < brn->series_count; i++)
+		fn(arg, brn->series[i]->service, brn->series[i]->route,
+		    brn->series[i]->server_version);
+}
+
+double
+bg_burn_rate(const struct bg_burn_sum *sum, uint32_t slo_permyriad)
+{
+	double budget = (10000.0 - slo_permyriad) / 10000.0;
+
+	if (sum->calls == 0)
+		return 0.0;
+	/* An objective of 100% has no budget: any failure burns at most. */
+	if (budget <= 0.0)
+		return sum->bad == 0 ? 0.0 : 1000.0;
+	return (double)sum->bad / (double)sum->calls / budget;
+}
+
+enum bg_burn_alert
+bg_burn_alert(double rate_5m, double rate_1h, double rate_6h, double rate_3d)
+{
+	/* The short window ends the alert soon after the cause is gone. */
+	if (rate_1h >= PAGE_FAST_RATE && rate_5m >= PAGE_FAST_RATE)
+		return BG_BURN_PAGE;
+	if (rate_6h >= PAGE_SLOW_RATE && rate_1h >= PAGE_SLOW_RATE)
+		return BG_BURN_PAGE;
+	if (rate_3d >= TICKET_RATE && rate_6h >= TICKET_RATE)
+		return BG_BURN_TICKET;
+	return BG_BURN_OK;
+}
--- /dev/null
+++ b/moves/src/plan/plan.c
@@ -0,0 +1,161 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "plan.h"
+
+static const uint32_t SHARES[] = { BG_PLAN_FIRST_SHARE_PERMILLE, 100, 250,
+	500, 1000 };
+
+#define STEP_COUNT	(sizeof(SHARES) / sizeof(SHARES[0]))
+/* The plan uses this part of the promised time; the rest is for news, a change
+ * of holder and a slow platform. */
+#define PLAN_PERCENT	60
+/* Nodes learn of a step within a second; evidence needs some more. */
+#define STEP_MIN_MS	2000
+#define STEP_MAX_MS	300000
+/* Calls that let the first step end without a full verdict when time presses:
+ * a version that fails every other call is found with these. */
+#define PRESSED_CALLS	20
+/* Slots of the new version against those that the share needs. */
+#define CAPACITY_PERCENT	80
+
+uint64_t
+bg_plan_step_ms(const struct bg_move *move)
+{
+	uint64_t promised_ms = move->deadline_ms > move->started_ms
+	    ? move->deadline_ms - move->started_ms
+	    : 0;
+	uint64_t step_ms = promised_ms * PLAN_PERCENT / 100 / STEP_COUNT;
+
+	if (step_ms < STEP_MIN_MS)
+		return STEP_MIN_MS;
+	return step_ms > STEP_MAX_MS ? STEP_MAX_MS : step_ms;
+}
+
+static void
+finish(struct bg_move *out, enum bg_move_state state, uint64_t now_ms,
+    const char *reason)
+{
+	out->state = state;
+	out->step_since_ms = now_ms;
+	out->share_permille = state == BG_MOVE_DONE ? 1000 : 0;
+	snprintf(out->reason, sizeof(out->reason), "%s", reason);
+}
+
+/* The new version must be able to carry the share that it would get. */
+static int
+has_capacity(const struct bg_plan_input *in, uint32_t share_permille)
+{
+	uint64_t needed = (uint64_t)(in->slots_old + in->slots_new) *
+	    share_permille;
+
+	if (in->ready_old == 0)
+		return in->ready_new > 0;
+	/* Old and new servers together hold twice the capacity in use. */
+	return in->ready_new > 0 &&
+	    (uint64_t)in->slots_new * 2000 * 100 >= needed * CAPACITY_PERCENT;
+}
+
+/* Time still needed if every step were as short as allowed. */
+static uint64_t
+shortest_rest_ms(const struct bg_move *move)
+{
+	return (STEP_COUNT - move->step) * STEP_MIN_MS;
+}
+
+static int
+is_pressed(const struct bg_move *move, uint64_t now_ms)
+{
+	uint64_t left_ms = move->deadline_ms > now_ms
+	    ? move->deadline_ms - now_ms
+	    : 0;
+
+	return left_ms <
+	    (STEP_COUNT - move->step) * bg_plan_step_ms(move) + STEP_MIN_MS;
+}
+
+/* The first step ends with a good verdict; without one, only if time presses
+ * and what little was called looks well, or if nothing is called at all. */
+static int
+is_step_proven(const struct bg_move *move, const struct bg_plan_input *in)
+{
+	if (in->verdict == BG_VERDICT_GOOD || move->step > 0)
+		return 1;
+	if (!is_pressed(move, in->now_ms))
+		return 0;
+	return in->new_calls >= PRESSED_CALLS ||
+	    (in->old_calls == 0 && in->new_calls == 0);
+}
+
+static int
+advance(struct bg_move *out, const struct bg_move *move,
+    const struct bg_plan_input *in)
+{
+	uint64_t age_ms = in->now_ms > move->step_since_ms
+	    ? in->now_ms - move->step_since_ms
+	    : 0;
+
+	if (age_ms < bg_plan_step_ms(move) || !in->is_confirmed ||
+	    !is_step_proven(move, in))
+		return 0;
+	if (move->step + 1 == STEP_COUNT) {
+		finish(out, BG_MOVE_DONE, in->now_ms, "");
+		return 1;
+	}
+	if (!has_capacity(in, SHARES[move->step + 1]))
+		return 0;
+	out->step = move->step + 1;
+	out->share_permille = SHARES[out->step];
+	out->step_since_ms = in->now_ms;
+	return 1;
+}
+
+static int
+next_in_progress(struct bg_move *out, const struct bg_move *move,
+    const struct bg_plan_input *in)
+{
+	int late;
+
+	if (in->now_ms >= move->deadline_ms) {
+		finish(out, BG_MOVE_ROLLED_BACK, in->now_ms,
+		    "promised time passed");
+		return 1;
+	}
+	if (advance(out, move, in))
+		return 1;
+	late = move->is_late ||
+	    in->now_ms + shortest_rest_ms(move) > move->deadline_ms;
+	out->is_late = late;
+	return late != move->is_late;
+}
+
+int
+bg_plan_is_watched(const struct bg_move *move, const struct bg_contract *ctr,
+    uint64_t now_ms)
+{
+	if (move->state == BG_MOVE_IN_PROGRESS)
+		return 1;
+	return move->state == BG_MOVE_DONE && move->from[0] != '\0' &&
+	    strcmp(move->from, move->to) != 0 &&
+	    now_ms < move->step_since_ms + ctr->soak_ms;
+}
+
+int
+bg_plan_next(struct bg_move *out, const struct bg_move *move,
+    const struct bg_contract *ctr, const struct bg_plan_input *in)
+{
+	*out = *move;
+	if (!bg_plan_is_watched(move, ctr, in->now_ms))
+		return 0;
+	if (in->is_marked || in->verdict == BG_VERDICT_BAD) {
+		/* After done, only a version that still runs can take over. */
+		if (move->state == BG_MOVE_DONE && in->ready_old == 0)
+			return 0;
+		finish(out, BG_MOVE_ROLLED_BACK, in->now_ms,
+		    in->reason != NULL ? in->reason : "bad");
+		return 1;
+	}
+	if (move->state == BG_MOVE_IN_PROGRESS)
+		return next_in_progress(out, move, in);
+	return 0;
+}
--- /dev/null
+++ b/moves/src/status/render.c
@@ -0,0 +1,122 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/clock.h"
+
+#include "status.h"
+
+/* Values stand without spaces, so that scripts can split the line. */
+static void
+print_reason(FILE *fp, const char *reason)
+{
+	const char *c;
+
+	fputs(" reason=", fp);
+	for (c = reason; *c != '\0'; c++)
+		fputc(*c > ' ' && *c < 0x7f ? *c : '_', fp);
+}
+
+static void
+print_line(FILE *fp, const struct bg_status_line *line)
+{
+	char since[BG_RFC3339_BYTES];
+
+	bg_clock_format(since, line->since_ms);
+	fprintf(fp,
+	    "%s %s version=%s config=%" PRIu64 " since=%s age=%" PRIu64
+	    "s serving=%s",
+	    line->state, line->service, line->server_version,
+	    line->config_version, since, line->age_ms / 1000, line->serving);
+	if (line->is_late)
+		fputs(" late", fp);
+	if (line->note != NULL)
+		fprintf(fp, " note=%s", line->note);
+	if (line->reason != NULL && line->reason[0] != '\0')
+		print_reason(fp, line->reason);
+	fputc('\n', fp);
+}
+
+static void
+decide_line(struct bg_status_line *out, const struct bg_service *svc,
+    const struct bg_status_view *view, const struct bg_table *tbl)
+{
+	bg_status_line(out, svc, view,
+	    bg_mark_generation(tbl, svc->head.name, svc->head.move.to));
+}
+
+int
+bg_status_render(char **out, const struct bg_snapshot *snap,
+    const struct bg_table *tbl, uint64_t now_wall_ms)
+{
+	struct bg_status_view view;
+	struct bg_status_line line;
+	size_t out_bytes;
+	size_t i;
+	FILE *fp;
+
+	*out = NULL;
+	if ((fp = open_memstream(out, &out_bytes)) == NULL)
+		return BG_ENOMEM;
+	bg_status_view_init(&view, tbl, now_wall_ms);
+	if (snap == NULL)
+		fputs("# not synced: this node knows no version yet\n", fp);
+	for (i = 0; snap != NULL && i < snap->service_count; i++) {
+		decide_line(&line, &snap->services[i], &view, tbl);
+		print_line(fp, &line);
+	}
+	return fclose(fp) == 0 ? 0 : BG_ENOMEM;
+}
+
+static json_t *
+line_json(const struct bg_status_line *line)
+{
+	return json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:b,s:s?,s:s?}",
+	    "state", line->state, "service", line->service, "version",
+	    line->server_version, "serving", line->serving, "config",
+	    (json_int_t)line->config_version, "since_ms",
+	    (json_int_t)line->since_ms, "age_ms", (json_int_t)line->age_ms,
+	    "late", line->is_late, "note", line->note, "reason",
+	    line->reason);
+}
+
+static json_t *
+summary_json(const struct bg_summary *sum)
+{
+	return json_pack("{s:s,s:i,s:i,s:I,s:I,s:s,s:s,s:I,s:b}",
+	    "data_centre", sum->data_centre, "members",
+	    (int)sum->member_count, "synced", (int)sum->synced_count,
+	    "confirmed", (json_int_t)sum->confirmed_version, "refused",
+	    (json_int_t)sum->refused_version, "refused_by", sum->refused_by,
+	    "refused_reason", sum->refused_reason, "written_ms",
+	    (json_int_t)sum->written_ms, "leased", sum->is_leased);
+}
+
+int
+bg_status_render_json(char **out, const struct bg_snapshot *snap,
+    const struct bg_table *tbl, uint64_t now_wall_ms)
+{
+	struct bg_status_view view;
+	struct bg_status_line line;
+	json_t *services = json_array();
+	json_t *centres = json_array();
+	json_t *root;
+	size_t i;
+
+	bg_status_view_init(&view, tbl, now_wall_ms);
+	for (i = 0; snap != NULL && i < snap->service_count; i++) {
+		decide_line(&line, &snap->services[i], &view, tbl);
+		json_array_append_new(services, line_json(&line));
+	}
+	for (i = 0; i < view.summary_count; i++)
+		json_array_append_new(centres,
+		    summary_json(&view.summaries[i]));
+	root = json_pack("{s:b,s:I,s:o,s:o}", "synced", snap != NULL,
+	    "version", (json_int_t)(snap == NULL ? 0 : snap->version),
+	    "services", services, "data_centres", centres);
+	*out = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return *out == NULL ? BG_ENOMEM : 0;
+}
--- /dev/null
+++ b/moves/src/status/status.c
@@ -0,0 +1,152 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "status.h"
+
+static int
+collect_summary(void *arg, const struct bg_item *item)
+{
+	struct bg_status_view *view = arg;
+
+	if (view->summary_count < BG_DATA_CENTRES_MAX &&
+	    bg_summary_decode(&view->summaries[view->summary_count], item) ==
+	        0)
+		view->summary_count++;
+	return 0;
+}
+
+int
+bg_status_view_init(struct bg_status_view *out, const struct bg_table *tbl,
+    uint64_t now_wall_ms)
+{
+	memset(out, 0, sizeof(*out));
+	out->now_ms = now_wall_ms;
+	return bg_table_each(tbl, BG_ITEM_SUMMARY, collect_summary, out);
+}
+
+uint64_t
+bg_mark_generation(const struct bg_table *tbl, const char *service,
+    const char *server_version)
+{
+	char key[BG_KEY_BYTES];
+	struct bg_item item;
+
+	snprintf(key, sizeof(key), "%s/%s", service, server_version);
+	if (bg_table_get(&item, tbl, BG_ITEM_MARK, key) != 0)
+		return 0;
+	return item.major;
+}
+
+static uint64_t
+summary_age_ms(const struct bg_summary *sum, uint64_t now_ms)
+{
+	return now_ms > sum->written_ms ? now_ms - sum->written_ms : 0;
+}
+
+int
+bg_status_is_confirmed(const struct bg_status_view *view, uint64_t version)
+{
+	const struct bg_summary *sum;
+	size_t fresh = 0;
+	size_t i;
+
+	for (i = 0; i < view->summary_count; i++) {
+		sum = &view->summaries[i];
+		if (summary_age_ms(sum, view->now_ms) > BG_STATUS_FRESH_MS)
+			continue;
+		fresh++;
+		if (sum->confirmed_version < version)
+			return 0;
+	}
+	return fresh > 0;
+}
+
+static const struct bg_summary *
+find_refusal(const struct bg_status_view *view, uint64_t version)
+{
+	size_t i;
+
+	for (i = 0; i < view->summary_count; i++) {
+		if (view->summaries[i].refused_version >= version)
+			return &view->summaries[i];
+	}
+	return NULL;
+}
+
+static uint64_t
+oldest_ms(const struct bg_status_view *view)
+{
+	uint64_t oldest = 0;
+	uint64_t age_ms;
+	size_t i;
+
+	for (i = 0; i < view->summary_count; i++) {
+		age_ms = summary_age_ms(&view->summaries[i], view->now_ms);
+		if (age_ms > oldest)
+			oldest = age_ms;
+	}
+	return oldest;
+}
+
+static const char *
+version_or_dash(const char *server_version)
+{
+	return server_version[0] == '\0' ? "-" : server_version;
+}
+
+static void
+describe_move(struct bg_status_line *out, const struct bg_move *move,
+    int confirmed, uint64_t mark_generation)
+{
+	out->server_version = version_or_dash(move->to);
+	out->serving = version_or_dash(
+	    move->state == BG_MOVE_DONE ? move->to : move->from);
+	switch (move->state) {
+	case BG_MOVE_NONE:
+	case BG_MOVE_DONE:
+		out->state = confirmed ? "done" : "in progress";
+		break;
+	case BG_MOVE_IN_PROGRESS:
+		out->state = "in progress";
+		out->since_ms = move->started_ms;
+		out->is_late = move->is_late;
+		break;
+	case BG_MOVE_ROLLED_BACK:
+		out->state = confirmed ? "rolled back" : "in progress";
+		out->note = confirmed ? NULL : "rolling-back";
+		out->reason = move->reason;
+		return;
+	}
+	/* The mark stops the version at once; the head follows. */
+	if (mark_generation >= move->generation && mark_generation != 0) {
+		out->state = "in progress";
+		out->note = "rolling-back";
+	}
+}
+
+void
+bg_status_line(struct bg_status_line *out, const struct bg_service *svc,
+    const struct bg_status_view *view, uint64_t mark_generation)
+{
+	const struct bg_head_service *head = &svc->head;
+	const struct bg_summary *refusal;
+	int confirmed = bg_status_is_confirmed(view, head->changed);
+
+	memset(out, 0, sizeof(*out));
+	out->service = head->name;
+	out->config_version = head->changed;
+	out->since_ms = head->since_ms;
+	out->age_ms = oldest_ms(view);
+	describe_move(out, &head->move, confirmed, mark_generation);
+	if (head->is_withdrawn && confirmed &&
+	    strcmp(out->state, "done") == 0) {
+		out->state = "rolled back";
+		out->note = "withdrawn";
+	}
+	if ((refusal = find_refusal(view, head->changed)) != NULL &&
+	    !confirmed) {
+		out->note = "refused";
+		out->reason = refusal->refused_reason;
+	}
+}
--- /dev/null
+++ b/moves/tests/test_burn.c
@@ -0,0 +1,161 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/burn.h"
+#include "stats/stats.h"
+
+#define MINUTE	29000000
+
+/* Guards against windows that count calls of other minutes or versions. */
+START_TEST(window_counts_its_own_calls)
+{
+	struct bg_burn *brn;
+	struct bg_burn_sum sum;
+	int i;
+
+	ck_assert_int_eq(bg_burn_init(&brn), 0);
+	for (i = 0; i < 100; i++)
+		bg_burn_count(brn, "orders", "checkouts", "1.0", MINUTE,
+		    i < 10);
+	bg_burn_count(brn, "orders", "checkouts", "2.0", MINUTE - 60, 1);
+	bg_burn_window(&sum, brn, "orders", "", "", MINUTE - 4, MINUTE);
+	ck_assert_uint_eq(sum.calls, 100);
+	ck_assert_uint_eq(sum.bad, 10);
+	bg_burn_window(&sum, brn, "orders", "", "2.0", MINUTE - 60, MINUTE);
+	ck_assert_uint_eq(sum.calls, 1);
+	bg_burn_free(brn);
+}
+END_TEST
+
+/* Guards against a ring that adds a call to a minute of three days ago. */
+START_TEST(ring_drops_minutes_after_three_days)
+{
+	struct bg_burn *brn;
+	struct bg_burn_sum sum;
+
+	ck_assert_int_eq(bg_burn_init(&brn), 0);
+	bg_burn_count(brn, "orders", "checkouts", "1.0", MINUTE, 1);
+	bg_burn_count(brn, "orders", "checkouts", "1.0",
+	    MINUTE + BG_BURN_MINUTES, 0);
+	bg_burn_window(&sum, brn, "orders", "", "", 0, 2 * MINUTE);
+	ck_assert_uint_eq(sum.calls, 1);
+	ck_assert_uint_eq(sum.bad, 0);
+	bg_burn_free(brn);
+}
+END_TEST
+
+/* Guards against a report that loses the calls of one of its nodes. */
+START_TEST(reports_of_two_nodes_add_up)
+{
+	struct bg_burn *one;
+	struct bg_burn *two;
+	struct bg_burn_sum sum;
+	char *json;
+
+	ck_assert_int_eq(bg_burn_init(&one), 0);
+	ck_assert_int_eq(bg_burn_init(&two), 0);
+	bg_burn_count(one, "orders", "checkouts", "1.0", MINUTE, 1);
+	bg_burn_count(two, "orders", "checkouts", "1.0", MINUTE, 0);
+	ck_assert_int_eq(bg_burn_encode(&json, one), 0);
+	ck_assert_int_eq(bg_burn_merge(two, json, strlen(json)), 0);
+	bg_burn_window(&sum, two, "orders", "checkouts", "1.0", MINUTE,
+	    MINUTE);
+	ck_assert_uint_eq(sum.calls, 2);
+	ck_assert_uint_eq(sum.bad, 1);
+	ck_assert_int_eq(bg_burn_merge(two, "[{}]", 4), BG_EPROTO);
+	ck_assert_int_eq(bg_burn_merge(two, "x", 1), BG_EPROTO);
+	free(json);
+	bg_burn_free(one);
+	bg_burn_free(two);
+}
+END_TEST
+
+/* Guards against an alert that stays off while the budget burns, or on after
+ * the cause is gone. */
+START_TEST(alert_follows_both_windows)
+{
+	struct bg_burn_sum sum = { 1000, 20 };
+
+	ck_assert_double_eq_tol(bg_burn_rate(&sum, 9990), 20.0, 0.001);
+	ck_assert_int_eq(bg_burn_alert(20, 20, 20, 20), BG_BURN_PAGE);
+	ck_assert_int_eq(bg_burn_alert(0, 20, 3, 0), BG_BURN_OK);
+	ck_assert_int_eq(bg_burn_alert(0, 0, 2, 1.5), BG_BURN_TICKET);
+	ck_assert_int_eq(bg_burn_alert(0, 0, 0, 0), BG_BURN_OK);
+}
+END_TEST
+
+/* Guards against damage to the counters on their way to the relay. */
+START_TEST(stat_survives_encoding)
+{
+	struct bg_stat stat;
+	struct bg_stat back[2];
+	size_t count;
+	char *json;
+
+	memset(&stat, 0, sizeof(stat));
+	strcpy(stat.service, "orders");
+	strcpy(stat.server_version, "2.0");
+	bg_tally_count(bg_stat_route(&stat, "checkouts"), 9000, 1, 0);
+	bg_tally_count(bg_stat_route(&stat, "checkouts"), 90, 0, 1);
+	ck_assert_int_eq(bg_stat_encode(&json, &stat, 1), 0);
+	ck_assert_int_eq(bg_stat_decode(back, &count, 2, json, strlen(json)),
+	    0);
+	ck_assert_uint_eq(count, 1);
+	ck_assert_mem_eq(&back[0], &stat, sizeof(stat));
+	ck_assert_int_eq(bg_stat_decode(back, &count, 2, "[1]", 3),
+	    BG_EPROTO);
+	free(json);
+}
+END_TEST
+
+/* Guards against calls that are counted twice or lost when a report is
+ * repeated, when the sender restarts, and when the receiver is new. */
+START_TEST(sum_counts_differences_once)
+{
+	struct bg_stat_sum *sum;
+	struct bg_stat stat;
+	struct bg_stat out;
+
+	memset(&stat, 0, sizeof(stat));
+	strcpy(stat.service, "orders");
+	strcpy(stat.server_version, "2.0");
+	bg_stat_route(&stat, "checkouts")->calls = 10;
+	ck_assert_int_eq(bg_stat_sum_init(&sum, "orders"), 0);
+	bg_stat_sum_take(sum, "a", 1, &stat, 1);
+	bg_stat_sum_take(sum, "a", 1, &stat, 1);
+	bg_stat_route(&stat, "checkouts")->calls = 4;
+	bg_stat_sum_take(sum, "a", 2, &stat, 1);
+	bg_stat_sum_take(sum, "b", 1, &stat, 0);
+	memset(&out, 0, sizeof(out));
+	bg_stat_sum_drain(&out, sum, "2.0");
+	ck_assert_uint_eq(bg_stat_route(&out, "checkouts")->calls, 14);
+	memset(&out, 0, sizeof(out));
+	bg_stat_sum_drain(&out, sum, "2.0");
+	ck_assert_uint_eq(bg_stat_route(&out, "checkouts")->calls, 0);
+	bg_stat_sum_free(sum);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("burn");
+	TCase *tc = tcase_create("burn");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, window_counts_its_own_calls);
+	tcase_add_test(tc, ring_drops_minutes_after_three_days);
+	tcase_add_test(tc, reports_of_two_nodes_add_up);
+	tcase_add_test(tc, alert_follows_both_windows);
+	tcase_add_test(tc, stat_survives_encoding);
+	tcase_add_test(tc, sum_counts_differences_once);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/moves/tests/test_status.c
@@ -0,0 +1,150 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "status/status.h"
+
+#define NOW_MS	1000000
+
+static struct bg_service service;
+static struct bg_status_view view;
+static struct bg_status_line line;
+
+static void
+add_summary(const char *data_centre, uint64_t confirmed, uint64_t written_ms)
+{
+	struct bg_summary *sum = &view.summaries[view.summary_count++];
+
+	memset(sum, 0, sizeof(*sum));
+	strcpy(sum->data_centre, data_centre);
+	sum->confirmed_version = confirmed;
+	sum->written_ms = written_ms;
+}
+
+static void
+setup(enum bg_move_state state)
+{
+	memset(&service, 0, sizeof(service));
+	strcpy(service.head.name, "catalogue");
+	service.head.changed = 7;
+	service.head.move.state = state;
+	service.head.move.generation = 2;
+	strcpy(service.head.move.from, "1.0");
+	strcpy(service.head.move.to, "2.0");
+	memset(&view, 0, sizeof(view));
+	view.now_ms = NOW_MS;
+	add_summary("bureau", 7, NOW_MS);
+	add_summary("entrepot", 7, NOW_MS - 1000);
+}
+
+/* Guards against "done" while a node that can be reached lacks the version. */
+START_TEST(done_needs_every_reachable_data_centre)
+{
+	setup(BG_MOVE_DONE);
+	bg_status_line(&line, &service, &view, 0);
+	ck_assert_str_eq(line.state, "done");
+	ck_assert_str_eq(line.server_version, "2.0");
+	view.summaries[1].confirmed_version = 6;
+	bg_status_line(&line, &service, &view, 0);
+	ck_assert_str_eq(line.state, "in progress");
+	ck_assert_str_eq(line.server_version, "2.0");
+}
+END_TEST
+
+/* Guards against old knowledge that looks fresh. */
+START_TEST(cut_off_data_centre_shows_in_the_age)
+{
+	setup(BG_MOVE_DONE);
+	view.summaries[1].confirmed_version = 5;
+	view.summaries[1].written_ms = NOW_MS - 60000;
+	bg_status_line(&line, &service, &view, 0);
+	ck_assert_str_eq(line.state, "done");
+	ck_assert_uint_eq(line.age_ms, 60000);
+}
+END_TEST
+
+/* Guards against "done" on a node that knows nothing. */
+START_TEST(no_summary_is_never_done)
+{
+	setup(BG_MOVE_DONE);
+	view.summary_count = 0;
+	bg_status_line(&line, &service, &view, 0);
+	ck_assert_str_eq(line.state, "in progress");
+}
+END_TEST
+
+/* Guards against "rolled back" while a node still sends calls, and against a
+ * return from done of a version to in progress of an older one. */
+START_TEST(rolled_back_needs_confirmation_and_names_the_version)
+{
+	setup(BG_MOVE_ROLLED_BACK);
+	bg_status_line(&line, &service, &view, 0);
+	ck_assert_str_eq(line.state, "rolled back");
+	ck_assert_str_eq(line.server_version, "2.0");
+	ck_assert_str_eq(line.serving, "1.0");
+	view.summaries[0].confirmed_version = 6;
+	bg_status_line(&line, &service, &view, 0);
+	ck_assert_str_eq(line.state, "in progress");
+	ck_assert_str_eq(line.server_version, "2.0");
+	ck_assert_str_eq(line.note, "rolling-back");
+}
+END_TEST
+
+/* Guards against "done" after a data centre marked the version as bad. */
+START_TEST(mark_of_this_generation_ends_done)
+{
+	setup(BG_MOVE_DONE);
+	bg_status_line(&line, &service, &view, 2);
+	ck_assert_str_eq(line.state, "in progress");
+	ck_assert_str_eq(line.note, "rolling-back");
+	bg_status_line(&line, &service, &view, 1);
+	ck_assert_str_eq(line.state, "done");
+}
+END_TEST
+
+START_TEST(withdrawn_configuration_is_rolled_back)
+{
+	setup(BG_MOVE_DONE);
+	service.head.is_withdrawn = 1;
+	bg_status_line(&line, &service, &view, 0);
+	ck_assert_str_eq(line.state, "rolled back");
+	ck_assert_str_eq(line.note, "withdrawn");
+}
+END_TEST
+
+START_TEST(refusal_is_told_with_its_reason)
+{
+	setup(BG_MOVE_DONE);
+	view.summaries[0].confirmed_version = 6;
+	view.summaries[0].refused_version = 7;
+	strcpy(view.summaries[0].refused_reason, "route without service");
+	bg_status_line(&line, &service, &view, 0);
+	ck_assert_str_eq(line.state, "in progress");
+	ck_assert_str_eq(line.note, "refused");
+	ck_assert_str_eq(line.reason, "route without service");
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("status");
+	TCase *tc = tcase_create("status");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, done_needs_every_reachable_data_centre);
+	tcase_add_test(tc, cut_off_data_centre_shows_in_the_age);
+	tcase_add_test(tc, no_summary_is_never_done);
+	tcase_add_test(tc, rolled_back_needs_confirmation_and_names_the_version);
+	tcase_add_test(tc, mark_of_this_generation_ends_done);
+	tcase_add_test(tc, withdrawn_configuration_is_rolled_back);
+	tcase_add_test(tc, refusal_is_told_with_its_reason);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
