--- a/moves/include/burdockgrade/burn.h
+++ b/moves/include/burdockgrade/burn.h
@@ -12,7 +12,7 @@
 #include "burdockgrade/contract.h"
 
 /** Longest window of the report: 3 days. */
-#define BG_BURN_MINUTES	(3 * 24 * 60)
+#define BG_BURN_MINUTES (3 * 24 * 60)
 
 struct bg_burn;
 
@@ -41,20 +41,20 @@
 /** Calls fn for each (service, route, version) series, in order of arrival. */
 void bg_burn_each(const struct bg_burn *brn,
     void (*fn)(void *arg, const char *service, const char *route,
-        const char *server_version),
+	const char *server_version),
     void *arg);
 
 enum bg_burn_alert {
 	BG_BURN_OK,
 	BG_BURN_TICKET, /**< look at it in working hours */
-	BG_BURN_PAGE, /**< call a person */
+	BG_BURN_PAGE,	/**< call a person */
 };
 
 /** Burn rate: 1.0 uses up the budget exactly at the end of its window.
  * @param slo_permyriad objective, 9990 is 99.9% */
 double bg_burn_rate(const struct bg_burn_sum *sum, uint32_t slo_permyriad);
 /** Alert from the rates over 5 min, 1 h, 6 h and 3 d. */
-enum bg_burn_alert bg_burn_alert(double rate_5m, double rate_1h,
-    double rate_6h, double rate_3d);
+enum bg_burn_alert bg_burn_alert(
+    double rate_5m, double rate_1h, double rate_6h, double rate_3d);
 
 #endif
--- a/moves/src/burn/burn.c
+++ b/moves/src/burn/burn.c
@@ -6,14 +6,14 @@
 #include "burdockgrade/burn.h"
 
 /* Routes of one service times the versions of three days; more are dropped. */
-#define SERIES_MAX	256
+#define SERIES_MAX 256
 
 /* A budget of 30 days is used up by 2% within an hour. */
-#define PAGE_FAST_RATE	14.4
+#define PAGE_FAST_RATE 14.4
 /* 5% of it within six hours. */
-#define PAGE_SLOW_RATE	6.0
+#define PAGE_SLOW_RATE 6.0
 /* 10% of it within three days. */
-#define TICKET_RATE	1.0
+#define TICKET_RATE 1.0
 
 struct minute {
 	uint64_t minute; /* since the Unix epoch */
@@ -61,7 +61,7 @@
 	return strcmp(srs->service, service) == 0 &&
 	    (route[0] == '\0' || strcmp(srs->route, route) == 0) &&
 	    (server_version[0] == '\0' ||
-	        strcmp(srs->server_version, server_version) == 0);
+		strcmp(srs->server_version, server_version) == 0);
 }
 
 static struct series *
@@ -139,8 +139,7 @@
 	out->calls = 0;
 	out->bad = 0;
 	for (i = 0; i < brn->series_count; i++) {
-		if (!is_series(brn->series[i], service, route,
-		        server_version))
+		if (!is_series(brn->series[i], service, route, server_version))
 			continue;
 		for (m = 0; m < BG_BURN_MINUTES; m++) {
 			slot = &brn->series[i]->minutes[m];
@@ -166,7 +165,7 @@
 			continue;
 		json_array_append_new(minutes,
 		    json_pack("[I,I,I]", (json_int_t)slot->minute,
-		        (json_int_t)slot->calls, (json_int_t)slot->bad));
+			(json_int_t)slot->calls, (json_int_t)slot->bad));
 	}
 	return json_pack("{s:s,s:s,s:s,s:o}", "service", srs->service, "route",
 	    srs->route, "version", srs->server_version, "minutes", minutes);
@@ -200,8 +199,8 @@
 	size_t i;
 
 	if (json_unpack(entry, "{s:s,s:s,s:s,s:o}", "service", &service,
-	        "route", &route, "version", &version, "minutes",
-	        &minutes) != 0 ||
+		"route", &route, "version", &version, "minutes",
+		&minutes) != 0 ||
 	    route[0] == '\0' || version[0] == '\0')
 		return BG_EPROTO;
 	srs = find_series(brn, service, route, version);
@@ -212,8 +211,8 @@
 		if (json_unpack(slot, "[I,I,I]", &minute, &calls, &bad) != 0 ||
 		    minute < 0 || calls < 0 || bad < 0 || bad > calls)
 			return BG_EPROTO;
-		add_minute(srs, (uint64_t)minute, (uint32_t)calls,
-		    (uint32_t)bad);
+		add_minute(
+		    srs, (uint64_t)minute, (uint32_t)calls, (uint32_t)bad);
 	}
 	return 0;
 }
@@ -242,7 +241,7 @@
 void
 bg_burn_each(const struct bg_burn *brn,
     void (*fn)(void *arg, const char *service, const char *route,
-        const char *server_version),
+	const char *server_version),
     void *arg)
 {
 	size_t i;
--- a/moves/src/plan/plan.c
+++ b/moves/src/plan/plan.c
@@ -3,21 +3,21 @@
 
 #include "plan.h"
 
-static const uint32_t SHARES[] = { BG_PLAN_FIRST_SHARE_PERMILLE, 100, 250,
-	500, 1000 };
+static const uint32_t SHARES[] = {
+    BG_PLAN_FIRST_SHARE_PERMILLE, 100, 250, 500, 1000};
 
-#define STEP_COUNT	(sizeof(SHARES) / sizeof(SHARES[0]))
+#define STEP_COUNT (sizeof(SHARES) / sizeof(SHARES[0]))
 /* The plan uses this part of the promised time; the rest is for news, a change
  * of holder and a slow platform. */
-#define PLAN_PERCENT	60
+#define PLAN_PERCENT 60
 /* Nodes learn of a step within a second; evidence needs some more. */
-#define STEP_MIN_MS	2000
-#define STEP_MAX_MS	300000
+#define STEP_MIN_MS 2000
+#define STEP_MAX_MS 300000
 /* Calls that let the first step end without a full verdict when time presses:
  * a version that fails every other call is found with these. */
-#define PRESSED_CALLS	20
+#define PRESSED_CALLS 20
 /* Slots of the new version against those that the share needs. */
-#define CAPACITY_PERCENT	80
+#define CAPACITY_PERCENT 80
 
 uint64_t
 bg_plan_step_ms(const struct bg_move *move)
@@ -46,8 +46,8 @@
 static int
 has_capacity(const struct bg_plan_input *in, uint32_t share_permille)
 {
-	uint64_t needed = (uint64_t)(in->slots_old + in->slots_new) *
-	    share_permille;
+	uint64_t needed =
+	    (uint64_t)(in->slots_old + in->slots_new) * share_permille;
 
 	if (in->ready_old == 0)
 		return in->ready_new > 0;
@@ -66,9 +66,8 @@
 static int
 is_pressed(const struct bg_move *move, uint64_t now_ms)
 {
-	uint64_t left_ms = move->deadline_ms > now_ms
-	    ? move->deadline_ms - now_ms
-	    : 0;
+	uint64_t left_ms =
+	    move->deadline_ms > now_ms ? move->deadline_ms - now_ms : 0;
 
 	return left_ms <
 	    (STEP_COUNT - move->step) * bg_plan_step_ms(move) + STEP_MIN_MS;
@@ -130,8 +129,8 @@
 }
 
 int
-bg_plan_is_watched(const struct bg_move *move, const struct bg_contract *ctr,
-    uint64_t now_ms)
+bg_plan_is_watched(
+    const struct bg_move *move, const struct bg_contract *ctr, uint64_t now_ms)
 {
 	if (move->state == BG_MOVE_IN_PROGRESS)
 		return 1;
--- a/moves/src/plan/plan.h
+++ b/moves/src/plan/plan.h
@@ -15,7 +15,7 @@
 #include "verdict/verdict.h"
 
 /** Cap of an unproven version before the first verdict: 5%. */
-#define BG_PLAN_FIRST_SHARE_PERMILLE	50
+#define BG_PLAN_FIRST_SHARE_PERMILLE 50
 
 /** What the holder knows when it decides. */
 struct bg_plan_input {
@@ -27,8 +27,8 @@
 	uint32_t ready_new; /**< ready servers of `to` */
 	uint32_t slots_old;
 	uint32_t slots_new;
-	int is_marked; /**< a MARK of this generation exists */
-	int is_confirmed; /**< the last change is in force where reachable */
+	int is_marked;	    /**< a MARK of this generation exists */
+	int is_confirmed;   /**< the last change is in force where reachable */
 	const char *reason; /**< of the mark or the verdict */
 };
 
@@ -46,7 +46,7 @@
 
 /** 1 while the version is still watched: in progress, or done within the
  * soak. */
-int bg_plan_is_watched(const struct bg_move *move,
-    const struct bg_contract *ctr, uint64_t now_ms);
+int bg_plan_is_watched(
+    const struct bg_move *move, const struct bg_contract *ctr, uint64_t now_ms);
 
 #endif
--- a/moves/src/stats/judge.c
+++ b/moves/src/stats/judge.c
@@ -27,8 +27,8 @@
     struct bg_stat *old_delta, struct bg_stat *new_delta, uint32_t scopes,
     const char *where)
 {
-	struct bg_verdict_options opts = { ctr->max_error_permille,
-		(uint32_t)(ctr->route_count + 1) * scopes };
+	struct bg_verdict_options opts = {
+	    ctr->max_error_permille, (uint32_t)(ctr->route_count + 1) * scopes};
 	struct bg_tally *before;
 	struct bg_tally *after;
 	enum bg_verdict verdict;
@@ -40,16 +40,15 @@
 		after = bg_stat_route(new_delta, ctr->routes[i].name);
 		if (before == NULL || after == NULL)
 			continue;
-		verdict = bg_cell_update(&jdg->routes[i], before, after,
-		    &opts);
+		verdict = bg_cell_update(&jdg->routes[i], before, after, &opts);
 		if (verdict == BG_VERDICT_BAD) {
 			is_bad = 1;
-			explain(jdg, &jdg->routes[i], where,
-			    ctr->routes[i].name);
+			explain(
+			    jdg, &jdg->routes[i], where, ctr->routes[i].name);
 		}
 	}
-	verdict = bg_cell_pool(&jdg->service, jdg->routes, ctr->route_count,
-	    &opts);
+	verdict =
+	    bg_cell_pool(&jdg->service, jdg->routes, ctr->route_count, &opts);
 	if (verdict == BG_VERDICT_BAD)
 		explain(jdg, &jdg->service, where, "all routes");
 	return is_bad ? BG_VERDICT_BAD : verdict;
--- a/moves/src/stats/stats.c
+++ b/moves/src/stats/stats.c
@@ -17,8 +17,8 @@
 	}
 	if (stat->route_count == BG_ROUTES_MAX)
 		return NULL;
-	snprintf(stat->routes[i].name, sizeof(stat->routes[i].name), "%s",
-	    route);
+	snprintf(
+	    stat->routes[i].name, sizeof(stat->routes[i].name), "%s", route);
 	stat->route_count++;
 	return &stat->routes[i].tally;
 }
@@ -32,8 +32,8 @@
 	for (i = 0; i < BG_TALLY_BUCKETS; i++) {
 		if (tly->histogram[i] != 0)
 			json_array_append_new(buckets,
-			    json_pack("[iI]", (int)i,
-			        (json_int_t)tly->histogram[i]));
+			    json_pack(
+				"[iI]", (int)i, (json_int_t)tly->histogram[i]));
 	}
 	return json_pack("{s:s,s:I,s:I,s:I,s:o}", "r", name, "n",
 	    (json_int_t)tly->calls, "f", (json_int_t)tly->failed, "w",
@@ -48,8 +48,7 @@
 
 	for (i = 0; i < stat->route_count; i++)
 		json_array_append_new(routes,
-		    encode_tally(stat->routes[i].name,
-		        &stat->routes[i].tally));
+		    encode_tally(stat->routes[i].name, &stat->routes[i].tally));
 	return json_pack("{s:s,s:s,s:o}", "s", stat->service, "v",
 	    stat->server_version, "t", routes);
 }
@@ -81,8 +80,8 @@
 	json_int_t count;
 	size_t i;
 
-	if (json_unpack(entry, "{s:s,s:I,s:I,s:I,s:o}", "r", &name, "n",
-	        &calls, "f", &failed, "w", &slow, "h", &buckets) != 0 ||
+	if (json_unpack(entry, "{s:s,s:I,s:I,s:I,s:o}", "r", &name, "n", &calls,
+		"f", &failed, "w", &slow, "h", &buckets) != 0 ||
 	    calls < 0 || failed < 0 || slow < 0 ||
 	    strlen(name) >= BG_NAME_BYTES ||
 	    (tly = bg_stat_route(stat, name)) == NULL)
@@ -111,13 +110,13 @@
 
 	memset(out, 0, sizeof(*out));
 	if (json_unpack(entry, "{s:s,s:s,s:o}", "s", &service, "v", &version,
-	        "t", &routes) != 0 ||
+		"t", &routes) != 0 ||
 	    strlen(service) >= BG_NAME_BYTES ||
 	    strlen(version) >= BG_NAME_BYTES)
 		return BG_EPROTO;
 	snprintf(out->service, sizeof(out->service), "%s", service);
-	snprintf(out->server_version, sizeof(out->server_version), "%s",
-	    version);
+	snprintf(
+	    out->server_version, sizeof(out->server_version), "%s", version);
 	json_array_foreach(routes, i, route)
 	{
 		if (decode_tally(out, route) != 0)
--- a/moves/src/stats/stats.h
+++ b/moves/src/stats/stats.h
@@ -54,11 +54,11 @@
     uint64_t epoch, const struct bg_stat *stat, int count_first);
 /** Adds what has come since the last call to *out and clears it.
  * @param server_version which version's calls */
-void bg_stat_sum_drain(struct bg_stat *out, struct bg_stat_sum *sum,
-    const char *server_version);
+void bg_stat_sum_drain(
+    struct bg_stat *out, struct bg_stat_sum *sum, const char *server_version);
 /** Cumulative totals of the sum, one stat a version. @return count */
-size_t bg_stat_sum_totals(const struct bg_stat **out,
-    const struct bg_stat_sum *sum);
+size_t bg_stat_sum_totals(
+    const struct bg_stat **out, const struct bg_stat_sum *sum);
 
 /** Cells of one move generation of a service, in one data centre or in all. */
 struct bg_judge {
--- a/moves/src/stats/sum.c
+++ b/moves/src/stats/sum.c
@@ -8,8 +8,8 @@
 #include "stats.h"
 
 /* Old, new, and one that is left over from an earlier move. */
-#define VERSIONS_MAX	4
-#define SOURCE_BYTES	192
+#define VERSIONS_MAX 4
+#define SOURCE_BYTES 192
 
 struct source {
 	char key[SOURCE_BYTES]; /* sender and server version */
@@ -46,7 +46,8 @@
 
 	if (sum == NULL)
 		return;
-	HASH_ITER(hh, sum->sources, src, tmp) {
+	HASH_ITER(hh, sum->sources, src, tmp)
+	{
 		HASH_DEL(sum->sources, src);
 		free(src);
 	}
@@ -75,14 +76,14 @@
 		i--;
 		memmove(&sum->totals[0], &sum->totals[1],
 		    i * sizeof(sum->totals[0]));
-		memmove(&sum->fresh[0], &sum->fresh[1],
-		    i * sizeof(sum->fresh[0]));
+		memmove(
+		    &sum->fresh[0], &sum->fresh[1], i * sizeof(sum->fresh[0]));
 	} else
 		sum->version_count++;
 	memset(&sum->totals[i], 0, sizeof(sum->totals[i]));
 	memcpy(sum->totals[i].service, sum->service, BG_NAME_BYTES);
-	snprintf(sum->totals[i].server_version, BG_NAME_BYTES, "%s",
-	    server_version);
+	snprintf(
+	    sum->totals[i].server_version, BG_NAME_BYTES, "%s", server_version);
 	sum->fresh[i] = sum->totals[i];
 	return (int)i;
 }
@@ -107,8 +108,8 @@
 }
 
 static void
-add_routes(struct bg_stat *to, const struct bg_stat *stat,
-    struct bg_stat *before)
+add_routes(
+    struct bg_stat *to, const struct bg_stat *stat, struct bg_stat *before)
 {
 	struct bg_tally delta;
 	struct bg_tally *tly;
@@ -151,8 +152,8 @@
 }
 
 void
-bg_stat_sum_drain(struct bg_stat *out, struct bg_stat_sum *sum,
-    const char *server_version)
+bg_stat_sum_drain(
+    struct bg_stat *out, struct bg_stat_sum *sum, const char *server_version)
 {
 	struct bg_stat none;
 	int version = find_version(sum, server_version);
@@ -162,8 +163,8 @@
 	memset(&none, 0, sizeof(none));
 	add_routes(out, &sum->fresh[version], &none);
 	sum->fresh[version].route_count = 0;
-	memset(sum->fresh[version].routes, 0,
-	    sizeof(sum->fresh[version].routes));
+	memset(
+	    sum->fresh[version].routes, 0, sizeof(sum->fresh[version].routes));
 }
 
 size_t
--- a/moves/src/status/render.c
+++ b/moves/src/status/render.c
@@ -73,22 +73,21 @@
 static json_t *
 line_json(const struct bg_status_line *line)
 {
-	return json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:b,s:s?,s:s?}",
-	    "state", line->state, "service", line->service, "version",
+	return json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:b,s:s?,s:s?}", "state",
+	    line->state, "service", line->service, "version",
 	    line->server_version, "serving", line->serving, "config",
 	    (json_int_t)line->config_version, "since_ms",
 	    (json_int_t)line->since_ms, "age_ms", (json_int_t)line->age_ms,
-	    "late", line->is_late, "note", line->note, "reason",
-	    line->reason);
+	    "late", line->is_late, "note", line->note, "reason", line->reason);
 }
 
 static json_t *
 summary_json(const struct bg_summary *sum)
 {
-	return json_pack("{s:s,s:i,s:i,s:I,s:I,s:s,s:s,s:I,s:b}",
-	    "data_centre", sum->data_centre, "members",
-	    (int)sum->member_count, "synced", (int)sum->synced_count,
-	    "confirmed", (json_int_t)sum->confirmed_version, "refused",
+	return json_pack("{s:s,s:i,s:i,s:I,s:I,s:s,s:s,s:I,s:b}", "data_centre",
+	    sum->data_centre, "members", (int)sum->member_count, "synced",
+	    (int)sum->synced_count, "confirmed",
+	    (json_int_t)sum->confirmed_version, "refused",
 	    (json_int_t)sum->refused_version, "refused_by", sum->refused_by,
 	    "refused_reason", sum->refused_reason, "written_ms",
 	    (json_int_t)sum->written_ms, "leased", sum->is_leased);
@@ -111,11 +110,11 @@
 		json_array_append_new(services, line_json(&line));
 	}
 	for (i = 0; i < view.summary_count; i++)
-		json_array_append_new(centres,
-		    summary_json(&view.summaries[i]));
-	root = json_pack("{s:b,s:I,s:o,s:o}", "synced", snap != NULL,
-	    "version", (json_int_t)(snap == NULL ? 0 : snap->version),
-	    "services", services, "data_centres", centres);
+		json_array_append_new(
+		    centres, summary_json(&view.summaries[i]));
+	root = json_pack("{s:b,s:I,s:o,s:o}", "synced", snap != NULL, "version",
+	    (json_int_t)(snap == NULL ? 0 : snap->version), "services",
+	    services, "data_centres", centres);
 	*out = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return *out == NULL ? BG_ENOMEM : 0;
--- a/moves/src/status/status.c
+++ b/moves/src/status/status.c
@@ -10,8 +10,7 @@
 	struct bg_status_view *view = arg;
 
 	if (view->summary_count < BG_DATA_CENTRES_MAX &&
-	    bg_summary_decode(&view->summaries[view->summary_count], item) ==
-	        0)
+	    bg_summary_decode(&view->summaries[view->summary_count], item) == 0)
 		view->summary_count++;
 	return 0;
 }
@@ -26,8 +25,8 @@
 }
 
 uint64_t
-bg_mark_generation(const struct bg_table *tbl, const char *service,
-    const char *server_version)
+bg_mark_generation(
+    const struct bg_table *tbl, const char *service, const char *server_version)
 {
 	char key[BG_KEY_BYTES];
 	struct bg_item item;
--- a/moves/src/task/data_centre.c
+++ b/moves/src/task/data_centre.c
@@ -9,7 +9,7 @@
 #include "task.h"
 
 /* Stats in one item: old, new and leftovers of earlier moves. */
-#define STATS_MAX	4
+#define STATS_MAX 4
 
 static struct bg_counter marks = BG_COUNTER("burdock_moves_marks_total",
     "Server versions that this node marked as bad.");
@@ -20,11 +20,10 @@
 	struct bg_snapshot *snap = bg_mesh_snapshot(mvs->mesh);
 	const struct bg_service *svc;
 
-	if (snap == NULL ||
-	    (svc = bg_snapshot_service(snap, service)) == NULL)
+	if (snap == NULL || (svc = bg_snapshot_service(snap, service)) == NULL)
 		return 0;
-	return bg_plan_is_watched(&svc->head.move, &svc->contract,
-	    bg_clock_wall_ms());
+	return bg_plan_is_watched(
+	    &svc->head.move, &svc->contract, bg_clock_wall_ms());
 }
 
 static void
@@ -43,8 +42,8 @@
 	item.value = value;
 	item.value_bytes = (uint32_t)strlen(value);
 	if (bg_mesh_publish(mvs->mesh, &item) != 0)
-		bg_log_error("moves", "item not published kind=%u key=%s",
-		    kind, key);
+		bg_log_error(
+		    "moves", "item not published kind=%u key=%s", kind, key);
 }
 
 void
@@ -58,8 +57,8 @@
 		return;
 	mvs->is_stat_changed = 0;
 	publish(mvs, BG_ITEM_STAT, bg_mesh_address(mvs->mesh),
-	    mvs->stat.service, bg_mesh_incarnation(mvs->mesh),
-	    ++mvs->stat_seq, json);
+	    mvs->stat.service, bg_mesh_incarnation(mvs->mesh), ++mvs->stat_seq,
+	    json);
 	free(json);
 }
 
@@ -71,13 +70,13 @@
 	struct bg_watch *wch;
 	size_t count;
 	size_t i;
-	int is_settled = bg_clock_now_ms() - mvs->root_since_ms >
-	    BG_MOVES_SETTLED_MS;
+	int is_settled =
+	    bg_clock_now_ms() - mvs->root_since_ms > BG_MOVES_SETTLED_MS;
 
 	if ((stats = calloc(STATS_MAX, sizeof(*stats))) == NULL)
 		return 0;
-	if (bg_stat_decode(stats, &count, STATS_MAX, item->value,
-	        item->value_bytes) != 0)
+	if (bg_stat_decode(
+		stats, &count, STATS_MAX, item->value, item->value_bytes) != 0)
 		count = 0;
 	for (i = 0; i < count; i++) {
 		if ((wch = bg_watch_find(mvs, stats[i].service)) != NULL)
@@ -97,8 +96,8 @@
 	    "version marked bad service=%s version=%s generation=%llu "
 	    "reason=\"%s\"",
 	    service, move->to, (unsigned long long)move->generation, reason);
-	publish(mvs, BG_ITEM_MARK, service, move->to, move->generation, 1,
-	    reason);
+	publish(
+	    mvs, BG_ITEM_MARK, service, move->to, move->generation, 1, reason);
 }
 
 static void
@@ -138,7 +137,7 @@
 	    new_delta, BG_DATA_CENTRES_MAX, mvs->settings->node.data_centre);
 	if (verdict == BG_VERDICT_BAD &&
 	    bg_mark_generation(bg_mesh_table(mvs->mesh), svc->head.name,
-	        move->to) < move->generation)
+		move->to) < move->generation)
 		publish_mark(mvs, move, svc->head.name, wch->own_judge.reason);
 }
 
@@ -154,9 +153,9 @@
 	bg_table_each(bg_mesh_table(mvs->mesh), BG_ITEM_STAT, take_stat, mvs);
 	for (i = 0; i < snap->service_count; i++) {
 		if (bg_plan_is_watched(&snap->services[i].head.move,
-		        &snap->services[i].contract, bg_clock_wall_ms()))
-			judge_service(mvs, &snap->services[i], &deltas[0],
-			    &deltas[1]);
+			&snap->services[i].contract, bg_clock_wall_ms()))
+			judge_service(
+			    mvs, &snap->services[i], &deltas[0], &deltas[1]);
 	}
 	free(deltas);
 }
--- a/moves/src/task/holder.c
+++ b/moves/src/task/holder.c
@@ -9,13 +9,12 @@
 
 #include "task.h"
 
-#define LEASE_KEY	"lease/moves"
-#define STATS_MAX	4
+#define LEASE_KEY "lease/moves"
+#define STATS_MAX 4
 
 static struct bg_counter steps = BG_COUNTER("burdock_moves_steps_total",
     "Changes of a move that this node wrote as move holder.");
-static struct bg_counter conflicts = BG_COUNTER(
-    "burdock_moves_conflicts_total",
+static struct bg_counter conflicts = BG_COUNTER("burdock_moves_conflicts_total",
     "Changes of a move that lost to another writer.");
 
 static void
@@ -27,8 +26,7 @@
 
 	mvs->is_lease_busy = 0;
 	is_valid = answer->code == 0 &&
-	    bg_lease_record_decode(&rec, answer->body, answer->body_bytes) ==
-	        0;
+	    bg_lease_record_decode(&rec, answer->body, answer->body_bytes) == 0;
 	bg_lease_read_done(&mvs->lease, answer->code, answer->object_version,
 	    is_valid ? &rec : NULL, bg_clock_now_ms());
 }
@@ -51,9 +49,9 @@
 
 	if (bg_lease_record_encode(&json, rec) != 0)
 		return;
-	mvs->is_lease_busy = bg_platform_put(mvs->platform, LEASE_KEY,
-	                         mvs->lease.object_version, json,
-	                         strlen(json), lease_written, mvs) == 0;
+	mvs->is_lease_busy =
+	    bg_platform_put(mvs->platform, LEASE_KEY, mvs->lease.object_version,
+		json, strlen(json), lease_written, mvs) == 0;
 	free(json);
 }
 
@@ -71,7 +69,7 @@
 	switch (bg_lease_next(&rec, &mvs->lease, now_ms)) {
 	case BG_LEASE_READ:
 		mvs->is_lease_busy = bg_platform_get(mvs->platform, LEASE_KEY,
-		                         lease_read, mvs) == 0;
+					 lease_read, mvs) == 0;
 		break;
 	case BG_LEASE_WRITE:
 		write_lease(mvs, &rec);
@@ -95,8 +93,8 @@
 	    svc->move.state != from->state || svc->move.step != from->step)
 		return bg_error_set(err, BG_ECONFLICT, "move", NULL,
 		    "the move went on meanwhile");
-	return bg_change_move_state(head, mvs->change_service,
-	    &mvs->change_to, bg_clock_wall_ms(), err);
+	return bg_change_move_state(head, mvs->change_service, &mvs->change_to,
+	    bg_clock_wall_ms(), err);
 }
 
 static void
@@ -130,9 +128,9 @@
 	    svc->head.name);
 	mvs->change_from = svc->head.move;
 	mvs->change_to = *to;
-	mvs->is_change_busy = bg_change_start(mvs->platform,
-	                          bg_mesh_address(mvs->mesh), apply_change,
-	                          change_done, mvs) == 0;
+	mvs->is_change_busy =
+	    bg_change_start(mvs->platform, bg_mesh_address(mvs->mesh),
+		apply_change, change_done, mvs) == 0;
 }
 
 struct version_count {
@@ -184,7 +182,7 @@
 	    strcmp(server_version, move->to) == 0)
 		return 0;
 	return bg_mark_generation(bg_mesh_table(mvs->mesh), svc->head.name,
-	           server_version) == 0;
+		   server_version) == 0;
 }
 
 /* Picks the ready version whose servers were started last. */
@@ -233,8 +231,8 @@
 		next.state = BG_MOVE_IN_PROGRESS;
 		next.share_permille = BG_PLAN_FIRST_SHARE_PERMILLE;
 		next.deadline_ms = now_ms + svc->contract.take_over_ms;
-		snprintf(next.from, sizeof(next.from), "%s",
-		    serving_version(move));
+		snprintf(
+		    next.from, sizeof(next.from), "%s", serving_version(move));
 	} else
 		return;
 	start_change(mvs, svc, &next);
@@ -248,13 +246,13 @@
 	struct bg_watch *wch;
 	size_t count;
 	size_t i;
-	int is_settled = bg_clock_now_ms() - mvs->holder_since_ms >
-	    BG_MOVES_SETTLED_MS;
+	int is_settled =
+	    bg_clock_now_ms() - mvs->holder_since_ms > BG_MOVES_SETTLED_MS;
 
 	if ((stats = calloc(STATS_MAX, sizeof(*stats))) == NULL)
 		return 0;
-	if (bg_stat_decode(stats, &count, STATS_MAX, item->value,
-	        item->value_bytes) != 0)
+	if (bg_stat_decode(
+		stats, &count, STATS_MAX, item->value, item->value_bytes) != 0)
 		count = 0;
 	for (i = 0; i < count; i++) {
 		if ((wch = bg_watch_find(mvs, stats[i].service)) != NULL)
@@ -343,8 +341,8 @@
 	bg_status_view_init(&view, tbl, in.now_ms);
 	in.is_confirmed = bg_status_is_confirmed(&view, svc->head.changed);
 	read_mark(reason, tbl, svc);
-	in.reason = in.verdict == BG_VERDICT_BAD ? wch->all_judge.reason
-	                                         : reason;
+	in.reason =
+	    in.verdict == BG_VERDICT_BAD ? wch->all_judge.reason : reason;
 	if (bg_plan_next(&next, move, &svc->contract, &in))
 		start_change(mvs, svc, &next);
 }
@@ -358,12 +356,12 @@
 
 	if (snap == NULL)
 		return;
-	bg_table_each(bg_mesh_table(mvs->mesh), BG_ITEM_DCSTAT, take_dcstat,
-	    mvs);
+	bg_table_each(
+	    bg_mesh_table(mvs->mesh), BG_ITEM_DCSTAT, take_dcstat, mvs);
 	for (i = 0; i < snap->service_count; i++) {
 		svc = &snap->services[i];
-		if (bg_plan_is_watched(&svc->head.move, &svc->contract,
-		        bg_clock_wall_ms()))
+		if (bg_plan_is_watched(
+			&svc->head.move, &svc->contract, bg_clock_wall_ms()))
 			advance_move(mvs, svc);
 		if (svc->head.move.state != BG_MOVE_IN_PROGRESS)
 			begin_move(mvs, svc);
--- a/moves/src/task/moves.c
+++ b/moves/src/task/moves.c
@@ -20,13 +20,11 @@
 	struct bg_tally *tly;
 
 	bg_burn_count(mvs->burn, seen->service, seen->route,
-	    seen->server_version, bg_clock_wall_ms() / 60000,
-	    seen->is_failed);
+	    seen->server_version, bg_clock_wall_ms() / 60000, seen->is_failed);
 	if (strcmp(mvs->stat.service, seen->service) != 0 ||
 	    strcmp(mvs->stat.server_version, seen->server_version) != 0) {
 		memset(&mvs->stat, 0, sizeof(mvs->stat));
-		snprintf(mvs->stat.service, BG_NAME_BYTES, "%s",
-		    seen->service);
+		snprintf(mvs->stat.service, BG_NAME_BYTES, "%s", seen->service);
 		snprintf(mvs->stat.server_version, BG_NAME_BYTES, "%s",
 		    seen->server_version);
 	}
@@ -82,8 +80,8 @@
 bg_moves_init(struct bg_moves **out, const struct bg_moves_options *opts,
     struct bg_error *err)
 {
-	static const struct timeval tick = { BG_MOVES_TICK_MS / 1000,
-		BG_MOVES_TICK_MS % 1000 * 1000 };
+	static const struct timeval tick = {
+	    BG_MOVES_TICK_MS / 1000, BG_MOVES_TICK_MS % 1000 * 1000};
 	struct bg_moves *mvs;
 
 	if ((mvs = calloc(1, sizeof(*mvs))) == NULL)
@@ -99,8 +97,8 @@
 	mvs->tick = event_new(opts->base, -1, EV_PERSIST, on_tick, mvs);
 	if (mvs->tick == NULL || bg_burn_init(&mvs->burn) != 0) {
 		bg_moves_free(mvs);
-		return bg_error_set(err, BG_ENOMEM, "moves", NULL,
-		    "out of memory");
+		return bg_error_set(
+		    err, BG_ENOMEM, "moves", NULL, "out of memory");
 	}
 	event_add(mvs->tick, &tick);
 	*out = mvs;
@@ -126,8 +124,7 @@
 }
 
 int
-bg_moves_burn_json(char **out, const struct bg_moves *mvs,
-    uint64_t now_wall_ms)
+bg_moves_burn_json(char **out, const struct bg_moves *mvs, uint64_t now_wall_ms)
 {
 	return bg_burn_encode(out, mvs->burn);
 }
--- a/moves/src/task/task.h
+++ b/moves/src/task/task.h
@@ -11,10 +11,10 @@
 
 /* A root or holder that is older than this saw its sources from their first
  * report; a younger one takes what it finds as the starting point. */
-#define BG_MOVES_SETTLED_MS	5000
+#define BG_MOVES_SETTLED_MS 5000
 
 /* Interval of statistics, verdicts and steps. */
-#define BG_MOVES_TICK_MS	1000
+#define BG_MOVES_TICK_MS 1000
 
 /** What this node knows of the move of one service while it is watched. */
 struct bg_watch {
@@ -41,7 +41,7 @@
 	uint64_t stat_seq;
 	int is_stat_changed;
 	uint64_t dcstat_seq;
-	uint64_t root_since_ms; /**< monotonic; 0: not the root */
+	uint64_t root_since_ms;	  /**< monotonic; 0: not the root */
 	uint64_t holder_since_ms; /**< monotonic; 0: not the move holder */
 	struct bg_watch *watches;
 	struct bg_lease lease; /**< lease/moves */
--- a/moves/src/verdict/tally.c
+++ b/moves/src/verdict/tally.c
@@ -1,6 +1,6 @@
 #include "tally.h"
 
-#define FIRST_US	64
+#define FIRST_US 64
 
 uint64_t
 bg_tally_bucket_us(uint32_t bucket)
@@ -23,8 +23,8 @@
 }
 
 void
-bg_tally_count(struct bg_tally *tly, uint32_t own_time_us, int is_failed,
-    int is_slow)
+bg_tally_count(
+    struct bg_tally *tly, uint32_t own_time_us, int is_failed, int is_slow)
 {
 	tly->calls++;
 	tly->failed += is_failed ? 1 : 0;
@@ -60,8 +60,8 @@
 	out->failed = difference(now->failed, before->failed);
 	out->slow = difference(now->slow, before->slow);
 	for (i = 0; i < BG_TALLY_BUCKETS; i++)
-		out->histogram[i] = difference(now->histogram[i],
-		    before->histogram[i]);
+		out->histogram[i] =
+		    difference(now->histogram[i], before->histogram[i]);
 }
 
 void
--- a/moves/src/verdict/verdict.c
+++ b/moves/src/verdict/verdict.c
@@ -6,28 +6,28 @@
 
 /* Probability of a false alarm over all cells of one move. The bound allows
  * for the many looks of a long soak, so it is far below the stated 1%. */
-#define FALSE_ALARM	1e-4
+#define FALSE_ALARM 1e-4
 /* Probability of a good first verdict on a version that is just bad enough.
  * Later steps look again, so that the move as a whole misses at most 1%. */
-#define FIRST_MISS	0.05
+#define FIRST_MISS 0.05
 /* The baseline is taken at its one-sided 95% upper bound. */
-#define BASELINE_Z	1.645
+#define BASELINE_Z 1.645
 /* A ratio of zero cannot be told from this one with the calls of a move. */
-#define BASELINE_MIN	0.005
-#define RATIO_MAX	0.98
+#define BASELINE_MIN 0.005
+#define RATIO_MAX 0.98
 /* More than this share of additional slow calls is bad. */
-#define SLOW_MARGIN	0.15
+#define SLOW_MARGIN 0.15
 /* Two half-octave buckets above p90 is twice its latency. */
-#define SLOWER_BUCKETS	2
+#define SLOWER_BUCKETS 2
 /* Below this latency, scheduling noise alone doubles it. */
-#define SLOWER_MIN_US	2000
+#define SLOWER_MIN_US 2000
 /* Calls of the old version before it is a baseline. */
-#define BASELINE_CALLS	20
+#define BASELINE_CALLS 20
 /* The baseline is halved above this many calls. */
-#define BASELINE_MAX_CALLS	2000
+#define BASELINE_MAX_CALLS 2000
 /* The recent baseline follows within seconds what hits both versions, such as
  * a slow dependency. The worse of both baselines counts. */
-#define RECENT_MAX_CALLS	200
+#define RECENT_MAX_CALLS 200
 
 /* Upper bound of Wilson's interval for k of n. */
 static double
@@ -73,8 +73,8 @@
 }
 
 static double
-expected_ratio(const struct bg_cell *cell, uint64_t old_bad,
-    uint64_t recent_bad)
+expected_ratio(
+    const struct bg_cell *cell, uint64_t old_bad, uint64_t recent_bad)
 {
 	double old = wilson_upper(old_bad, cell->old.calls);
 	double recent = wilson_upper(recent_bad, cell->recent.calls);
@@ -95,16 +95,16 @@
 	cell->gained[BG_TEST_SLOW] = evidence(new_delta->slow, calls,
 	    expected_ratio(cell, cell->old.slow, cell->recent.slow),
 	    SLOW_MARGIN);
-	cell->gained[BG_TEST_SLOWER] = evidence(
-	    bg_tally_above(new_delta, slower), calls,
-	    expected_ratio(cell, bg_tally_above(&cell->old, slower),
-	        bg_tally_above(&cell->recent, slower)),
-	    SLOW_MARGIN);
+	cell->gained[BG_TEST_SLOWER] =
+	    evidence(bg_tally_above(new_delta, slower), calls,
+		expected_ratio(cell, bg_tally_above(&cell->old, slower),
+		    bg_tally_above(&cell->recent, slower)),
+		SLOW_MARGIN);
 }
 
 static void
-add_baseline(struct bg_tally *baseline, const struct bg_tally *delta,
-    uint64_t max_calls)
+add_baseline(
+    struct bg_tally *baseline, const struct bg_tally *delta, uint64_t max_calls)
 {
 	bg_tally_add(baseline, delta);
 	while (baseline->calls > max_calls)
@@ -174,10 +174,10 @@
 }
 
 void
-bg_cell_explain(char out[BG_REASON_BYTES], const struct bg_cell *cell,
-    const char *where)
+bg_cell_explain(
+    char out[BG_REASON_BYTES], const struct bg_cell *cell, const char *where)
 {
-	static const char *const WHAT[] = { "errors", "slow", "slower" };
+	static const char *const WHAT[] = {"errors", "slow", "slower"};
 
 	snprintf(out, BG_REASON_BYTES, "%s: %s, %llu of %llu calls failed",
 	    where, WHAT[cell->failed_test],
--- a/moves/src/verdict/verdict.h
+++ b/moves/src/verdict/verdict.h
@@ -28,7 +28,7 @@
 
 struct bg_verdict_options {
 	uint32_t max_error_permille; /**< allowed above the old version */
-	uint32_t comparisons; /**< cells tested together, at least 1 */
+	uint32_t comparisons;	     /**< cells tested together, at least 1 */
 };
 
 enum bg_verdict_test {
@@ -40,13 +40,13 @@
 
 /** State of one cell. Zero-initialized at the start of a move generation. */
 struct bg_cell {
-	struct bg_tally old; /**< baseline, older calls weigh less */
+	struct bg_tally old;	/**< baseline, older calls weigh less */
 	struct bg_tally recent; /**< the last few hundred calls of it */
 	uint64_t new_calls;
 	uint64_t new_failed;
 	double score[BG_TEST_COUNT];
 	double gained[BG_TEST_COUNT]; /**< evidence of the last update */
-	enum bg_verdict verdict; /**< BAD is final */
+	enum bg_verdict verdict;      /**< BAD is final */
 	enum bg_verdict_test failed_test;
 };
 
@@ -70,7 +70,7 @@
     const struct bg_verdict_options *opts);
 
 /** Says in words why a cell is bad, for the move's reason. */
-void bg_cell_explain(char out[BG_REASON_BYTES], const struct bg_cell *cell,
-    const char *where);
+void bg_cell_explain(
+    char out[BG_REASON_BYTES], const struct bg_cell *cell, const char *where);
 
 #endif
--- a/moves/tests/test_burn.c
+++ b/moves/tests/test_burn.c
@@ -5,7 +5,7 @@
 #include "burdockgrade/burn.h"
 #include "stats/stats.h"
 
-#define MINUTE	29000000
+#define MINUTE 29000000
 
 /* Guards against windows that count calls of other minutes or versions. */
 START_TEST(window_counts_its_own_calls)
@@ -16,8 +16,8 @@
 
 	ck_assert_int_eq(bg_burn_init(&brn), 0);
 	for (i = 0; i < 100; i++)
-		bg_burn_count(brn, "orders", "checkouts", "1.0", MINUTE,
-		    i < 10);
+		bg_burn_count(
+		    brn, "orders", "checkouts", "1.0", MINUTE, i < 10);
 	bg_burn_count(brn, "orders", "checkouts", "2.0", MINUTE - 60, 1);
 	bg_burn_window(&sum, brn, "orders", "", "", MINUTE - 4, MINUTE);
 	ck_assert_uint_eq(sum.calls, 100);
@@ -36,8 +36,8 @@
 
 	ck_assert_int_eq(bg_burn_init(&brn), 0);
 	bg_burn_count(brn, "orders", "checkouts", "1.0", MINUTE, 1);
-	bg_burn_count(brn, "orders", "checkouts", "1.0",
-	    MINUTE + BG_BURN_MINUTES, 0);
+	bg_burn_count(
+	    brn, "orders", "checkouts", "1.0", MINUTE + BG_BURN_MINUTES, 0);
 	bg_burn_window(&sum, brn, "orders", "", "", 0, 2 * MINUTE);
 	ck_assert_uint_eq(sum.calls, 1);
 	ck_assert_uint_eq(sum.bad, 0);
@@ -59,8 +59,7 @@
 	bg_burn_count(two, "orders", "checkouts", "1.0", MINUTE, 0);
 	ck_assert_int_eq(bg_burn_encode(&json, one), 0);
 	ck_assert_int_eq(bg_burn_merge(two, json, strlen(json)), 0);
-	bg_burn_window(&sum, two, "orders", "checkouts", "1.0", MINUTE,
-	    MINUTE);
+	bg_burn_window(&sum, two, "orders", "checkouts", "1.0", MINUTE, MINUTE);
 	ck_assert_uint_eq(sum.calls, 2);
 	ck_assert_uint_eq(sum.bad, 1);
 	ck_assert_int_eq(bg_burn_merge(two, "[{}]", 4), BG_EPROTO);
@@ -75,7 +74,7 @@
  * the cause is gone. */
 START_TEST(alert_follows_both_windows)
 {
-	struct bg_burn_sum sum = { 1000, 20 };
+	struct bg_burn_sum sum = {1000, 20};
 
 	ck_assert_double_eq_tol(bg_burn_rate(&sum, 9990), 20.0, 0.001);
 	ck_assert_int_eq(bg_burn_alert(20, 20, 20, 20), BG_BURN_PAGE);
@@ -99,12 +98,11 @@
 	bg_tally_count(bg_stat_route(&stat, "checkouts"), 9000, 1, 0);
 	bg_tally_count(bg_stat_route(&stat, "checkouts"), 90, 0, 1);
 	ck_assert_int_eq(bg_stat_encode(&json, &stat, 1), 0);
-	ck_assert_int_eq(bg_stat_decode(back, &count, 2, json, strlen(json)),
-	    0);
+	ck_assert_int_eq(
+	    bg_stat_decode(back, &count, 2, json, strlen(json)), 0);
 	ck_assert_uint_eq(count, 1);
 	ck_assert_mem_eq(&back[0], &stat, sizeof(stat));
-	ck_assert_int_eq(bg_stat_decode(back, &count, 2, "[1]", 3),
-	    BG_EPROTO);
+	ck_assert_int_eq(bg_stat_decode(back, &count, 2, "[1]", 3), BG_EPROTO);
 	free(json);
 }
 END_TEST
--- a/moves/tests/test_plan.c
+++ b/moves/tests/test_plan.c
@@ -4,8 +4,8 @@
 
 #include "plan/plan.h"
 
-#define START_MS	1000000
-#define PROMISED_MS	60000
+#define START_MS 1000000
+#define PROMISED_MS 60000
 
 static struct bg_contract contract;
 static struct bg_move move;
@@ -49,8 +49,8 @@
 			continue;
 		ck_assert_uint_le(next.step, move.step + 1);
 		if (next.state == BG_MOVE_IN_PROGRESS)
-			ck_assert_uint_ge(next.share_permille,
-			    move.share_permille);
+			ck_assert_uint_ge(
+			    next.share_permille, move.share_permille);
 		move = next;
 	}
 	return input.now_ms;
--- a/moves/tests/test_status.c
+++ b/moves/tests/test_status.c
@@ -4,7 +4,7 @@
 
 #include "status/status.h"
 
-#define NOW_MS	1000000
+#define NOW_MS 1000000
 
 static struct bg_service service;
 static struct bg_status_view view;
@@ -136,7 +136,8 @@
 	tcase_add_test(tc, done_needs_every_reachable_data_centre);
 	tcase_add_test(tc, cut_off_data_centre_shows_in_the_age);
 	tcase_add_test(tc, no_summary_is_never_done);
-	tcase_add_test(tc, rolled_back_needs_confirmation_and_names_the_version);
+	tcase_add_test(
+	    tc, rolled_back_needs_confirmation_and_names_the_version);
 	tcase_add_test(tc, mark_of_this_generation_ends_done);
 	tcase_add_test(tc, withdrawn_configuration_is_rolled_back);
 	tcase_add_test(tc, refusal_is_told_with_its_reason);
--- a/moves/tests/test_verdict.c
+++ b/moves/tests/test_verdict.c
@@ -7,10 +7,10 @@
 #include "stats/stats.h"
 #include "verdict/verdict.h"
 
-#define SEED	7
-#define RUNS	400
+#define SEED 7
+#define RUNS 400
 /* The stated rates of false and missed alarms are 1 in 100. */
-#define ALARMS_MAX	(RUNS / 100)
+#define ALARMS_MAX (RUNS / 100)
 
 /* How calls of one version turn out. */
 struct model {
@@ -19,13 +19,13 @@
 	double slow_ratio; /* calls that take ten times as long */
 };
 
-static const struct model OLD = { 0.002, 8000.0, 0.01 };
+static const struct model OLD = {0.002, 8000.0, 0.01};
 
-static const struct bg_verdict_options OPTIONS = { 50, 28 };
+static const struct bg_verdict_options OPTIONS = {50, 28};
 
 static void
-draw(struct bg_tally *out, gsl_rng *rng, const struct model *mdl,
-    unsigned calls)
+draw(
+    struct bg_tally *out, gsl_rng *rng, const struct model *mdl, unsigned calls)
 {
 	double us;
 	unsigned i;
@@ -84,8 +84,8 @@
 /* Guards against good versions that are rolled back by chance. */
 START_TEST(good_versions_raise_at_most_one_false_alarm_in_100)
 {
-	static const struct model NOISY = { 0.004, 8800.0, 0.02 };
-	static const struct model FASTER = { 0.001, 5000.0, 0.005 };
+	static const struct model NOISY = {0.004, 8800.0, 0.02};
+	static const struct model FASTER = {0.001, 5000.0, 0.005};
 
 	ck_assert_uint_le(count_alarms(&OLD, &OLD, 120, 5), ALARMS_MAX);
 	ck_assert_uint_le(count_alarms(&OLD, &NOISY, 120, 5), ALARMS_MAX);
@@ -96,14 +96,14 @@
 /* Guards against bad versions that pass. */
 START_TEST(bad_versions_are_missed_at_most_once_in_100)
 {
-	static const struct model FAILING = { 0.5, 8000.0, 0.01 };
-	static const struct model SOME_ERRORS = { 0.12, 8000.0, 0.01 };
-	static const struct model SLOW = { 0.002, 32000.0, 0.01 };
-
-	ck_assert_uint_ge(count_alarms(&OLD, &FAILING, 60, 5),
-	    RUNS - ALARMS_MAX);
-	ck_assert_uint_ge(count_alarms(&OLD, &SOME_ERRORS, 120, 5),
-	    RUNS - ALARMS_MAX);
+	static const struct model FAILING = {0.5, 8000.0, 0.01};
+	static const struct model SOME_ERRORS = {0.12, 8000.0, 0.01};
+	static const struct model SLOW = {0.002, 32000.0, 0.01};
+
+	ck_assert_uint_ge(
+	    count_alarms(&OLD, &FAILING, 60, 5), RUNS - ALARMS_MAX);
+	ck_assert_uint_ge(
+	    count_alarms(&OLD, &SOME_ERRORS, 120, 5), RUNS - ALARMS_MAX);
 	ck_assert_uint_ge(count_alarms(&OLD, &SLOW, 60, 5), RUNS - ALARMS_MAX);
 }
 END_TEST
@@ -111,7 +111,7 @@
 /* Guards against a baseline that fails itself and blames the new version. */
 START_TEST(failing_baseline_does_not_condemn_an_equal_version)
 {
-	static const struct model HALF = { 0.5, 8000.0, 0.01 };
+	static const struct model HALF = {0.5, 8000.0, 0.01};
 
 	ck_assert_uint_le(count_alarms(&HALF, &HALF, 120, 5), ALARMS_MAX);
 }
@@ -120,7 +120,7 @@
 /* Guards against a dependency that slows both versions at the same time. */
 START_TEST(slow_dependency_hits_both_and_is_no_evidence)
 {
-	static const struct model SLOWED = { 0.002, 80000.0, 0.01 };
+	static const struct model SLOWED = {0.002, 80000.0, 0.01};
 	gsl_rng *rng = gsl_rng_alloc(gsl_rng_mt19937);
 	struct bg_cell cell;
 	unsigned alarms = 0;
@@ -141,7 +141,7 @@
 /* Guards against a long good time that hides a version which turns bad. */
 START_TEST(version_that_turns_bad_late_is_found_in_30_calls)
 {
-	static const struct model FAILING = { 0.9, 8000.0, 0.01 };
+	static const struct model FAILING = {0.9, 8000.0, 0.01};
 	gsl_rng *rng = gsl_rng_alloc(gsl_rng_mt19937);
 	struct bg_cell cell;
 	unsigned calls;
@@ -197,16 +197,16 @@
 	memset(&new_delta, 0, sizeof(new_delta));
 	for (i = 0; i < 1000; i++) {
 		bg_tally_count(bg_stat_route(&old_delta, "stock"), 5000, 0, 0);
-		bg_tally_count(bg_stat_route(&old_delta, "patterns"), 5000, 0,
-		    0);
+		bg_tally_count(
+		    bg_stat_route(&old_delta, "patterns"), 5000, 0, 0);
 		bg_tally_count(bg_stat_route(&new_delta, "stock"), 5000, 0, 0);
 	}
 	for (i = 0; i < 30; i++)
-		bg_tally_count(bg_stat_route(&new_delta, "patterns"), 5000, 1,
-		    0);
+		bg_tally_count(
+		    bg_stat_route(&new_delta, "patterns"), 5000, 1, 0);
 	bg_judge_reset(&jdg, 1);
-	ck_assert_int_eq(bg_judge_update(&jdg, &ctr, &old_delta, &new_delta, 4,
-	                     "bureau"),
+	ck_assert_int_eq(
+	    bg_judge_update(&jdg, &ctr, &old_delta, &new_delta, 4, "bureau"),
 	    BG_VERDICT_BAD);
 	ck_assert_ptr_nonnull(strstr(jdg.reason, "patterns"));
 	ck_assert_int_eq(jdg.routes[0].verdict, BG_VERDICT_GOOD);
