--- a/moves/tests/test_burn.c
+++ b/moves/tests/test_burn.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -93,8 +94,8 @@
 	char *json;
 
 	memset(&stat, 0, sizeof(stat));
-	strcpy(stat.service, "orders");
-	strcpy(stat.server_version, "2.0");
+	snprintf(stat.service, sizeof(stat.service), "%s", "orders");
+	snprintf(stat.server_version, sizeof(stat.server_version), "%s", "2.0");
 	bg_tally_count(bg_stat_route(&stat, "checkouts"), 9000, 1, 0);
 	bg_tally_count(bg_stat_route(&stat, "checkouts"), 90, 0, 1);
 	ck_assert_int_eq(bg_stat_encode(&json, &stat, 1), 0);
@@ -116,8 +117,8 @@
 	struct bg_stat out;
 
 	memset(&stat, 0, sizeof(stat));
-	strcpy(stat.service, "orders");
-	strcpy(stat.server_version, "2.0");
+	snprintf(stat.service, sizeof(stat.service), "%s", "orders");
+	snprintf(stat.server_version, sizeof(stat.server_version), "%s", "2.0");
 	bg_stat_route(&stat, "checkouts")->calls = 10;
 	ck_assert_int_eq(bg_stat_sum_init(&sum, "orders"), 0);
 	bg_stat_sum_take(sum, "a", 1, &stat, 1);
--- a/moves/tests/test_plan.c
+++ b/moves/tests/test_plan.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -19,8 +20,8 @@
 	memset(&move, 0, sizeof(move));
 	move.generation = 2;
 	move.state = BG_MOVE_IN_PROGRESS;
-	strcpy(move.from, "1.0");
-	strcpy(move.to, "2.0");
+	snprintf(move.from, sizeof(move.from), "%s", "1.0");
+	snprintf(move.to, sizeof(move.to), "%s", "2.0");
 	move.share_permille = BG_PLAN_FIRST_SHARE_PERMILLE;
 	move.started_ms = START_MS;
 	move.step_since_ms = START_MS;
--- a/moves/tests/test_status.c
+++ b/moves/tests/test_status.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -16,7 +17,7 @@
 	struct bg_summary *sum = &view.summaries[view.summary_count++];
 
 	memset(sum, 0, sizeof(*sum));
-	strcpy(sum->data_centre, data_centre);
+	snprintf(sum->data_centre, sizeof(sum->data_centre), "%s", data_centre);
 	sum->confirmed_version = confirmed;
 	sum->written_ms = written_ms;
 }
@@ -25,12 +26,15 @@
 setup(enum bg_move_state state)
 {
 	memset(&service, 0, sizeof(service));
-	strcpy(service.head.name, "catalogue");
+	snprintf(
+	    service.head.name, sizeof(service.head.name), "%s", "catalogue");
 	service.head.changed = 7;
 	service.head.move.state = state;
 	service.head.move.generation = 2;
-	strcpy(service.head.move.from, "1.0");
-	strcpy(service.head.move.to, "2.0");
+	snprintf(service.head.move.from, sizeof(service.head.move.from), "%s",
+	    "1.0");
+	snprintf(
+	    service.head.move.to, sizeof(service.head.move.to), "%s", "2.0");
 	memset(&view, 0, sizeof(view));
 	view.now_ms = NOW_MS;
 	add_summary("bureau", 7, NOW_MS);
@@ -117,7 +121,9 @@
 	setup(BG_MOVE_DONE);
 	view.summaries[0].confirmed_version = 6;
 	view.summaries[0].refused_version = 7;
-	strcpy(view.summaries[0].refused_reason, "route without service");
+	snprintf(view.summaries[0].refused_reason,
+	    sizeof(view.summaries[0].refused_reason), "%s",
+	    "route without service");
 	bg_status_line(&line, &service, &view, 0);
 	ck_assert_str_eq(line.state, "in progress");
 	ck_assert_str_eq(line.note, "refused");
--- a/moves/tests/test_verdict.c
+++ b/moves/tests/test_verdict.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <gsl/gsl_randist.h>
 #include <gsl/gsl_rng.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -191,8 +192,9 @@
 	memset(&ctr, 0, sizeof(ctr));
 	ctr.route_count = 2;
 	ctr.max_error_permille = 50;
-	strcpy(ctr.routes[0].name, "stock");
-	strcpy(ctr.routes[1].name, "patterns");
+	snprintf(ctr.routes[0].name, sizeof(ctr.routes[0].name), "%s", "stock");
+	snprintf(
+	    ctr.routes[1].name, sizeof(ctr.routes[1].name), "%s", "patterns");
 	memset(&old_delta, 0, sizeof(old_delta));
 	memset(&new_delta, 0, sizeof(new_delta));
 	for (i = 0; i < 1000; i++) {
