--- a/bench/load/mix.c
+++ b/bench/load/mix.c
@@ -19,8 +19,8 @@
 	    strlen(path) >= sizeof(out->path))
 		return -1;
 	memset(out, 0, sizeof(*out));
-	strcpy(out->method, method);
-	strcpy(out->path, path);
+	snprintf(out->method, sizeof(out->method), "%s", method);
+	snprintf(out->path, sizeof(out->path), "%s", path);
 	out->weight = (uint32_t)weight;
 	out->body_bytes = (uint32_t)body_bytes;
 	out->is_keyed = is_keyed;
