--- a/bench/load/call.c
+++ b/bench/load/call.c
@@ -9,10 +9,10 @@
 #include "load.h"
 
 /* The customer waits this much longer than the deadline for the answer. */
-#define GRACE_MS	2000
+#define GRACE_MS 2000
 /* A customer sends again after this pause if the answer names none. */
-#define RESEND_MS	100
-#define RESEND_MAX_MS	2000
+#define RESEND_MS 100
+#define RESEND_MAX_MS 2000
 
 /* A connection of a customer; it is kept for the next call. */
 struct bg_load_connection {
@@ -37,8 +37,8 @@
 	char key[BG_LOAD_TEXT_BYTES];
 };
 
-static const char *const OUTCOMES[] = { "done", "not-run", "unknown",
-	"no-answer", "other" };
+static const char *const OUTCOMES[] = {
+    "done", "not-run", "unknown", "no-answer", "other"};
 
 static void
 connection_free(struct bg_load_connection *conn)
@@ -64,15 +64,15 @@
 	snprintf(ip, sizeof(ip), "%.*s", (int)(colon - address), address);
 	conn->load = load;
 	conn->target = target;
-	conn->http = evhttp_connection_base_new(load->base, NULL, ip,
-	    (uint16_t)strtoul(colon + 1, NULL, 10));
+	conn->http = evhttp_connection_base_new(
+	    load->base, NULL, ip, (uint16_t)strtoul(colon + 1, NULL, 10));
 	if (conn->http == NULL) {
 		free(conn);
 		return NULL;
 	}
 	if (load->options.source_ip != NULL)
-		evhttp_connection_set_local_address(conn->http,
-		    load->options.source_ip);
+		evhttp_connection_set_local_address(
+		    conn->http, load->options.source_ip);
 	return conn;
 }
 
@@ -104,8 +104,8 @@
 
 	if (load->latency_count == load->latency_room) {
 		load->latency_room = load->latency_room * 2 + 1024;
-		grown = realloc(load->latencies_us,
-		    load->latency_room * sizeof(*grown));
+		grown = realloc(
+		    load->latencies_us, load->latency_room * sizeof(*grown));
 		if (grown == NULL)
 			abort();
 		load->latencies_us = grown;
@@ -139,8 +139,8 @@
 
 	if (req == NULL || evhttp_request_get_response_code(req) == 0)
 		return BG_LOAD_NO_ANSWER;
-	text = evhttp_find_header(evhttp_request_get_input_headers(req),
-	    "Burdock-Outcome");
+	text = evhttp_find_header(
+	    evhttp_request_get_input_headers(req), "Burdock-Outcome");
 	if (text == NULL)
 		return BG_LOAD_OTHER;
 	if (strcmp(text, "done") == 0)
@@ -156,8 +156,8 @@
 	struct evbuffer *buf = evhttp_request_get_input_buffer(req);
 	size_t bytes = evbuffer_get_length(buf);
 
-	return bg_load_check_answer(call->request_id,
-	    (const char *)evbuffer_pullup(buf, -1), bytes);
+	return bg_load_check_answer(
+	    call->request_id, (const char *)evbuffer_pullup(buf, -1), bytes);
 }
 
 static void send_attempt(struct call *call);
@@ -185,7 +185,7 @@
 static int
 schedule_resend(struct call *call, enum bg_load_outcome outcome)
 {
-	struct timeval tv = { 0, 0 };
+	struct timeval tv = {0, 0};
 	uint32_t pause_ms = RESEND_MS << call->attempt;
 
 	if (call->attempt + 1 >= call->load->options.attempts ||
@@ -245,8 +245,7 @@
 
 	evhttp_add_header(headers, "Host", target);
 	evhttp_add_header(headers, "X-Request-Id", call->request_id);
-	snprintf(number, sizeof(number), "%u",
-	    call->load->options.deadline_ms);
+	snprintf(number, sizeof(number), "%u", call->load->options.deadline_ms);
 	evhttp_add_header(headers, "X-Deadline-Ms", number);
 	if (call->kind->is_keyed)
 		evhttp_add_header(headers, "Idempotency-Key", call->key);
@@ -295,7 +294,7 @@
 		call->due_us = call->sent_us;
 	load->sent++;
 	if (evhttp_make_request(call->connection->http, req,
-	        method_type(call->kind->method), call->path) != 0)
+		method_type(call->kind->method), call->path) != 0)
 		on_answer(NULL, call);
 }
 
@@ -319,8 +318,8 @@
 	const char *number = strstr(call->kind->path, "%d");
 
 	if (number == NULL)
-		snprintf(call->path, sizeof(call->path), "%s",
-		    call->kind->path);
+		snprintf(
+		    call->path, sizeof(call->path), "%s", call->kind->path);
 	else
 		snprintf(call->path, sizeof(call->path), "%.*s%u%s",
 		    (int)(number - call->kind->path), call->kind->path,
--- a/bench/load/load.h
+++ b/bench/load/load.h
@@ -13,9 +13,9 @@
 
 #include "burdockgrade/clock.h"
 
-#define BG_LOAD_TARGETS_MAX	256
-#define BG_LOAD_KINDS_MAX	32
-#define BG_LOAD_TEXT_BYTES	128
+#define BG_LOAD_TARGETS_MAX 256
+#define BG_LOAD_KINDS_MAX 32
+#define BG_LOAD_TEXT_BYTES 128
 
 /** One kind of call in the mix. */
 struct bg_load_kind {
@@ -33,7 +33,7 @@
 	const char *mix_path;
 	const char *log_path;
 	const char *name; /**< prefix of request ids and keys */
-	double rate; /**< calls a second */
+	double rate;	  /**< calls a second */
 	double seconds;
 	uint32_t deadline_ms;
 	uint32_t attempts; /**< at most, for not-run and unknown answers */
@@ -48,7 +48,7 @@
 	BG_LOAD_NOT_RUN,
 	BG_LOAD_UNKNOWN,
 	BG_LOAD_NO_ANSWER, /**< connection lost, or time-out */
-	BG_LOAD_OTHER, /**< an answer without an outcome */
+	BG_LOAD_OTHER,	   /**< an answer without an outcome */
 	BG_LOAD_OUTCOME_COUNT,
 };
 
@@ -85,8 +85,8 @@
 void bg_load_close(struct bg_load *load);
 
 /** 1 if the body is whole and belongs to the request. */
-int bg_load_check_answer(const char *request_id, const char *body,
-    size_t body_bytes);
+int bg_load_check_answer(
+    const char *request_id, const char *body, size_t body_bytes);
 
 /** Prints the results as one JSON object. */
 void bg_load_print(struct bg_load *load);
--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -8,7 +8,7 @@
 #include "load.h"
 
 /* Interval of the arrival timer; calls that fell due in it start together. */
-#define ARRIVALS_US	500
+#define ARRIVALS_US 500
 
 enum option_key {
 	OPT_SOURCE = 256,
@@ -19,20 +19,18 @@
 };
 
 static const struct argp_option OPTIONS[] = {
-	{ "target", 't', "IP:PORT", 0, "A node; may be repeated", 0 },
-	{ "mix", 'm', "FILE", 0, "Kinds of calls as a JSON array", 0 },
-	{ "rate", 'r', "N", 0, "Calls a second (100)", 0 },
-	{ "seconds", 's', "N", 0, "How long calls arrive (10)", 0 },
-	{ "log", 'l', "FILE", 0, "One JSON line for each attempt", 0 },
-	{ "source", OPT_SOURCE, "IP", 0, "Source address of the calls", 0 },
-	{ "deadline-ms", OPT_DEADLINE, "MS", 0, "Deadline of a call (2000)",
-	    0 },
-	{ "attempts", OPT_ATTEMPTS, "N", 0,
-	    "Send a call again, with the same key, up to N times in all (1)",
-	    0 },
-	{ "seed", OPT_SEED, "N", 0, "Seed of arrivals and choices (7)", 0 },
-	{ "name", OPT_NAME, "TEXT", 0, "Prefix of ids and keys (load)", 0 },
-	{ 0 },
+    {"target", 't', "IP:PORT", 0, "A node; may be repeated", 0},
+    {"mix", 'm', "FILE", 0, "Kinds of calls as a JSON array", 0},
+    {"rate", 'r', "N", 0, "Calls a second (100)", 0},
+    {"seconds", 's', "N", 0, "How long calls arrive (10)", 0},
+    {"log", 'l', "FILE", 0, "One JSON line for each attempt", 0},
+    {"source", OPT_SOURCE, "IP", 0, "Source address of the calls", 0},
+    {"deadline-ms", OPT_DEADLINE, "MS", 0, "Deadline of a call (2000)", 0},
+    {"attempts", OPT_ATTEMPTS, "N", 0,
+	"Send a call again, with the same key, up to N times in all (1)", 0},
+    {"seed", OPT_SEED, "N", 0, "Seed of arrivals and choices (7)", 0},
+    {"name", OPT_NAME, "TEXT", 0, "Prefix of ids and keys (load)", 0},
+    {0},
 };
 
 static error_t
@@ -98,8 +96,8 @@
 {
 	struct bg_load *load = arg;
 	uint64_t now_us = bg_clock_now_us();
-	uint64_t end_us = load->start_us +
-	    (uint64_t)(load->options.seconds * 1e6);
+	uint64_t end_us =
+	    load->start_us + (uint64_t)(load->options.seconds * 1e6);
 
 	while (load->next_us <= now_us && load->next_us < end_us) {
 		bg_load_call(load);
@@ -116,11 +114,11 @@
 static int
 run(struct bg_load *load)
 {
-	static const struct timeval interval = { 0, ARRIVALS_US };
+	static const struct timeval interval = {0, ARRIVALS_US};
 
 	load->base = event_base_new();
-	load->arrivals = event_new(load->base, -1, EV_PERSIST, on_arrivals,
-	    load);
+	load->arrivals =
+	    event_new(load->base, -1, EV_PERSIST, on_arrivals, load);
 	load->start_us = bg_clock_now_us();
 	load->next_us = load->start_us + next_gap_us(load);
 	event_add(load->arrivals, &interval);
@@ -135,9 +133,9 @@
 int
 main(int argc, char **argv)
 {
-	static const struct argp argp = { OPTIONS, parse_option, NULL,
-		"Sends an open-loop load to nodes and prints what came back.",
-		NULL, NULL, NULL };
+	static const struct argp argp = {OPTIONS, parse_option, NULL,
+	    "Sends an open-loop load to nodes and prints what came back.", NULL,
+	    NULL, NULL};
 	struct bg_load load;
 
 	memset(&load, 0, sizeof(load));
--- a/bench/load/mix.c
+++ b/bench/load/mix.c
@@ -13,8 +13,8 @@
 	int is_keyed = 0;
 
 	if (json_unpack(entry, "{s:s,s:s,s:i,s?i,s?b}", "method", &method,
-	        "path", &path, "weight", &weight, "body_bytes", &body_bytes,
-	        "keyed", &is_keyed) != 0 ||
+		"path", &path, "weight", &weight, "body_bytes", &body_bytes,
+		"keyed", &is_keyed) != 0 ||
 	    weight <= 0 || strlen(method) >= sizeof(out->method) ||
 	    strlen(path) >= sizeof(out->path))
 		return -1;
@@ -35,8 +35,7 @@
 	json_t *entry;
 	size_t i;
 
-	if (!json_is_array(list) ||
-	    json_array_size(list) > BG_LOAD_KINDS_MAX ||
+	if (!json_is_array(list) || json_array_size(list) > BG_LOAD_KINDS_MAX ||
 	    json_array_size(list) == 0) {
 		fprintf(stderr, "%s: expected an array of 1 to %d kinds: %s\n",
 		    path, BG_LOAD_KINDS_MAX, list == NULL ? err.text : "");
