Mark lost parents as dead and keep refusals of versions

A child knows first that its parent is gone, and a refused version was built again with each change.

--- a/mesh/src/mesh/install.c
+++ b/mesh/src/mesh/install.c
@@ -49,10 +49,14 @@
 {
 	struct bg_snapshot *snap;
 	struct bg_error err = {0};
+	struct bg_item head;
 	uint64_t held = mesh->snapshot == NULL ? 0 : mesh->snapshot->version;
 	uint64_t version;
 
 	bg_counter_set(&synced, bg_mesh_is_synced(mesh));
+	if (bg_table_get(&head, mesh->table, BG_ITEM_HEAD, BG_HEAD_KEY) != 0 ||
+	    head.major == mesh->ack.refused_version)
+		return;
 	switch (bg_content_build(&snap, &version, mesh->table, held, &err)) {
 	case BG_BUILD_REFUSED:
 		refuse(mesh, version, &err);
@@ -71,6 +75,8 @@
 	bg_snapshot_release(mesh->snapshot);
 	mesh->snapshot = snap;
 	mesh->ack.version = version;
+	mesh->ack.refused_version = 0;
+	mesh->ack.refused_reason[0] = '\0';
 	bg_counter_set(&held_version, (int64_t)version);
 	bg_counter_set(&synced, bg_mesh_is_synced(mesh));
 	bg_log_info("mesh", "in force version=%" PRIu64, version);
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -61,6 +61,7 @@
 	struct bg_member me;
 	uint64_t me_cursor; /**< own log behind the last announcement */
 	struct bg_ack ack;
+	uint64_t refused_version; /**< highest that a member below refused */
 	uint64_t ack_seq;
 
 	struct bg_floor floor;
@@ -83,7 +84,14 @@
 
 	struct bg_attach attach;
 	struct bg_uplink *parent;
+	uint64_t parent_heard_ms;
+	uint64_t parent_incarnation;
 	uint64_t parent_fresh_ms; /**< when the view was last fresh */
+	struct {
+		char address[BG_ADDRESS_BYTES];
+		uint64_t incarnation;
+		uint64_t heard_ms;
+	} lost_parent; /**< marked dead unless it is heard of again */
 	struct bg_children *children;
 	struct bg_liveness liveness;
 	uint64_t next_check_ms;
--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -105,6 +105,8 @@
 	}
 	if (kinds & (1u << BG_ITEM_MEMBER | 1u << BG_ITEM_ACK))
 		mesh->is_summary_due = 1;
+	if (kinds & 1u << BG_ITEM_ACK)
+		mesh->refused_version = bg_content_refused(mesh->table);
 	for (i = 0; i < items.items.items_len; i++)
 		tell_item(mesh, &items.items.items_val[i]);
 	bg_mesh_install(mesh);
@@ -225,7 +227,7 @@
 {
 	const struct bg_mesh *mesh = arg;
 
-	return bg_content_refused(mesh->table);
+	return mesh->refused_version;
 }
 
 static void
--- a/mesh/src/mesh/peers.c
+++ b/mesh/src/mesh/peers.c
@@ -55,7 +55,8 @@
 }
 
 static void
-on_lost(void *arg, const char *reason, const char *redirect, uint32_t retry_ms)
+on_lost(void *arg, const char *reason, const char *redirect, uint32_t retry_ms,
+    int is_link_fault)
 {
 	struct bg_peer *peer = arg;
 
@@ -63,6 +64,14 @@
 		bg_log_info("mesh", "lost peer root=%s dc=%s reason=%s",
 		    bg_uplink_address(peer->uplink), peer->data_centre, reason);
 	peer->address[0] = '\0';
+	/* A root of the own data centre: without platform, the one with the
+	 * higher address becomes a child of the other. */
+	if (peer->data_centre[0] == '\0' &&
+	    strcmp(redirect, bg_uplink_address(peer->uplink)) == 0 &&
+	    peer->mesh->root == BG_ROOT_UNLEASED &&
+	    strcmp(redirect, peer->mesh->me.address) < 0)
+		bg_attach_redirected(
+		    &peer->mesh->attach, redirect, bg_clock_now_ms());
 	if (redirect[0] != '\0' &&
 	    strcmp(redirect, peer->mesh->me.address) != 0)
 		snprintf(peer->address, sizeof(peer->address), "%s", redirect);
--- a/mesh/src/mesh/role.c
+++ b/mesh/src/mesh/role.c
@@ -295,9 +295,14 @@
 		mesh->lease.hint_expires_ms =
 		    is_leased ? mesh->view.expires_ms : 0;
 	}
+	mesh->parent_heard_ms = now_ms;
+	mesh->parent_incarnation = res->incarnation;
 	bg_mesh_floor_reply(mesh, res);
 	if (is_first) {
 		mesh->parent_fresh_ms = now_ms;
+		if (strcmp(mesh->lost_parent.address,
+			bg_uplink_address(mesh->parent)) == 0)
+			mesh->lost_parent.address[0] = '\0';
 		bg_attach_succeeded(&mesh->attach);
 		bg_log_info("mesh", "attached parent=%s root=%s term=%" PRIu64,
 		    res->address, res->lease_holder, res->lease_term);
@@ -313,8 +318,32 @@
 	bg_mesh_changed(arg);
 }
 
+/* A parent whose link broke may be dead; nobody else may be in a position to
+ * see it, since it was the root or its own parent died as well. */
 static void
-on_lost(void *arg, const char *reason, const char *redirect, uint32_t retry_ms)
+suspect_parent(struct bg_mesh *mesh, const char *address)
+{
+	snprintf(mesh->lost_parent.address, sizeof(mesh->lost_parent.address),
+	    "%s", address);
+	mesh->lost_parent.incarnation = mesh->parent_incarnation;
+	mesh->lost_parent.heard_ms = mesh->parent_heard_ms;
+}
+
+static void
+check_lost_parent(struct bg_mesh *mesh, uint64_t now_ms)
+{
+	if (mesh->lost_parent.address[0] == '\0' ||
+	    now_ms - mesh->lost_parent.heard_ms < BG_DEAD_AFTER_MS)
+		return;
+	if (!bg_children_has(mesh->children, mesh->lost_parent.address))
+		bg_mesh_mark_dead(mesh, mesh->lost_parent.address,
+		    mesh->lost_parent.incarnation);
+	mesh->lost_parent.address[0] = '\0';
+}
+
+static void
+on_lost(void *arg, const char *reason, const char *redirect, uint32_t retry_ms,
+    int is_link_fault)
 {
 	struct bg_mesh *mesh = arg;
 	char address[BG_ADDRESS_BYTES];
@@ -328,6 +357,8 @@
 		bg_log_info(
 		    "mesh", "lost parent=%s reason=%s", address, reason);
 		bg_attach_lost(&mesh->attach, now_ms);
+		if (is_link_fault)
+			suspect_parent(mesh, address);
 	} else
 		bg_log_debug("mesh", "no parent=%s reason=%s", address, reason);
 	if (redirect[0] != '\0')
@@ -447,7 +478,7 @@
 	    now_ms < mesh->view.expires_ms + ROOTLESS_MS ||
 	    now_ms < mesh->parent_fresh_ms + ROOTLESS_MS)
 		return;
-	on_lost(mesh, "no root", "", 0);
+	on_lost(mesh, "no root", "", 0, 0);
 }
 
 void
@@ -468,6 +499,7 @@
 	want_lease(mesh, now_ms);
 	step_lease(mesh, now_ms);
 	check_parent(mesh, now_ms);
+	check_lost_parent(mesh, now_ms);
 	find_parent(mesh, now_ms);
 }
 
--- a/mesh/src/mesh/self.c
+++ b/mesh/src/mesh/self.c
@@ -109,6 +109,35 @@
 	publish_member(mesh, &member);
 }
 
+struct prefix_search {
+	const char *prefix;
+	char found[BG_KEY_BYTES + 1];
+};
+
+static int
+match_prefix(void *arg, const struct bg_item *item)
+{
+	struct prefix_search *search = arg;
+	size_t bytes = strlen(search->prefix);
+
+	if (strncmp(item->key, search->prefix, bytes) != 0 ||
+	    item->key[bytes] != '/')
+		return 0;
+	snprintf(search->found, sizeof(search->found), "%s", item->key);
+	return 1;
+}
+
+/* Statistics are keyed "ADDRESS/SERVICE". */
+static void
+forget_stats(struct bg_mesh *mesh, const char *address)
+{
+	struct prefix_search search = {address, ""};
+
+	while (bg_table_each(
+		   mesh->table, BG_ITEM_STAT, match_prefix, &search) == 1)
+		bg_table_forget(mesh->table, BG_ITEM_STAT, search.found);
+}
+
 void
 bg_mesh_forget_dead(struct bg_mesh *mesh, uint64_t now_ms)
 {
@@ -120,6 +149,7 @@
 		if (!m->is_dead || now_ms - m->dead_observed_ms < FORGET_MS)
 			continue;
 		bg_log_info("mesh", "forgotten member=%s", m->address);
+		forget_stats(mesh, m->address);
 		bg_table_forget(mesh->table, BG_ITEM_ACK, m->address);
 		bg_table_forget(mesh->table, BG_ITEM_MEMBER, m->address);
 	}
--- a/mesh/src/mesh/summary.c
+++ b/mesh/src/mesh/summary.c
@@ -9,8 +9,9 @@
 /* Changes are put together for this long, so that a version that reaches many
  * members costs few summaries. */
 #define COALESCE_MS 200
-/* An unchanged summary is renewed, since its age is shown in the status. */
-#define RENEW_MS 5000
+/* An unchanged summary is renewed, since its age is shown in the status. Each
+ * renewal is one exchange with every node. */
+#define RENEW_MS 10000
 
 static int
 is_same(const struct bg_summary *a, const struct bg_summary *b)
--- a/mesh/src/mesh/uplink.c
+++ b/mesh/src/mesh/uplink.c
@@ -74,12 +74,13 @@
 /* Ends the uplink once; the handler frees it, so nothing may follow. */
 static void
 end(struct bg_uplink *upl, const char *reason, const char *redirect,
-    uint32_t retry_ms)
+    uint32_t retry_ms, int is_link_fault)
 {
 	if (upl->is_ended)
 		return;
 	upl->is_ended = 1;
-	upl->handler.lost(upl->handler.arg, reason, redirect, retry_ms);
+	upl->handler.lost(
+	    upl->handler.arg, reason, redirect, retry_ms, is_link_fault);
 }
 
 /* Items for the attach call: those that digests do not cover, and the entry of
@@ -259,11 +260,11 @@
 	upl->asked_floor = call->asked_floor;
 	upl->reply_number = call->number;
 	if (upl->handler.replied(upl->handler.arg, res) != 0) {
-		end(upl, "rejected", "", 0);
+		end(upl, "rejected", "", 0, 0);
 		return;
 	}
 	if (merge_reply(upl, res) != 0) {
-		end(upl, "invalid items", "", 0);
+		end(upl, "invalid items", "", 0, 0);
 		return;
 	}
 	if (!upl->is_attached) {
@@ -293,7 +294,7 @@
 	if (code == BG_ECANCELED || upl->is_ended)
 		return;
 	if (code != 0) {
-		end(upl, bg_error_name(code), "", 0);
+		end(upl, bg_error_name(code), "", 0, 1);
 		return;
 	}
 	switch (res->status) {
@@ -301,17 +302,17 @@
 		handle_ok(upl, &call, res);
 		break;
 	case BG_XSYNC_REDIRECT:
-		end(upl, "redirect", res->redirect, res->retry_ms);
+		end(upl, "redirect", res->redirect, res->retry_ms, 0);
 		break;
 	case BG_XSYNC_BUSY:
-		end(upl, "busy", res->redirect, res->retry_ms);
+		end(upl, "busy", res->redirect, res->retry_ms, 0);
 		break;
 	case BG_XSYNC_STALE_INCARNATION:
 		upl->handler.stale(upl->handler.arg, res->known_incarnation);
-		end(upl, "stale incarnation", res->redirect, 1);
+		end(upl, "stale incarnation", res->redirect, 1, 0);
 		break;
 	default:
-		end(upl, "invalid status", "", 0);
+		end(upl, "invalid status", "", 0, 0);
 		break;
 	}
 }
@@ -319,7 +320,7 @@
 static void
 on_close(void *arg)
 {
-	end(arg, "link closed", "", 0);
+	end(arg, "link closed", "", 0, 1);
 }
 
 int
--- a/mesh/src/mesh/uplink.h
+++ b/mesh/src/mesh/uplink.h
@@ -28,9 +28,10 @@
 	int (*replied)(void *arg, const struct bg_xsync_res *res);
 	/** Items of a reply changed the table. */
 	void (*merged)(void *arg);
-	/** The uplink ended; the owner frees it. redirect may be empty. */
+	/** The uplink ended; the owner frees it. redirect may be empty.
+	 * is_link_fault: the peer did not answer, or not validly. */
 	void (*lost)(void *arg, const char *reason, const char *redirect,
-	    uint32_t retry_ms);
+	    uint32_t retry_ms, int is_link_fault);
 	/** The parent knows a higher incarnation of this node. */
 	void (*stale)(void *arg, uint64_t known_incarnation);
 	/** Whether the next call asks for the floor. */
--- a/mesh/tests/cluster.h
+++ b/mesh/tests/cluster.h
@@ -419,7 +419,8 @@
 	return cluster_publish_with(cl, service, NULL);
 }
 
-/* Ends every process; nodes must exit cleanly. */
+/* Ends every process; nodes must exit cleanly. The logs are kept if BG_KEEP is
+ * set, and after a failure. */
 static inline void
 cluster_free(struct cluster *cl)
 {
@@ -443,6 +444,8 @@
 	kill(cl->platform_pid, SIGTERM);
 	waitpid(cl->platform_pid, NULL, 0);
 	bg_head_free(&cl->head);
+	if (getenv("BG_KEEP") != NULL)
+		return;
 	snprintf(command, sizeof(command), "rm -r %s", cl->folder);
 	ck_assert_int_eq(system(command), 0); /* NOLINT(cert-env33-c) */
 }
--- a/mesh/tests/test_mesh_process.c
+++ b/mesh/tests/test_mesh_process.c
@@ -341,28 +341,35 @@
 }
 END_TEST
 
+static void
+add_case(Suite *suite, const TTest *test)
+{
+	TCase *tc = tcase_create(test->name);
+
+	tcase_set_timeout(tc, 110);
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, test);
+	suite_add_tcase(suite, tc);
+}
+
 int
 main(void)
 {
 	Suite *suite = suite_create("mesh processes");
-	TCase *tc = tcase_create("mesh processes");
 	SRunner *runner;
 	int failed;
 
-	tcase_set_timeout(tc, 110);
-	tcase_add_checked_fixture(tc, setup, teardown);
-	tcase_add_test(tc, versions_reach_every_node);
-	tcase_add_test(tc, tree_keeps_to_its_fanout);
-	tcase_add_test(tc, relay_killed_during_push);
-	tcase_add_test(tc, relay_paused_past_its_lease);
-	tcase_add_test(tc, inner_node_goes_silent);
-	tcase_add_test(tc, platform_down_during_change);
-	tcase_add_test(tc, all_nodes_restart_at_once);
-	tcase_add_test(tc, new_node_does_not_trust_an_old_relay);
-	tcase_add_test(tc, invalid_version_is_refused_everywhere);
-	tcase_add_test(tc, versions_pass_between_data_centres);
-	tcase_add_test(tc, direct_watch_reads_by_itself);
-	suite_add_tcase(suite, tc);
+	add_case(suite, versions_reach_every_node);
+	add_case(suite, tree_keeps_to_its_fanout);
+	add_case(suite, relay_killed_during_push);
+	add_case(suite, relay_paused_past_its_lease);
+	add_case(suite, inner_node_goes_silent);
+	add_case(suite, platform_down_during_change);
+	add_case(suite, all_nodes_restart_at_once);
+	add_case(suite, new_node_does_not_trust_an_old_relay);
+	add_case(suite, invalid_version_is_refused_everywhere);
+	add_case(suite, versions_pass_between_data_centres);
+	add_case(suite, direct_watch_reads_by_itself);
 	runner = srunner_create(suite);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
