Teach cppcheck the loop macros of uthash and jansson

cppcheck stopped at HASH_ITER as an unknown macro. A small library file gives it the shape of the loops; suppressing the error would have left these files unchecked.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -14,6 +14,7 @@
     2>/dev/null
 cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
     -j "$(nproc)" --enable=warning,performance,portability \
+    --library=tools/cppcheck.cfg \
     --suppress=missingInclude --suppress=normalCheckLevelMaxBranches \
     -I core/include -I config/include -I platform/include -I mesh/include \
     -I proxy/include -I record/include -I moves/include $sources
