--- /dev/null
+++ b/proxy/src/call/attempt.c
@@ -0,0 +1,197 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/link.h"
+#include "burdockgrade/log.h"
+
+#include "../proxy_internal.h"
+#include "attempt.h"
+#include "deadline.h"
+
+struct bg_attempt {
+	struct bg_proxy *proxy;
+	struct bg_xcall_args *args;
+	struct bg_gate_call *gate_call;
+	struct event *check;
+	bg_attempt_fn fn;
+	void *arg;
+	uint32_t xid;
+	uint32_t ping_xid; /* 0: none */
+	int is_sent;
+	char address[BG_ADDRESS_BYTES];
+};
+
+static void
+attempt_free(struct bg_attempt *att)
+{
+	struct bg_link *link;
+
+	if (att->ping_xid != 0 &&
+	    bg_link_pool_get(&link, att->proxy->links, att->address, NULL) == 0)
+		bg_link_cancel(link, att->ping_xid);
+	if (att->check != NULL)
+		event_free(att->check);
+	free(att);
+}
+
+static void
+finish(struct bg_attempt *att, int code, struct bg_xcall_res *res)
+{
+	bg_attempt_fn fn = att->fn;
+	void *arg = att->arg;
+
+	attempt_free(att);
+	fn(arg, code, res);
+}
+
+static void
+on_gate(void *arg, struct bg_xcall_res *res)
+{
+	finish(arg, 0, res);
+}
+
+static void
+on_reply(void *arg, int code, void *res)
+{
+	finish(arg, code, res);
+}
+
+static int
+send_call(struct bg_attempt *att, struct bg_link *link)
+{
+	int error;
+
+	error = bg_link_call(&att->xid, link, BG_PROC_CALL,
+	    (xdrproc_t)xdr_bg_xcall_args, att->args,
+	    (xdrproc_t)xdr_bg_xcall_res, sizeof(struct bg_xcall_res),
+	    att->args->deadline_ms + BG_ATTEMPT_GRACE_MS, on_reply, att);
+	att->is_sent = error == 0;
+	return error;
+}
+
+/* A link that does not answer a ping is dead, although it may accept bytes. */
+static void
+on_ping(void *arg, int code, void *res)
+{
+	struct bg_attempt *att = arg;
+	struct bg_proxy *prx = att->proxy;
+	struct bg_link *link;
+	char address[BG_ADDRESS_BYTES];
+	int was_sent = att->is_sent;
+
+	att->ping_xid = 0;
+	if (code == BG_ETIMEOUT) {
+		bg_log_warn("ingress", "silent link peer=%s", att->address);
+		snprintf(address, sizeof(address), "%s", att->address);
+		/* Fails the calls on the link, perhaps this attempt too. */
+		bg_link_pool_drop(prx->links, address);
+	}
+	if (was_sent)
+		return;
+	if (bg_link_pool_get(&link, prx->links, att->address, NULL) != 0 ||
+	    send_call(att, link) != 0)
+		finish(att, BG_EUNAVAILABLE, NULL);
+}
+
+static int
+send_ping(struct bg_attempt *att, struct bg_link *link)
+{
+	return bg_link_call(&att->ping_xid, link, BG_PROC_PING, NULL, NULL,
+	    NULL, 0, BG_ATTEMPT_PING_MS, on_ping, att);
+}
+
+static void
+on_check(evutil_socket_t fd, short what, void *arg)
+{
+	static const struct timeval again = {0, BG_ATTEMPT_CHECK_MS * 1000};
+	struct bg_attempt *att = arg;
+	struct bg_link *link;
+
+	if (bg_link_pool_get(&link, att->proxy->links, att->address, NULL) != 0)
+		return;
+	if (att->ping_xid == 0 && bg_link_is_connected(link) &&
+	    bg_link_silence_ms(link) > BG_FRESH_MS)
+		send_ping(att, link);
+	event_add(att->check, &again);
+}
+
+static int
+arm_check(struct bg_attempt *att)
+{
+	static const struct timeval first = {0, BG_ATTEMPT_CHECK_MS * 1000};
+
+	att->check = event_new(att->proxy->base, -1, 0, on_check, att);
+	return att->check == NULL || event_add(att->check, &first) != 0
+	    ? BG_ENOMEM
+	    : 0;
+}
+
+static int
+start_remote(struct bg_attempt *att)
+{
+	struct bg_link *link;
+	int error;
+
+	error = bg_link_pool_get(&link, att->proxy->links, att->address, NULL);
+	if (error != 0)
+		return error;
+	if (att->args->idempotent && (error = arm_check(att)) != 0)
+		return error;
+	/* A link that is still connecting is a new one, which is fresh. */
+	if (bg_link_is_connected(link) &&
+	    !bg_connection_is_fresh(
+		bg_link_silence_ms(link), (int)att->args->idempotent))
+		return send_ping(att, link);
+	return send_call(att, link);
+}
+
+int
+bg_attempt_start(struct bg_attempt **out, struct bg_proxy *prx,
+    const char *address, struct bg_xcall_args *args, bg_attempt_fn fn,
+    void *arg)
+{
+	struct bg_attempt *att;
+	int error;
+
+	if ((att = calloc(1, sizeof(*att))) == NULL)
+		return BG_ENOMEM;
+	att->proxy = prx;
+	att->args = args;
+	att->fn = fn;
+	att->arg = arg;
+	snprintf(att->address, sizeof(att->address), "%s", address);
+	if (strcmp(address, bg_mesh_address(prx->mesh)) == 0) {
+		error = bg_gatekeeper_call(
+		    &att->gate_call, prx->gatekeeper, args, on_gate, att);
+		att->is_sent = error == 0;
+	} else
+		error = start_remote(att);
+	if (error != 0) {
+		attempt_free(att);
+		return error;
+	}
+	*out = att;
+	return 0;
+}
+
+void
+bg_attempt_cancel(struct bg_attempt *att)
+{
+	struct bg_link *link;
+
+	/* While the call is pending, the pool's link is the one it was sent
+	 * on: closing a link fails its calls first. */
+	if (att->gate_call != NULL)
+		bg_gatekeeper_cancel(att->gate_call);
+	else if (att->is_sent &&
+	    bg_link_pool_get(&link, att->proxy->links, att->address, NULL) == 0)
+		bg_link_cancel(link, att->xid);
+	attempt_free(att);
+}
+
+int
+bg_attempt_is_sent(const struct bg_attempt *att)
+{
+	return att->is_sent;
+}
--- /dev/null
+++ b/proxy/src/gatekeeper/answer.h
@@ -0,0 +1,29 @@
+#ifndef BG_PROXY_BACKEND_ANSWER_H
+#define BG_PROXY_BACKEND_ANSWER_H
+
+/** @file
+ * Checks of an answer of the backend server, and headers in both directions.
+ */
+
+#include <event2/http.h>
+
+#include "burdockgrade/wire_xdr.h"
+
+#include "../metrics/metrics.h"
+
+/** 1 for headers that concern one connection only, or that the proxy sets. */
+int bg_header_is_local(const char *name);
+
+/**
+ * Decides whether an answer may be forwarded.
+ *
+ * @return 0, or -1 with the reason in out_why
+ */
+int bg_answer_check(enum bg_discard *out_why, struct evhttp_request *req,
+    const char *request_id, int is_head);
+
+/** Copies pointers to forwardable headers. @return number of headers */
+uint32_t bg_answer_headers(
+    struct bg_xheader *out, uint32_t max, struct evhttp_request *req);
+
+#endif
--- /dev/null
+++ b/proxy/src/ingress/ingress.c
@@ -0,0 +1,417 @@
+#include <arpa/inet.h>
+#include <evhtp/evhtp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "burdockgrade/clock.h"
+#include "burdockgrade/log.h"
+
+#include "../call/call.h"
+#include "../call/deadline.h"
+#include "../gatekeeper/answer.h"
+#include "../metrics/metrics.h"
+#include "guard.h"
+#include "ingress.h"
+
+#define BACKLOG 1024
+#define PAGES_MAX 16
+#define REQUEST_ID_BYTES 128
+/* Part of the buffers above which new calls are refused; the rest is kept for
+ * the answers of calls in flight. */
+#define ADMIT_PERMILLE 750
+
+struct page {
+	const char *path;
+	bg_page_fn fn;
+	void *arg;
+};
+
+struct bg_ingress {
+	struct bg_proxy *proxy;
+	evhtp_t *http;
+	struct bg_guard *connections;
+	struct page pages[PAGES_MAX];
+	size_t page_count;
+	uint64_t buffered_bytes;
+	struct bg_rand rand;
+	uint16_t port;
+};
+
+/* A request that waits for its answer or for its answer to be read. */
+struct pending {
+	struct bg_ingress *ingress;
+	evhtp_request_t *request;
+	struct bg_call *call; /* NULL once answered */
+	uint64_t buffered_bytes;
+	char request_id[REQUEST_ID_BYTES];
+};
+
+static void
+set_header(evhtp_request_t *req, const char *name, const char *value)
+{
+	evhtp_headers_add_header(
+	    req->headers_out, evhtp_header_new(name, value, 1, 1));
+}
+
+static const char *
+outcome_name(enum bg_xoutcome outcome)
+{
+	switch (outcome) {
+	case BG_XOUTCOME_DONE:
+		return "done";
+	case BG_XOUTCOME_NOT_RUN:
+		return "not-run";
+	default:
+		return "unknown";
+	}
+}
+
+static void
+set_retry_after(evhtp_request_t *req, uint32_t ms)
+{
+	char seconds[16];
+
+	if (ms == 0)
+		return;
+	snprintf(seconds, sizeof(seconds), "%u", (ms + 999) / 1000);
+	set_header(req, "Retry-After", seconds);
+}
+
+static void
+send_answer(evhtp_request_t *req, const struct bg_call_answer *ans,
+    const char *request_id, int is_closing)
+{
+	uint32_t i;
+
+	for (i = 0; i < ans->header_count; i++) {
+		if (!bg_header_is_local(ans->headers[i].name))
+			set_header(
+			    req, ans->headers[i].name, ans->headers[i].value);
+	}
+	set_header(req, "X-Request-Id", request_id);
+	set_header(req, "Burdock-Request-Id", request_id);
+	set_header(req, "Burdock-Outcome", outcome_name(ans->outcome));
+	set_retry_after(req, ans->retry_after_ms);
+	if (ans->body_bytes > 0)
+		evbuffer_add(req->buffer_out, ans->body, ans->body_bytes);
+	else if (ans->reason != NULL) {
+		set_header(req, "Content-Type", "text/plain");
+		evbuffer_add_printf(req->buffer_out, "%s\n", ans->reason);
+	}
+	if (is_closing)
+		evhtp_request_set_keepalive(req, 0);
+	evhtp_send_reply(req, (evhtp_res)ans->http_status);
+}
+
+static void
+send_error(evhtp_request_t *req, uint32_t http_status, const char *reason,
+    uint32_t retry_after_ms, const char *request_id, int is_closing)
+{
+	struct bg_call_answer ans;
+
+	memset(&ans, 0, sizeof(ans));
+	ans.outcome = BG_XOUTCOME_NOT_RUN;
+	ans.http_status = http_status;
+	ans.reason = reason;
+	ans.retry_after_ms = retry_after_ms;
+	send_answer(req, &ans, request_id, is_closing);
+}
+
+static int
+is_leaving(const struct bg_ingress *ing)
+{
+	return ing->proxy->drain.state >= BG_DRAIN_LEAVING;
+}
+
+static void
+on_answer(void *arg, const struct bg_call_answer *ans)
+{
+	struct pending *p = arg;
+	struct bg_ingress *ing = p->ingress;
+
+	p->call = NULL;
+	p->buffered_bytes += ans->body_bytes;
+	ing->buffered_bytes += ans->body_bytes;
+	send_answer(p->request, ans, p->request_id, is_leaving(ing));
+}
+
+/* The request ended: answered and read, or its caller disconnected. */
+static void
+on_fini(void *arg)
+{
+	struct pending *p = arg;
+
+	p->ingress->buffered_bytes -= p->buffered_bytes;
+	if (p->call != NULL)
+		bg_call_cancel(p->call);
+	free(p);
+}
+
+static void
+choose_request_id(
+    struct bg_ingress *ing, evhtp_request_t *req, char out[REQUEST_ID_BYTES])
+{
+	const char *given = evhtp_header_find(req->headers_in, "X-Request-Id");
+
+	if (given != NULL && given[0] != '\0' &&
+	    strlen(given) < REQUEST_ID_BYTES)
+		snprintf(out, REQUEST_ID_BYTES, "%s", given);
+	else
+		snprintf(out, REQUEST_ID_BYTES, "%016llx%016llx",
+		    (unsigned long long)bg_rand_next(&ing->rand),
+		    (unsigned long long)bg_rand_next(&ing->rand));
+}
+
+static int
+copy_headers(struct bg_xcall_args *args, evhtp_headers_t *headers)
+{
+	evhtp_header_t *kv;
+	struct bg_xheader *out;
+
+	out = calloc(BG_HEADERS_MAX, sizeof(*out));
+	if (out == NULL)
+		return BG_ENOMEM;
+	args->headers.headers_val = out;
+	TAILQ_FOREACH(kv, headers, next)
+	{
+		if (bg_header_is_local(kv->key))
+			continue;
+		if (args->headers.headers_len == BG_HEADERS_MAX)
+			return BG_EINVAL;
+		out = &args->headers.headers_val[args->headers.headers_len++];
+		out->name = strdup(kv->key);
+		out->value = strdup(kv->val == NULL ? "" : kv->val);
+		if (out->name == NULL || out->value == NULL)
+			return BG_ENOMEM;
+	}
+	return 0;
+}
+
+static int
+copy_body(struct bg_xcall_args *args, struct evbuffer *in)
+{
+	size_t bytes = evbuffer_get_length(in);
+
+	if (bytes == 0)
+		return 0;
+	if ((args->body.body_val = malloc(bytes)) == NULL)
+		return BG_ENOMEM;
+	args->body.body_len = (u_int)bytes;
+	evbuffer_remove(in, args->body.body_val, bytes);
+	return 0;
+}
+
+static int
+fill_args(struct bg_xcall_args *args, evhtp_request_t *req,
+    const struct bg_request_head *head, const char *request_id)
+{
+	memset(args, 0, sizeof(*args));
+	args->request_id = strdup(request_id);
+	args->method = strdup(head->method);
+	args->path = strdup(head->target);
+	args->depth = bg_header_u32(
+	    evhtp_header_find(req->headers_in, "X-Call-Depth"), 0);
+	if (args->request_id == NULL || args->method == NULL ||
+	    args->path == NULL || copy_headers(args, req->headers_in) != 0 ||
+	    copy_body(args, req->buffer_in) != 0) {
+		xdr_free((xdrproc_t)xdr_bg_xcall_args, (char *)args);
+		return BG_ENOMEM;
+	}
+	return 0;
+}
+
+static void
+start_call(struct pending *p, const struct bg_request_head *head)
+{
+	evhtp_request_t *req = p->request;
+	struct bg_ingress *ing = p->ingress;
+	struct bg_call_options opts;
+	struct bg_xcall_args args;
+
+	opts.idempotency_key =
+	    evhtp_header_find(req->headers_in, "Idempotency-Key");
+	opts.deadline_ms = bg_header_u32(
+	    evhtp_header_find(req->headers_in, "X-Deadline-Ms"), 0);
+	p->buffered_bytes = evbuffer_get_length(req->buffer_in);
+	ing->buffered_bytes += p->buffered_bytes;
+	if (fill_args(&args, req, head, p->request_id) != 0 ||
+	    bg_call_start(&p->call, ing->proxy, &args, &opts, on_answer, p) !=
+		0)
+		send_error(req, 503, bg_refusal_text(BG_REFUSAL_BUFFERS),
+		    BG_RETRY_AFTER_MS, p->request_id, 0);
+}
+
+static int
+has_room(const struct bg_ingress *ing, uint64_t bytes)
+{
+	uint64_t limit = ing->proxy->settings->limits.buffered_bytes;
+
+	return ing->buffered_bytes + bytes <= limit / 1000 * ADMIT_PERMILLE;
+}
+
+static void
+serve_call(struct pending *p, const struct bg_request_head *head)
+{
+	struct bg_ingress *ing = p->ingress;
+	uint64_t bytes = evbuffer_get_length(p->request->buffer_in);
+
+	if (bytes > ing->proxy->settings->limits.body_bytes) {
+		/* Only a chunked body gets this far. */
+		bg_metrics_invalid();
+		send_error(p->request, 413, "the body is too large", 0,
+		    p->request_id, 1);
+	} else if (is_leaving(ing)) {
+		bg_metrics_refused(BG_REFUSAL_DRAINING);
+		send_error(p->request, 503,
+		    bg_refusal_text(BG_REFUSAL_DRAINING), BG_RETRY_AFTER_MS,
+		    p->request_id, 1);
+	} else if (!has_room(ing, bytes)) {
+		bg_metrics_refused(BG_REFUSAL_BUFFERS);
+		send_error(p->request, 503, bg_refusal_text(BG_REFUSAL_BUFFERS),
+		    BG_RETRY_AFTER_MS, p->request_id, 0);
+	} else
+		start_call(p, head);
+}
+
+static const struct page *
+find_page(const struct bg_ingress *ing, const char *target)
+{
+	size_t bytes = strcspn(target, "?");
+	size_t i;
+
+	for (i = 0; i < ing->page_count; i++) {
+		if (strlen(ing->pages[i].path) == bytes &&
+		    strncmp(ing->pages[i].path, target, bytes) == 0)
+			return &ing->pages[i];
+	}
+	return NULL;
+}
+
+static void
+serve_page(evhtp_request_t *req, const struct page *page)
+{
+	const char *type = "text/plain";
+	char *text = NULL;
+	int status = page->fn(page->arg, &text, &type);
+
+	set_header(req, "Content-Type", type);
+	if (text != NULL)
+		evbuffer_add(req->buffer_out, text, strlen(text));
+	free(text);
+	evhtp_send_reply(req, (evhtp_res)status);
+}
+
+static void
+on_request(evhtp_request_t *req, void *arg)
+{
+	struct bg_ingress *ing = arg;
+	struct bg_guard *grd = bg_guard_of(req->conn);
+	const struct bg_request_head *head = bg_guard_head(grd);
+	const struct page *page = find_page(ing, head->target);
+	struct pending *p;
+
+	if (page != NULL) {
+		bg_guard_busy(grd, NULL, NULL);
+		serve_page(req, page);
+		return;
+	}
+	if ((p = calloc(1, sizeof(*p))) == NULL) {
+		bg_guard_busy(grd, NULL, NULL);
+		evhtp_send_reply(req, EVHTP_RES_SERVUNAVAIL);
+		return;
+	}
+	p->ingress = ing;
+	p->request = req;
+	choose_request_id(ing, req, p->request_id);
+	bg_guard_busy(grd, on_fini, p);
+	serve_call(p, head);
+}
+
+static evhtp_res
+on_accept(evhtp_connection_t *conn, void *arg)
+{
+	struct bg_ingress *ing = arg;
+	struct bg_guard_options opts;
+
+	opts.base = ing->proxy->base;
+	opts.body_max_bytes = ing->proxy->settings->limits.body_bytes;
+	opts.list = &ing->connections;
+	return bg_guard_init(conn, &opts) == 0 ? EVHTP_RES_OK : EVHTP_RES_ERROR;
+}
+
+static int
+bind_port(struct bg_ingress *ing, struct bg_error *err)
+{
+	const struct bg_settings *set = ing->proxy->settings;
+	struct sockaddr_in sin;
+	socklen_t sin_bytes = sizeof(sin);
+
+	memset(&sin, 0, sizeof(sin));
+	if (evhtp_bind_socket(ing->http, set->node.address,
+		set->node.customer_port, BACKLOG) != 0)
+		return bg_error_set(err, BG_EIO, "listen", set->node.address,
+		    "cannot bind customer port %u", set->node.customer_port);
+	getsockname(evconnlistener_get_fd(ing->http->server),
+	    (struct sockaddr *)&sin, &sin_bytes);
+	ing->port = ntohs(sin.sin_port);
+	return 0;
+}
+
+int
+bg_ingress_init(
+    struct bg_ingress **out, struct bg_proxy *prx, struct bg_error *err)
+{
+	struct bg_ingress *ing;
+	int error;
+
+	if ((ing = calloc(1, sizeof(*ing))) == NULL)
+		return BG_ENOMEM;
+	ing->proxy = prx;
+	bg_rand_init(&ing->rand, 0);
+	if ((ing->http = evhtp_new(prx->base, NULL)) == NULL) {
+		free(ing);
+		return BG_ENOMEM;
+	}
+	evhtp_enable_flag(ing->http, EVHTP_FLAG_ENABLE_NODELAY);
+	evhtp_set_gencb(ing->http, on_request, ing);
+	evhtp_set_post_accept_cb(ing->http, on_accept, ing);
+	if ((error = bind_port(ing, err)) != 0) {
+		bg_ingress_free(ing);
+		return error;
+	}
+	*out = ing;
+	return 0;
+}
+
+void
+bg_ingress_free(struct bg_ingress *ing)
+{
+	if (ing == NULL)
+		return;
+	if (ing->port != 0)
+		evhtp_unbind_socket(ing->http);
+	bg_guard_close_all(&ing->connections);
+	evhtp_free(ing->http);
+	free(ing);
+}
+
+uint16_t
+bg_ingress_port(const struct bg_ingress *ing)
+{
+	return ing->port;
+}
+
+int
+bg_ingress_page(
+    struct bg_ingress *ing, const char *path, bg_page_fn fn, void *arg)
+{
+	if (ing->page_count == PAGES_MAX)
+		return BG_ELIMIT;
+	ing->pages[ing->page_count].path = path;
+	ing->pages[ing->page_count].fn = fn;
+	ing->pages[ing->page_count].arg = arg;
+	ing->page_count++;
+	return 0;
+}
--- /dev/null
+++ b/proxy/src/metrics/metrics.c
@@ -0,0 +1,170 @@
+#include <stddef.h>
+
+#include "burdockgrade/counter.h"
+
+#include "metrics.h"
+
+#define CALLS "burdock_calls_total"
+#define REFUSED "burdock_refused_total"
+#define DISCARDED "burdock_discarded_total"
+#define CALL_TIME "burdock_call_seconds_bucket"
+#define BACKEND_TIME "burdock_backend_seconds_bucket"
+#define BUCKETS 9
+
+static const uint64_t bucket_us[BUCKETS - 1] = {
+    500, 1000, 2500, 5000, 10000, 50000, 250000, 1000000};
+
+static struct bg_counter calls[] = {
+    BG_COUNTER(CALLS "{outcome=\"done\"}", "Calls of customers."),
+    BG_COUNTER(CALLS "{outcome=\"not-run\"}", "Calls of customers."),
+    BG_COUNTER(CALLS "{outcome=\"unknown\"}", "Calls of customers."),
+};
+
+static struct bg_counter refused[BG_REFUSAL_COUNT] = {
+    BG_COUNTER(REFUSED "{reason=\"unsynced\"}", "Refused calls."),
+    BG_COUNTER(REFUSED "{reason=\"no-server\"}", "Refused calls."),
+    BG_COUNTER(REFUSED "{reason=\"queue-full\"}", "Refused calls."),
+    BG_COUNTER(REFUSED "{reason=\"deadline\"}", "Refused calls."),
+    BG_COUNTER(REFUSED "{reason=\"evicted\"}", "Refused calls."),
+    BG_COUNTER(REFUSED "{reason=\"draining\"}", "Refused calls."),
+    BG_COUNTER(REFUSED "{reason=\"record\"}", "Refused calls."),
+    BG_COUNTER(REFUSED "{reason=\"buffers\"}", "Refused calls."),
+    BG_COUNTER(REFUSED "{reason=\"depth\"}", "Refused calls."),
+    BG_COUNTER(REFUSED "{reason=\"no-backend\"}", "Refused calls."),
+};
+
+static const char *const refusal_texts[BG_REFUSAL_COUNT] = {
+    "the node has no configuration yet",
+    "no backend server is available",
+    "the queue of the backend server is full",
+    "the deadline cannot be met",
+    "a call of higher criticality took the place",
+    "the node is stopping",
+    "the idempotency record could not be taken",
+    "the buffers of the node are full",
+    "too many calls in a chain",
+    "the backend server is not reachable",
+};
+
+static struct bg_counter discarded[BG_DISCARD_COUNT] = {
+    BG_COUNTER(DISCARDED "{reason=\"foreign\"}", "Discarded answers."),
+    BG_COUNTER(DISCARDED "{reason=\"unframed\"}", "Discarded answers."),
+    BG_COUNTER(DISCARDED "{reason=\"truncated\"}", "Discarded answers."),
+    BG_COUNTER(DISCARDED "{reason=\"oversized\"}", "Discarded answers."),
+};
+
+#define TIME_BUCKETS(n, h)                              \
+	{                                               \
+		BG_COUNTER(n "{le=\"0.0005\"}", h),     \
+		    BG_COUNTER(n "{le=\"0.001\"}", h),  \
+		    BG_COUNTER(n "{le=\"0.0025\"}", h), \
+		    BG_COUNTER(n "{le=\"0.005\"}", h),  \
+		    BG_COUNTER(n "{le=\"0.01\"}", h),   \
+		    BG_COUNTER(n "{le=\"0.05\"}", h),   \
+		    BG_COUNTER(n "{le=\"0.25\"}", h),   \
+		    BG_COUNTER(n "{le=\"1\"}", h),      \
+		    BG_COUNTER(n "{le=\"+Inf\"}", h),   \
+	}
+
+static struct bg_counter call_time[BUCKETS] =
+    TIME_BUCKETS(CALL_TIME, "Time of calls at the ingress.");
+static struct bg_counter backend_time[BUCKETS] =
+    TIME_BUCKETS(BACKEND_TIME, "Time of calls at the backend server.");
+
+static struct bg_counter retries =
+    BG_COUNTER("burdock_retries_total", "Repeated attempts.");
+static struct bg_counter ejections =
+    BG_COUNTER("burdock_ejections_total", "Servers ejected for failures.");
+static struct bg_counter stops = BG_COUNTER(
+    "burdock_version_stops_total", "Server versions stopped by this node.");
+static struct bg_counter cancels =
+    BG_COUNTER("burdock_canceled_total", "Calls whose caller disconnected.");
+static struct bg_counter invalid = BG_COUNTER(
+    "burdock_invalid_requests_total", "Requests that were not accepted.");
+static struct bg_counter gate_running =
+    BG_GAUGE("burdock_gate_running", "Calls running at the backend server.");
+static struct bg_counter gate_queued =
+    BG_GAUGE("burdock_gate_queued", "Calls waiting at the gatekeeper.");
+static struct bg_counter gate_limit =
+    BG_GAUGE("burdock_gate_limit", "Adaptive limit of running calls.");
+
+const char *
+bg_refusal_text(enum bg_refusal why)
+{
+	return refusal_texts[why];
+}
+
+static void
+count_time(struct bg_counter *buckets, uint64_t took_us)
+{
+	size_t i;
+
+	/* Buckets of the text exposition format are cumulative. */
+	for (i = 0; i < BUCKETS - 1; i++)
+		bg_counter_add(&buckets[i], took_us <= bucket_us[i]);
+	bg_counter_add(&buckets[BUCKETS - 1], 1);
+}
+
+void
+bg_metrics_call(enum bg_xoutcome outcome, uint64_t took_us)
+{
+	bg_counter_add(&calls[outcome], 1);
+	count_time(call_time, took_us);
+}
+
+void
+bg_metrics_refused(enum bg_refusal why)
+{
+	bg_counter_add(&refused[why], 1);
+}
+
+void
+bg_metrics_discarded(enum bg_discard why)
+{
+	bg_counter_add(&discarded[why], 1);
+}
+
+void
+bg_metrics_retry(void)
+{
+	bg_counter_add(&retries, 1);
+}
+
+void
+bg_metrics_ejected(void)
+{
+	bg_counter_add(&ejections, 1);
+}
+
+void
+bg_metrics_stopped(void)
+{
+	bg_counter_add(&stops, 1);
+}
+
+void
+bg_metrics_canceled(void)
+{
+	bg_counter_add(&cancels, 1);
+}
+
+void
+bg_metrics_invalid(void)
+{
+	bg_counter_add(&invalid, 1);
+}
+
+void
+bg_metrics_gate(uint32_t running, uint32_t queued, uint32_t limit)
+{
+	bg_counter_set(&gate_running, running);
+	bg_counter_set(&gate_queued, queued);
+	bg_counter_set(&gate_limit, limit);
+}
+
+void
+bg_metrics_backend_time(uint64_t took_us)
+{
+	bg_counter_add(&backend_time[0], 0);
+	count_time(backend_time, took_us);
+}
--- /dev/null
+++ b/proxy/tests/backend.h
@@ -0,0 +1,283 @@
+#ifndef BG_TEST_BACKEND_H
+#define BG_TEST_BACKEND_H
+
+/* A small HTTP backend server on loopback with faults that a test selects. */
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+enum backend_mode {
+	BACKEND_OK,
+	BACKEND_DIE,	   /* closes after it read the request */
+	BACKEND_HOLD,	   /* answers when the test releases it */
+	BACKEND_CROSSED,   /* the identity of another request */
+	BACKEND_ANONYMOUS, /* no identity */
+	BACKEND_TRUNCATED, /* closes within the body */
+	BACKEND_UNFRAMED,  /* no Content-Length, ends by closing */
+	BACKEND_TWO_LENGTHS,
+	BACKEND_OVERSIZED,
+	BACKEND_EXTRA, /* bytes of a second answer behind the first */
+	BACKEND_CHUNKED,
+	BACKEND_500,
+	BACKEND_503,
+	BACKEND_BIG, /* 512 KiB */
+};
+
+struct backend {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	struct backend_conn *conns;
+	enum backend_mode mode;
+	int is_unhealthy;
+	int requests; /* without probes */
+	int probes;
+	int aborted; /* closed by the proxy while a request was held */
+	int accepted;
+	int held;
+	uint16_t port;
+	const char *version;
+	char last_head[8192];
+	char last_body[256];
+};
+
+struct backend_conn {
+	struct backend *backend;
+	struct bufferevent *bev;
+	struct backend_conn *next;
+	int is_held;
+	int is_silent; /* ignores requests but keeps the connection open */
+	int is_closing;
+	char request_id[160];
+};
+
+static inline void
+backend_conn_free(struct backend_conn *conn)
+{
+	struct backend_conn **at = &conn->backend->conns;
+
+	while (*at != conn)
+		at = &(*at)->next;
+	*at = conn->next;
+	if (conn->is_held) {
+		conn->backend->held--;
+		conn->backend->aborted++;
+	}
+	bufferevent_free(conn->bev);
+	free(conn);
+}
+
+static inline void
+backend_answer(struct backend_conn *conn, enum backend_mode mode)
+{
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+	const char *version = conn->backend->version;
+	const char *id = mode == BACKEND_CROSSED ? "other" : conn->request_id;
+	int status = mode == BACKEND_500 ? 500
+	    : mode == BACKEND_503	 ? 503
+					 : 200;
+	static char big[512 * 1024];
+
+	evbuffer_add_printf(out, "HTTP/1.1 %d X\r\n", status);
+	if (mode != BACKEND_ANONYMOUS)
+		evbuffer_add_printf(out, "X-Request-Id: %s\r\n", id);
+	if (version != NULL)
+		evbuffer_add_printf(out, "X-Version: %s\r\n", version);
+	switch (mode) {
+	case BACKEND_TRUNCATED:
+		evbuffer_add_printf(out, "Content-Length: 500\r\n\r\nhello");
+		conn->is_closing = 1;
+		break;
+	case BACKEND_UNFRAMED:
+		evbuffer_add_printf(out, "\r\nhello");
+		conn->is_closing = 1;
+		break;
+	case BACKEND_TWO_LENGTHS:
+		evbuffer_add_printf(
+		    out, "Content-Length: 5\r\nContent-Length: 3\r\n\r\nhello");
+		break;
+	case BACKEND_OVERSIZED:
+		evbuffer_add_printf(
+		    out, "Content-Length: 2000000\r\n\r\nhello");
+		break;
+	case BACKEND_CHUNKED:
+		evbuffer_add_printf(out,
+		    "Transfer-Encoding: chunked\r\n\r\n"
+		    "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n");
+		break;
+	case BACKEND_EXTRA:
+		evbuffer_add_printf(out,
+		    "Content-Length: 5\r\n\r\nhelloHTTP/1.1 200 X\r\n"
+		    "Content-Length: 4\r\n\r\nevil");
+		break;
+	case BACKEND_BIG:
+		memset(big, 'x', sizeof(big));
+		evbuffer_add_printf(
+		    out, "Content-Length: %zu\r\n\r\n", sizeof(big));
+		evbuffer_add(out, big, sizeof(big));
+		break;
+	default:
+		evbuffer_add_printf(out, "Content-Length: 5\r\n\r\nhello");
+		break;
+	}
+}
+
+static inline void
+backend_request(struct backend_conn *conn, const char *head)
+{
+	struct backend *be = conn->backend;
+	const char *id = strcasestr(head, "\r\nX-Request-Id: ");
+
+	conn->request_id[0] = '\0';
+	if (id != NULL)
+		sscanf(id + 16, "%159[^\r]", conn->request_id);
+	if (strncmp(head, "GET /health ", 12) == 0) {
+		be->probes++;
+		backend_answer(
+		    conn, be->is_unhealthy ? BACKEND_500 : BACKEND_OK);
+		return;
+	}
+	be->requests++;
+	snprintf(be->last_head, sizeof(be->last_head), "%s", head);
+	if (conn->is_silent)
+		return;
+	if (be->mode == BACKEND_DIE) {
+		backend_conn_free(conn);
+		return;
+	}
+	if (be->mode == BACKEND_HOLD) {
+		conn->is_held = 1;
+		be->held++;
+		return;
+	}
+	backend_answer(conn, be->mode);
+}
+
+static inline void
+backend_read(struct bufferevent *bev, void *arg)
+{
+	struct backend_conn *conn = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	const char *length;
+	char head[8192];
+	size_t body = 0;
+	struct evbuffer_ptr end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
+
+	if (end.pos < 0 || (size_t)end.pos + 4 >= sizeof(head))
+		return;
+	evbuffer_copyout(in, head, (size_t)end.pos + 4);
+	head[end.pos + 4] = '\0';
+	if ((length = strcasestr(head, "\r\nContent-Length: ")) != NULL)
+		body = strtoul(length + 18, NULL, 10);
+	if (evbuffer_get_length(in) < (size_t)end.pos + 4 + body)
+		return;
+	evbuffer_drain(in, (size_t)end.pos + 4);
+	memset(conn->backend->last_body, 0, sizeof(conn->backend->last_body));
+	if (body > 0 && body < sizeof(conn->backend->last_body))
+		evbuffer_copyout(in, conn->backend->last_body, body);
+	evbuffer_drain(in, body);
+	backend_request(conn, head);
+}
+
+static inline void
+backend_write(struct bufferevent *bev, void *arg)
+{
+	struct backend_conn *conn = arg;
+
+	if (conn->is_closing)
+		backend_conn_free(conn);
+}
+
+static inline void
+backend_event(struct bufferevent *bev, short what, void *arg)
+{
+	backend_conn_free(arg);
+}
+
+static inline void
+backend_accept(struct evconnlistener *listener, evutil_socket_t fd,
+    struct sockaddr *addr, int addr_bytes, void *arg)
+{
+	struct backend *be = arg;
+	struct backend_conn *conn = calloc(1, sizeof(*conn));
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	conn->backend = be;
+	conn->bev = bufferevent_socket_new(be->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	conn->next = be->conns;
+	be->conns = conn;
+	be->accepted++;
+	bufferevent_setcb(
+	    conn->bev, backend_read, backend_write, backend_event, conn);
+	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+}
+
+static inline void
+backend_listen(struct backend *be, struct event_base *base)
+{
+	struct sockaddr_in sin;
+	socklen_t bytes = sizeof(sin);
+
+	memset(&sin, 0, sizeof(sin));
+	sin.sin_family = AF_INET;
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	sin.sin_port = htons(be->port);
+	be->base = base;
+	be->listener = evconnlistener_new_bind(base, backend_accept, be,
+	    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
+	    (struct sockaddr *)&sin, sizeof(sin));
+	getsockname(evconnlistener_get_fd(be->listener),
+	    (struct sockaddr *)&sin, &bytes);
+	be->port = ntohs(sin.sin_port);
+}
+
+/* Answers the requests held so far. */
+static inline void
+backend_release(struct backend *be, enum backend_mode mode)
+{
+	struct backend_conn *conn;
+	struct backend_conn *next;
+
+	for (conn = be->conns; conn != NULL; conn = next) {
+		next = conn->next;
+		if (!conn->is_held)
+			continue;
+		conn->is_held = 0;
+		be->held--;
+		if (mode == BACKEND_DIE)
+			backend_conn_free(conn);
+		else
+			backend_answer(conn, mode);
+	}
+}
+
+/* Open connections stop answering; new ones work. */
+static inline void
+backend_silence(struct backend *be)
+{
+	struct backend_conn *conn;
+
+	for (conn = be->conns; conn != NULL; conn = conn->next)
+		conn->is_silent = 1;
+}
+
+static inline void
+backend_stop(struct backend *be)
+{
+	if (be->listener != NULL)
+		evconnlistener_free(be->listener);
+	be->listener = NULL;
+	while (be->conns != NULL)
+		backend_conn_free(be->conns);
+}
+
+#endif
--- /dev/null
+++ b/proxy/tests/node.h
@@ -0,0 +1,198 @@
+#ifndef BG_TEST_NODE_H
+#define BG_TEST_NODE_H
+
+/* A node under test: the real proxy with a stubbed mesh, its link server and
+ * its backend server, all on one event loop. */
+
+#include <check.h>
+#include <stdio.h>
+
+#include "burdockgrade/clock.h"
+#include "burdockgrade/proxy.h"
+
+#include "backend.h"
+#include "client.h"
+#include "stub_mesh.h"
+#include "stub_snapshot.h"
+
+/* Upper bound of one wait; a lost event fails, not hangs. */
+#define WAIT_MAX_MS 8000
+
+struct observed {
+	struct bg_observer observer; /* first member */
+	int count;
+	int failed;
+	int slow;
+	int dependency_faults;
+	int stopped;
+	uint32_t last_own_us;
+	char stopped_version[BG_NAME_BYTES];
+};
+
+struct node {
+	struct event_base *base;
+	struct bg_settings settings;
+	struct bg_mesh mesh;
+	struct bg_records records;
+	struct bg_link_server *server;
+	struct bg_proxy *proxy;
+	struct backend backend;
+	struct observed observed;
+};
+
+static struct bg_snapshot snapshot;
+static struct bg_service services[2];
+
+#define WAIT(base, cond)                                                \
+	do {                                                            \
+		uint64_t wait_end_ms = bg_clock_now_ms() + WAIT_MAX_MS; \
+		struct timeval wait_step = {0, 5000};                   \
+		while (!(cond) && bg_clock_now_ms() < wait_end_ms) {    \
+			event_base_loopexit(base, &wait_step);          \
+			event_base_dispatch(base);                      \
+		}                                                       \
+		ck_assert_msg((cond), "waited in vain for " #cond);     \
+	} while (0)
+
+static inline void
+observe(struct bg_observer *obs, const struct bg_observation *seen)
+{
+	struct observed *ob = (struct observed *)obs;
+
+	ob->count++;
+	ob->failed += seen->is_failed;
+	ob->slow += seen->is_slow;
+	ob->dependency_faults += seen->is_dependency_fault;
+	ob->last_own_us = seen->own_time_us;
+}
+
+static inline void
+stopped(struct bg_observer *obs, const char *service,
+    const char *server_version, uint64_t move_generation, const char *reason)
+{
+	struct observed *ob = (struct observed *)obs;
+
+	ob->stopped++;
+	snprintf(ob->stopped_version, sizeof(ob->stopped_version), "%s",
+	    server_version);
+}
+
+static inline void
+add_route(struct bg_contract *ctr, const char *name, const char *prefix,
+    int is_idempotent, uint32_t deadline_ms, enum bg_criticality criticality)
+{
+	struct bg_route *route = &ctr->routes[ctr->route_count++];
+
+	snprintf(route->name, sizeof(route->name), "%s", name);
+	snprintf(route->prefix, sizeof(route->prefix), "%s", prefix);
+	route->methods =
+	    is_idempotent ? BG_METHOD_GET : BG_METHOD_POST | BG_METHOD_GET;
+	route->is_idempotent = is_idempotent;
+	route->deadline_ms = deadline_ms;
+	route->slow_ms = deadline_ms / 2;
+	route->criticality = criticality;
+}
+
+static inline void
+build_snapshot(void)
+{
+	struct bg_contract *ctr = &services[0].contract;
+
+	memset(services, 0, sizeof(services));
+	memset(&snapshot, 0, sizeof(snapshot));
+	snprintf(services[0].head.name, BG_NAME_BYTES, "atelier");
+	add_route(ctr, "lookup", "/lookup", 1, 1000, BG_CRITICALITY_LOW);
+	add_route(ctr, "cut", "/cut", 0, 1000, BG_CRITICALITY_HIGH);
+	add_route(ctr, "quick", "/quick", 1, 100, BG_CRITICALITY_NORMAL);
+	ctr->slots = 4;
+	snapshot.version = 1;
+	snapshot.services = services;
+	snapshot.service_count = 1;
+	snapshot.references = 1;
+}
+
+static inline void
+node_settings(struct node *nd)
+{
+	struct bg_settings *set = &nd->settings;
+
+	snprintf(set->node.address, BG_SETTING_BYTES, "127.0.0.1");
+	snprintf(set->node.data_centre, BG_SETTING_BYTES, "a");
+	snprintf(set->server.address, BG_SETTING_BYTES, "127.0.0.1:%u",
+	    nd->backend.port);
+	snprintf(set->server.service, BG_SETTING_BYTES, "atelier");
+	snprintf(set->server.version, BG_SETTING_BYTES, "v1");
+	snprintf(set->server.probe_path, BG_SETTING_BYTES, "/health");
+	set->server.slots = 4;
+	set->server.connections = 20;
+	set->limits.body_bytes = 1 << 20;
+	set->limits.buffered_bytes = 64 << 20;
+	set->limits.drain_ms = 2000;
+	set->limits.announce_ms = 100;
+}
+
+/* Starts a node whose backend server is ready. */
+static inline void
+node_start(struct node *nd, struct event_base *base)
+{
+	struct bg_proxy_options opts = BG_PROXY_OPTIONS_INIT;
+	struct bg_error err;
+
+	memset(nd, 0, sizeof(*nd));
+	nd->base = base;
+	backend_listen(&nd->backend, base);
+	node_settings(nd);
+	ck_assert_int_eq(
+	    bg_link_server_init(&nd->server, base, "127.0.0.1:0", NULL), 0);
+	snprintf(nd->mesh.address, sizeof(nd->mesh.address), "127.0.0.1:%u",
+	    bg_link_server_port(nd->server));
+	nd->mesh.snapshot = &snapshot;
+	nd->mesh.is_synced = 1;
+	nd->mesh.is_announced = 1;
+	nd->records.status = BG_XBEGIN_GRANTED;
+	nd->observed.observer.observe = observe;
+	nd->observed.observer.stopped = stopped;
+	opts.base = base;
+	opts.settings = &nd->settings;
+	opts.mesh = &nd->mesh;
+	opts.server = nd->server;
+	opts.records = &nd->records;
+	opts.observer = &nd->observed.observer;
+	ck_assert_int_eq(bg_proxy_init(&nd->proxy, &opts, &err), 0);
+	WAIT(base, nd->mesh.state == BG_MEMBER_READY);
+}
+
+static inline void
+node_stop(struct node *nd)
+{
+	bg_proxy_free(nd->proxy);
+	bg_link_server_free(nd->server);
+	backend_stop(&nd->backend);
+	free(nd->mesh.roster.members);
+}
+
+/* Puts the servers of some nodes into the roster of another one. */
+static inline void
+node_knows(struct node *nd, struct node **others, size_t count)
+{
+	struct bg_member *m;
+	size_t i;
+
+	free(nd->mesh.roster.members);
+	nd->mesh.roster.members = calloc(count, sizeof(*m));
+	nd->mesh.roster.member_count = count;
+	for (i = 0; i < count; i++) {
+		m = &nd->mesh.roster.members[i];
+		snprintf(m->address, sizeof(m->address), "%s",
+		    others[i]->mesh.address);
+		snprintf(m->data_centre, sizeof(m->data_centre), "%s",
+		    others[i]->settings.node.data_centre);
+		snprintf(m->service, sizeof(m->service), "atelier");
+		snprintf(m->server_version, sizeof(m->server_version), "%s",
+		    others[i]->settings.server.version);
+		m->state = BG_MEMBER_READY;
+		m->slots = 4;
+	}
+}
+
+#endif
