--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -31,8 +31,9 @@
 	void *arg;
 	struct bg_dependency_time dependency;
 	uint64_t deadline_us;
-	int is_refused; /* the timer delivers the refusal */
-	int is_second;	/* sent again on a new connection */
+	uint64_t buffered_bytes; /* of a call from another node */
+	int is_refused;		 /* the timer delivers the refusal */
+	int is_second;		 /* sent again on a new connection */
 	int is_halfway; /* the timer guards against a silent connection */
 	enum bg_refusal refusal;
 };
@@ -47,6 +48,7 @@
 	struct bg_limiter limiter;
 	struct bg_gate_call *calls;
 	uint32_t in_flight;
+	struct bg_buffers *buffers;
 	int is_leaving;
 };
 
@@ -64,6 +66,7 @@
 	if (call->next != NULL)
 		call->next->prev = call->prev;
 	gk->in_flight--;
+	bg_buffers_remove(gk->buffers, call->buffered_bytes);
 	if (call->timer != NULL)
 		event_free(call->timer);
 	free(call);
@@ -180,7 +183,8 @@
 	    &call->dependency, call->entry.started_us, now_us);
 
 	bg_metrics_backend_time(now_us - call->entry.started_us);
-	bg_limiter_leave(&gk->limiter, &call->entry, now_us, vdt->sample);
+	bg_limiter_leave(
+	    &gk->limiter, &call->entry, now_us, own_us, vdt->sample);
 	res->own_time_us = own_us > UINT32_MAX ? UINT32_MAX : (uint32_t)own_us;
 	res->dependency_failed = (u_int)call->dependency.has_failed;
 	observe(call, vdt, res->own_time_us);
@@ -192,9 +196,11 @@
 finish_unknown(
     struct bg_gate_call *call, uint32_t http_status, const char *reason)
 {
-	struct verdict vdt = {1, BG_LIMITER_FAILED};
+	struct verdict vdt = {1, BG_LIMITER_IGNORED};
 	struct bg_xcall_res res;
 
+	if (http_status == 504 && !call->dependency.has_failed)
+		vdt.sample = BG_LIMITER_LATE;
 	memset(&res, 0, sizeof(res));
 	res.outcome = BG_XOUTCOME_UNKNOWN;
 	res.http_status = http_status;
@@ -209,7 +215,7 @@
 	struct bg_gatekeeper *gk = call->gatekeeper;
 
 	bg_limiter_leave(
-	    &gk->limiter, &call->entry, bg_clock_now_us(), BG_LIMITER_CANCELED);
+	    &gk->limiter, &call->entry, bg_clock_now_us(), 0, BG_LIMITER_IGNORED);
 	refuse_later(call, why);
 	start_next(gk);
 }
@@ -332,7 +338,7 @@
 	}
 	if (call->entry.is_queued) {
 		bg_limiter_leave(&gk->limiter, &call->entry, bg_clock_now_us(),
-		    BG_LIMITER_CANCELED);
+		    0, BG_LIMITER_IGNORED);
 		call->refusal = BG_REFUSAL_DEADLINE;
 		deliver_refusal(call);
 		return;
@@ -359,6 +365,10 @@
 		refuse_later(call, BG_REFUSAL_DRAINING);
 		return;
 	}
+	if (!bg_buffers_may_take(gk->buffers, 0)) {
+		refuse_later(call, BG_REFUSAL_BUFFERS);
+		return;
+	}
 	if (gk->backend == NULL || !bg_health_is_ready(gk->health)) {
 		refuse_later(call, BG_REFUSAL_NO_BACKEND);
 		return;
@@ -405,6 +415,7 @@
 	    bg_clock_now_us() + (uint64_t)args->deadline_ms * 1000;
 	call->entry.deadline_us = call->deadline_us;
 	call->entry.criticality = (enum bg_criticality)args->criticality;
+	call->entry.route = args->route;
 	call->next = gk->calls;
 	if (call->next != NULL)
 		call->next->prev = call;
@@ -438,7 +449,7 @@
 	if (call->exchange != NULL)
 		bg_backend_cancel(call->exchange);
 	bg_limiter_leave(
-	    &gk->limiter, &call->entry, bg_clock_now_us(), BG_LIMITER_CANCELED);
+	    &gk->limiter, &call->entry, bg_clock_now_us(), 0, BG_LIMITER_IGNORED);
 	bg_metrics_canceled();
 	call_free(call);
 	start_next(gk);
@@ -465,6 +476,8 @@
 		return;
 	}
 	call->rpc = rpc;
+	call->buffered_bytes = call->args->body.body_len;
+	bg_buffers_add(gk->buffers, call->buffered_bytes);
 	bg_rpc_on_cancel(rpc, on_rpc_cancel, call);
 	admit(call);
 }
@@ -569,6 +582,7 @@
 	gk->settings = opts->settings;
 	gk->mesh = opts->mesh;
 	gk->observer = opts->observer;
+	gk->buffers = opts->buffers;
 	bg_limiter_init(&gk->limiter, opts->settings->server.slots);
 	if ((error = init_server_side(gk, err)) != 0)
 		goto on_error;
--- a/proxy/src/gatekeeper/gatekeeper.h
+++ b/proxy/src/gatekeeper/gatekeeper.h
@@ -13,6 +13,8 @@
 #include "burdockgrade/observe.h"
 #include "burdockgrade/settings.h"
 
+#include "../limiter/buffers.h"
+
 struct bg_gatekeeper;
 struct bg_gate_call;
 
@@ -22,6 +24,7 @@
 	struct bg_mesh *mesh;
 	struct bg_link_server *server; /**< CALL is registered here */
 	struct bg_observer *observer;  /**< may be NULL */
+	struct bg_buffers *buffers;    /**< shared with the ingress */
 };
 
 int bg_gatekeeper_init(struct bg_gatekeeper **out,
--- a/proxy/src/ingress/ingress.c
+++ b/proxy/src/ingress/ingress.c
@@ -18,9 +18,6 @@
 #define BACKLOG 1024
 #define PAGES_MAX 16
 #define REQUEST_ID_BYTES 128
-/* Part of the buffers above which new calls are refused; the rest is kept for
- * the answers of calls in flight. */
-#define ADMIT_PERMILLE 750
 
 struct page {
 	const char *path;
@@ -34,7 +31,6 @@
 	struct bg_guard *connections;
 	struct page pages[PAGES_MAX];
 	size_t page_count;
-	uint64_t buffered_bytes;
 	struct bg_rand rand;
 	uint16_t port;
 };
@@ -94,7 +90,9 @@
 	set_header(req, "Burdock-Request-Id", request_id);
 	set_header(req, "Burdock-Outcome", outcome_name(ans->outcome));
 	set_retry_after(req, ans->retry_after_ms);
-	if (ans->body_bytes > 0)
+	if (req->method == htp_method_HEAD)
+		;
+	else if (ans->body_bytes > 0)
 		evbuffer_add(req->buffer_out, ans->body, ans->body_bytes);
 	else if (ans->reason != NULL) {
 		set_header(req, "Content-Type", "text/plain");
@@ -133,7 +131,7 @@
 
 	p->call = NULL;
 	p->buffered_bytes += ans->body_bytes;
-	ing->buffered_bytes += ans->body_bytes;
+	bg_buffers_add(&ing->proxy->buffers, ans->body_bytes);
 	send_answer(p->request, ans, p->request_id, is_leaving(ing));
 }
 
@@ -143,7 +141,7 @@
 {
 	struct pending *p = arg;
 
-	p->ingress->buffered_bytes -= p->buffered_bytes;
+	bg_buffers_remove(&p->ingress->proxy->buffers, p->buffered_bytes);
 	if (p->call != NULL)
 		bg_call_cancel(p->call);
 	free(p);
@@ -235,7 +233,7 @@
 	opts.deadline_ms = bg_header_u32(
 	    evhtp_header_find(req->headers_in, "X-Deadline-Ms"), 0);
 	p->buffered_bytes = evbuffer_get_length(req->buffer_in);
-	ing->buffered_bytes += p->buffered_bytes;
+	bg_buffers_add(&ing->proxy->buffers, p->buffered_bytes);
 	if (fill_args(&args, req, head, p->request_id) != 0 ||
 	    bg_call_start(&p->call, ing->proxy, &args, &opts, on_answer, p) !=
 		0)
@@ -243,14 +241,6 @@
 		    BG_RETRY_AFTER_MS, p->request_id, 0);
 }
 
-static int
-has_room(const struct bg_ingress *ing, uint64_t bytes)
-{
-	uint64_t limit = ing->proxy->settings->limits.buffered_bytes;
-
-	return ing->buffered_bytes + bytes <= limit / 1000 * ADMIT_PERMILLE;
-}
-
 static void
 serve_call(struct pending *p, const struct bg_request_head *head)
 {
@@ -267,7 +257,7 @@
 		send_error(p->request, 503,
 		    bg_refusal_text(BG_REFUSAL_DRAINING), BG_RETRY_AFTER_MS,
 		    p->request_id, 1);
-	} else if (!has_room(ing, bytes)) {
+	} else if (!bg_buffers_may_take(&ing->proxy->buffers, bytes)) {
 		bg_metrics_refused(BG_REFUSAL_BUFFERS);
 		send_error(p->request, 503, bg_refusal_text(BG_REFUSAL_BUFFERS),
 		    BG_RETRY_AFTER_MS, p->request_id, 0);
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 
 #include "limiter.h"
@@ -7,9 +8,10 @@
 #define CUT 0.8
 /* One overload shows on many answers at once; it counts once. */
 #define CUT_INTERVAL_US 100000
-/* A call this many times slower than unloaded ones is a sign of overload. */
+/* Calls that are on average this many times slower than unloaded ones are a
+ * sign of overload. */
 #define SLOW_FACTOR 4.0
-/* Below this the ratio is noise of the scheduler. */
+/* Below this the ratio of two times is noise of the scheduler. */
 #define SLOW_FLOOR_US 20000.0
 #define AVERAGE_WEIGHT 0.1
 /* Lets the unloaded time follow a server that became slower for good. */
@@ -21,6 +23,7 @@
 	memset(out, 0, sizeof(*out));
 	out->slots = slots == 0 ? 1 : slots;
 	out->limit = out->slots;
+	out->slowness = 1;
 }
 
 void
@@ -139,15 +142,16 @@
 }
 
 static void
-cut(struct bg_limiter *lim, uint64_t now_us)
+cut(struct bg_limiter *lim, uint64_t now_us, double floor)
 {
-	if (lim->last_cut_us != 0 &&
-	    now_us - lim->last_cut_us < CUT_INTERVAL_US)
+	if (lim->limit <= floor ||
+	    (lim->last_cut_us != 0 &&
+		now_us - lim->last_cut_us < CUT_INTERVAL_US))
 		return;
 	lim->last_cut_us = now_us;
 	lim->limit *= CUT;
-	if (lim->limit < 1)
-		lim->limit = 1;
+	if (lim->limit < floor)
+		lim->limit = floor;
 }
 
 static void
@@ -158,37 +162,76 @@
 		lim->limit = lim->slots;
 }
 
+/* Slowness alone may have another cause than load, such as a bad version or a
+ * large request; it never takes more than half of the slots. */
+static double
+slow_floor(const struct bg_limiter *lim)
+{
+	return lim->slots < 2 ? 1 : lim->slots / 2.0;
+}
+
+static struct bg_limiter_route *
+find_route(struct bg_limiter *lim, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < BG_ROUTES_MAX; i++) {
+		if (lim->routes[i].name[0] == '\0')
+			snprintf(
+			    lim->routes[i].name, BG_NAME_BYTES, "%s", name);
+		if (strcmp(lim->routes[i].name, name) == 0)
+			return &lim->routes[i];
+	}
+	return NULL;
+}
+
+/* Routes differ in their normal time; each is compared with its own best. */
+static void
+sample_slowness(struct bg_limiter *lim, const char *name, double own_us)
+{
+	struct bg_limiter_route *route = find_route(lim, name);
+	double ratio;
+
+	if (route == NULL)
+		return;
+	if (route->best_us == 0 || own_us < route->best_us)
+		route->best_us = own_us < 1 ? 1 : own_us;
+	else
+		route->best_us += (own_us - route->best_us) * BEST_WEIGHT;
+	ratio = own_us < SLOW_FLOOR_US ? 1 : own_us / route->best_us;
+	lim->slowness += (ratio - lim->slowness) * AVERAGE_WEIGHT;
+}
+
 static void
-sample_time(struct bg_limiter *lim, double took_us, uint64_t now_us)
+sample(struct bg_limiter *lim, const struct bg_limiter_entry *entry,
+    uint64_t now_us, uint64_t own_us)
 {
-	if (lim->service_us == 0) {
+	double took_us = (double)(now_us - entry->started_us);
+
+	if (lim->service_us == 0)
 		lim->service_us = took_us;
-		lim->best_us = took_us;
-	}
 	lim->service_us += (took_us - lim->service_us) * AVERAGE_WEIGHT;
-	if (took_us < lim->best_us)
-		lim->best_us = took_us;
-	else
-		lim->best_us += (took_us - lim->best_us) * BEST_WEIGHT;
-	if (lim->service_us > lim->best_us * SLOW_FACTOR &&
-	    lim->service_us > SLOW_FLOOR_US && lim->running >= allowed(lim))
-		cut(lim, now_us);
-	else
+	sample_slowness(lim, entry->route, (double)own_us);
+	if (lim->slowness <= SLOW_FACTOR)
 		grow(lim);
+	else if (lim->running >= allowed(lim))
+		cut(lim, now_us, slow_floor(lim));
 }
 
 void
 bg_limiter_leave(struct bg_limiter *lim, struct bg_limiter_entry *entry,
-    uint64_t now_us, enum bg_limiter_sample sample)
+    uint64_t now_us, uint64_t own_us, enum bg_limiter_sample what)
 {
 	if (entry->is_queued)
 		unlink_entry(lim, entry);
 	if (!entry->is_running)
 		return;
-	if (sample == BG_LIMITER_OK)
-		sample_time(lim, (double)(now_us - entry->started_us), now_us);
-	else if (sample != BG_LIMITER_CANCELED)
-		cut(lim, now_us);
+	if (what == BG_LIMITER_OK)
+		sample(lim, entry, now_us, own_us);
+	else if (what == BG_LIMITER_SHED)
+		cut(lim, now_us, 1);
+	else if (what == BG_LIMITER_LATE)
+		cut(lim, now_us, slow_floor(lim));
 	entry->is_running = 0;
 	lim->running--;
 }
--- a/proxy/src/metrics/metrics.c
+++ b/proxy/src/metrics/metrics.c
@@ -88,6 +88,9 @@
 static struct bg_counter gate_limit =
     BG_GAUGE("burdock_gate_limit", "Adaptive limit of running calls.");
 
+static struct bg_counter buffered =
+    BG_GAUGE("burdock_buffered_bytes", "Bytes of bodies held by the node.");
+
 const char *
 bg_refusal_text(enum bg_refusal why)
 {
@@ -162,9 +165,14 @@
 	bg_counter_set(&gate_limit, limit);
 }
 
+void
+bg_metrics_buffered(uint64_t bytes)
+{
+	bg_counter_set(&buffered, (int64_t)bytes);
+}
+
 void
 bg_metrics_backend_time(uint64_t took_us)
 {
-	bg_counter_add(&backend_time[0], 0);
 	count_time(backend_time, took_us);
 }
--- a/proxy/src/metrics/metrics.h
+++ b/proxy/src/metrics/metrics.h
@@ -45,6 +45,7 @@
 void bg_metrics_canceled(void);
 void bg_metrics_invalid(void);
 void bg_metrics_gate(uint32_t running, uint32_t queued, uint32_t limit);
+void bg_metrics_buffered(uint64_t bytes);
 void bg_metrics_backend_time(uint64_t took_us);
 
 #endif
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -8,6 +8,7 @@
 #include "call/call.h"
 #include "ingress/ingress.h"
 #include "proxy_internal.h"
+#include "router/delays.h"
 
 /* Interval at which a graceful stop looks at the calls in flight. */
 #define DRAIN_STEP_MS 20
@@ -50,8 +51,13 @@
 	gate.mesh = opts->mesh;
 	gate.server = opts->server;
 	gate.observer = opts->observer;
+	gate.buffers = &prx->buffers;
 	if ((error = bg_gatekeeper_init(&prx->gatekeeper, &gate, err)) != 0)
 		return error;
+	error = bg_delays_init(&prx->delays, prx->base, &prx->router, prx->mesh,
+	    prx->links, opts->settings->node.data_centre);
+	if (error != 0)
+		return error;
 	return bg_ingress_init(&prx->ingress, prx, err);
 }
 
@@ -72,6 +78,7 @@
 	prx->mesh = opts->mesh;
 	prx->records = opts->records;
 	prx->observer = opts->observer;
+	prx->buffers.limit_bytes = opts->settings->limits.buffered_bytes;
 	bg_router_init(&prx->router, 0);
 	bg_share_init(&prx->share);
 	bg_breaker_init(&prx->breaker);
@@ -98,6 +105,7 @@
 	bg_call_free_all(prx);
 	bg_gatekeeper_free(prx->gatekeeper);
 	bg_link_pool_free(prx->links);
+	bg_delays_free(prx->delays);
 	bg_router_free(&prx->router);
 	bg_share_free(&prx->share);
 	bg_breaker_free(&prx->breaker);
--- a/proxy/src/proxy_internal.h
+++ b/proxy/src/proxy_internal.h
@@ -10,10 +10,12 @@
 #include "breaker/breaker.h"
 #include "drain/drain.h"
 #include "gatekeeper/gatekeeper.h"
+#include "limiter/buffers.h"
 #include "retry/retry.h"
 #include "router/router.h"
 #include "share/share.h"
 
+struct bg_delays;
 struct bg_ingress;
 
 struct bg_proxy {
@@ -30,6 +32,8 @@
 	struct bg_breaker breaker;
 	struct bg_retry_budget retry;
 	struct bg_drain drain;
+	struct bg_buffers buffers;
+	struct bg_delays *delays;
 	struct event *drain_timer;
 	void (*drain_done)(void *arg);
 	void *drain_arg;
