Test routing, limits, retries, breaker, drain and the proxy process

The decision modules had no tests, and an answer with bytes of another answer behind it was forwarded: evhttp had detached the request from its connection, so that the check saw no bytes. The check now takes the connection itself. Closing a connection with a call in flight ran a hook on freed memory; the hook is unset first.

--- a/proxy/src/gatekeeper/answer.c
+++ b/proxy/src/gatekeeper/answer.c
@@ -57,25 +57,22 @@
 
 /* Bytes behind the answer belong to another request or to none. */
 static int
-has_more_bytes(struct evhttp_request *req)
+has_more_bytes(struct evhttp_connection *evcon)
 {
-	struct evhttp_connection *evcon = evhttp_request_get_connection(req);
-
-	return evcon != NULL &&
-	    evbuffer_get_length(bufferevent_get_input(
-		evhttp_connection_get_bufferevent(evcon))) > 0;
+	return evbuffer_get_length(bufferevent_get_input(
+		   evhttp_connection_get_bufferevent(evcon))) > 0;
 }
 
 int
 bg_answer_check(enum bg_discard *out_why, struct evhttp_request *req,
-    const char *request_id, int is_head)
+    struct evhttp_connection *evcon, const char *request_id, int is_head)
 {
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 	const char *id = evhttp_find_header(headers, "X-Request-Id");
 
 	*out_why = BG_DISCARD_FOREIGN;
 	if (id == NULL || strcmp(id, request_id) != 0 ||
-	    count_header(headers, "X-Request-Id") != 1 || has_more_bytes(req))
+	    count_header(headers, "X-Request-Id") != 1 || has_more_bytes(evcon))
 		return -1;
 	*out_why = BG_DISCARD_UNFRAMED;
 	return is_framed(req, is_head) ? 0 : -1;
--- a/proxy/src/gatekeeper/answer.h
+++ b/proxy/src/gatekeeper/answer.h
@@ -17,10 +17,11 @@
 /**
  * Decides whether an answer may be forwarded.
  *
+ * @param evcon connection of the request, which evhttp detached from it
  * @return 0, or -1 with the reason in out_why
  */
 int bg_answer_check(enum bg_discard *out_why, struct evhttp_request *req,
-    const char *request_id, int is_head);
+    struct evhttp_connection *evcon, const char *request_id, int is_head);
 
 /** Copies pointers to forwardable headers. @return number of headers */
 uint32_t bg_answer_headers(
--- a/proxy/src/gatekeeper/backend.c
+++ b/proxy/src/gatekeeper/backend.c
@@ -271,7 +271,8 @@
 		exchange_finish(xch, &res);
 		return;
 	}
-	if (bg_answer_check(&why, req, xch->request_id, xch->is_head) != 0) {
+	if (bg_answer_check(&why, req, xch->connection->evcon, xch->request_id,
+		xch->is_head) != 0) {
 		bg_metrics_discarded(why);
 		bg_log_warn("gatekeeper",
 		    "answer discarded request=%s reason=%s", xch->request_id,
--- /dev/null
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -0,0 +1,61 @@
+#ifndef BG_PROXY_GATE_CALL_H
+#define BG_PROXY_GATE_CALL_H
+
+/** @file
+ * One call at the gatekeeper, from its admission to its answer.
+ */
+
+#include "../limiter/limiter.h"
+#include "../metrics/metrics.h"
+#include "backend.h"
+#include "dependency.h"
+#include "gatekeeper.h"
+#include "health.h"
+
+struct bg_gate_call {
+	struct bg_limiter_entry entry; /* first member */
+	struct bg_gatekeeper *gatekeeper;
+	struct bg_gate_call *prev;
+	struct bg_gate_call *next;
+	const struct bg_xcall_args *args;
+	struct bg_rpc *rpc;
+	struct bg_exchange *exchange;
+	struct event *timer;
+	bg_gate_fn fn;
+	void *arg;
+	struct bg_dependency_time dependency;
+	uint64_t deadline_us;
+	uint64_t buffered_bytes; /* of a call from another node */
+	int is_refused;		 /* the timer delivers the refusal */
+	int is_second;		 /* sent again on a new connection */
+	int is_halfway; /* the timer guards against a silent connection */
+	enum bg_refusal refusal;
+};
+
+struct bg_gatekeeper {
+	struct event_base *base;
+	const struct bg_settings *settings;
+	struct bg_mesh *mesh;
+	struct bg_observer *observer;
+	struct bg_backend *backend; /* NULL without a backend server */
+	struct bg_health *health;
+	struct bg_limiter limiter;
+	struct bg_gate_call *calls;
+	uint32_t in_flight;
+	struct bg_buffers *buffers;
+	int is_leaving;
+};
+
+int bg_gate_call_new(struct bg_gate_call **out, struct bg_gatekeeper *gk,
+    const struct bg_xcall_args *args);
+void bg_gate_call_free(struct bg_gate_call *call);
+/** Sets the timer of the call, in microseconds of the monotonic clock. */
+void bg_gate_arm(struct bg_gate_call *call, uint64_t at_us);
+/** Answers not-run from the loop. */
+void bg_gate_refuse(struct bg_gate_call *call, enum bg_refusal why);
+/** Sends a call that holds a slot to the backend server. */
+void bg_gate_run(struct bg_gate_call *call, int is_new_needed);
+/** Runs queued calls for which a slot is free. */
+void bg_gate_start_next(struct bg_gatekeeper *gk);
+
+#endif
--- a/proxy/src/ingress/guard.c
+++ b/proxy/src/ingress/guard.c
@@ -278,6 +278,8 @@
 {
 	struct bg_guard *grd = arg;
 
+	/* libevhtp ends the request after this hook. */
+	evhtp_connection_unset_hook(conn, evhtp_hook_on_request_fini);
 	end_request(grd);
 	if (grd->prev != NULL)
 		grd->prev->next = grd->next;
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -203,7 +203,7 @@
 }
 
 static void
-sample(struct bg_limiter *lim, const struct bg_limiter_entry *entry,
+take_sample(struct bg_limiter *lim, const struct bg_limiter_entry *entry,
     uint64_t now_us, uint64_t own_us)
 {
 	double took_us = (double)(now_us - entry->started_us);
@@ -220,17 +220,17 @@
 
 void
 bg_limiter_leave(struct bg_limiter *lim, struct bg_limiter_entry *entry,
-    uint64_t now_us, uint64_t own_us, enum bg_limiter_sample what)
+    uint64_t now_us, uint64_t own_us, enum bg_limiter_sample sample)
 {
 	if (entry->is_queued)
 		unlink_entry(lim, entry);
 	if (!entry->is_running)
 		return;
-	if (what == BG_LIMITER_OK)
-		sample(lim, entry, now_us, own_us);
-	else if (what == BG_LIMITER_SHED)
+	if (sample == BG_LIMITER_OK)
+		take_sample(lim, entry, now_us, own_us);
+	else if (sample == BG_LIMITER_SHED)
 		cut(lim, now_us, 1);
-	else if (what == BG_LIMITER_LATE)
+	else if (sample == BG_LIMITER_LATE)
 		cut(lim, now_us, slow_floor(lim));
 	entry->is_running = 0;
 	lim->running--;
--- a/proxy/tests/node.h
+++ b/proxy/tests/node.h
@@ -13,7 +13,6 @@
 #include "backend.h"
 #include "client.h"
 #include "stub_mesh.h"
-#include "stub_snapshot.h"
 
 /* Upper bound of one wait; a lost event fails, not hangs. */
 #define WAIT_MAX_MS 8000
--- /dev/null
+++ b/proxy/tests/test_deadline.c
@@ -0,0 +1,164 @@
+#include "call/deadline.h"
+#include "gatekeeper/dependency.h"
+#include "gatekeeper/probe.h"
+#include "ingress/request_head.h"
+#include "suite.h"
+
+#include <stdio.h>
+#include <string.h>
+
+START_TEST(deadline_is_the_smaller_one)
+{
+	ck_assert_uint_eq(bg_deadline_first_ms(1000, 0), 1000);
+	ck_assert_uint_eq(bg_deadline_first_ms(1000, 300), 300);
+	ck_assert_uint_eq(bg_deadline_first_ms(1000, 5000), 1000);
+}
+END_TEST
+
+START_TEST(time_left_does_not_wrap)
+{
+	ck_assert_uint_eq(bg_deadline_left_ms(5000000, 4000000), 1000);
+	ck_assert_uint_eq(bg_deadline_left_ms(5000000, 5000000), 0);
+	ck_assert_uint_eq(bg_deadline_left_ms(5000000, 9000000), 0);
+}
+END_TEST
+
+START_TEST(header_numbers_are_strict)
+{
+	ck_assert_uint_eq(bg_header_u32("17", 3), 17);
+	ck_assert_uint_eq(bg_header_u32(NULL, 3), 3);
+	ck_assert_uint_eq(bg_header_u32("", 3), 3);
+	ck_assert_uint_eq(bg_header_u32("-1", 3), 3);
+	ck_assert_uint_eq(bg_header_u32("12x", 3), 3);
+	ck_assert_uint_eq(bg_header_u32("99999999999", 3), 3);
+}
+END_TEST
+
+START_TEST(old_connection_is_for_lookups_only)
+{
+	ck_assert(bg_connection_is_fresh(BG_FRESH_MS, 0));
+	ck_assert(!bg_connection_is_fresh(BG_FRESH_MS + 1, 0));
+	ck_assert(!bg_connection_is_fresh(UINT64_MAX, 0));
+	ck_assert(bg_connection_is_fresh(UINT64_MAX, 1));
+}
+END_TEST
+
+/* Guards against parallel dependency calls that are subtracted twice. */
+START_TEST(parallel_dependencies_count_once)
+{
+	struct bg_dependency_time dep;
+
+	memset(&dep, 0, sizeof(dep));
+	bg_dependency_begin(&dep, 1000);
+	bg_dependency_begin(&dep, 2000);
+	bg_dependency_end(&dep, 3000, 0);
+	bg_dependency_end(&dep, 5000, 1);
+	ck_assert_uint_eq(bg_dependency_own_us(&dep, 0, 10000), 6000);
+	ck_assert(dep.has_failed);
+	bg_dependency_begin(&dep, 10000);
+	ck_assert_uint_eq(bg_dependency_own_us(&dep, 0, 12000), 6000);
+}
+END_TEST
+
+/* Guards against a server that is taken out for its own report alone. */
+START_TEST(bad_probes_do_not_remove_a_server_that_answers)
+{
+	struct bg_probe prb;
+	uint64_t now_ms = 1000;
+	int i;
+
+	memset(&prb, 0, sizeof(prb));
+	ck_assert(bg_probe_result(&prb, BG_PROBE_GOOD, now_ms));
+	for (i = 0; i < 20; i++) {
+		now_ms += 1000;
+		bg_probe_answered(&prb, now_ms);
+		ck_assert(!bg_probe_result(&prb, BG_PROBE_BAD, now_ms + 1));
+	}
+	ck_assert(prb.is_ready);
+	now_ms += 4000;
+	ck_assert(bg_probe_result(&prb, BG_PROBE_BAD, now_ms));
+	ck_assert(!prb.is_ready);
+}
+END_TEST
+
+START_TEST(refused_connection_removes_at_once)
+{
+	struct bg_probe prb;
+
+	memset(&prb, 0, sizeof(prb));
+	bg_probe_result(&prb, BG_PROBE_GOOD, 1000);
+	bg_probe_answered(&prb, 1000);
+	ck_assert(bg_probe_result(&prb, BG_PROBE_REFUSED, 1001));
+	ck_assert_uint_eq(bg_probe_interval_ms(&prb), BG_PROBE_STARTING_MS);
+	ck_assert(bg_probe_result(&prb, BG_PROBE_GOOD, 1002));
+}
+END_TEST
+
+static int
+check(const char *text, struct bg_request_head *out)
+{
+	const char *reason;
+
+	return bg_request_head_check(out, &reason, text, strlen(text), 1000);
+}
+
+/* Guards against a decision on a part of a head. */
+START_TEST(split_head_is_complete_only_at_its_end)
+{
+	const char *text = "PUT /a/b?c HTTP/1.1\r\nHost: x\r\n"
+			   "Content-Length: 12\r\n\r\n";
+	struct bg_request_head head;
+	const char *reason;
+	size_t i;
+
+	for (i = 0; i < strlen(text); i++)
+		ck_assert_int_eq(
+		    bg_request_head_check(&head, &reason, text, i, 1000), 0);
+	ck_assert_int_eq(check(text, &head), 200);
+	ck_assert_str_eq(head.method, "PUT");
+	ck_assert_str_eq(head.target, "/a/b?c");
+	ck_assert_uint_eq(head.body_bytes, 12);
+	ck_assert_uint_eq(head.head_bytes, strlen(text));
+}
+END_TEST
+
+START_TEST(head_bounds_hold)
+{
+	static char text[BG_REQUEST_HEAD_BYTES + 4096];
+	struct bg_request_head head;
+	const char *reason;
+	size_t bytes;
+	int i;
+
+	memset(text, 'a', sizeof(text));
+	ck_assert_int_eq(bg_request_head_check(&head, &reason, text,
+			     BG_REQUEST_HEAD_BYTES + 1, 1000),
+	    431);
+	bytes = (size_t)sprintf(text, "GET / HTTP/1.1\r\n");
+	for (i = 0; i <= BG_REQUEST_HEADERS; i++)
+		bytes += (size_t)sprintf(text + bytes, "H%d: x\r\n", i);
+	sprintf(text + bytes, "\r\n");
+	ck_assert_int_eq(check(text, &head), 431);
+	bytes = (size_t)sprintf(text, "GET /");
+	memset(text + bytes, 'a', 5000);
+	sprintf(text + bytes + 5000, " HTTP/1.1\r\n\r\n");
+	ck_assert_int_eq(check(text, &head), 414);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("deadline");
+
+	tcase_add_test(tc, deadline_is_the_smaller_one);
+	tcase_add_test(tc, time_left_does_not_wrap);
+	tcase_add_test(tc, header_numbers_are_strict);
+	tcase_add_test(tc, old_connection_is_for_lookups_only);
+	tcase_add_test(tc, parallel_dependencies_count_once);
+	tcase_add_test(tc, bad_probes_do_not_remove_a_server_that_answers);
+	tcase_add_test(tc, refused_connection_removes_at_once);
+	tcase_add_test(tc, split_head_is_complete_only_at_its_end);
+	tcase_add_test(tc, head_bounds_hold);
+	return run_suite("deadline", tc);
+}
--- /dev/null
+++ b/proxy/tests/test_drain.c
@@ -0,0 +1,80 @@
+#include <string.h>
+
+#include "drain/drain.h"
+#include "suite.h"
+
+#define ANNOUNCE_MS 2000
+#define BOUND_MS 30000
+
+static struct bg_drain drn;
+
+static void
+setup(void)
+{
+	memset(&drn, 0, sizeof(drn));
+	bg_drain_begin(&drn, ANNOUNCE_MS, BOUND_MS, 1000);
+}
+
+/* Guards against leaving before the other nodes stopped sending. */
+START_TEST(leaves_after_the_news_has_spread)
+{
+	ck_assert(!bg_drain_step(&drn, 0, 0, 1500));
+	ck_assert(!bg_drain_step(&drn, 1, 0, 2000));
+	ck_assert(!bg_drain_step(&drn, 1, 0, 3999));
+	ck_assert(bg_drain_step(&drn, 1, 0, 4000));
+	ck_assert_int_eq(drn.state, BG_DRAIN_LEAVING);
+	ck_assert(bg_drain_step(&drn, 1, 0, 4000));
+	ck_assert_int_eq(drn.state, BG_DRAIN_DONE);
+}
+END_TEST
+
+START_TEST(waits_for_calls_in_flight)
+{
+	bg_drain_step(&drn, 1, 5, 1000);
+	ck_assert(bg_drain_step(&drn, 1, 5, 3000));
+	ck_assert(!bg_drain_step(&drn, 1, 1, 20000));
+	ck_assert(bg_drain_step(&drn, 1, 0, 20001));
+	ck_assert_int_eq(drn.state, BG_DRAIN_DONE);
+	ck_assert_uint_eq(drn.left_running, 0);
+}
+END_TEST
+
+START_TEST(bound_ends_the_wait)
+{
+	bg_drain_step(&drn, 1, 2, 1000);
+	bg_drain_step(&drn, 1, 2, 3000);
+	ck_assert(!bg_drain_step(&drn, 1, 2, 30999));
+	ck_assert(bg_drain_step(&drn, 1, 2, 31000));
+	ck_assert_uint_eq(drn.left_running, 2);
+}
+END_TEST
+
+/* Guards against a node without a parent that never stops. */
+START_TEST(leaves_without_confirmation_in_the_end)
+{
+	ck_assert(!bg_drain_step(&drn, 0, 0, 15999));
+	ck_assert(bg_drain_step(&drn, 0, 0, 16000));
+	ck_assert_int_eq(drn.state, BG_DRAIN_LEAVING);
+}
+END_TEST
+
+START_TEST(second_begin_does_not_restart)
+{
+	bg_drain_begin(&drn, ANNOUNCE_MS, BOUND_MS, 20000);
+	ck_assert_uint_eq(drn.began_ms, 1000);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("drain");
+
+	tcase_add_checked_fixture(tc, setup, NULL);
+	tcase_add_test(tc, leaves_after_the_news_has_spread);
+	tcase_add_test(tc, waits_for_calls_in_flight);
+	tcase_add_test(tc, bound_ends_the_wait);
+	tcase_add_test(tc, leaves_without_confirmation_in_the_end);
+	tcase_add_test(tc, second_begin_does_not_restart);
+	return run_suite("drain", tc);
+}
--- a/proxy/tests/test_proxy_process.c
+++ b/proxy/tests/test_proxy_process.c
@@ -124,6 +124,647 @@
 }
 END_TEST
 
+/* Guards against a lost response that is reported as safe to send again. */
+START_TEST(server_that_dies_after_running_gives_unknown)
+{
+	setup_remote();
+	two.backend.mode = BACKEND_DIE;
+	post_keyed("/cut");
+	ck_assert_int_eq(client_status(&cl), 502);
+	ck_assert(client_has(&cl, "Burdock-Outcome: unknown"));
+	ck_assert(!client_has(&cl, "Retry-After"));
+	ck_assert_int_eq(two.backend.requests, 1);
+	ck_assert_int_eq(one.records.last_outcome, BG_XOUTCOME_UNKNOWN);
+	ck_assert_int_eq(two.observed.failed, 1);
+	teardown_remote();
+}
+END_TEST
+
+/* Guards against a retry of a keyed call that may have run. */
+START_TEST(keyed_call_is_sent_once)
+{
+	struct node *both[] = {&one, &two};
+
+	setup_remote();
+	node_knows(&one, both, 2);
+	one.backend.mode = two.backend.mode = BACKEND_DIE;
+	post_keyed("/cut");
+	ck_assert_int_eq(client_status(&cl), 502);
+	ck_assert_int_eq(one.backend.requests + two.backend.requests, 1);
+	teardown_remote();
+}
+END_TEST
+
+START_TEST(lookup_is_retried_at_another_server)
+{
+	struct node *both[] = {&one, &two};
+
+	setup_remote();
+	node_knows(&one, both, 2);
+	one.backend.mode = BACKEND_DIE;
+	get("/lookup");
+	get("/lookup");
+	ck_assert_int_eq(client_status(&cl), 200);
+	ck_assert_int_eq(two.backend.requests, 2);
+	teardown_remote();
+}
+END_TEST
+
+/* Guards against retries that multiply along a chain of services. */
+START_TEST(call_of_a_chain_is_not_retried)
+{
+	struct node *both[] = {&one, &two};
+
+	setup_remote();
+	node_knows(&one, both, 2);
+	one.backend.mode = two.backend.mode = BACKEND_503;
+	client_send(
+	    &cl, "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Call-Depth: 1\r\n\r\n");
+	WAIT(base, client_has_answer(&cl));
+	ck_assert_int_eq(client_status(&cl), 503);
+	ck_assert_int_eq(one.backend.requests + two.backend.requests, 1);
+	teardown_remote();
+}
+END_TEST
+
+START_TEST(call_depth_is_bounded)
+{
+	setup();
+	client_send(
+	    &cl, "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Call-Depth: 8\r\n\r\n");
+	WAIT(base, client_has_answer(&cl));
+	ck_assert_int_eq(client_status(&cl), 503);
+	ck_assert(client_has(&cl, "Burdock-Outcome: not-run"));
+	ck_assert_int_eq(one.backend.requests, 0);
+	teardown();
+}
+END_TEST
+
+/* Guards against an answer that arrives after the deadline and reaches the
+ * next request of the connection. */
+START_TEST(late_answer_is_not_given_to_the_next_request)
+{
+	setup();
+	one.backend.mode = BACKEND_HOLD;
+	get("/quick/1");
+	ck_assert_int_eq(client_status(&cl), 504);
+	ck_assert(client_has(&cl, "Burdock-Outcome: unknown"));
+	backend_release(&one.backend, BACKEND_OK);
+	one.backend.mode = BACKEND_OK;
+	get("/lookup/2");
+	ck_assert_int_eq(client_status(&cl), 200);
+	ck_assert_int_eq(one.backend.held, 0);
+	teardown();
+}
+END_TEST
+
+struct unusable {
+	enum backend_mode mode;
+	const char *name;
+};
+
+static const struct unusable unusable[] = {
+    {BACKEND_CROSSED, "crossed"},
+    {BACKEND_ANONYMOUS, "anonymous"},
+    {BACKEND_TRUNCATED, "truncated"},
+    {BACKEND_UNFRAMED, "unframed"},
+    {BACKEND_TWO_LENGTHS, "two lengths"},
+    {BACKEND_OVERSIZED, "oversized"},
+    {BACKEND_EXTRA, "extra bytes"},
+};
+
+/* Guards against an answer that belongs to another request, or of which a part
+ * is missing, being forwarded; its connection must not be used again. */
+START_TEST(unusable_answer_is_discarded)
+{
+	const struct unusable *un = &unusable[_i];
+	int accepted;
+
+	setup();
+	one.backend.mode = un->mode;
+	post_keyed("/cut");
+	ck_assert_msg(client_status(&cl) == 502, "%s: %s", un->name, cl.text);
+	ck_assert(client_has(&cl, "Burdock-Outcome: unknown"));
+	ck_assert_msg(
+	    strstr(cl.text, "hello") == NULL, "%s forwarded", un->name);
+	one.backend.mode = BACKEND_OK;
+	accepted = one.backend.accepted;
+	post_keyed("/cut");
+	ck_assert_int_eq(client_status(&cl), 200);
+	ck_assert_msg(one.backend.accepted > accepted,
+	    "%s: the connection was used again", un->name);
+	teardown();
+}
+END_TEST
+
+START_TEST(chunked_answer_is_forwarded)
+{
+	setup();
+	one.backend.mode = BACKEND_CHUNKED;
+	get("/lookup");
+	ck_assert_int_eq(client_status(&cl), 200);
+	ck_assert_str_eq(client_body(&cl), "hello");
+	teardown();
+}
+END_TEST
+
+/* Guards against a keyed call that is written to a dead connection and then
+ * has no known outcome. */
+START_TEST(keyed_call_avoids_a_silent_connection)
+{
+	uint64_t end_ms;
+
+	setup();
+	get("/lookup");
+	backend_silence(&one.backend);
+	end_ms = bg_clock_now_ms() + 300;
+	WAIT(base, bg_clock_now_ms() > end_ms);
+	post_keyed("/cut");
+	ck_assert_int_eq(client_status(&cl), 200);
+	ck_assert_int_eq(one.backend.requests, 2);
+	teardown();
+}
+END_TEST
+
+START_TEST(lookup_leaves_a_silent_connection)
+{
+	setup();
+	get("/lookup");
+	backend_silence(&one.backend);
+	get("/lookup");
+	ck_assert_int_eq(client_status(&cl), 200);
+	teardown();
+}
+END_TEST
+
+/* Guards against a slot that stays taken by a caller who left. */
+START_TEST(caller_that_hangs_up_frees_its_slot)
+{
+	struct client others[4];
+	int i;
+
+	setup_remote();
+	two.backend.mode = BACKEND_HOLD;
+	for (i = 0; i < 4; i++) {
+		client_open(&others[i], base, bg_proxy_port(one.proxy));
+		client_send(&others[i],
+		    "GET /lookup/%d HTTP/1.1\r\nHost: x\r\n\r\n", i);
+	}
+	WAIT(base, two.backend.held == 4);
+	for (i = 0; i < 4; i++)
+		client_close(&others[i]);
+	WAIT(base, two.backend.aborted == 4);
+	two.backend.mode = BACKEND_OK;
+	get("/lookup");
+	ck_assert_int_eq(client_status(&cl), 200);
+	teardown_remote();
+}
+END_TEST
+
+START_TEST(caller_that_hangs_up_leaves_an_unknown_record)
+{
+	struct client other;
+
+	setup();
+	one.backend.mode = BACKEND_HOLD;
+	client_open(&other, base, bg_proxy_port(one.proxy));
+	client_send(&other,
+	    "POST /cut HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\n"
+	    "Content-Length: 0\r\n\r\n");
+	WAIT(base, one.backend.held == 1);
+	client_close(&other);
+	WAIT(base, one.records.finishes == 1);
+	ck_assert_int_eq(one.records.last_outcome, BG_XOUTCOME_UNKNOWN);
+	teardown();
+}
+END_TEST
+
+/* Guards against a permission that stays taken after its caller left. */
+START_TEST(late_permission_is_given_back)
+{
+	struct bg_begin_result res;
+	struct client other;
+
+	setup();
+	memset(&res, 0, sizeof(res));
+	res.status = BG_XBEGIN_GRANTED;
+	res.grant = 77;
+	one.records.is_held = 1;
+	client_open(&other, base, bg_proxy_port(one.proxy));
+	client_send(&other,
+	    "POST /cut HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\n"
+	    "Content-Length: 0\r\n\r\n");
+	WAIT(base, one.records.begins == 1);
+	client_close(&other);
+	get("/lookup");
+	one.records.held_fn(one.records.held_arg, &res);
+	ck_assert_int_eq(one.records.finishes, 1);
+	ck_assert_int_eq(one.records.last_outcome, BG_XOUTCOME_NOT_RUN);
+	ck_assert_int_eq(one.backend.requests, 1);
+	teardown();
+}
+END_TEST
+
+START_TEST(recorded_answer_is_returned)
+{
+	struct bg_xanswer kept;
+
+	setup();
+	memset(&kept, 0, sizeof(kept));
+	kept.http_status = 201;
+	kept.body.body_val = "kept";
+	kept.body.body_len = 4;
+	one.records.status = BG_XBEGIN_DONE;
+	one.records.answer = &kept;
+	post_keyed("/cut");
+	ck_assert_int_eq(client_status(&cl), 201);
+	ck_assert(client_has(&cl, "Burdock-Outcome: done"));
+	ck_assert_str_eq(client_body(&cl), "kept");
+	ck_assert_int_eq(one.backend.requests, 0);
+	teardown();
+}
+END_TEST
+
+struct begun {
+	enum bg_xbegin_status status;
+	int http_status;
+	const char *outcome;
+};
+
+static const struct begun begun[] = {
+    {BG_XBEGIN_RUNNING, 504, "Burdock-Outcome: unknown"},
+    {BG_XBEGIN_UNKNOWN, 502, "Burdock-Outcome: unknown"},
+    {BG_XBEGIN_NOT_RUN, 503, "Burdock-Outcome: not-run"},
+    {BG_XBEGIN_MISMATCH, 422, "Burdock-Outcome: not-run"},
+};
+
+START_TEST(call_without_permission_is_not_sent)
+{
+	setup();
+	one.records.status = begun[_i].status;
+	post_keyed("/cut");
+	ck_assert_int_eq(client_status(&cl), begun[_i].http_status);
+	ck_assert(client_has(&cl, begun[_i].outcome));
+	ck_assert_int_eq(one.backend.requests, 0);
+	ck_assert_int_eq(one.records.finishes, 0);
+	teardown();
+}
+END_TEST
+
+/* Guards against "not-run" for a call that did run, and against a queue
+ * without a bound. */
+START_TEST(full_queue_refuses_without_running)
+{
+	struct client others[12];
+	int i;
+
+	setup_remote();
+	two.backend.mode = BACKEND_HOLD;
+	for (i = 0; i < 12; i++) {
+		client_open(&others[i], base, bg_proxy_port(one.proxy));
+		client_send(&others[i],
+		    "GET /lookup/%d HTTP/1.1\r\nHost: x\r\n\r\n", i);
+	}
+	WAIT(base, two.backend.held == 4);
+	/* Four run and eight wait, so that the next one is refused. */
+	get("/lookup/12");
+	ck_assert_int_eq(client_status(&cl), 503);
+	ck_assert(client_has(&cl, "Burdock-Outcome: not-run"));
+	ck_assert(client_has(&cl, "Retry-After: "));
+	ck_assert_int_eq(two.backend.requests, 4);
+	/* A call of higher criticality takes the place of a lookup. */
+	client_send(&cl,
+	    "POST /cut HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\n"
+	    "Content-Length: 0\r\n\r\n");
+	WAIT(base, client_status(&others[11]) == 503);
+	ck_assert(client_has(&others[11], "Burdock-Outcome: not-run"));
+	two.backend.mode = BACKEND_OK;
+	backend_release(&two.backend, BACKEND_OK);
+	WAIT(base, client_has_answer(&cl));
+	ck_assert_int_eq(client_status(&cl), 200);
+	for (i = 0; i < 11; i++) {
+		WAIT(base, client_has_answer(&others[i]));
+		ck_assert_int_eq(client_status(&others[i]), 200);
+	}
+	for (i = 0; i < 12; i++)
+		client_close(&others[i]);
+	teardown_remote();
+}
+END_TEST
+
+START_TEST(slow_writer_is_served)
+{
+	const char *text = "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n";
+	size_t i;
+	uint64_t end_ms;
+
+	setup();
+	for (i = 0; i < strlen(text); i++) {
+		client_send(&cl, "%c", text[i]);
+		end_ms = bg_clock_now_ms() + 1;
+		WAIT(base, bg_clock_now_ms() > end_ms);
+	}
+	WAIT(base, client_has_answer(&cl));
+	ck_assert_int_eq(client_status(&cl), 200);
+	teardown();
+}
+END_TEST
+
+/* Guards against a slow reader that holds up other callers. */
+START_TEST(slow_reader_holds_up_nobody)
+{
+	struct client slow;
+
+	setup();
+	one.backend.mode = BACKEND_BIG;
+	client_open(&slow, base, bg_proxy_port(one.proxy));
+	bufferevent_disable(slow.bev, EV_READ);
+	client_send(&slow, "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, one.observed.count == 1);
+	one.backend.mode = BACKEND_OK;
+	get("/lookup");
+	ck_assert_int_eq(client_status(&cl), 200);
+	bufferevent_enable(slow.bev, EV_READ);
+	WAIT(base, client_has_answer(&slow));
+	ck_assert_uint_eq(client_length(&slow), 512 * 1024);
+	client_close(&slow);
+	teardown();
+}
+END_TEST
+
+struct invalid {
+	const char *text;
+	int http_status;
+};
+
+static const struct invalid invalid[] = {
+    {"GET /lookup HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+     "Content-Length: 5\r\n\r\nabcde",
+	400},
+    {"GET /lookup HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	400},
+    {"GET /lookup HTTP/1.1\r\nHost : x\r\n\r\n", 400},
+    {"GET /lookup HTTP/1.1\nHost: x\n\n", 400},
+    {"GET http://x/lookup HTTP/1.1\r\nHost: x\r\n\r\n", 400},
+    {"GET /lookup HTTP/1.1\r\nHost: x\r\n folded: y\r\n\r\n", 400},
+    {"POST /cut HTTP/1.1\r\nHost: x\r\nContent-Length: 9999999\r\n\r\nabc",
+	413},
+    {"GET /lookup HTTP/2.5\r\nHost: x\r\n\r\n", 505},
+};
+
+START_TEST(invalid_request_gets_a_clear_answer)
+{
+	struct client other;
+
+	setup();
+	client_send(&cl, "%s", invalid[_i].text);
+	WAIT(base, client_has_answer(&cl));
+	ck_assert_int_eq(client_status(&cl), invalid[_i].http_status);
+	ck_assert(client_has(&cl, "Burdock-Outcome: not-run"));
+	WAIT(base, cl.is_closed);
+	ck_assert_int_eq(one.backend.requests, 0);
+	client_open(&other, base, bg_proxy_port(one.proxy));
+	client_send(&other, "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, client_has_answer(&other));
+	ck_assert_int_eq(client_status(&other), 200);
+	client_close(&other);
+	teardown();
+}
+END_TEST
+
+START_TEST(too_long_head_is_refused)
+{
+	char value[5000];
+
+	setup();
+	memset(value, 'v', sizeof(value) - 1);
+	value[sizeof(value) - 1] = '\0';
+	client_send(
+	    &cl, "GET /lookup HTTP/1.1\r\nHost: x\r\nA: %s\r\n\r\n", value);
+	WAIT(base, client_has_answer(&cl));
+	ck_assert_int_eq(client_status(&cl), 431);
+	teardown();
+}
+END_TEST
+
+/* A chunked body has no length in its head; it is bounded all the same. */
+START_TEST(too_large_chunked_body_is_refused)
+{
+	static char chunk[60000];
+	int i;
+
+	setup();
+	one.settings.limits.body_bytes = 100000;
+	memset(chunk, 'c', sizeof(chunk) - 1);
+	client_send(&cl,
+	    "POST /cut HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n");
+	for (i = 0; i < 3; i++)
+		client_send(&cl, "%zx\r\n%s\r\n", sizeof(chunk) - 1, chunk);
+	client_send(&cl, "0\r\n\r\n");
+	WAIT(base, client_has_answer(&cl));
+	ck_assert_int_eq(client_status(&cl), 413);
+	ck_assert_int_eq(one.backend.requests, 0);
+	teardown();
+}
+END_TEST
+
+/* Guards against answers that change places on a connection. */
+START_TEST(pipelined_requests_are_answered_in_order)
+{
+	setup();
+	client_send(&cl,
+	    "GET /lookup/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: first\r\n\r\n"
+	    "POST /cut HTTP/1.1\r\nHost: x\r\nX-Request-Id: second\r\n"
+	    "Idempotency-Key: k\r\nContent-Length: 3\r\n\r\nabc"
+	    "GET /nowhere HTTP/1.1\r\nHost: x\r\nX-Request-Id: third\r\n\r\n");
+	WAIT(base, strstr(cl.text, "no route has this path") != NULL);
+	ck_assert(strstr(cl.text, "first") < strstr(cl.text, "second"));
+	ck_assert(strstr(cl.text, "second") < strstr(cl.text, "third"));
+	ck_assert_int_eq(one.backend.requests, 2);
+	ck_assert_str_eq(one.backend.last_body, "abc");
+	teardown();
+}
+END_TEST
+
+START_TEST(connection_close_is_honoured)
+{
+	setup();
+	client_send(&cl,
+	    "GET /lookup HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+	WAIT(base, cl.is_closed);
+	ck_assert_int_eq(client_status(&cl), 200);
+	teardown();
+}
+END_TEST
+
+/* Guards against time that a dependency took being held against a version. */
+START_TEST(dependency_time_is_not_own_time)
+{
+	struct client dep;
+	uint64_t end_ms;
+
+	setup_remote();
+	two.backend.mode = BACKEND_HOLD;
+	client_send(
+	    &cl, "GET /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: r1\r\n\r\n");
+	WAIT(base, two.backend.held == 1);
+	/* The backend server of node two calls a dependency through its own
+	 * node, which is served by node one. */
+	node_knows(&two, (struct node *[]){&one}, 1);
+	one.backend.mode = BACKEND_HOLD;
+	client_open(&dep, base, bg_proxy_port(two.proxy));
+	client_send(&dep,
+	    "GET /lookup/dep HTTP/1.1\r\nHost: x\r\nX-Request-Id: r1\r\n"
+	    "X-Call-Depth: 1\r\n\r\n");
+	WAIT(base, one.backend.held == 1);
+	end_ms = bg_clock_now_ms() + 200;
+	WAIT(base, bg_clock_now_ms() > end_ms);
+	backend_release(&one.backend, BACKEND_500);
+	WAIT(base, client_has_answer(&dep));
+	backend_release(&two.backend, BACKEND_500);
+	WAIT(base, client_has_answer(&cl));
+	ck_assert_int_eq(two.observed.count, 1);
+	ck_assert_uint_lt(two.observed.last_own_us, 150000);
+	ck_assert_int_eq(two.observed.dependency_faults, 1);
+	client_close(&dep);
+	teardown_remote();
+}
+END_TEST
+
+/* Guards against a server that is announced ready while nothing listens, and
+ * one that is not announced again. */
+START_TEST(server_state_and_version_are_announced)
+{
+	struct event_base *b;
+
+	setup();
+	b = base;
+	get("/lookup");
+	backend_stop(&one.backend);
+	WAIT(b, one.mesh.state == BG_MEMBER_STARTING);
+	one.backend.version = "v2";
+	backend_listen(&one.backend, b);
+	WAIT(b, one.mesh.state == BG_MEMBER_READY);
+	ck_assert_str_eq(one.mesh.version, "v2");
+	get("/lookup");
+	ck_assert_int_eq(client_status(&cl), 200);
+	teardown();
+}
+END_TEST
+
+/* Guards against a version that fails plainly and keeps its calls. */
+START_TEST(failing_version_is_stopped_at_this_node)
+{
+	struct node *both[] = {&one, &two};
+	struct bg_move *move = &services[0].head.move;
+	int i;
+
+	setup_remote();
+	snprintf(two.settings.server.version, BG_SETTING_BYTES, "v2");
+	node_knows(&one, both, 2);
+	two.backend.version = "v2";
+	two.backend.mode = BACKEND_500;
+	move->state = BG_MOVE_IN_PROGRESS;
+	move->generation = 3;
+	move->share_permille = 500;
+	snprintf(move->from, sizeof(move->from), "v1");
+	snprintf(move->to, sizeof(move->to), "v2");
+	for (i = 0; i < 40; i++)
+		get("/lookup");
+	ck_assert_int_eq(one.observed.stopped, 1);
+	ck_assert_str_eq(one.observed.stopped_version, "v2");
+	ck_assert_int_eq(two.backend.requests, 3);
+	teardown_remote();
+}
+END_TEST
+
+static int
+page(void *arg, char **out, const char **content_type)
+{
+	*out = strdup("ready\n");
+	return 200;
+}
+
+START_TEST(page_is_served)
+{
+	setup();
+	ck_assert_int_eq(bg_proxy_page(one.proxy, "/status", page, NULL), 0);
+	get("/status?x=1");
+	ck_assert_int_eq(client_status(&cl), 200);
+	ck_assert_str_eq(client_body(&cl), "ready\n");
+	teardown();
+}
+END_TEST
+
+/* Guards against calls that are answered from no configuration at all. */
+START_TEST(unsynced_node_refuses)
+{
+	setup();
+	one.mesh.is_synced = 0;
+	get("/lookup");
+	ck_assert_int_eq(client_status(&cl), 503);
+	ck_assert(client_has(&cl, "Burdock-Outcome: not-run"));
+	teardown();
+}
+END_TEST
+
+static void
+on_drained(void *arg)
+{
+	++*(int *)arg;
+}
+
+/* Guards against a planned stop that cuts off a call, and one that goes before
+ * its news has spread. */
+START_TEST(drain_finishes_what_runs)
+{
+	struct client late;
+	int drained = 0;
+
+	setup();
+	one.backend.mode = BACKEND_HOLD;
+	one.mesh.is_announced = 0;
+	client_send(&cl, "GET /lookup/1 HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, one.backend.held == 1);
+	bg_proxy_drain(one.proxy, on_drained, &drained);
+	ck_assert_int_eq(one.mesh.state, BG_MEMBER_DRAINING);
+	/* Calls are taken until the news has spread. */
+	client_open(&late, base, bg_proxy_port(one.proxy));
+	client_send(&late, "GET /lookup/2 HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, one.backend.held == 2);
+	ck_assert_int_eq(one.mesh.state, BG_MEMBER_DRAINING);
+	one.mesh.is_announced = 1;
+	WAIT(base, one.mesh.state == BG_MEMBER_LEAVING);
+	ck_assert_int_eq(drained, 0);
+	backend_release(&one.backend, BACKEND_OK);
+	WAIT(base, drained == 1);
+	ck_assert_int_eq(client_status(&cl), 200);
+	ck_assert_int_eq(client_status(&late), 200);
+	client_send(&late, "GET /lookup/3 HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, late.is_closed || client_has_answer(&late));
+	ck_assert(client_status(&late) == 0 || client_status(&late) == 503);
+	client_close(&late);
+	teardown();
+}
+END_TEST
+
+START_TEST(drain_ends_at_its_bound)
+{
+	int drained = 0;
+
+	setup();
+	one.settings.limits.drain_ms = 400;
+	one.backend.mode = BACKEND_HOLD;
+	client_send(&cl, "GET /lookup/1 HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, one.backend.held == 1);
+	bg_proxy_drain(one.proxy, on_drained, &drained);
+	WAIT(base, drained == 1);
+	teardown();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -138,6 +779,39 @@
 	tcase_add_test(tc, lookup_is_served_by_another_node);
 	tcase_add_test(tc, keyed_call_is_recorded);
 	tcase_add_test(tc, missing_key_is_refused);
+	tcase_add_test(tc, server_that_dies_after_running_gives_unknown);
+	tcase_add_test(tc, keyed_call_is_sent_once);
+	tcase_add_test(tc, lookup_is_retried_at_another_server);
+	tcase_add_test(tc, call_of_a_chain_is_not_retried);
+	tcase_add_test(tc, call_depth_is_bounded);
+	tcase_add_test(tc, late_answer_is_not_given_to_the_next_request);
+	tcase_add_loop_test(tc, unusable_answer_is_discarded, 0,
+	    (int)(sizeof(unusable) / sizeof(unusable[0])));
+	tcase_add_test(tc, chunked_answer_is_forwarded);
+	tcase_add_test(tc, keyed_call_avoids_a_silent_connection);
+	tcase_add_test(tc, lookup_leaves_a_silent_connection);
+	tcase_add_test(tc, caller_that_hangs_up_frees_its_slot);
+	tcase_add_test(tc, caller_that_hangs_up_leaves_an_unknown_record);
+	tcase_add_test(tc, late_permission_is_given_back);
+	tcase_add_test(tc, recorded_answer_is_returned);
+	tcase_add_loop_test(tc, call_without_permission_is_not_sent, 0,
+	    (int)(sizeof(begun) / sizeof(begun[0])));
+	tcase_add_test(tc, full_queue_refuses_without_running);
+	tcase_add_test(tc, slow_writer_is_served);
+	tcase_add_test(tc, slow_reader_holds_up_nobody);
+	tcase_add_loop_test(tc, invalid_request_gets_a_clear_answer, 0,
+	    (int)(sizeof(invalid) / sizeof(invalid[0])));
+	tcase_add_test(tc, too_long_head_is_refused);
+	tcase_add_test(tc, too_large_chunked_body_is_refused);
+	tcase_add_test(tc, pipelined_requests_are_answered_in_order);
+	tcase_add_test(tc, connection_close_is_honoured);
+	tcase_add_test(tc, dependency_time_is_not_own_time);
+	tcase_add_test(tc, server_state_and_version_are_announced);
+	tcase_add_test(tc, failing_version_is_stopped_at_this_node);
+	tcase_add_test(tc, page_is_served);
+	tcase_add_test(tc, unsynced_node_refuses);
+	tcase_add_test(tc, drain_finishes_what_runs);
+	tcase_add_test(tc, drain_ends_at_its_bound);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
 	srunner_set_fork_status(runner, CK_NOFORK);
