--- a/mesh/include/burdockgrade/table.h
+++ b/mesh/include/burdockgrade/table.h
@@ -25,6 +25,7 @@
 	BG_ITEM_ACK = 7,
 	BG_ITEM_STAT = 8,
 	BG_ITEM_DCSTAT = 9,
+	BG_ITEM_GROUP = 10, /**< report of a record group's holder */
 };
 
 /** Who receives an item. */
