Wire records, moves and proxy into the node

The daemon had the mesh only. Adds the other tasks in order of their dependencies, the pages /status, /status.json, /metrics, /health and /burn, the stop of marked versions, and the graceful stop: calls first, then records.

--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -2,58 +2,59 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "burdockgrade/clock.h"
 #include "burdockgrade/log.h"
 
 #include "node.h"
 #include "pages.h"
 
-/* Interval at which the progress of a stop is checked. */
-#define STOP_TICK_MS 50
-/* A stop does not wait longer than this for its announcement to be confirmed:
- * a parent that is lost is replaced within this time. */
-#define ANNOUNCE_MAX_MS 6000
-
 static const int STOP_SIGNALS[] = {SIGTERM, SIGINT};
 
-/* Exits once the announcement of the stop is out and has had time to reach
- * the other nodes. */
 static void
-on_stop_tick(evutil_socket_t fd, short what, void *arg)
+on_records_drained(void *arg)
 {
 	struct bg_node *node = arg;
-	uint64_t now_ms = bg_clock_now_ms();
-
-	if (node->announced_ms == 0 &&
-	    (bg_mesh_is_announced(node->mesh) ||
-		now_ms - node->stop_started_ms >= ANNOUNCE_MAX_MS))
-		node->announced_ms = now_ms;
-	if (node->announced_ms == 0 ||
-	    now_ms - node->announced_ms < node->settings.limits.announce_ms)
-		return;
-	if (!node->is_stopping) {
-		node->is_stopping = 1;
-		node->announced_ms = 0;
-		node->stop_started_ms = now_ms;
-		bg_mesh_set_state(node->mesh, BG_MEMBER_LEAVING);
-		return;
-	}
+
 	bg_log_info("node", "stopped");
 	event_base_loopbreak(node->base);
 }
 
+static void
+on_proxy_drained(void *arg)
+{
+	struct bg_node *node = arg;
+
+	bg_records_drain(node->records, node->settings.limits.drain_ms,
+	    on_records_drained, node);
+}
+
+/* A graceful stop: calls in flight finish first, then the records of this
+ * node are handed over. */
 static void
 on_stop(evutil_socket_t signo, short what, void *arg)
 {
-	static const struct timeval tick = {0, STOP_TICK_MS * 1000};
 	struct bg_node *node = arg;
 
-	if (node->stop_started_ms != 0)
+	if (node->is_stopping)
 		return;
+	node->is_stopping = 1;
 	bg_log_info("node", "stopping signal=%d", (int)signo);
-	node->stop_started_ms = bg_clock_now_ms();
-	bg_mesh_set_state(node->mesh, BG_MEMBER_DRAINING);
-	event_add(node->stop_timer, &tick);
+	bg_proxy_drain(node->proxy, on_proxy_drained, node);
+}
+
+/* A MARK item stops its version at this node at once. */
+static void
+on_item(void *arg, const struct bg_item *item)
+{
+	struct bg_node *node = arg;
+	char service[BG_NAME_BYTES];
+	const char *slash;
+
+	if (item->kind != BG_ITEM_MARK ||
+	    (slash = strchr(item->key, '/')) == NULL)
+		return;
+	snprintf(service, sizeof(service), "%.*s", (int)(slash - item->key),
+	    item->key);
+	bg_proxy_ban(node->proxy, service, slash + 1, item->major);
 }
 
 static int
@@ -61,6 +62,8 @@
 {
 	size_t i;
 
+	/* A peer that closed its connection must not end the process. */
+	signal(SIGPIPE, SIG_IGN);
 	for (i = 0; i < sizeof(STOP_SIGNALS) / sizeof(STOP_SIGNALS[0]); i++) {
 		node->stop_signals[i] =
 		    evsignal_new(node->base, STOP_SIGNALS[i], on_stop, node);
@@ -68,9 +71,7 @@
 		    event_add(node->stop_signals[i], NULL) != 0)
 			return BG_ENOMEM;
 	}
-	node->stop_timer =
-	    event_new(node->base, -1, EV_PERSIST, on_stop_tick, node);
-	return node->stop_timer == NULL ? BG_ENOMEM : 0;
+	return 0;
 }
 
 static int
@@ -105,6 +106,51 @@
 	return bg_mesh_init(&node->mesh, &opts, err);
 }
 
+static int
+init_records(struct bg_node *node, struct bg_error *err)
+{
+	struct bg_records_options opts = BG_RECORDS_OPTIONS_INIT;
+
+	opts.base = node->base;
+	opts.settings = &node->settings;
+	opts.mesh = node->mesh;
+	opts.platform = node->platform;
+	opts.server = node->server;
+	return bg_records_init(&node->records, &opts, err);
+}
+
+static int
+init_moves(struct bg_node *node, struct bg_error *err)
+{
+	struct bg_moves_options opts = BG_MOVES_OPTIONS_INIT;
+
+	opts.base = node->base;
+	opts.settings = &node->settings;
+	opts.mesh = node->mesh;
+	opts.platform = node->platform;
+	return bg_moves_init(&node->moves, &opts, err);
+}
+
+static int
+init_proxy(struct bg_node *node, struct bg_error *err)
+{
+	struct bg_mesh_listener listener = {NULL, NULL, on_item, NULL, node};
+	struct bg_proxy_options opts = BG_PROXY_OPTIONS_INIT;
+	int error;
+
+	opts.base = node->base;
+	opts.settings = &node->settings;
+	opts.mesh = node->mesh;
+	opts.server = node->server;
+	opts.records = node->records;
+	opts.observer = bg_moves_observer(node->moves);
+	if ((error = bg_proxy_init(&node->proxy, &opts, err)) != 0)
+		return error;
+	if ((error = bg_pages_init(node)) != 0)
+		return error;
+	return bg_mesh_listen(node->mesh, &listener);
+}
+
 int
 bg_node_init(struct bg_node *out, const struct bg_settings *settings,
     struct bg_error *err)
@@ -115,16 +161,12 @@
 	out->settings = *settings;
 	if ((out->base = event_base_new()) == NULL)
 		return bg_error_set(err, BG_ENOMEM, "start", NULL, "no loop");
-	/* A peer that closed its connection must not end the process. */
-	signal(SIGPIPE, SIG_IGN);
-	if ((error = init_platform(out, err)) != 0 ||
+	if ((error = init_signals(out)) != 0 ||
+	    (error = init_platform(out, err)) != 0 ||
 	    (error = init_mesh(out, err)) != 0 ||
-	    (error = bg_pages_init(&out->pages, out, err)) != 0)
-		goto done;
-	/* The tasks record, proxy and moves are added here, in this order. */
-	error = init_signals(out);
-done:
-	if (error != 0)
+	    (error = init_records(out, err)) != 0 ||
+	    (error = init_moves(out, err)) != 0 ||
+	    (error = init_proxy(out, err)) != 0)
 		bg_node_free(out);
 	return error;
 }
@@ -141,17 +183,17 @@
 {
 	size_t i;
 
-	bg_pages_free(node->pages);
-	/* The mesh owns the arguments of the platform's pending callbacks. */
+	/* Pending callbacks of the platform point into the tasks. */
 	bg_platform_free(node->platform);
+	bg_proxy_free(node->proxy);
+	bg_moves_free(node->moves);
+	bg_records_free(node->records);
 	bg_mesh_free(node->mesh);
 	bg_link_server_free(node->server);
 	for (i = 0; i < sizeof(STOP_SIGNALS) / sizeof(STOP_SIGNALS[0]); i++) {
 		if (node->stop_signals[i] != NULL)
 			event_free(node->stop_signals[i]);
 	}
-	if (node->stop_timer != NULL)
-		event_free(node->stop_timer);
 	if (node->base != NULL)
 		event_base_free(node->base);
 	memset(node, 0, sizeof(*node));
--- a/daemon/src/node.h
+++ b/daemon/src/node.h
@@ -9,22 +9,22 @@
 
 #include "burdockgrade/link.h"
 #include "burdockgrade/mesh.h"
+#include "burdockgrade/moves.h"
 #include "burdockgrade/platform.h"
+#include "burdockgrade/proxy.h"
+#include "burdockgrade/record.h"
 #include "burdockgrade/settings.h"
 
-struct bg_pages;
-
 struct bg_node {
 	struct event_base *base;
 	struct bg_settings settings;
-	struct bg_platform *platform;
+	struct bg_platform *platform; /**< NULL without platform.address */
 	struct bg_link_server *server;
 	struct bg_mesh *mesh;
-	struct bg_pages *pages;
+	struct bg_records *records;
+	struct bg_moves *moves;
+	struct bg_proxy *proxy;
 	struct event *stop_signals[2];
-	struct event *stop_timer;
-	uint64_t stop_started_ms;
-	uint64_t announced_ms; /**< 0: the stop is not announced yet */
 	int is_stopping;
 };
 
--- a/daemon/src/pages.c
+++ b/daemon/src/pages.c
@@ -1,102 +1,96 @@
-#include <event2/buffer.h>
-#include <event2/http.h>
-
 #include <stdlib.h>
 #include <string.h>
 
+#include "burdockgrade/clock.h"
 #include "burdockgrade/counter.h"
 
-#include "node.h"
 #include "pages.h"
 
-struct bg_pages {
-	struct evhttp *http;
-};
+#define HTTP_OK 200
+#define HTTP_ERROR 500
+#define HTTP_UNAVAILABLE 503
 
-int
-bg_page_metrics(void *arg, char **out, const char **content_type)
+static int
+page_metrics(void *arg, char **out, const char **content_type)
 {
 	size_t bytes;
 
 	*content_type = "text/plain; version=0.0.4";
-	return bg_counter_render(out, &bytes) == 0 ? HTTP_OK : HTTP_INTERNAL;
+	return bg_counter_render(out, &bytes) == 0 ? HTTP_OK : HTTP_ERROR;
 }
 
-int
-bg_page_health(void *arg, char **out, const char **content_type)
+static int
+page_health(void *arg, char **out, const char **content_type)
 {
 	const struct bg_node *node = arg;
-	int is_good =
-	    node->stop_started_ms == 0 && bg_mesh_is_synced(node->mesh);
+	int is_good = !node->is_stopping && bg_mesh_is_synced(node->mesh);
 
 	*content_type = "text/plain";
 	*out = strdup(is_good ? "ok\n" : "not ready\n");
-	return is_good ? HTTP_OK : HTTP_SERVUNAVAIL;
+	return is_good ? HTTP_OK : HTTP_UNAVAILABLE;
 }
 
-static void
-send_page(struct evhttp_request *req, int status, char *text, const char *type)
+/* A node shows what it holds only once it knows the floor. */
+static struct bg_snapshot *
+shown_snapshot(const struct bg_node *node)
 {
-	struct evbuffer *body = evbuffer_new();
-
-	if (text != NULL && body != NULL)
-		evbuffer_add(body, text, strlen(text));
-	evhttp_add_header(
-	    evhttp_request_get_output_headers(req), "Content-Type", type);
-	evhttp_send_reply(req, status, NULL, body);
-	if (body != NULL)
-		evbuffer_free(body);
-	free(text);
+	return bg_mesh_is_synced(node->mesh) ? bg_mesh_snapshot(node->mesh)
+					     : NULL;
 }
 
-static void
-serve_metrics(struct evhttp_request *req, void *arg)
+static int
+page_status(void *arg, char **out, const char **content_type)
 {
-	const char *type;
-	char *text = NULL;
-	int status = bg_page_metrics(arg, &text, &type);
+	const struct bg_node *node = arg;
 
-	send_page(req, status, text, type);
+	*content_type = "text/plain; charset=utf-8";
+	return bg_status_render(out, shown_snapshot(node),
+		   bg_mesh_table(node->mesh), bg_clock_wall_ms()) == 0
+	    ? HTTP_OK
+	    : HTTP_ERROR;
 }
 
-static void
-serve_health(struct evhttp_request *req, void *arg)
+static int
+page_status_json(void *arg, char **out, const char **content_type)
 {
-	const char *type;
-	char *text = NULL;
-	int status = bg_page_health(arg, &text, &type);
+	const struct bg_node *node = arg;
 
-	send_page(req, status, text, type);
+	*content_type = "application/json";
+	return bg_status_render_json(out, shown_snapshot(node),
+		   bg_mesh_table(node->mesh), bg_clock_wall_ms()) == 0
+	    ? HTTP_OK
+	    : HTTP_ERROR;
 }
 
-int
-bg_pages_init(struct bg_pages **out, struct bg_node *node, struct bg_error *err)
+static int
+page_burn(void *arg, char **out, const char **content_type)
 {
-	const char *ip = node->settings.node.address;
-	struct bg_pages *pages;
-
-	if ((pages = calloc(1, sizeof(*pages))) == NULL)
-		return BG_ENOMEM;
-	pages->http = evhttp_new(node->base);
-	if (pages->http == NULL ||
-	    evhttp_bind_socket(
-		pages->http, ip, node->settings.node.customer_port) != 0) {
-		bg_pages_free(pages);
-		return bg_error_set(
-		    err, BG_EIO, "listen", ip, "cannot bind customer port");
-	}
-	evhttp_set_cb(pages->http, "/metrics", serve_metrics, node);
-	evhttp_set_cb(pages->http, "/health", serve_health, node);
-	*out = pages;
-	return 0;
+	const struct bg_node *node = arg;
+
+	*content_type = "application/json";
+	return bg_moves_burn_json(out, node->moves, bg_clock_wall_ms()) == 0
+	    ? HTTP_OK
+	    : HTTP_ERROR;
 }
 
-void
-bg_pages_free(struct bg_pages *pages)
+int
+bg_pages_init(struct bg_node *node)
 {
-	if (pages == NULL)
-		return;
-	if (pages->http != NULL)
-		evhttp_free(pages->http);
-	free(pages);
+	static const struct {
+		const char *path;
+		bg_page_fn fn;
+	} PAGES[] = {
+	    {"/status", page_status},
+	    {"/status.json", page_status_json},
+	    {"/metrics", page_metrics},
+	    {"/health", page_health},
+	    {"/burn", page_burn},
+	};
+	size_t i;
+	int error = 0;
+
+	for (i = 0; error == 0 && i < sizeof(PAGES) / sizeof(PAGES[0]); i++)
+		error = bg_proxy_page(
+		    node->proxy, PAGES[i].path, PAGES[i].fn, node);
+	return error;
 }
