Add property tests and fuzz targets of settings and config

Fuzzing the TOML reader found two faults of toml++ 3.3.0: its character tables declare letters from U+00A1 to U+0499 unreachable outside strings, and a key of many dotted parts exhausts the stack when its tables are freed. The property tests found that a service item that is no JSON left the caller's contract untouched; it is cleared now.

--- a/config/src/contract.c
+++ b/config/src/contract.c
@@ -199,9 +199,12 @@
 	json_t *value = bg_json_parse(json, json_bytes, "contract", err);
 	int error;
 
+	memset(out, 0, sizeof(*out));
 	if (value == NULL)
 		return BG_EPROTO;
 	error = bg_contract_from_json(out, value, err);
+	if (error != 0)
+		memset(out, 0, sizeof(*out));
 	json_decref(value);
 	return error;
 }
--- a/config/src/head_json.c
+++ b/config/src/head_json.c
@@ -237,6 +237,8 @@
 	int error;
 
 	memset(out, 0, sizeof(*out));
+	if (out_contract != NULL)
+		memset(out_contract, 0, sizeof(*out_contract));
 	root = bg_json_parse(value, value_bytes, "service item", err);
 	if (root == NULL)
 		return BG_EPROTO;
@@ -252,6 +254,11 @@
 		goto done;
 	error = read_contract(out, out_contract, contract, err);
 done:
+	if (error != 0) {
+		memset(out, 0, sizeof(*out));
+		if (out_contract != NULL)
+			memset(out_contract, 0, sizeof(*out_contract));
+	}
 	json_decref(root);
 	return error;
 }
--- /dev/null
+++ b/config/tests/fuzz_contract.c
@@ -0,0 +1,43 @@
+/* Feeds arbitrary bytes to the decoders of contract, service item and head. */
+
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/snapshot.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+/* What was decoded has to encode to something that decodes to the same. */
+static void
+check_contract(const struct bg_contract *ctr)
+{
+	struct bg_contract again;
+	char *json;
+
+	if (bg_contract_encode(&json, ctr) != 0 ||
+	    bg_contract_decode(&again, json, strlen(json), NULL) != 0 ||
+	    memcmp(&again, ctr, sizeof(again)) != 0)
+		abort();
+	free(json);
+}
+
+int
+LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct bg_head_service svc;
+	struct bg_contract ctr;
+	struct bg_error err;
+	struct bg_head head;
+
+	if (bg_contract_decode(&ctr, (const char *)data, size, &err) == 0) {
+		check_contract(&ctr);
+		bg_contract_validate(&ctr, &err);
+	}
+	if (bg_head_service_decode(
+		&svc, &ctr, (const char *)data, size, &err) == 0)
+		check_contract(&ctr);
+	if (bg_head_decode(&head, (const char *)data, size, &err) == 0)
+		bg_head_free(&head);
+	return 0;
+}
--- a/core/tests/test_settings.c
+++ b/core/tests/test_settings.c
@@ -295,6 +295,41 @@
 }
 END_TEST
 
+/* Guards against undefined behaviour of toml++ 3.3.0, which took letters from
+ * U+00A1 to U+0499 outside strings for unreachable code; found by fuzzing. */
+START_TEST(letters_outside_strings_are_refused)
+{
+	static const char *const texts[] = {"b\xc3\xa9 = 1\n", "pa \xd0\xa3\n",
+	    "a = \xc3\xa9\n", "a = 1 \xe3\x81\x81\n", "a = 1 \xef\xb9\xb0\n"};
+	char wanted[128];
+
+	ck_assert_int_eq(load(texts[_i]), BG_EINVAL);
+	snprintf(wanted, sizeof(wanted), "%s:1: file: expected TOML", path);
+	ck_assert_msg(strstr(report, wanted) == report, "%s", report);
+}
+END_TEST
+
+/* Guards against names of places being refused where they are only text. */
+START_TEST(letters_in_comments_and_strings_are_kept)
+{
+	struct bg_toml *doc;
+	char text[32];
+	const char *toml = "# Moustiquaires B\xc3\xa9langer\n"
+			   "x = \"Montr\xc3\xa9"
+			   "al\"\n";
+
+	ck_assert_int_eq(bg_toml_parse(&doc, "f", toml, strlen(toml)), 0);
+	ck_assert_int_eq(bg_toml_string(text, sizeof(text), doc,
+			     bg_toml_root(doc), "x", BG_TOML_REQUIRED),
+	    1);
+	ck_assert_str_eq(text,
+	    "Montr\xc3\xa9"
+	    "al");
+	ck_assert_int_eq(bg_toml_finish(doc, &err), 0);
+	bg_toml_free(doc);
+}
+END_TEST
+
 /* Guards against a string that C would cut at an escaped NUL. */
 START_TEST(control_characters_in_strings_are_refused)
 {
@@ -353,6 +388,77 @@
 }
 END_TEST
 
+static size_t
+append_dotted_key(char *out, size_t parts)
+{
+	size_t len = 0;
+
+	out[len++] = 'a';
+	while (--parts > 0) {
+		out[len++] = '.';
+		out[len++] = 'a';
+	}
+	return len;
+}
+
+/* Guards against a stack overflow when a table nested by a dotted key is
+ * freed; a key of 500,000 parts ended the process. */
+START_TEST(deep_dotted_keys_are_refused)
+{
+	size_t bytes = BG_TOML_MAX_BYTES - 16;
+	char *text = malloc(bytes + 16);
+	size_t len = 0;
+
+	text[len++] = '\n';
+	if (_i == 1)
+		text[len++] = '[';
+	len += append_dotted_key(text + len, bytes / 2);
+	text[len++] = _i == 1 ? ']' : '=';
+	text[len++] = '1';
+	ck_assert_int_eq(load_bytes(text, len), BG_EINVAL);
+	expect_line("2: file: expected at most 32 dots in a key or text, "
+		    "found more");
+	free(text);
+}
+END_TEST
+
+/* Guards against a stack overflow at the deepest nesting that both limits
+ * together allow. */
+START_TEST(deepest_allowed_nesting_is_freed)
+{
+	const size_t brackets = 254;
+	char *text = malloc(brackets * 128);
+	size_t len = 0;
+	size_t i;
+
+	for (i = 0; i < brackets; i++) {
+		if (i > 0)
+			text[len++] = '{';
+		len += append_dotted_key(text + len, 33);
+		text[len++] = '=';
+	}
+	text[len++] = '1';
+	for (i = 1; i < brackets; i++)
+		text[len++] = '}';
+	ck_assert_int_eq(load_bytes(text, len), BG_EINVAL);
+	expect_line("1: a: expected no such key");
+	free(text);
+}
+END_TEST
+
+/* Guards against a decorated comment being taken for a deep key. */
+START_TEST(dots_in_comment_lines_are_allowed)
+{
+	ck_assert_int_eq(
+	    load("  # .............................................."
+		 "\n#................................. node\n"
+		 "node = { address = \"127.0.0.1\", "
+		 "data_centre = \"a\" }\n"
+		 "mesh.seeds = [\"127.0.0.1:1\"]\n"),
+	    0);
+}
+END_TEST
+
 /* Guards against rounding that changes an objective, and against NaN. */
 START_TEST(scaled_numbers_are_exact)
 {
@@ -404,10 +510,15 @@
 	tcase_add_loop_test(tc, broken_files_give_one_clear_error, 0, 2);
 	tcase_add_test(tc, invalid_utf8_is_refused_with_its_line);
 	tcase_add_loop_test(tc, syntax_errors_have_their_line, 0, 3);
+	tcase_add_loop_test(tc, letters_outside_strings_are_refused, 0, 5);
+	tcase_add_test(tc, letters_in_comments_and_strings_are_kept);
 	tcase_add_test(tc, control_characters_in_strings_are_refused);
 	tcase_add_test(tc, file_size_is_limited);
 	tcase_add_test(tc, unreadable_file_is_an_io_error);
 	tcase_add_test(tc, deep_nesting_is_refused);
+	tcase_add_loop_test(tc, deep_dotted_keys_are_refused, 0, 2);
+	tcase_add_test(tc, deepest_allowed_nesting_is_freed);
+	tcase_add_test(tc, dots_in_comment_lines_are_allowed);
 	tcase_add_loop_test(tc, scaled_numbers_are_exact, 0, 9);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
