--- a/mesh/include/burdockgrade/table.h
+++ b/mesh/include/burdockgrade/table.h
@@ -30,9 +30,10 @@
 
 /** Who receives an item. */
 enum bg_item_scope {
-	BG_SCOPE_ALL,	 /**< every node */
-	BG_SCOPE_UP,	 /**< from a node towards its relay only */
-	BG_SCOPE_RELAYS, /**< among relays only */
+	BG_SCOPE_ALL,	    /**< every node */
+	BG_SCOPE_UP,	    /**< from a node towards its relay only */
+	BG_SCOPE_RELAYS,    /**< among relays only */
+	BG_SCOPE_UP_RELAYS, /**< towards the relay, and among relays */
 };
 
 struct bg_item {
@@ -83,7 +84,9 @@
 	uint64_t
 	    not_origin; /**< leave out items that came from here, 0: none */
 	uint32_t scope_mask;  /**< bits 1 << enum bg_item_scope */
-	uint64_t bucket_mask; /**< bit i: bucket i, whatever the cursor; 0: by
+	uint64_t bucket_mask; /**< bit i: bucket i, whatever the cursor; items
+				   of other scopes than ALL, which the digests
+				   do not cover, are all selected; 0: by
 				   cursor */
 	size_t max_bytes;     /**< stop above this size; 0: no limit */
 };
--- a/mesh/src/mesh/children.c
+++ b/mesh/src/mesh/children.c
@@ -68,7 +68,8 @@
 scope_mask(const struct session *s)
 {
 	if (s->role == BG_SYNC_PEER)
-		return 1u << BG_SCOPE_ALL | 1u << BG_SCOPE_RELAYS;
+		return 1u << BG_SCOPE_ALL | 1u << BG_SCOPE_RELAYS |
+		    1u << BG_SCOPE_UP_RELAYS;
 	return 1u << BG_SCOPE_ALL;
 }
 
@@ -222,9 +223,11 @@
 	}
 	/* Items that came from this address are not left out: its process may
 	 * have been replaced by one with empty memory. */
-	sel.scope_mask = 1u << BG_SCOPE_ALL;
+	sel.scope_mask = scope_mask(s);
+	if (sel.bucket_mask == 0)
+		sel.scope_mask &= ~(1u << BG_SCOPE_ALL);
 	offer.cursor = bg_table_cursor(chn->table);
-	if (sel.bucket_mask != 0 &&
+	if (sel.scope_mask != 0 &&
 	    bg_offers_get(&offer, &chn->offers, chn->table, &sel,
 		chn->handler.refused_version(chn->handler.arg)) != 0)
 		return;
@@ -486,6 +489,15 @@
 	}
 }
 
+void
+bg_children_resumed(struct bg_children *chn, uint64_t gap_ms)
+{
+	struct session *s;
+
+	for (s = chn->sessions; s != NULL; s = s->hh.next)
+		s->heard_ms += gap_ms;
+}
+
 void
 bg_children_redirect(struct bg_children *chn, const char *address)
 {
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -95,6 +95,7 @@
 	struct bg_children *children;
 	struct bg_liveness liveness;
 	uint64_t next_check_ms;
+	uint64_t last_tick_ms;
 
 	struct bg_peer peers[BG_MESH_PEERS_MAX];
 
@@ -130,6 +131,8 @@
 /* role.c: lease, parent and root */
 void bg_mesh_role_init(struct bg_mesh *mesh);
 void bg_mesh_role_tick(struct bg_mesh *mesh, uint64_t now_ms);
+/** This process did not run for a while and could not hear anybody. */
+void bg_mesh_role_resumed(struct bg_mesh *mesh, uint64_t gap_ms);
 void bg_mesh_role_free(struct bg_mesh *mesh);
 void bg_mesh_view(struct bg_mesh *mesh, struct bg_root_view *out);
 int bg_mesh_view_is_fresh(struct bg_mesh *mesh);
--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -1,4 +1,5 @@
 #include <assert.h>
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,6 +14,9 @@
 /* Changes are put together for this long before they are sent. A version is
  * sent at once. */
 #define FLUSH_MS 20
+/* A gap between two checks that shows a pause of this process: it must not
+ * hold the silence against others. */
+#define PAUSE_MS 1000
 /* Interval of the root's check for members that died. */
 #define LIVENESS_MS 500
 
@@ -128,7 +132,7 @@
 	bg_mesh_floor_tick(mesh, bg_clock_now_ms());
 	bg_children_flush(mesh->children);
 	if (mesh->parent != NULL)
-		bg_uplink_flush(mesh->parent);
+		bg_uplink_flush(mesh->parent, !bg_mesh_is_announced(mesh));
 	bg_mesh_peers_flush(mesh);
 }
 
@@ -170,7 +174,14 @@
 {
 	struct bg_mesh *mesh = arg;
 	uint64_t now_ms = bg_clock_now_ms();
+	uint64_t gap_ms = now_ms - mesh->last_tick_ms;
 
+	if (mesh->last_tick_ms != 0 && gap_ms >= PAUSE_MS) {
+		bg_log_warn("mesh", "resumed after_ms=%" PRIu64, gap_ms);
+		bg_children_resumed(mesh->children, gap_ms);
+		bg_mesh_role_resumed(mesh, gap_ms);
+	}
+	mesh->last_tick_ms = now_ms;
 	bg_mesh_role_tick(mesh, now_ms);
 	bg_children_tick(mesh->children, now_ms);
 	bg_mesh_floor_tick(mesh, now_ms);
--- a/mesh/src/mesh/peers.c
+++ b/mesh/src/mesh/peers.c
@@ -271,7 +271,7 @@
 
 	for (i = 0; i < BG_MESH_PEERS_MAX; i++) {
 		if (mesh->peers[i].uplink != NULL)
-			bg_uplink_flush(mesh->peers[i].uplink);
+			bg_uplink_flush(mesh->peers[i].uplink, 0);
 	}
 }
 
--- a/mesh/src/mesh/role.c
+++ b/mesh/src/mesh/role.c
@@ -20,6 +20,8 @@
 /* Time for which children rely on a root without lease. Equal to the lease, so
  * that cycles of parents without root break in the same time. */
 #define UNLEASED_MS BG_LEASE_DURATION_MS
+/* A node that left a parent without root may ask it again after this time. */
+#define ROOTLESS_RETRY_MS 200
 
 static struct bg_counter lease_changes = BG_COUNTER(
     "burdock_mesh_lease_changes_total", "Times the lease was taken or lost.");
@@ -266,6 +268,29 @@
 		    &mesh->lease, is_wanted, now_ms, lease_delay_ms(mesh));
 }
 
+/* Takes the relay's lease from a reply. Once the time it stated has passed and
+ * a read shows the same object version, the lease can be taken without waiting
+ * for its whole duration again. */
+static void
+learn_lease(struct bg_mesh *mesh, const struct bg_xsync_res *res)
+{
+	struct bg_lease *lse = &mesh->lease;
+	uint64_t expires_ms = mesh->view.expires_ms;
+
+	if (lse->is_wanted || lse->is_reading || lse->write_started_ms != 0 ||
+	    res->lease_object_version < lse->object_version ||
+	    expires_ms < BG_LEASE_DURATION_MS)
+		return;
+	memset(&lse->record, 0, sizeof(lse->record));
+	snprintf(lse->record.holder, sizeof(lse->record.holder), "%s",
+	    res->lease_holder);
+	lse->record.term = res->lease_term;
+	lse->record.duration_ms = BG_LEASE_DURATION_MS;
+	lse->object_version = res->lease_object_version;
+	lse->observed_ms = expires_ms - BG_LEASE_DURATION_MS;
+	lse->has_read = 1;
+}
+
 /* Handles a good reply of the parent. */
 static int
 on_replied(void *arg, const struct bg_xsync_res *res)
@@ -294,6 +319,8 @@
 		mesh->parent_fresh_ms = now_ms;
 		mesh->lease.hint_expires_ms =
 		    is_leased ? mesh->view.expires_ms : 0;
+		if (is_leased)
+			learn_lease(mesh, res);
 	}
 	mesh->parent_heard_ms = now_ms;
 	mesh->parent_incarnation = res->incarnation;
@@ -478,7 +505,7 @@
 	    now_ms < mesh->view.expires_ms + ROOTLESS_MS ||
 	    now_ms < mesh->parent_fresh_ms + ROOTLESS_MS)
 		return;
-	on_lost(mesh, "no root", "", 0, 0);
+	on_lost(mesh, "no root", "", ROOTLESS_RETRY_MS, 0);
 }
 
 void
@@ -503,6 +530,14 @@
 	find_parent(mesh, now_ms);
 }
 
+void
+bg_mesh_role_resumed(struct bg_mesh *mesh, uint64_t gap_ms)
+{
+	mesh->lost_parent.heard_ms += gap_ms;
+	mesh->parent_heard_ms += gap_ms;
+	bg_liveness_reset(&mesh->liveness);
+}
+
 void
 bg_mesh_role_free(struct bg_mesh *mesh)
 {
--- a/mesh/src/mesh/uplink.c
+++ b/mesh/src/mesh/uplink.c
@@ -42,6 +42,8 @@
 	uint64_t confirmed;   /* in the own log */
 	uint64_t bucket_mask; /* buckets the parent lacks items of */
 	uint64_t digests_due_ms;
+	uint32_t digests_ms;
+	int is_confirm_wanted;
 	uint64_t last_call; /* number of the last call */
 	int is_attached;
 	int is_ended;
@@ -68,7 +70,7 @@
 	uint32_t other =
 	    upl->role == BG_SYNC_PEER ? BG_SCOPE_RELAYS : BG_SCOPE_UP;
 
-	return 1u << BG_SCOPE_ALL | 1u << other;
+	return 1u << BG_SCOPE_ALL | 1u << BG_SCOPE_UP_RELAYS | 1u << other;
 }
 
 /* Ends the uplink once; the handler frees it, so nothing may follow. */
@@ -189,9 +191,11 @@
 	args.cursor_incarnation = upl->parent_incarnation;
 	args.cursor = upl->cursor;
 	args.want_floor = upl->handler.wants_floor(upl->handler.arg);
-	args.wait_ms = upl->is_attached && !is_bucket_call ? POLL_MS : 0;
+	if (upl->is_attached && !is_bucket_call && !upl->is_confirm_wanted)
+		args.wait_ms = POLL_MS;
+	upl->is_confirm_wanted = 0;
 	if (now_ms >= upl->digests_due_ms) {
-		upl->digests_due_ms = now_ms + DIGESTS_MS;
+		upl->digests_due_ms = now_ms + upl->digests_ms;
 		bg_table_digests(digests, upl->table);
 		args.digests.digests_len = BG_DIGEST_BUCKETS;
 		args.digests.digests_val = digests;
@@ -205,15 +209,17 @@
 }
 
 void
-bg_uplink_flush(struct bg_uplink *upl)
+bg_uplink_flush(struct bg_uplink *upl, int is_confirm_wanted)
 {
 	struct bg_table_select sel = {0};
 
 	sel.cursor = upl->sent;
 	sel.not_origin = upl->origin;
 	sel.scope_mask = scope_mask(upl);
-	if (upl->is_attached && bg_table_has_news(upl->table, &sel))
-		bg_uplink_send(upl);
+	if (!upl->is_attached || !bg_table_has_news(upl->table, &sel))
+		return;
+	upl->is_confirm_wanted = is_confirm_wanted;
+	bg_uplink_send(upl);
 }
 
 /* Marks the buckets in which the parent's digests differ from the own ones. */
@@ -336,6 +342,7 @@
 	upl->handler = opts->handler;
 	upl->role = opts->role;
 	upl->incarnation = opts->incarnation;
+	upl->digests_ms = opts->digests_ms == 0 ? DIGESTS_MS : opts->digests_ms;
 	upl->origin = bg_origin_of(opts->address);
 	snprintf(upl->self, sizeof(upl->self), "%s", opts->self);
 	snprintf(upl->data_centre, sizeof(upl->data_centre), "%s",
--- a/mesh/src/mesh/uplink.h
+++ b/mesh/src/mesh/uplink.h
@@ -47,6 +47,7 @@
 	const char *data_centre;
 	enum bg_sync_role role;
 	uint64_t incarnation;
+	uint32_t digests_ms; /**< interval of comparisons; 0: 30 s */
 	struct bg_table *table;
 	struct bg_uplink_handler handler;
 };
@@ -55,8 +56,10 @@
     struct bg_uplink **out, const struct bg_uplink_options *opts);
 /** Safe inside the handler's functions. */
 void bg_uplink_free(struct bg_uplink *upl);
-/** Sends changes of the table that the parent lacks, if there are any. */
-void bg_uplink_flush(struct bg_uplink *upl);
+/** Sends changes of the table that the parent lacks, if there are any.
+ * @param is_confirm_wanted the parent replies at once instead of waiting for
+ *     news, so that bg_uplink_confirmed advances */
+void bg_uplink_flush(struct bg_uplink *upl, int is_confirm_wanted);
 /** Sends a call now, with changes or without. */
 void bg_uplink_send(struct bg_uplink *upl);
 /** 1 after the first good reply. */
--- a/mesh/src/table/table.c
+++ b/mesh/src/table/table.c
@@ -87,6 +87,8 @@
 		return BG_SCOPE_UP;
 	case BG_ITEM_DCSTAT:
 		return BG_SCOPE_RELAYS;
+	case BG_ITEM_GROUP:
+		return BG_SCOPE_UP_RELAYS;
 	default:
 		return BG_SCOPE_ALL;
 	}
@@ -322,11 +324,13 @@
 static int
 is_selected(const struct bg_table_select *sel, const struct entry *e)
 {
-	if ((sel->scope_mask & (1u << bg_item_scope(e->item.kind))) == 0)
+	enum bg_item_scope scope = bg_item_scope(e->item.kind);
+
+	if ((sel->scope_mask & (1u << scope)) == 0)
 		return 0;
 	if (sel->not_origin != 0 && e->origin == sel->not_origin)
 		return 0;
-	return sel->bucket_mask == 0 ||
+	return sel->bucket_mask == 0 || scope != BG_SCOPE_ALL ||
 	    (sel->bucket_mask >> bucket_of(e->ident) & 1) != 0;
 }
 
--- a/mesh/tests/test_table.c
+++ b/mesh/tests/test_table.c
@@ -115,6 +115,16 @@
 	ck_assert_uint_eq(count_selected(&sel, &cursor), 3);
 	sel.scope_mask = 1u << BG_SCOPE_RELAYS;
 	ck_assert_uint_eq(count_selected(&sel, &cursor), 1);
+	put(BG_ITEM_GROUP, "dc/1", 1, 1, "g", 0);
+	ck_assert_uint_eq(count_selected(&sel, &cursor), 1);
+	sel.scope_mask = 1u << BG_SCOPE_UP_RELAYS;
+	ck_assert_uint_eq(count_selected(&sel, &cursor), 1);
+	/* Digests do not cover these, so buckets cannot leave them out. */
+	sel.scope_mask = ALL_SCOPES;
+	sel.bucket_mask = 0;
+	ck_assert_uint_eq(count_selected(&sel, &cursor), 5);
+	for (sel.bucket_mask = 1; sel.bucket_mask != 0; sel.bucket_mask <<= 1)
+		ck_assert_uint_ge(count_selected(&sel, &cursor), 4);
 }
 END_TEST
 
