--- a/mesh/src/mesh/children.c
+++ b/mesh/src/mesh/children.c
@@ -490,12 +490,12 @@
 }
 
 void
-bg_children_resumed(struct bg_children *chn, uint64_t gap_ms)
+bg_children_resumed(struct bg_children *chn, uint64_t now_ms)
 {
 	struct session *s;
 
 	for (s = chn->sessions; s != NULL; s = s->hh.next)
-		s->heard_ms += gap_ms;
+		s->heard_ms = now_ms;
 }
 
 void
--- a/mesh/src/mesh/children.h
+++ b/mesh/src/mesh/children.h
@@ -61,7 +61,7 @@
 /** Ends waits that are over and sessions that went silent. */
 void bg_children_tick(struct bg_children *chn, uint64_t now_ms);
 /** Prolongs all sessions, since this process did not run for a while. */
-void bg_children_resumed(struct bg_children *chn, uint64_t gap_ms);
+void bg_children_resumed(struct bg_children *chn, uint64_t now_ms);
 /** Sends all sessions to another root, since this node no longer is one. */
 void bg_children_redirect(struct bg_children *chn, const char *address);
 /** 1 if there is a child session with this address. */
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -132,7 +132,7 @@
 void bg_mesh_role_init(struct bg_mesh *mesh);
 void bg_mesh_role_tick(struct bg_mesh *mesh, uint64_t now_ms);
 /** This process did not run for a while and could not hear anybody. */
-void bg_mesh_role_resumed(struct bg_mesh *mesh, uint64_t gap_ms);
+void bg_mesh_role_resumed(struct bg_mesh *mesh, uint64_t now_ms);
 void bg_mesh_role_free(struct bg_mesh *mesh);
 void bg_mesh_view(struct bg_mesh *mesh, struct bg_root_view *out);
 int bg_mesh_view_is_fresh(struct bg_mesh *mesh);
--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -178,8 +178,8 @@
 
 	if (mesh->last_tick_ms != 0 && gap_ms >= PAUSE_MS) {
 		bg_log_warn("mesh", "resumed after_ms=%" PRIu64, gap_ms);
-		bg_children_resumed(mesh->children, gap_ms);
-		bg_mesh_role_resumed(mesh, gap_ms);
+		bg_children_resumed(mesh->children, now_ms);
+		bg_mesh_role_resumed(mesh, now_ms);
 	}
 	mesh->last_tick_ms = now_ms;
 	bg_mesh_role_tick(mesh, now_ms);
--- a/mesh/src/mesh/role.c
+++ b/mesh/src/mesh/role.c
@@ -531,10 +531,10 @@
 }
 
 void
-bg_mesh_role_resumed(struct bg_mesh *mesh, uint64_t gap_ms)
+bg_mesh_role_resumed(struct bg_mesh *mesh, uint64_t now_ms)
 {
-	mesh->lost_parent.heard_ms += gap_ms;
-	mesh->parent_heard_ms += gap_ms;
+	mesh->lost_parent.heard_ms = now_ms;
+	mesh->parent_heard_ms = now_ms;
 	bg_liveness_reset(&mesh->liveness);
 }
 
