--- a/standins/platform/api.c
+++ b/standins/platform/api.c
@@ -132,6 +132,7 @@
 start_call(struct platform *plt, evhtp_request_t *req)
 {
 	struct call *call = calloc(1, sizeof(*call));
+	uint32_t delay_ms;
 	evhtp_res code;
 
 	if (call == NULL ||
@@ -157,8 +158,10 @@
 	}
 	call->request = req;
 	serve_on_gone(req, call_on_gone, call);
-	if (plt->delay_ms > 0)
-		call_arm(call, plt->delay_ms);
+	delay_ms = plt->delay_ms +
+	    (call->method == htp_method_GET ? 0 : plt->write_delay_ms);
+	if (delay_ms > 0)
+		call_arm(call, delay_ms);
 	else
 		call_execute(call);
 }
--- a/standins/platform/control.c
+++ b/standins/platform/control.c
@@ -54,6 +54,8 @@
 		return set_outage(plt, value);
 	if (strcmp(name, "delay_ms") == 0)
 		return set_number(&plt->delay_ms, value);
+	if (strcmp(name, "write_delay_ms") == 0)
+		return set_number(&plt->write_delay_ms, value);
 	if (strcmp(name, "answer_delay_ms") == 0)
 		return set_number(&plt->answer_delay_ms, value);
 	if (strcmp(name, "lose_next_write_answers") == 0)
--- a/standins/platform/platform.h
+++ b/standins/platform/platform.h
@@ -29,6 +29,7 @@
 	uint32_t watch_count;
 	enum outage outage;
 	uint32_t delay_ms;	  /**< before a call is executed */
+	uint32_t write_delay_ms;  /**< the same for writes, in addition */
 	uint32_t answer_delay_ms; /**< after it was executed */
 	uint32_t lose_next_write_answers;
 	uint64_t lost_answers;
