--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -115,8 +115,12 @@
 run(struct bg_load *load)
 {
 	static const struct timeval interval = {0, ARRIVALS_US};
+	struct event_config *cfg = event_config_new();
 
-	load->base = event_base_new();
+	/* Without it, arrivals follow a clock that advances in steps of 4 ms. */
+	event_config_set_flag(cfg, EVENT_BASE_FLAG_PRECISE_TIMER);
+	load->base = event_base_new_with_config(cfg);
+	event_config_free(cfg);
 	load->arrivals =
 	    event_new(load->base, -1, EV_PERSIST, on_arrivals, load);
 	load->start_us = bg_clock_now_us();
--- a/standins/common/serve.c
+++ b/standins/common/serve.c
@@ -22,9 +22,15 @@
 int
 serve_init(struct serve *out)
 {
+	struct event_config *cfg = event_config_new();
+
 	memset(out, 0, sizeof(*out));
 	signal(SIGPIPE, SIG_IGN);
-	if ((out->base = event_base_new()) == NULL)
+	/* Without it, timers follow a clock that advances in steps of 4 ms. */
+	event_config_set_flag(cfg, EVENT_BASE_FLAG_PRECISE_TIMER);
+	out->base = event_base_new_with_config(cfg);
+	event_config_free(cfg);
+	if (out->base == NULL)
 		return -1;
 	out->sigterm = evsignal_new(out->base, SIGTERM, on_signal, out->base);
 	out->sigint = evsignal_new(out->base, SIGINT, on_signal, out->base);
