Accept answers of servers that do not return the request identity

A missing identity is now accepted, another one is still discarded. Also drops log4c's own prefix from each log line and corrects the name of a metric and the delay of answers to customers in bench/cluster.py.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -218,7 +218,7 @@
         return out
 
     def is_synced(self):
-        return self.metrics().get("burdock_synced", 0) == 1
+        return self.metrics().get("burdock_mesh_synced", 0) == 1
 
     def processes(self):
         return [p for p in (self.node, self.backend) if p is not None]
@@ -358,6 +358,8 @@
                                   "delay_ms": self.user["between_ms"]})
             rules.append({"source": self.client_ip, "target": a.prefix,
                           "delay_ms": self.user["client_ms"]})
+            rules.append({"source": a.prefix, "target": self.client_ip,
+                          "delay_ms": self.user["client_ms"]})
         return rules
 
     def set_delays(self):
--- a/core/src/log.c
+++ b/core/src/log.c
@@ -1,4 +1,5 @@
 #include <log4c.h>
+#include <log4c/appender_type_stream2.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -68,7 +69,10 @@
 	log4c_layout_type_set(&layout_type);
 	layout = log4c_layout_get("burdockgrade");
 	log4c_layout_set_type(layout, &layout_type);
+	/* The type "stream" would put its name before each line. */
 	appender = log4c_appender_get("stderr");
+	log4c_appender_set_type(appender, log4c_appender_type_get("stream2"));
+	log4c_stream2_set_fp(appender, stderr);
 	log4c_appender_set_layout(appender, layout);
 	return 0;
 }
--- a/proxy/src/gatekeeper/answer.c
+++ b/proxy/src/gatekeeper/answer.c
@@ -70,9 +70,12 @@
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 	const char *id = evhttp_find_header(headers, "X-Request-Id");
 
+	/* Not every server returns the identity; one that does must return
+	 * the right one. Without it, one request a connection at a time and
+	 * the close of each connection in doubt keep answers apart. */
 	*out_why = BG_DISCARD_FOREIGN;
-	if (id == NULL || strcmp(id, request_id) != 0 ||
-	    count_header(headers, "X-Request-Id") != 1 || has_more_bytes(evcon))
+	if ((id != NULL && strcmp(id, request_id) != 0) ||
+	    count_header(headers, "X-Request-Id") > 1 || has_more_bytes(evcon))
 		return -1;
 	*out_why = BG_DISCARD_UNFRAMED;
 	return is_framed(req, is_head) ? 0 : -1;
--- a/standins/backend/run.c
+++ b/standins/backend/run.c
@@ -230,6 +230,7 @@
 {
 	bke->shed++;
 	serve_add_header(req, "X-Shed", "1");
+	serve_add_header(req, "Retry-After", "1");
 	serve_reply(req, EVHTP_RES_SERVUNAVAIL, why, strlen(why));
 }
 
