Write log lines by an appender of our own

log4c resolves the type stream2 only after it was used once, so the appender kept its type and took the file for another struct: every node crashed at its second log line. The appender type is now ours.

--- a/core/src/log.c
+++ b/core/src/log.c
@@ -1,5 +1,4 @@
 #include <log4c.h>
-#include <log4c/appender_type_stream2.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -41,6 +40,16 @@
 
 static const log4c_layout_type_t layout_type = {"burdockgrade", format_line};
 
+static int
+append_line(log4c_appender_t *appender, const log4c_logging_event_t *ev)
+{
+	return fputs(ev->evt_rendered_msg, stderr) < 0;
+}
+
+/* log4c's own type "stream" puts its name before each line. */
+static const log4c_appender_type_t appender_type = {
+    "burdockgrade", NULL, append_line, NULL};
+
 static int
 find_priority(int *out, const char *level)
 {
@@ -69,10 +78,9 @@
 	log4c_layout_type_set(&layout_type);
 	layout = log4c_layout_get("burdockgrade");
 	log4c_layout_set_type(layout, &layout_type);
-	/* The type "stream" would put its name before each line. */
-	appender = log4c_appender_get("stderr");
-	log4c_appender_set_type(appender, log4c_appender_type_get("stream2"));
-	log4c_stream2_set_fp(appender, stderr);
+	log4c_appender_type_set(&appender_type);
+	appender = log4c_appender_get("burdockgrade");
+	log4c_appender_set_type(appender, &appender_type);
 	log4c_appender_set_layout(appender, layout);
 	return 0;
 }
@@ -95,7 +103,8 @@
 	category = log4c_category_get(part);
 	log4c_category_set_priority(category, threshold);
 	log4c_category_set_additivity(category, 0);
-	log4c_category_set_appender(category, log4c_appender_get("stderr"));
+	log4c_category_set_appender(
+	    category, log4c_appender_get("burdockgrade"));
 	va_start(ap, fmt);
 	log4c_category_vlog(category, priority, fmt, ap);
 	va_end(ap);
