Test the mesh behind the fault-injecting proxy

Partitions, silent links, duplicated and truncated messages had no test with real processes. Adds test_mesh_faults with four cases.

--- a/mesh/tests/cluster.h
+++ b/mesh/tests/cluster.h
@@ -39,6 +39,7 @@
 	int number;
 	char ip[32];
 	uint16_t mesh_port;
+	uint16_t proxy_port; /* of bg-faultproxy, if it is used */
 	uint16_t customer_port;
 	char address[BG_ADDRESS_BYTES]; /* announced */
 	char extra[512];		/* further settings */
@@ -47,6 +48,8 @@
 struct cluster {
 	char folder[64];
 	pid_t platform_pid;
+	pid_t proxy_pid;
+	uint16_t proxy_control_port;
 	char platform[BG_ADDRESS_BYTES];
 	struct cluster_node nodes[CLUSTER_NODES_MAX];
 	size_t node_count;
@@ -367,6 +370,65 @@
 	out->slo_window_days = 30;
 }
 
+/* Sets the rules of bg-faultproxy. @param rules text of a JSON array */
+static inline int
+cluster_try_rules(const struct cluster *cl, const char *rules)
+{
+	char request[1024];
+	char answer[1024];
+	char body[768];
+
+	snprintf(body, sizeof(body), "{\"rules\": %s}", rules);
+	snprintf(request, sizeof(request),
+	    "POST /control HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+	    "Content-Length: %zu\r\n\r\n%s",
+	    strlen(body), body);
+	if (cluster_http("127.0.0.1", cl->proxy_control_port, request, answer,
+		sizeof(answer)) != 0)
+		return -1;
+	return strncmp(answer, "HTTP/1.1 200", 12) == 0 ? 0 : -1;
+}
+
+static inline void
+cluster_rules(const struct cluster *cl, const char *rules)
+{
+	ck_assert_int_eq(cluster_try_rules(cl, rules), 0);
+}
+
+/* Puts bg-faultproxy between the nodes added so far: each announces the
+ * proxy's address for itself. */
+static inline void
+cluster_start_proxy(struct cluster *cl)
+{
+	char maps[CLUSTER_NODES_MAX][128];
+	char control[64];
+	char log[128];
+	char *argv[2 * CLUSTER_NODES_MAX + 4] = {NULL, "--control", control};
+	uint64_t end_ms = bg_clock_now_ms() + CLUSTER_WAIT_MS;
+	size_t argc = 3;
+	size_t i;
+
+	for (i = 0; i < cl->node_count; i++) {
+		struct cluster_node *node = &cl->nodes[i];
+
+		node->proxy_port = cluster_port(node->ip);
+		snprintf(node->address, sizeof(node->address), "127.%d.0.%d:%u",
+		    node->dc, node->number, node->proxy_port);
+		snprintf(maps[i], sizeof(maps[i]), "%s=%s:%u,rpc",
+		    node->address, node->ip, node->mesh_port);
+		argv[argc++] = "--map";
+		argv[argc++] = maps[i];
+	}
+	cl->proxy_control_port = cluster_port("127.0.0.1");
+	snprintf(
+	    control, sizeof(control), "127.0.0.1:%u", cl->proxy_control_port);
+	snprintf(log, sizeof(log), "%s/proxy.log", cl->folder);
+	cl->proxy_pid = cluster_spawn("bg-faultproxy", argv, log);
+	while (cluster_try_rules(cl, "[]") != 0 && bg_clock_now_ms() < end_ms)
+		cluster_pause();
+	cluster_rules(cl, "[]");
+}
+
 static inline void
 cluster_put(const struct cluster *cl, const char *key, uint64_t expected,
     const char *body, uint64_t *out_version)
@@ -443,6 +505,10 @@
 	}
 	kill(cl->platform_pid, SIGTERM);
 	waitpid(cl->platform_pid, NULL, 0);
+	if (cl->proxy_pid != 0) {
+		kill(cl->proxy_pid, SIGTERM);
+		waitpid(cl->proxy_pid, NULL, 0);
+	}
 	bg_head_free(&cl->head);
 	if (getenv("BG_KEEP") != NULL)
 		return;
--- /dev/null
+++ b/mesh/tests/test_mesh_faults.c
@@ -0,0 +1,199 @@
+#include "cluster.h"
+
+#define PARTITION                                           \
+	"[{\"source\": \"127.1.\", \"target\": \"127.2.\"," \
+	" \"partition\": true}, {\"source\": \"127.2.\","   \
+	" \"target\": \"127.1.\", \"partition\": true}]"
+
+static struct cluster cl;
+
+static void
+setup(void)
+{
+	cluster_init(&cl);
+}
+
+static void
+teardown(void)
+{
+	cluster_free(&cl);
+}
+
+/* Nodes of one or two data centres behind bg-faultproxy. */
+static void
+start_nodes(int centres, int count)
+{
+	size_t i;
+	int dc;
+	int n;
+
+	for (n = 1; n <= count; n++) {
+		for (dc = 1; dc <= centres; dc++)
+			cluster_add(&cl, dc, n);
+	}
+	cluster_start_proxy(&cl);
+	for (i = 0; i < cl.node_count; i++)
+		node_start(&cl, &cl.nodes[i]);
+}
+
+static void
+wait_dc(int dc, const char *name, long wanted)
+{
+	size_t i;
+
+	for (i = 0; i < cl.node_count; i++) {
+		if (cl.nodes[i].dc == dc && cl.nodes[i].pid != 0)
+			node_wait(&cl.nodes[i], name, wanted);
+	}
+}
+
+/* Guards against news that are lost, or older ones that win, when two data
+ * centres meet again after each had its own. */
+START_TEST(data_centres_cut_apart_and_joined)
+{
+	struct cluster_node *lost;
+	uint64_t version;
+	size_t i;
+
+	start_nodes(2, 3);
+	version = cluster_publish(&cl, "catalogue");
+	cluster_wait(&cl, "burdock_config_version", (long)version);
+	cluster_wait(&cl, "burdock_mesh_members", 6);
+	cluster_rules(&cl, PARTITION);
+	cluster_control(&cl, "{\"cut\": [\"127.2.\"]}");
+	/* News of the first data centre: a version. */
+	version = cluster_publish(&cl, "atelier");
+	wait_dc(1, "burdock_config_version", (long)version);
+	/* News of the second: a member died. It is a root without lease. */
+	wait_dc(2, "burdock_mesh_relay", 0);
+	lost = &cl.nodes[5];
+	node_kill(lost);
+	wait_dc(2, "burdock_mesh_members", 5);
+	for (i = 0; i < cl.node_count; i++) {
+		if (cl.nodes[i].dc == 2 && cl.nodes[i].pid != 0)
+			ck_assert_int_eq(
+			    node_metric(&cl.nodes[i], "burdock_config_version"),
+			    1);
+		if (cl.nodes[i].dc == 1)
+			ck_assert_int_eq(
+			    node_metric(&cl.nodes[i], "burdock_mesh_members"),
+			    6);
+	}
+	cluster_rules(&cl, "[]");
+	cluster_wait(&cl, "burdock_config_version", (long)version);
+	cluster_wait(&cl, "burdock_mesh_members", 5);
+	cluster_control(&cl, "{\"cut\": []}");
+	node_start(&cl, lost);
+	cluster_wait(&cl, "burdock_mesh_members", 6);
+	cluster_wait(&cl, "burdock_config_version", (long)version);
+}
+END_TEST
+
+/* Guards against nodes that wait for ever on links that went silent while new
+ * ones work. */
+START_TEST(links_go_silent_for_good)
+{
+	uint64_t version;
+
+	cl.fanout = 2;
+	start_nodes(1, 5);
+	version = cluster_publish(&cl, "catalogue");
+	cluster_wait(&cl, "burdock_config_version", (long)version);
+	cluster_wait(&cl, "burdock_mesh_members", 5);
+	cluster_rules(&cl, "[{\"silence\": true}]");
+	cluster_rules(&cl, "[]");
+	version = cluster_publish(&cl, "catalogue");
+	cluster_wait(&cl, "burdock_config_version", (long)version);
+	cluster_wait(&cl, "burdock_mesh_members", 5);
+}
+END_TEST
+
+/* Guards against a version that goes back, or a node that stays behind, when
+ * messages arrive twice, late and in bursts. */
+START_TEST(updates_cross_and_repeat)
+{
+	uint64_t version = 0;
+	long before[6] = {0};
+	int round;
+	size_t i;
+
+	cl.fanout = 2;
+	start_nodes(2, 3);
+	cluster_rules(&cl,
+	    "[{\"duplicate_permille\": 400, \"delay_ms\": 5,"
+	    " \"jitter_ms\": 60}]");
+	for (round = 0; round < 12; round++) {
+		version = cluster_publish(
+		    &cl, round % 2 == 0 ? "catalogue" : "atelier");
+		for (i = 0; i < cl.node_count; i++) {
+			long now =
+			    node_metric(&cl.nodes[i], "burdock_config_version");
+
+			ck_assert_int_ge(now, before[i]);
+			before[i] = now;
+		}
+	}
+	cluster_wait(&cl, "burdock_config_version", (long)version);
+	cluster_wait(&cl, "burdock_mesh_members", 6);
+	for (i = 0; i < cl.node_count; i++)
+		ck_assert_int_eq(node_metric(&cl.nodes[i],
+				     "burdock_mesh_refused_snapshots_total"),
+		    0);
+}
+END_TEST
+
+/* Guards against a list that is cut in the middle and taken as complete. */
+START_TEST(messages_are_truncated)
+{
+	uint64_t version;
+	size_t i;
+
+	start_nodes(1, 3);
+	version = cluster_publish(&cl, "catalogue");
+	cluster_wait(&cl, "burdock_config_version", (long)version);
+	cluster_wait(&cl, "burdock_mesh_members", 3);
+	/* Room for several calls, so that a link breaks at any point. */
+	cluster_rules(&cl, "[{\"cut_after_bytes\": 3000}]");
+	version = cluster_publish(&cl, "atelier");
+	cluster_wait(&cl, "burdock_config_version", (long)version);
+	version = cluster_publish(&cl, "catalogue");
+	cluster_wait(&cl, "burdock_config_version", (long)version);
+	cluster_rules(&cl, "[]");
+	version = cluster_publish(&cl, "expedition");
+	cluster_wait(&cl, "burdock_config_version", (long)version);
+	cluster_wait(&cl, "burdock_mesh_members", 3);
+	for (i = 0; i < cl.node_count; i++)
+		ck_assert_int_eq(node_metric(&cl.nodes[i],
+				     "burdock_mesh_refused_snapshots_total"),
+		    0);
+}
+END_TEST
+
+static void
+add_case(Suite *suite, const TTest *test)
+{
+	TCase *tc = tcase_create(test->name);
+
+	tcase_set_timeout(tc, 110);
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, test);
+	suite_add_tcase(suite, tc);
+}
+
+int
+main(void)
+{
+	Suite *suite = suite_create("mesh faults");
+	SRunner *runner;
+	int failed;
+
+	add_case(suite, data_centres_cut_apart_and_joined);
+	add_case(suite, links_go_silent_for_good);
+	add_case(suite, updates_cross_and_repeat);
+	add_case(suite, messages_are_truncated);
+	runner = srunner_create(suite);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed != 0;
+}
