--- a/record/src/group/group.c
+++ b/record/src/group/group.c
@@ -275,18 +275,6 @@
 	}
 }
 
-static void
-drop_records(struct bg_group *grp)
-{
-	struct bg_record_set *set;
-
-	if (bg_record_set_count(grp->set) == 0 ||
-	    bg_record_set_init(&set, grp->store) != 0)
-		return;
-	bg_record_set_free(grp->set);
-	grp->set = set;
-}
-
 void
 bg_group_adopt(
     struct bg_group *grp, const struct bg_view *view, uint64_t now_ms)
@@ -300,7 +288,7 @@
 	grp->is_sealed = 0;
 	grp->target_count = 0;
 	if (!bg_group_is_listed(grp))
-		drop_records(grp);
+		bg_record_set_clear(grp->set);
 	if (!grp->is_holder)
 		return;
 	/* Numbers of a later epoch are above all of an earlier one. */
@@ -319,7 +307,7 @@
  * have granted the key; only then the refusal is "not-run". */
 static void
 refuse_proved(
-    struct bg_group *grp, const struct bg_group_begin *req, uint64_t now_ms)
+    struct bg_group *grp, const struct bg_group_request *req, uint64_t now_ms)
 {
 	struct write model;
 
@@ -333,7 +321,7 @@
 }
 
 static void
-start(struct bg_group *grp, const struct bg_group_begin *req, uint64_t now_ms)
+start(struct bg_group *grp, const struct bg_group_request *req, uint64_t now_ms)
 {
 	struct write model;
 
@@ -356,7 +344,7 @@
 
 static void
 wait_for_outcome(
-    struct bg_group *grp, const struct bg_group_begin *req, uint64_t now_ms)
+    struct bg_group *grp, const struct bg_group_request *req, uint64_t now_ms)
 {
 	struct waiter *wtr;
 
@@ -391,7 +379,7 @@
 }
 
 static void
-begin_known(struct bg_group *grp, const struct bg_group_begin *req,
+begin_known(struct bg_group *grp, const struct bg_group_request *req,
     const struct bg_record *rec, uint64_t now_ms)
 {
 	if (rec->request_digest != req->request_digest) {
@@ -418,7 +406,7 @@
 
 /* A key without record may have had one that was lost or that has expired. */
 static int
-may_have_run(const struct bg_group *grp, const struct bg_group_begin *req,
+may_have_run(const struct bg_group *grp, const struct bg_group_request *req,
     uint64_t now_wall_ms)
 {
 	uint64_t created_ms = req->created_ms;
@@ -435,7 +423,7 @@
 }
 
 void
-bg_group_begin(struct bg_group *grp, const struct bg_group_begin *req,
+bg_group_begin(struct bg_group *grp, const struct bg_group_request *req,
     uint64_t now_ms, uint64_t now_wall_ms)
 {
 	const struct bg_record *rec;
--- a/record/src/group/group.h
+++ b/record/src/group/group.h
@@ -52,7 +52,7 @@
 };
 
 /** A request to run the call of a key. */
-struct bg_group_begin {
+struct bg_group_request {
 	uint64_t token;
 	uint64_t fingerprint;
 	uint64_t request_digest;
@@ -79,7 +79,7 @@
     struct bg_group *grp, const struct bg_view *view, uint64_t now_ms);
 
 /** Starts a begin; `begun` runs once, at once or later. */
-void bg_group_begin(struct bg_group *grp, const struct bg_group_begin *req,
+void bg_group_begin(struct bg_group *grp, const struct bg_group_request *req,
     uint64_t now_ms, uint64_t now_wall_ms);
 /** Gives up a begin whose caller is gone; `begun` does not run. */
 void bg_group_forget(struct bg_group *grp, uint64_t token, uint64_t now_ms);
--- a/record/src/group/internal.h
+++ b/record/src/group/internal.h
@@ -56,7 +56,7 @@
 
 /** A begin that waits for the outcome of a running call. */
 struct waiter {
-	struct bg_group_begin request;
+	struct bg_group_request request;
 	uint64_t until_ms;
 	struct waiter *prev;
 	struct waiter *next;
--- a/record/src/records/ask.c
+++ b/record/src/records/ask.c
@@ -152,7 +152,7 @@
 try_ask(struct ask *ask, uint64_t now_ms)
 {
 	struct bg_records *rcs = ask->request.records;
-	struct bg_group_begin req;
+	struct bg_group_request req;
 	struct bg_group *grp;
 	struct home *home;
 	const struct bg_view *view;
--- a/record/src/records/serve.c
+++ b/record/src/records/serve.c
@@ -53,7 +53,7 @@
 	struct bg_records *rcs = arg;
 	struct bg_group *grp =
 	    bg_records_group(rcs, args->data_centre, args->group);
-	struct bg_group_begin req;
+	struct bg_group_request req;
 	struct served *served;
 	struct bg_place place;
 
--- a/record/src/store/store.c
+++ b/record/src/store/store.c
@@ -176,17 +176,42 @@
 	return 0;
 }
 
-void
-bg_record_set_free(struct bg_record_set *set)
+static void
+drop_answers(struct bg_record_set *set)
 {
 	size_t i;
 
-	if (set == NULL)
-		return;
 	for (i = 0; i < set->slot_count; i++) {
 		if (set->slots[i].answer != NULL)
 			drop_answer(set->store, set->slots[i].answer);
 	}
+}
+
+void
+bg_record_set_clear(struct bg_record_set *set)
+{
+	struct bg_record *slots = calloc(FIRST_SLOTS, sizeof(*slots));
+
+	drop_answers(set);
+	set->count = 0;
+	set->sweep_at = 0;
+	if (slots == NULL) {
+		memset(set->slots, 0, set->slot_count * sizeof(*slots));
+		return;
+	}
+	set->store->used_bytes -=
+	    (set->slot_count - FIRST_SLOTS) * sizeof(*slots);
+	free(set->slots);
+	set->slots = slots;
+	set->slot_count = FIRST_SLOTS;
+}
+
+void
+bg_record_set_free(struct bg_record_set *set)
+{
+	if (set == NULL)
+		return;
+	drop_answers(set);
 	set->store->used_bytes -= set->slot_count * sizeof(*set->slots);
 	set->store->set_count--;
 	free(set->slots);
--- a/record/src/store/store.h
+++ b/record/src/store/store.h
@@ -60,6 +60,8 @@
 
 int bg_record_set_init(struct bg_record_set **out, struct bg_store *sto);
 void bg_record_set_free(struct bg_record_set *set);
+/** Removes all records and gives back their memory. */
+void bg_record_set_clear(struct bg_record_set *set);
 size_t bg_record_set_count(const struct bg_record_set *set);
 /** Finds a record; valid until the next change of the set. */
 const struct bg_record *bg_record_set_find(
