--- a/mesh/include/burdockgrade/table.h
+++ b/mesh/include/burdockgrade/table.h
@@ -30,9 +30,10 @@
 
 /** Who receives an item. */
 enum bg_item_scope {
-	BG_SCOPE_ALL,	 /**< every node */
-	BG_SCOPE_UP,	 /**< from a node towards its relay only */
-	BG_SCOPE_RELAYS, /**< among relays only */
+	BG_SCOPE_ALL,	    /**< every node */
+	BG_SCOPE_UP,	    /**< from a node towards its relay only */
+	BG_SCOPE_RELAYS,    /**< among relays only */
+	BG_SCOPE_UP_RELAYS, /**< towards the relay, and among relays */
 };
 
 struct bg_item {
@@ -83,7 +84,9 @@
 	uint64_t
 	    not_origin; /**< leave out items that came from here, 0: none */
 	uint32_t scope_mask;  /**< bits 1 << enum bg_item_scope */
-	uint64_t bucket_mask; /**< bit i: bucket i, whatever the cursor; 0: by
+	uint64_t bucket_mask; /**< bit i: bucket i, whatever the cursor; items
+				   of other scopes than ALL, which the digests
+				   do not cover, are all selected; 0: by
 				   cursor */
 	size_t max_bytes;     /**< stop above this size; 0: no limit */
 };
@@ -97,6 +100,13 @@
 int bg_table_select(struct bg_xitems *out, uint64_t *out_cursor,
     const struct bg_table *tbl, const struct bg_table_select *sel);
 
+/** 1 if a change after the cursor came from this origin. */
+int bg_table_has_origin(
+    const struct bg_table *tbl, uint64_t cursor, uint64_t origin);
+/** 1 if the selection by cursor is not empty. */
+int bg_table_has_news(
+    const struct bg_table *tbl, const struct bg_table_select *sel);
+
 /** Merges a received list. @return number of changed items or a code < 0 */
 int bg_table_merge_list(
     struct bg_table *tbl, const struct bg_xitems *items, uint64_t origin);
@@ -105,7 +115,10 @@
 void bg_table_digests(
     uint64_t out[BG_DIGEST_BUCKETS], const struct bg_table *tbl);
 
-/** Removes an item that is no longer needed anywhere (old dead members). */
+/**
+ * Removes an item that is no longer needed anywhere (old dead members). An
+ * item of the same or a lower (major, minor) is not merged again.
+ */
 void bg_table_forget(struct bg_table *tbl, uint32_t kind, const char *key);
 
 #endif
