--- /dev/null
+++ b/cli/src/main.c
@@ -0,0 +1,121 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cli.h"
+
+const char *argp_program_version = "burdockgrade 0.1.0";
+
+const struct bg_cli_command BG_CLI_COMMANDS[] = {
+    {"new", "SERVICE", "Write an empty questionnaire", 1, 1, bg_cli_new},
+    {"check", "FILE...",
+	"Check questionnaires\n\nWith --platform also together with the "
+	"services that are accepted already.",
+	1, BG_CLI_ARGS_MAX, bg_cli_check},
+    {"plan", "FILE...", "Show what accepting questionnaires would change", 1,
+	BG_CLI_ARGS_MAX, bg_cli_plan},
+    {"accept", "FILE...", "Bring questionnaires into force everywhere", 1,
+	BG_CLI_ARGS_MAX, bg_cli_accept},
+    {"withdraw", "SERVICE",
+	"Bring back the configuration before the last accept", 1, 1,
+	bg_cli_withdraw},
+    {"move", "SERVICE VERSION", "Move a service to another server version", 2,
+	2, bg_cli_move},
+    {"status", "[SERVICE...]", "Print what a node knows of each service", 0,
+	BG_CLI_ARGS_MAX, bg_cli_status},
+    {"watch", "[SERVICE...]",
+	"Print each change of the status\n\nWith services, ends once all of "
+	"them are done (exit code 0) or one is rolled back (1).",
+	0, BG_CLI_ARGS_MAX, bg_cli_watch},
+    {"history", "[SERVICE...]", "Print the last changes", 0, BG_CLI_ARGS_MAX,
+	bg_cli_history},
+    {NULL, NULL, NULL, 0, 0, NULL},
+};
+
+struct top {
+	const struct bg_cli_command *command;
+	int at; /* index of the subcommand in argv */
+};
+
+static const struct bg_cli_command *
+find_command(const char *name)
+{
+	const struct bg_cli_command *cmd;
+
+	for (cmd = BG_CLI_COMMANDS; cmd->name != NULL; cmd++)
+		if (strcmp(cmd->name, name) == 0)
+			return cmd;
+	return NULL;
+}
+
+static error_t
+parse_top(int key, char *arg, struct argp_state *state)
+{
+	struct top *top = state->input;
+
+	switch (key) {
+	case ARGP_KEY_ARG:
+		if ((top->command = find_command(arg)) == NULL)
+			argp_error(state, "unknown command \"%s\"", arg);
+		top->at = state->next - 1;
+		/* The rest belongs to the subcommand. */
+		state->next = state->argc;
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* Appends the list of commands to the help text. @return free() it */
+static char *
+list_commands(int key, const char *text, void *input)
+{
+	const struct bg_cli_command *cmd;
+	size_t list_bytes;
+	char *list;
+	FILE *fp;
+
+	if (key != ARGP_KEY_HELP_POST_DOC ||
+	    (fp = open_memstream(&list, &list_bytes)) == NULL)
+		return (char *)text;
+	fputs("Commands:\n", fp);
+	for (cmd = BG_CLI_COMMANDS; cmd->name != NULL; cmd++)
+		fprintf(fp, "  %-9s %-15s  %.*s\n", cmd->name, cmd->args_doc,
+		    (int)strcspn(cmd->doc, "\n"), cmd->doc);
+	fputs("\nburdockgrade COMMAND --help explains the options. Exit codes: "
+	      "0 ok, 1 failed,\n2 bad usage or input, 3 conflict, 4 platform "
+	      "not reachable.",
+	    fp);
+	fclose(fp);
+	return list;
+}
+
+int
+main(int argc, char **argv)
+{
+	static const struct argp argp = {NULL, parse_top, "COMMAND [ARG...]",
+	    "Configures the service mesh: questionnaires, versions and moves."
+	    "\v ",
+	    NULL, list_commands, NULL};
+	char name[64];
+	struct bg_cli *cli;
+	struct top top = {NULL, 0};
+	int code;
+
+	argp_err_exit_status = BG_EXIT_USAGE;
+	argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, &top);
+	if (top.command == NULL)
+		return BG_EXIT_USAGE;
+	if ((cli = calloc(1, sizeof(*cli))) == NULL)
+		return BG_EXIT_FAILED;
+	cli->command = top.command;
+	/* The name in usage lines and messages. */
+	snprintf(name, sizeof(name), "burdockgrade %s", top.command->name);
+	argv[top.at] = name;
+	code = top.command->run(cli, argc - top.at, argv + top.at);
+	free(cli);
+	return code;
+}
--- /dev/null
+++ b/cli/src/questions.c
@@ -0,0 +1,248 @@
+/* new, check and plan: nothing is changed. */
+
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "diff.h"
+#include "state.h"
+
+struct new_options {
+	struct bg_cli cli;
+	const char *output;
+};
+
+static error_t
+parse_new(int key, char *arg, struct argp_state *state)
+{
+	struct new_options *opts = state->input;
+
+	switch (key) {
+	case ARGP_KEY_INIT:
+		state->child_inputs[0] = state->input;
+		return 0;
+	case 'o':
+		opts->output = arg;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* Answers that are there already are never overwritten. */
+static int
+write_new_file(const char *path, const char *text, struct bg_error *err)
+{
+	size_t bytes = strlen(text);
+	ssize_t written;
+	int fd;
+
+	if ((fd = open(path, O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, 0666)) <
+	    0)
+		return bg_error_set(err, errno == EEXIST ? BG_EINVAL : BG_EIO,
+		    "new", NULL, "%s: %s", path, strerror(errno));
+	written = write(fd, text, bytes);
+	if (close(fd) != 0 || written != (ssize_t)bytes)
+		return bg_error_set(
+		    err, BG_EIO, "new", NULL, "%s: not written", path);
+	return 0;
+}
+
+int
+bg_cli_new(struct bg_cli *cli, int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+	    {"output", 'o', "FILE", 0,
+		"Name of the new file, \"-\" for standard output; default "
+		"SERVICE.toml",
+		0},
+	    {NULL, 0, NULL, 0, NULL, 0},
+	};
+	struct new_options opts = {*cli, NULL};
+	struct bg_error err = {0};
+	char path[BG_NAME_BYTES + 8];
+	char *text;
+	int error;
+
+	bg_cli_parse(&opts.cli, options, parse_new, argc, argv);
+	error = bg_questionnaire_template(&text, opts.cli.args[0]);
+	if (error != 0) {
+		bg_error_set(&err, error, "new", NULL,
+		    "service: expected letters, digits, '-', '_' and '.', "
+		    "found \"%s\"",
+		    opts.cli.args[0]);
+		return bg_cli_fail(&opts.cli, &err, NULL);
+	}
+	snprintf(path, sizeof(path), "%s.toml", opts.cli.args[0]);
+	if (opts.output == NULL)
+		opts.output = path;
+	if (strcmp(opts.output, "-") == 0)
+		fputs(text, stdout);
+	else
+		error = write_new_file(opts.output, text, &err);
+	free(text);
+	if (error != 0)
+		return bg_cli_fail(&opts.cli, &err, NULL);
+	if (strcmp(opts.output, "-") == 0)
+		return BG_EXIT_OK;
+	if (opts.cli.json)
+		bg_cli_print_json(json_pack("{s:b, s:s, s:s}", "ok", 1, "file",
+		    opts.output, "service", opts.cli.args[0]));
+	else
+		printf("%s: fill in the answers, then run burdockgrade check\n",
+		    opts.output);
+	return BG_EXIT_OK;
+}
+
+static void
+print_checked(const struct bg_cli *cli, const struct bg_cli_files *files)
+{
+	json_t *array = json_array();
+	size_t i;
+
+	for (i = 0; i < files->count; i++)
+		json_array_append_new(array,
+		    json_pack("{s:s, s:s}", "file", files->items[i].path,
+			"service", files->items[i].contract.name));
+	if (cli->json) {
+		bg_cli_print_json(json_pack("{s:b, s:b, s:o}", "ok", 1,
+		    "with_accepted", cli->platform != NULL, "files", array));
+		return;
+	}
+	json_decref(array);
+	for (i = 0; i < files->count; i++)
+		printf("%s: service %s: ok\n", files->items[i].path,
+		    files->items[i].contract.name);
+	if (cli->platform == NULL)
+		puts("not compared with the accepted services: no --platform");
+}
+
+/* Without a platform only the files are known, so dependencies on other
+ * services cannot be judged. */
+static int
+check_set(struct bg_cli *cli, const struct bg_cli_files *files, char **report,
+    struct bg_error *err)
+{
+	struct bg_platform_options opts;
+	struct bg_cli_state state;
+	int error;
+
+	if (cli->platform == NULL)
+		return bg_questionnaire_validate_files(
+		    report, files->items, files->count, err);
+	bg_cli_platform(&opts, cli);
+	if ((error = bg_cli_state_read(&state, &opts, err)) != 0)
+		return error;
+	error = bg_questionnaire_validate_set(report, files->items,
+	    files->count, state.contracts, state.head.service_count, err);
+	bg_cli_state_free(&state);
+	return error;
+}
+
+int
+bg_cli_check(struct bg_cli *cli, int argc, char **argv)
+{
+	struct bg_error err = {0};
+	struct bg_cli_files files;
+	char *report = NULL;
+	int code = BG_EXIT_OK;
+
+	bg_cli_parse(cli, NULL, NULL, argc, argv);
+	if (bg_cli_files_read(&files, &report, cli, &err) != 0 ||
+	    check_set(cli, &files, &report, &err) != 0)
+		code = bg_cli_fail(cli, &err, report);
+	else
+		print_checked(cli, &files);
+	free(report);
+	bg_cli_files_free(&files);
+	return code;
+}
+
+static const char *
+action_of(const struct bg_contract *accepted, const json_t *details)
+{
+	if (accepted == NULL)
+		return "add";
+	return json_array_size(details) > 0 ? "change" : "none";
+}
+
+static void
+print_change(const char *action, const char *service, const json_t *details)
+{
+	size_t i;
+
+	if (strcmp(action, "none") == 0)
+		printf("service %s: no change\n", service);
+	else
+		printf("%s service %s\n", action, service);
+	for (i = 0; i < json_array_size(details); i++)
+		printf("  %s\n", json_string_value(json_array_get(details, i)));
+}
+
+static void
+print_plan(const struct bg_cli *cli, const struct bg_cli_state *state,
+    const struct bg_cli_files *files)
+{
+	const struct bg_contract *accepted;
+	const struct bg_contract *ctr;
+	json_t *changes = json_array();
+	json_t *details;
+	const char *action;
+	size_t i;
+
+	for (i = 0; i < files->count; i++) {
+		ctr = &files->items[i].contract;
+		accepted = bg_cli_state_find(state, ctr->name);
+		details = bg_cli_diff(accepted, ctr);
+		action = action_of(accepted, details);
+		if (!cli->json)
+			print_change(action, ctr->name, details);
+		json_array_append_new(changes,
+		    json_pack("{s:s, s:s, s:s, s:o}", "service", ctr->name,
+			"file", files->items[i].path, "action", action,
+			"details", details));
+	}
+	if (cli->json) {
+		bg_cli_print_json(
+		    json_pack("{s:b, s:I, s:o}", "ok", 1, "config",
+			(json_int_t)state->head.version, "changes", changes));
+		return;
+	}
+	json_decref(changes);
+	printf("planned against config=%" PRIu64, state->head.version);
+	if (state->head.version != 0)
+		printf("; accept --expect %" PRIu64
+		       " refuses if it changed meanwhile",
+		    state->head.version);
+	putchar('\n');
+}
+
+int
+bg_cli_plan(struct bg_cli *cli, int argc, char **argv)
+{
+	struct bg_platform_options opts;
+	struct bg_cli_state state = {0};
+	struct bg_error err = {0};
+	struct bg_cli_files files;
+	char *report = NULL;
+	int code;
+
+	bg_cli_parse(cli, NULL, NULL, argc, argv);
+	if ((code = bg_cli_platform(&opts, cli)) != 0)
+		return code;
+	if (bg_cli_files_read(&files, &report, cli, &err) != 0 ||
+	    bg_cli_state_read(&state, &opts, &err) != 0 ||
+	    bg_questionnaire_validate_set(&report, files.items, files.count,
+		state.contracts, state.head.service_count, &err) != 0)
+		code = bg_cli_fail(cli, &err, report);
+	else
+		print_plan(cli, &state, &files);
+	free(report);
+	bg_cli_state_free(&state);
+	bg_cli_files_free(&files);
+	return code;
+}
--- /dev/null
+++ b/cli/src/status.c
@@ -0,0 +1,230 @@
+/* status and watch: what a node knows. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "burdockgrade/clock.h"
+
+#include "node.h"
+
+/* Short against the second in which a change reaches every node. */
+#define INTERVAL_MS 250
+#define TIMEOUT_MAX_S (365 * 86400)
+#define OPTION_CONFIG 'c'
+#define OPTION_TIMEOUT 't'
+
+static int
+read_lines(
+    struct bg_cli_lines *out, const struct bg_cli *cli, struct bg_error *err)
+{
+	const char *path = cli->json ? "/status.json" : "/status";
+	char *body;
+	int error;
+
+	memset(out, 0, sizeof(*out));
+	if ((error = bg_cli_node_get(&body, cli, path, err)) != 0)
+		return error;
+	if ((error = bg_cli_lines_parse(out, body, cli->json)) != 0)
+		bg_error_set(
+		    err, error, "node", cli->node, "%s: not a status", path);
+	free(body);
+	return error;
+}
+
+static int
+is_wanted(const struct bg_cli *cli, const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < cli->arg_count; i++)
+		if (strcmp(cli->args[i], service) == 0)
+			return 1;
+	return cli->arg_count == 0;
+}
+
+static void
+print_status(const struct bg_cli *cli, const struct bg_cli_lines *lines)
+{
+	json_t *services = json_array();
+	size_t i;
+
+	for (i = 0; i < lines->count; i++) {
+		if (!is_wanted(cli, lines->items[i].service))
+			continue;
+		if (cli->json)
+			json_array_append_new(services,
+			    json_loads(lines->items[i].text, 0, NULL));
+		else
+			puts(lines->items[i].text);
+	}
+	if (cli->json)
+		bg_cli_print_json(json_pack("{s:b, s:o}", "synced",
+		    lines->is_synced, "services", services));
+	else
+		json_decref(services);
+}
+
+/* A service without a line is not known to be anything. */
+static int
+report_missing(const struct bg_cli *cli, const struct bg_cli_lines *lines)
+{
+	int code = BG_EXIT_OK;
+	size_t i;
+
+	if (!lines->is_synced) {
+		fputs("burdockgrade status: the node is not synced\n", stderr);
+		return BG_EXIT_FAILED;
+	}
+	for (i = 0; i < cli->arg_count; i++) {
+		if (bg_cli_lines_find(lines, cli->args[i]) != NULL)
+			continue;
+		fprintf(stderr,
+		    "burdockgrade status: the node knows no service %s\n",
+		    cli->args[i]);
+		code = BG_EXIT_FAILED;
+	}
+	return code;
+}
+
+int
+bg_cli_status(struct bg_cli *cli, int argc, char **argv)
+{
+	struct bg_error err = {0};
+	struct bg_cli_lines lines;
+	int code;
+
+	bg_cli_parse(cli, NULL, NULL, argc, argv);
+	if (read_lines(&lines, cli, &err) != 0)
+		return bg_cli_fail(cli, &err, NULL);
+	print_status(cli, &lines);
+	code = report_missing(cli, &lines);
+	bg_cli_lines_free(&lines);
+	return code;
+}
+
+struct watch_options {
+	struct bg_cli cli;
+	uint64_t config;    /* lines of older changes do not count */
+	uint64_t timeout_s; /* 0: none */
+};
+
+static error_t
+parse_watch(int key, char *arg, struct argp_state *state)
+{
+	struct watch_options *opts = state->input;
+
+	switch (key) {
+	case ARGP_KEY_INIT:
+		state->child_inputs[0] = state->input;
+		return 0;
+	case OPTION_CONFIG:
+		opts->config = bg_cli_number(arg, INT64_MAX, "--config", state);
+		return 0;
+	case OPTION_TIMEOUT:
+		opts->timeout_s =
+		    bg_cli_number(arg, TIMEOUT_MAX_S, "--timeout", state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/* Prints the lines that differ from the last ones. */
+static void
+print_changes(const struct bg_cli *cli, const struct bg_cli_lines *before,
+    const struct bg_cli_lines *lines)
+{
+	const struct bg_cli_line *old;
+	size_t i;
+
+	for (i = 0; i < lines->count; i++) {
+		if (!is_wanted(cli, lines->items[i].service))
+			continue;
+		old = bg_cli_lines_find(before, lines->items[i].service);
+		if (old == NULL ||
+		    strcmp(old->identity, lines->items[i].identity) != 0)
+			puts(lines->items[i].text);
+	}
+	fflush(stdout);
+}
+
+/* @return BG_EXIT_OK once all are done, BG_EXIT_FAILED once one is rolled
+ * back, -1 while undecided */
+static int
+decide(const struct watch_options *opts, const struct bg_cli_lines *lines)
+{
+	const struct bg_cli_line *line;
+	size_t done = 0;
+	size_t i;
+
+	for (i = 0; i < opts->cli.arg_count; i++) {
+		line = bg_cli_lines_find(lines, opts->cli.args[i]);
+		if (line == NULL || line->config < opts->config)
+			continue;
+		if (strcmp(line->state, "rolled back") == 0)
+			return BG_EXIT_FAILED;
+		done += strcmp(line->state, "done") == 0;
+	}
+	return done > 0 && done == opts->cli.arg_count ? BG_EXIT_OK : -1;
+}
+
+static int
+fail_late(const struct bg_cli *cli, struct bg_error *err)
+{
+	if (err->code == 0)
+		bg_error_set(err, BG_EIO, "watch", NULL,
+		    "the services were not done in time");
+	return bg_cli_fail(cli, err, NULL);
+}
+
+/* A node that does not answer may be replaced, so only the time limit ends the
+ * watch; a wrong address ends it at once. */
+static int
+watch(const struct watch_options *opts)
+{
+	const struct timespec pause = {0, INTERVAL_MS * 1000000L};
+	uint64_t end_ms = bg_clock_now_ms() + opts->timeout_s * 1000;
+	struct bg_cli_lines before = {0};
+	struct bg_cli_lines lines;
+	struct bg_error err;
+	int code = -1;
+
+	while (code < 0) {
+		err.code = 0;
+		if (read_lines(&lines, &opts->cli, &err) == 0) {
+			print_changes(&opts->cli, &before, &lines);
+			bg_cli_lines_free(&before);
+			before = lines;
+			code = decide(opts, &lines);
+		} else if (err.code == BG_EINVAL) {
+			code = bg_cli_fail(&opts->cli, &err, NULL);
+		}
+		if (code < 0 && opts->timeout_s != 0 &&
+		    bg_clock_now_ms() >= end_ms)
+			code = fail_late(&opts->cli, &err);
+		if (code < 0)
+			nanosleep(&pause, NULL);
+	}
+	bg_cli_lines_free(&before);
+	return code;
+}
+
+int
+bg_cli_watch(struct bg_cli *cli, int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+	    {"config", OPTION_CONFIG, "VERSION", 0,
+		"Wait for this config version, as printed by accept, "
+		"withdraw and move, or a later one",
+		0},
+	    {"timeout", OPTION_TIMEOUT, "SECONDS", 0,
+		"Give up after this time with exit code 1", 0},
+	    {NULL, 0, NULL, 0, NULL, 0},
+	};
+	struct watch_options opts = {*cli, 0, 0};
+
+	bg_cli_parse(&opts.cli, options, parse_watch, argc, argv);
+	return watch(&opts);
+}
--- /dev/null
+++ b/cli/tests/test_cli.c
@@ -0,0 +1,479 @@
+/* The command as a process against bg-platform and a node that answers with
+ * prepared pages. */
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <check.h>
+#include <jansson.h>
+#include <limits.h>
+#include <sys/stat.h>
+
+#include "../../platform/tests/standin.h"
+
+#define OUTPUT_BYTES 32768
+#define ARGS_MAX 16
+
+static struct standin platform;
+static char folder[64];
+static char output[OUTPUT_BYTES];
+
+static void
+write_file(const char *name, const char *text)
+{
+	char path[128];
+	FILE *fp;
+
+	snprintf(path, sizeof(path), "%s/%s", folder, name);
+	fp = fopen(path, "w");
+	ck_assert_ptr_nonnull(fp);
+	fputs(text, fp);
+	fclose(fp);
+}
+
+/* Writes a questionnaire as NAME.toml. */
+static void
+write_answers(const char *name, const char *dependencies, int slots)
+{
+	char file[64];
+	char text[1024];
+
+	snprintf(text, sizeof(text),
+	    "name = \"%s\"\ndependencies = [%s]\n"
+	    "[[route]]\nname = \"r\"\npath = \"/%s\"\nmethods = [\"GET\"]\n"
+	    "idempotent = true\ndeadline_ms = 1000\nslow_ms = 100\n"
+	    "criticality = \"normal\"\n[servers]\nslots = %d\n"
+	    "connections = 120\n[move]\nstart = \"operator\"\n"
+	    "take_over_s = 77\nmax_error_percent = 1\n"
+	    "[objective]\navailability_percent = 99.9\n",
+	    name, dependencies, name, slots);
+	snprintf(file, sizeof(file), "%s.toml", name);
+	write_file(file, text);
+}
+
+/* Reads the output of a process to its end. @return its exit code */
+static int
+collect(pid_t pid, int fd)
+{
+	size_t used = 0;
+	ssize_t n;
+	int status;
+
+	while ((n = read(fd, output + used, sizeof(output) - used - 1)) > 0)
+		used += (size_t)n;
+	output[used] = '\0';
+	close(fd);
+	ck_assert_int_eq(waitpid(pid, &status, 0), pid);
+	ck_assert_msg(WIFEXITED(status), "%s", output);
+	return WEXITSTATUS(status);
+}
+
+/* Runs the command in the folder of the test. @param args ends with NULL */
+static int
+run(const char *const *args)
+{
+	char path[PATH_MAX];
+	char *argv[ARGS_MAX] = {path};
+	posix_spawn_file_actions_t actions;
+	int count;
+	int fds[2];
+	pid_t pid;
+
+	snprintf(path, sizeof(path), "%s/burdockgrade", getenv("BG_BIN"));
+	for (count = 1; args[count - 1] != NULL; count++)
+		argv[count] = (char *)args[count - 1];
+	ck_assert_int_lt(count, ARGS_MAX);
+	ck_assert_int_eq(pipe(fds), 0);
+	posix_spawn_file_actions_init(&actions);
+	posix_spawn_file_actions_addchdir_np(&actions, folder);
+	posix_spawn_file_actions_adddup2(&actions, fds[1], 1);
+	posix_spawn_file_actions_adddup2(&actions, fds[1], 2);
+	posix_spawn_file_actions_addclose(&actions, fds[0]);
+	ck_assert_int_eq(
+	    posix_spawn(&pid, path, &actions, NULL, argv, environ), 0);
+	posix_spawn_file_actions_destroy(&actions);
+	close(fds[1]);
+	return collect(pid, fds[0]);
+}
+
+#define EXPECT(code, text, ...)                                          \
+	do {                                                             \
+		const char *const args[] = {__VA_ARGS__, NULL};          \
+		int exit_code = run(args);                               \
+		ck_assert_msg(                                           \
+		    exit_code == (code) && strstr(output, text) != NULL, \
+		    "exit %d: %s", exit_code, output);                   \
+	} while (0)
+
+static long
+json_number(const char *name)
+{
+	json_t *root = json_loads(output, 0, NULL);
+	const json_t *value = json_object_get(root, name);
+	long number;
+
+	ck_assert_msg(json_is_integer(value), "%s", output);
+	number = (long)json_integer_value(value);
+	json_decref(root);
+	return number;
+}
+
+static void
+setup(void)
+{
+	snprintf(folder, sizeof(folder), "/tmp/bg-cli-XXXXXX");
+	ck_assert_ptr_nonnull(mkdtemp(folder));
+	standin_start(&platform, "bg-platform", "127.0.0.1:0");
+	setenv("BURDOCKGRADE_PLATFORM", platform.address, 1);
+	unsetenv("BURDOCKGRADE_NODE");
+	write_answers("catalogue", "", 6);
+	write_answers("orders", "\"catalogue\"", 6);
+}
+
+static void
+teardown(void)
+{
+	static const char *const files[] = {
+	    "catalogue.toml", "orders.toml", "fresh.toml"};
+	char path[128];
+	size_t i;
+
+	for (i = 0; i < sizeof(files) / sizeof(files[0]); i++) {
+		snprintf(path, sizeof(path), "%s/%s", folder, files[i]);
+		unlink(path);
+	}
+	rmdir(folder);
+	if (platform.pid != 0)
+		standin_stop(&platform);
+	platform.pid = 0;
+}
+
+/* Guards against bad usage that looks like success or starts something. */
+START_TEST(bad_usage_gives_2)
+{
+	EXPECT(2, "Usage", NULL);
+	EXPECT(2, "unknown command", "frobnicate");
+	EXPECT(2, "expected FILE", "accept");
+	EXPECT(2, "unexpected argument", "withdraw", "a", "b");
+	EXPECT(2, "unrecognized option", "status", "--nope");
+	EXPECT(2, "expected a number", "accept", "--expect", "x", "a.toml");
+	EXPECT(2, "expected a number", "accept", "--expect", "-1", "a.toml");
+	EXPECT(2, "at least 1", "move", "orders", "2", "--within", "0");
+	EXPECT(2, "IP:PORT", "status", "--node", "host:80");
+	EXPECT(2, "--node", "status");
+	EXPECT(2, "not an IP address", "plan", "--platform", "host",
+	    "orders.toml");
+	unsetenv("BURDOCKGRADE_PLATFORM");
+	EXPECT(2, "--platform", "plan", "orders.toml");
+	EXPECT(0, "Exit codes", "--help");
+	EXPECT(0, "--within", "move", "--help");
+}
+END_TEST
+
+/* Guards against answers of an operator that are overwritten, and against a
+ * template that passes the check. */
+START_TEST(new_never_overwrites)
+{
+	EXPECT(0, "fresh.toml", "new", "fresh");
+	EXPECT(2, "exists", "new", "fresh");
+	EXPECT(2, "fresh.toml:23: route.name", "check", "fresh.toml");
+	EXPECT(2, "letters", "new", "a/b");
+	EXPECT(0, "name = \"fresh\"", "new", "fresh", "--output", "-");
+}
+END_TEST
+
+/* Guards against wrong answers of one file that hide those of another. */
+START_TEST(check_reports_all_files)
+{
+	write_answers("catalogue", "", 0);
+	write_answers("orders", "", 500);
+	EXPECT(2, "catalogue.toml:12: servers.slots", "check", "orders.toml",
+	    "catalogue.toml");
+	ck_assert_ptr_nonnull(
+	    strstr(output, "orders.toml:13: servers.connections"));
+	EXPECT(2, "\"code\": \"invalid\"", "check", "--json", "orders.toml");
+	EXPECT(2, "expected a readable file", "check", "absent.toml");
+}
+END_TEST
+
+/* Guards against a dependency that is judged without knowing the accepted
+ * services, or not judged although they are known. */
+START_TEST(check_compares_with_the_platform)
+{
+	EXPECT(2, "orders.toml:2: dependencies", "check", "orders.toml");
+	EXPECT(0, "ok", "accept", "catalogue.toml", "--json");
+	EXPECT(0, "service orders: ok", "check", "orders.toml");
+	unsetenv("BURDOCKGRADE_PLATFORM");
+	EXPECT(0, "not compared", "check", "orders.toml");
+}
+END_TEST
+
+/* Guards against a plan that changes something, an accept that does not, and a
+ * conflict that another exit code hides from a script. */
+START_TEST(plan_accept_and_conflict)
+{
+	EXPECT(
+	    0, "add service orders", "plan", "orders.toml", "catalogue.toml");
+	ck_assert_int_eq(standin_stat(&platform, "writes"), 0);
+	EXPECT(0, "config=1", "accept", "orders.toml", "catalogue.toml");
+	EXPECT(0, "no change", "plan", "orders.toml");
+	write_answers("orders", "\"catalogue\"", 7);
+	EXPECT(0, "slots a server: 6 -> 7", "plan", "orders.toml");
+	EXPECT(0, "config=2", "accept", "--expect", "1", "orders.toml");
+	write_answers("orders", "\"catalogue\"", 8);
+	EXPECT(3, "conflict", "accept", "--expect", "1", "orders.toml");
+	EXPECT(3, "\"code\": \"conflict\"", "accept", "--expect", "1", "--json",
+	    "orders.toml");
+	write_answers("catalogue", "\"orders\"", 6);
+	EXPECT(
+	    2, "catalogue -> orders -> catalogue", "accept", "catalogue.toml");
+	EXPECT(0, "accept orders rev=2 operator=anna", "history", "-l", "9");
+}
+END_TEST
+
+/* Guards against a withdraw or move that names no version to wait for, and a
+ * second move on top of a running one. */
+START_TEST(withdraw_and_move)
+{
+	EXPECT(2, "not accepted yet", "withdraw", "orders");
+	EXPECT(2, "not accepted yet", "move", "orders", "2.0");
+	EXPECT(0, "config=1", "accept", "orders.toml", "catalogue.toml");
+	EXPECT(2, "no earlier revision", "withdraw", "orders");
+	write_answers("orders", "\"catalogue\"", 7);
+	EXPECT(0, "config=2", "accept", "orders.toml");
+	EXPECT(0, "withdraw orders: config=3", "withdraw", "orders");
+	EXPECT(0, "move orders 2.0: config=4", "move", "orders", "2.0");
+	EXPECT(3, "in progress", "move", "orders", "2.1");
+	EXPECT(0, "move orders version=2.0", "history", "orders");
+	ck_assert_ptr_null(strstr(output, "catalogue"));
+	EXPECT(0, "\"changes\"", "history", "--json", "--limit", "1");
+	ck_assert_ptr_null(strstr(output, "withdraw"));
+}
+END_TEST
+
+/* Guards against an outage of the platform that a script takes for a fault of
+ * the input. */
+START_TEST(unreachable_platform_gives_4)
+{
+	EXPECT(0, "config=1", "accept", "catalogue.toml");
+	standin_control(&platform, "{\"outage\":true}");
+	EXPECT(4, "unavailable", "accept", "orders.toml");
+	EXPECT(4, "unavailable", "history");
+	standin_control(&platform, "{\"outage\":false}");
+	EXPECT(0, "config=2", "accept", "orders.toml");
+	standin_stop(&platform);
+	platform.pid = 0;
+	EXPECT(4, "\"code\": \"unavailable\"", "plan", "--json", "orders.toml");
+	EXPECT(4, "unavailable", "withdraw", "orders");
+	EXPECT(4, "unavailable", "move", "orders", "2");
+}
+END_TEST
+
+/* Guards against a change that is made twice, or told as failed, because the
+ * answer of its write was lost. */
+START_TEST(lost_answers_are_settled)
+{
+	int i;
+
+	for (i = 1; i <= 3; i++) {
+		write_answers("catalogue", "", 6 + i);
+		standin_control(&platform,
+		    i == 1	 ? "{\"lose_next_write_answers\":1}"
+			: i == 2 ? "{\"lose_next_write_answers\":2}"
+				 : "{\"lose_next_write_answers\":3}");
+		EXPECT(0, "\"ok\": true", "accept", "--json", "catalogue.toml");
+		ck_assert_int_eq(json_number("config"), i);
+	}
+}
+END_TEST
+
+/* A node that answers with one page after the other, the last one for good. */
+struct stub {
+	pid_t pid;
+	char address[64];
+	const char *const *pages;
+	size_t page;
+};
+
+static void
+on_request(struct evhttp_request *req, void *arg)
+{
+	struct stub *stub = arg;
+	struct evbuffer *body = evbuffer_new();
+
+	evbuffer_add_printf(body, "%s", stub->pages[stub->page]);
+	if (stub->pages[stub->page + 1] != NULL)
+		stub->page++;
+	evhttp_send_reply(req, 200, "OK", body);
+	evbuffer_free(body);
+}
+
+/* Serves in a process of its own until it is killed. */
+static void
+stub_start(struct stub *out, const char *const *pages)
+{
+	struct evhttp_bound_socket *bound;
+	struct event_base *base;
+	struct sockaddr_in sin = {0};
+	socklen_t sin_bytes = sizeof(sin);
+	struct evhttp *http;
+
+	memset(out, 0, sizeof(*out));
+	out->pages = pages;
+	base = event_base_new();
+	http = evhttp_new(base);
+	bound = evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
+	ck_assert_ptr_nonnull(bound);
+	getsockname(evhttp_bound_socket_get_fd(bound), (struct sockaddr *)&sin,
+	    &sin_bytes);
+	snprintf(out->address, sizeof(out->address), "127.0.0.1:%u",
+	    ntohs(sin.sin_port));
+	evhttp_set_gencb(http, on_request, out);
+	if ((out->pid = fork()) == 0) {
+		event_reinit(base);
+		event_base_dispatch(base);
+		_exit(0);
+	}
+	ck_assert_int_gt(out->pid, 0);
+	evhttp_free(http);
+	event_base_free(base);
+}
+
+static void
+stub_stop(struct stub *stub)
+{
+	kill(stub->pid, SIGKILL);
+	waitpid(stub->pid, NULL, 0);
+}
+
+#define LINE(state, version, config, age)                                      \
+	state " orders version=" version " config=" config " since=T age=" age \
+	      "s serving=1\n"
+
+/* Guards against a status for a service that the node does not know. */
+START_TEST(status_of_named_services)
+{
+	static const char *const text[] = {
+	    "done catalogue version=1 config=1 since=T age=0s serving=1\n" LINE(
+		"in progress", "2", "3", "0"),
+	    NULL};
+	static const char *const json[] = {
+	    "{\"synced\":true,\"services\":[{\"state\":\"done\",\"service\":"
+	    "\"orders\",\"config\":3,\"age_ms\":1},{\"state\":\"done\","
+	    "\"service\":\"x\",\"config\":3}]}",
+	    NULL};
+	static const char *const none[] = {
+	    "# not synced: this node knows no version yet\n", NULL};
+	struct stub stub;
+
+	stub_start(&stub, text);
+	EXPECT(0, "done catalogue", "status", "--node", stub.address);
+	EXPECT(0, "in progress orders", "status", "orders", "--node",
+	    stub.address);
+	ck_assert_ptr_null(strstr(output, "catalogue"));
+	EXPECT(1, "knows no service x", "status", "x", "--node", stub.address);
+	stub_stop(&stub);
+	/* The address is free now, so the node does not answer. */
+	EXPECT(1, "does not answer", "status", "--node", stub.address);
+	stub_start(&stub, json);
+	EXPECT(0, "\"service\": \"orders\"", "status", "orders", "--json",
+	    "--node", stub.address);
+	ck_assert_ptr_null(strstr(output, "\"x\""));
+	stub_stop(&stub);
+	stub_start(&stub, none);
+	EXPECT(1, "not synced", "status", "--node", stub.address);
+	stub_stop(&stub);
+}
+END_TEST
+
+/* Guards against a dead node that keeps the status of the others away. */
+START_TEST(status_takes_the_first_node_that_answers)
+{
+	static const char *const pages[] = {LINE("done", "2", "3", "0"), NULL};
+	struct stub dead;
+	struct stub stub;
+	char nodes[160];
+
+	stub_start(&dead, pages);
+	stub_stop(&dead);
+	stub_start(&stub, pages);
+	snprintf(nodes, sizeof(nodes), "%s,%s", dead.address, stub.address);
+	EXPECT(0, "done orders", "status", "--node", nodes);
+	stub_stop(&stub);
+}
+END_TEST
+
+/* Guards against a watch that ends at the state of an older change, or prints
+ * a line again because only its age changed. */
+START_TEST(watch_waits_for_the_config_version)
+{
+	static const char *const pages[] = {LINE("done", "1", "3", "0"),
+	    LINE("done", "1", "3", "1"), LINE("in progress", "2", "4", "0"),
+	    LINE("in progress", "2", "4", "2"), LINE("done", "2", "4", "0"),
+	    NULL};
+	struct stub stub;
+
+	stub_start(&stub, pages);
+	EXPECT(0, "", "watch", "orders", "--config", "4", "--timeout", "30",
+	    "--node", stub.address);
+	ck_assert_str_eq(output,
+	    LINE("done", "1", "3", "0") LINE("in progress", "2", "4", "0")
+		LINE("done", "2", "4", "0"));
+	stub_stop(&stub);
+}
+END_TEST
+
+/* Guards against a rollback or a time-out that a script takes for success. */
+START_TEST(watch_fails_on_rollback_and_time)
+{
+	static const char *const back[] = {LINE("in progress", "2", "4", "0"),
+	    LINE("rolled back", "2", "4", "0"), NULL};
+	static const char *const slow[] = {
+	    LINE("in progress", "2", "4", "0"), NULL};
+	struct stub stub;
+
+	stub_start(&stub, back);
+	EXPECT(1, "rolled back orders", "watch", "orders", "--timeout", "30",
+	    "--node", stub.address);
+	stub_stop(&stub);
+	stub_start(&stub, slow);
+	EXPECT(1, "not done in time", "watch", "orders", "--timeout", "1",
+	    "--node", stub.address);
+	EXPECT(1, "not done in time", "watch", "other", "--timeout", "1",
+	    "--node", stub.address);
+	stub_stop(&stub);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("cli");
+	TCase *tc = tcase_create("cli");
+	SRunner *runner;
+	int failed;
+
+	setenv("USER", "anna", 1);
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, bad_usage_gives_2);
+	tcase_add_test(tc, new_never_overwrites);
+	tcase_add_test(tc, check_reports_all_files);
+	tcase_add_test(tc, check_compares_with_the_platform);
+	tcase_add_test(tc, plan_accept_and_conflict);
+	tcase_add_test(tc, withdraw_and_move);
+	tcase_add_test(tc, unreachable_platform_gives_4);
+	tcase_add_test(tc, lost_answers_are_settled);
+	tcase_add_test(tc, status_of_named_services);
+	tcase_add_test(tc, status_takes_the_first_node_that_answers);
+	tcase_add_test(tc, watch_waits_for_the_config_version);
+	tcase_add_test(tc, watch_fails_on_rollback_and_time);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/cli/tests/test_lines.c
@@ -0,0 +1,236 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "diff.h"
+#include "node.h"
+
+static struct bg_cli_lines lines;
+
+/* Guards against a state of two words that is cut at the space, and against a
+ * line that is found under the name of another service. */
+START_TEST(text_has_states_of_two_words)
+{
+	static const char text[] =
+	    "# a comment\n"
+	    "done catalogue version=1.0 config=4 since=T age=0s serving=1.0\n"
+	    "in progress orders version=2 config=7 since=T age=3s serving=1 "
+	    "late\n"
+	    "rolled back print version=3 config=12 since=T age=1s serving=2 "
+	    "reason=errors\n";
+
+	ck_assert_int_eq(bg_cli_lines_parse(&lines, text, 0), 0);
+	ck_assert_int_eq(lines.is_synced, 1);
+	ck_assert_uint_eq(lines.count, 3);
+	ck_assert_str_eq(lines.items[0].state, "done");
+	ck_assert_str_eq(lines.items[1].state, "in progress");
+	ck_assert_str_eq(lines.items[2].state, "rolled back");
+	ck_assert_uint_eq(lines.items[2].config, 12);
+	ck_assert_ptr_eq(bg_cli_lines_find(&lines, "orders"), &lines.items[1]);
+	ck_assert_ptr_null(bg_cli_lines_find(&lines, "order"));
+	ck_assert_str_eq(lines.items[1].identity,
+	    "in progress orders version=2 config=7 since=T serving=1 late");
+	bg_cli_lines_free(&lines);
+}
+END_TEST
+
+/* Guards against a node without knowledge being taken for one on which nothing
+ * is wrong. */
+START_TEST(unsynced_node_is_told_apart)
+{
+	ck_assert_int_eq(
+	    bg_cli_lines_parse(
+		&lines, "# not synced: this node knows no version yet\n", 0),
+	    0);
+	ck_assert_int_eq(lines.is_synced, 0);
+	bg_cli_lines_free(&lines);
+	ck_assert_int_eq(
+	    bg_cli_lines_parse(&lines, "{\"synced\":false,\"services\":[]}", 1),
+	    0);
+	ck_assert_int_eq(lines.is_synced, 0);
+	bg_cli_lines_free(&lines);
+	ck_assert_int_eq(bg_cli_lines_parse(&lines, "", 0), 0);
+	ck_assert_int_eq(lines.is_synced, 1);
+	ck_assert_uint_eq(lines.count, 0);
+	bg_cli_lines_free(&lines);
+}
+END_TEST
+
+/* Guards against a change of the age alone that is printed as a change. */
+START_TEST(json_identity_has_no_age)
+{
+	static const char json[] =
+	    "{\"synced\":true,\"services\":[{\"state\":\"rolled back\","
+	    "\"service\":\"a\",\"config\":9,\"age_ms\":17}]}";
+
+	ck_assert_int_eq(bg_cli_lines_parse(&lines, json, 1), 0);
+	ck_assert_uint_eq(lines.count, 1);
+	ck_assert_str_eq(lines.items[0].state, "rolled back");
+	ck_assert_uint_eq(lines.items[0].config, 9);
+	ck_assert_ptr_nonnull(strstr(lines.items[0].text, "age_ms"));
+	ck_assert_ptr_null(strstr(lines.items[0].identity, "age_ms"));
+	bg_cli_lines_free(&lines);
+}
+END_TEST
+
+static const struct {
+	const char *body;
+	int is_json;
+} WRONG[] = {
+    {"finished a version=1 config=1\n", 0},
+    {"done\n", 0},
+    {"done a version=1\n", 0},
+    {"doner a version=1 config=1\n", 0},
+    {"<html>", 0},
+    {"", 1},
+    {"[]", 1},
+    {"{\"services\":{}}", 1},
+    {"{\"services\":[1]}", 1},
+    {"{\"services\":[{\"state\":\"done\",\"service\":\"a\"}]}", 1},
+    {"{\"services\":[{\"state\":\"x\",\"service\":\"a\",\"config\":1}]}", 1},
+};
+
+/* Guards against a page of something else being taken for a status. */
+START_TEST(other_pages_are_refused)
+{
+	ck_assert_int_eq(
+	    bg_cli_lines_parse(&lines, WRONG[_i].body, WRONG[_i].is_json),
+	    BG_EPROTO);
+	ck_assert_uint_eq(lines.count, 0);
+}
+END_TEST
+
+static void
+fill(struct bg_contract *ctr)
+{
+	struct bg_route *rt = &ctr->routes[0];
+
+	memset(ctr, 0, sizeof(*ctr));
+	strcpy(ctr->name, "orders");
+	ctr->route_count = 1;
+	strcpy(rt->name, "checkouts");
+	strcpy(rt->prefix, "/orders/checkouts");
+	rt->methods = BG_METHOD_POST | BG_METHOD_PUT;
+	rt->deadline_ms = 5000;
+	rt->slow_ms = 1500;
+	rt->criticality = BG_CRITICALITY_HIGH;
+	ctr->dependency_count = 1;
+	strcpy(ctr->dependencies[0], "catalogue");
+	ctr->slots = 18;
+	ctr->connections = 110;
+	ctr->take_over_ms = 600000;
+	ctr->soak_ms = 600000;
+	ctr->max_error_permille = 5;
+	ctr->slo_permyriad = 9995;
+	ctr->slo_window_days = 30;
+}
+
+static void
+expect_lines(json_t *details, const char *const *expected, size_t count)
+{
+	size_t i;
+
+	ck_assert_uint_eq(json_array_size(details), count);
+	for (i = 0; i < count; i++)
+		ck_assert_str_eq(
+		    json_string_value(json_array_get(details, i)), expected[i]);
+	json_decref(details);
+}
+
+/* Guards against an answer whose change a plan does not show: each field of
+ * the contract is changed. */
+START_TEST(diff_shows_every_field)
+{
+	static const char *const expected[] = {
+	    "route checkouts path: /orders/checkouts -> /orders/buy",
+	    "route checkouts methods: POST,PUT -> PATCH",
+	    "route checkouts runs: at most once -> idempotent",
+	    "route checkouts deadline: 5000 ms -> 4000 ms",
+	    "route checkouts slow above: 1500 ms -> 1000 ms",
+	    "route checkouts criticality: high -> low",
+	    "- dependency catalogue",
+	    "+ dependency printing",
+	    "slots a server: 18 -> 19",
+	    "connections a server: 110 -> 111",
+	    "moves start: auto",
+	    "promised time of a move: 600 s -> 601 s",
+	    "soak after a move: 600 s -> 602 s",
+	    "worst error ratio: 0.5% -> 1%",
+	    "availability objective: 99.95% -> 99.9%",
+	    "objective window: 30 days -> 7 days",
+	};
+	struct bg_contract from;
+	struct bg_contract to;
+
+	fill(&from);
+	fill(&to);
+	expect_lines(bg_cli_diff(&from, &to), NULL, 0);
+	strcpy(to.routes[0].prefix, "/orders/buy");
+	to.routes[0].methods = BG_METHOD_PATCH;
+	to.routes[0].is_idempotent = 1;
+	to.routes[0].deadline_ms = 4000;
+	to.routes[0].slow_ms = 1000;
+	to.routes[0].criticality = BG_CRITICALITY_LOW;
+	strcpy(to.dependencies[0], "printing");
+	to.slots = 19;
+	to.connections = 111;
+	to.move_auto_start = 1;
+	to.take_over_ms = 601000;
+	to.soak_ms = 602000;
+	to.max_error_permille = 10;
+	to.slo_permyriad = 9990;
+	to.slo_window_days = 7;
+	expect_lines(bg_cli_diff(&from, &to), expected,
+	    sizeof(expected) / sizeof(expected[0]));
+}
+END_TEST
+
+/* Guards against a route that is replaced and shown as nothing or as a change
+ * of the old one. */
+START_TEST(diff_shows_added_and_removed_routes)
+{
+	static const char *const expected[] = {
+	    "- route checkouts: POST,PUT /orders/checkouts, at most once, "
+	    "deadline 5000 ms, slow above 1500 ms, criticality high",
+	    "+ route buy: POST,PUT /orders/checkouts, at most once, deadline "
+	    "5000 ms, slow above 1500 ms, criticality high",
+	};
+	struct bg_contract from;
+	struct bg_contract to;
+	json_t *details;
+
+	fill(&from);
+	fill(&to);
+	strcpy(to.routes[0].name, "buy");
+	expect_lines(bg_cli_diff(&from, &to), expected, 2);
+	details = bg_cli_diff(NULL, &to);
+	ck_assert_uint_eq(json_array_size(details), 10);
+	ck_assert_str_eq(json_string_value(json_array_get(details, 2)),
+	    "slots a server: 18");
+	json_decref(details);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("lines");
+	TCase *tc = tcase_create("lines");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, text_has_states_of_two_words);
+	tcase_add_test(tc, unsynced_node_is_told_apart);
+	tcase_add_test(tc, json_identity_has_no_age);
+	tcase_add_loop_test(tc, other_pages_are_refused, 0,
+	    (int)(sizeof(WRONG) / sizeof(WRONG[0])));
+	tcase_add_test(tc, diff_shows_every_field);
+	tcase_add_test(tc, diff_shows_added_and_removed_routes);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- a/config/include/burdockgrade/questionnaire.h
+++ b/config/include/burdockgrade/questionnaire.h
@@ -50,6 +50,11 @@
     const struct bg_contract *accepted, size_t accepted_count,
     struct bg_error *err);
 
+/** Checks questionnaires among themselves, without what is accepted. A
+ * dependency on a service outside of the set is no error then. */
+int bg_questionnaire_validate_files(char **out_report,
+    const struct bg_questionnaire *qns, size_t count, struct bg_error *err);
+
 /**
  * Writes a questionnaire in which every question is explained and every
  * required answer is empty, so that it does not pass the check as it is.
--- a/config/src/questionnaire_set.c
+++ b/config/src/questionnaire_set.c
@@ -13,6 +13,7 @@
 	FILE *report;
 	const struct bg_contract **set; /**< what would be in force */
 	size_t set_count;
+	int is_partial; /**< there may be other services */
 	size_t problems;
 	int code;
 };
@@ -43,7 +44,7 @@
 	size_t i;
 	int found;
 
-	for (i = 0; i < ctr->dependency_count; i++)
+	for (i = 0; i < ctr->dependency_count && !chk->is_partial; i++)
 		if (bg_contract_set_find(
 			chk->set, chk->set_count, ctr->dependencies[i]) == NULL)
 			add_problem(chk, qn, qn->dependencies_line,
@@ -104,33 +105,54 @@
 		check_one(chk, &qns[i]);
 }
 
-int
-bg_questionnaire_validate_set(char **out_report,
+static int
+run_check(struct check *chk, char **out_report,
     const struct bg_questionnaire *qns, size_t count,
     const struct bg_contract *accepted, size_t accepted_count,
     struct bg_error *err)
 {
-	struct check chk = {0};
 	size_t report_bytes;
 
 	*out_report = NULL;
-	chk.set = calloc(
+	chk->set = calloc(
 	    count + accepted_count + 1, sizeof(const struct bg_contract *));
-	chk.report = open_memstream(out_report, &report_bytes);
-	if (chk.set == NULL || chk.report == NULL)
-		chk.code = BG_ENOMEM;
+	chk->report = open_memstream(out_report, &report_bytes);
+	if (chk->set == NULL || chk->report == NULL)
+		chk->code = BG_ENOMEM;
 	else
-		check_all(&chk, qns, count, accepted, accepted_count);
-	if (chk.report != NULL && fclose(chk.report) != 0)
-		chk.code = BG_ENOMEM;
-	free(chk.set);
-	if (chk.code == 0 && chk.problems > 0)
+		check_all(chk, qns, count, accepted, accepted_count);
+	if (chk->report != NULL && fclose(chk->report) != 0)
+		chk->code = BG_ENOMEM;
+	free(chk->set);
+	if (chk->code == 0 && chk->problems > 0)
 		return bg_error_set(err, BG_EINVAL, "validate", NULL, "%.*s",
 		    (int)strcspn(*out_report, "\n"), *out_report);
 	free(*out_report);
 	*out_report = NULL;
-	if (chk.code != 0)
+	if (chk->code != 0)
 		return bg_error_set(
-		    err, chk.code, "validate", NULL, "out of memory");
+		    err, chk->code, "validate", NULL, "out of memory");
 	return 0;
 }
+
+int
+bg_questionnaire_validate_set(char **out_report,
+    const struct bg_questionnaire *qns, size_t count,
+    const struct bg_contract *accepted, size_t accepted_count,
+    struct bg_error *err)
+{
+	struct check chk = {0};
+
+	return run_check(
+	    &chk, out_report, qns, count, accepted, accepted_count, err);
+}
+
+int
+bg_questionnaire_validate_files(char **out_report,
+    const struct bg_questionnaire *qns, size_t count, struct bg_error *err)
+{
+	struct check chk = {0};
+
+	chk.is_partial = 1;
+	return run_check(&chk, out_report, qns, count, NULL, 0, err);
+}
--- a/config/tests/test_questionnaire.c
+++ b/config/tests/test_questionnaire.c
@@ -280,6 +280,11 @@
 	ck_assert_str_eq(report,
 	    "orders.toml:2: dependencies: expected a service that exists, "
 	    "found \"catalogue\"\n");
+	/* Without the accepted services a dependency cannot be judged. */
+	free(report);
+	ck_assert_int_eq(
+	    bg_questionnaire_validate_files(&report, qns, 1, &err), 0);
+	ck_assert_ptr_null(report);
 	/* Both in one set. */
 	make(&qns[1], "catalogue", NULL);
 	ck_assert_int_eq(validate(qns, 2, NULL, 0), 0);
@@ -321,6 +326,11 @@
 	    "a\n");
 	sample_contract(&accepted[1], "c");
 	ck_assert_int_eq(validate(qns, 2, accepted, 2), 0);
+	make(&qns[1], "b", "a");
+	free(report);
+	ck_assert_int_eq(
+	    bg_questionnaire_validate_files(&report, qns, 2, &err), BG_EINVAL);
+	ck_assert_ptr_nonnull(strstr(report, "found b -> a -> b\n"));
 }
 END_TEST
 
