Keep pings, begins and probes apart from the calls that caused them

A ping that outlived its call was called back with freed memory once another call gave the silent link up; the test with six calls on such a link showed it. Pings and begins now own their state. The probe of bg-backend answered without an identity, so no server became ready: probes and refusals for load may lack it. A refusal for load is 429, or 503 with Retry-After or X-Shed; any other 503 counts as a failure of the version. A failed probe is repeated after 200 ms, so that a draining server is left within a second. Connections follow the contract.

--- a/proxy/include/burdockgrade/proxy.h
+++ b/proxy/include/burdockgrade/proxy.h
@@ -40,8 +40,7 @@
 /** Renders a page of the node (status, metrics, health).
  * @param out free() it @return HTTP status code */
 typedef int (*bg_page_fn)(void *arg, char **out, const char **content_type);
-/** Registers a page at a fixed path; it is never routed to a service. The proxy
- * itself serves /health: 200, or 503 while it drains or is not synced. */
+/** Registers a page at a fixed path; it is never routed to a service. */
 int bg_proxy_page(
     struct bg_proxy *prx, const char *path, bg_page_fn fn, void *arg);
 
--- a/proxy/src/call/attempt.c
+++ b/proxy/src/call/attempt.c
@@ -9,6 +9,14 @@
 #include "attempt.h"
 #include "deadline.h"
 
+/* A ping of the link. It outlives its attempt, since the link still holds it
+ * when the attempt ends first. */
+struct ping {
+	struct bg_proxy *proxy;
+	struct bg_attempt *attempt; /* NULL once it ended */
+	char address[BG_ADDRESS_BYTES];
+};
+
 struct bg_attempt {
 	struct bg_proxy *proxy;
 	struct bg_xcall_args *args;
@@ -17,7 +25,7 @@
 	bg_attempt_fn fn;
 	void *arg;
 	uint32_t xid;
-	uint32_t ping_xid; /* 0: none */
+	struct ping *ping;
 	int is_sent;
 	char address[BG_ADDRESS_BYTES];
 };
@@ -25,11 +33,8 @@
 static void
 attempt_free(struct bg_attempt *att)
 {
-	struct bg_link *link;
-
-	if (att->ping_xid != 0 &&
-	    bg_link_pool_get(&link, att->proxy->links, att->address, NULL) == 0)
-		bg_link_cancel(link, att->ping_xid);
+	if (att->ping != NULL)
+		att->ping->attempt = NULL;
 	if (att->check != NULL)
 		event_free(att->check);
 	free(att);
@@ -70,35 +75,58 @@
 	return error;
 }
 
+/* The link is alive or was replaced: sends the call that waited for this. */
+static void
+send_waiting(struct bg_attempt *att)
+{
+	struct bg_link *link;
+
+	if (bg_link_pool_get(&link, att->proxy->links, att->address, NULL) !=
+		0 ||
+	    send_call(att, link) != 0)
+		finish(att, BG_EUNAVAILABLE, NULL);
+}
+
 /* A link that does not answer a ping is dead, although it may accept bytes. */
 static void
 on_ping(void *arg, int code, void *res)
 {
-	struct bg_attempt *att = arg;
-	struct bg_proxy *prx = att->proxy;
-	struct bg_link *link;
-	char address[BG_ADDRESS_BYTES];
-	int was_sent = att->is_sent;
+	struct ping *ping = arg;
+	struct bg_attempt *att = ping->attempt;
 
-	att->ping_xid = 0;
+	if (att != NULL)
+		att->ping = NULL;
 	if (code == BG_ETIMEOUT) {
-		bg_log_warn("ingress", "silent link peer=%s", att->address);
-		snprintf(address, sizeof(address), "%s", att->address);
-		/* Fails the calls on the link, perhaps this attempt too. */
-		bg_link_pool_drop(prx->links, address);
+		bg_log_warn("ingress", "silent link peer=%s", ping->address);
+		/* Fails the calls on the link, perhaps this attempt too. A call
+		 * that waits for the ping has nothing on the link. */
+		if (att != NULL && att->is_sent)
+			att = NULL;
+		bg_link_pool_drop(ping->proxy->links, ping->address);
 	}
-	if (was_sent)
-		return;
-	if (bg_link_pool_get(&link, prx->links, att->address, NULL) != 0 ||
-	    send_call(att, link) != 0)
-		finish(att, BG_EUNAVAILABLE, NULL);
+	free(ping);
+	if (att != NULL && !att->is_sent)
+		send_waiting(att);
 }
 
 static int
 send_ping(struct bg_attempt *att, struct bg_link *link)
 {
-	return bg_link_call(&att->ping_xid, link, BG_PROC_PING, NULL, NULL,
-	    NULL, 0, BG_ATTEMPT_PING_MS, on_ping, att);
+	struct ping *ping;
+	int error;
+
+	if ((ping = calloc(1, sizeof(*ping))) == NULL)
+		return BG_ENOMEM;
+	ping->proxy = att->proxy;
+	ping->attempt = att;
+	snprintf(ping->address, sizeof(ping->address), "%s", att->address);
+	error = bg_link_call(NULL, link, BG_PROC_PING, NULL, NULL, NULL, 0,
+	    BG_ATTEMPT_PING_MS, on_ping, ping);
+	if (error != 0)
+		free(ping);
+	else
+		att->ping = ping;
+	return error;
 }
 
 static void
@@ -110,7 +138,7 @@
 
 	if (bg_link_pool_get(&link, att->proxy->links, att->address, NULL) != 0)
 		return;
-	if (att->ping_xid == 0 && bg_link_is_connected(link) &&
+	if (att->ping == NULL && bg_link_is_connected(link) &&
 	    bg_link_silence_ms(link) > BG_FRESH_MS)
 		send_ping(att, link);
 	event_add(att->check, &again);
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -19,8 +19,8 @@
 void
 bg_call_free(struct bg_call *call)
 {
-	/* The callback of a begin still refers to the call. */
-	if (call->is_begin_pending)
+	/* A permission that arrives later must still be given back. */
+	if (call->begin != NULL)
 		return;
 	if (call->prev != NULL)
 		call->prev->next = call->next;
@@ -381,7 +381,7 @@
 bg_call_free_all(struct bg_proxy *prx)
 {
 	while (prx->calls != NULL) {
-		prx->calls->is_begin_pending = 0;
+		bg_call_forget_begin(prx->calls);
 		bg_call_free(prx->calls);
 	}
 }
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -11,6 +11,8 @@
 #include "call.h"
 #include "deadline.h"
 
+struct bg_begin;
+
 struct bg_call {
 	struct bg_proxy *proxy;
 	struct bg_call *prev;
@@ -22,6 +24,7 @@
 	struct event *timer; /* start, then the deadline */
 	bg_call_fn fn;
 	void *arg;
+	struct bg_begin *begin; /* NULL: none waits */
 	struct bg_attempt *attempt;
 	struct bg_endpoint *endpoint;
 	char tried[BG_TRIED_MAX][BG_ADDRESS_BYTES];
@@ -32,7 +35,6 @@
 	uint32_t caller_deadline_ms;
 	int is_started;
 	int is_dependency;
-	int is_begin_pending;
 	int is_gone; /* no one waits for the answer any more */
 	enum bg_refusal refusal;
 	char picked_version[BG_NAME_BYTES];
@@ -49,6 +51,8 @@
 
 /** Takes the permission to run a non-idempotent call once. */
 void bg_call_step_record(struct bg_call *call);
+/** The result of a begin finds no call any more. */
+void bg_call_forget_begin(struct bg_call *call);
 /** Chooses the server of the next attempt. */
 void bg_call_step_pick(struct bg_call *call);
 /** Stores the outcome under the key, if a permission was taken. */
--- a/proxy/src/call/record.c
+++ b/proxy/src/call/record.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -46,6 +47,19 @@
 	bg_call_reply(call, &ans);
 }
 
+/* A begin that waits for its result; the records hold on to it. */
+struct bg_begin {
+	struct bg_call *call; /* NULL: the proxy was stopped */
+};
+
+void
+bg_call_forget_begin(struct bg_call *call)
+{
+	if (call->begin != NULL)
+		call->begin->call = NULL;
+	call->begin = NULL;
+}
+
 /* The permission arrived after the caller left: gives it back. */
 static void
 return_grant(struct bg_call *call, const struct bg_begin_result *res)
@@ -59,9 +73,13 @@
 static void
 on_begin(void *arg, const struct bg_begin_result *res)
 {
-	struct bg_call *call = arg;
+	struct bg_begin *begin = arg;
+	struct bg_call *call = begin->call;
 
-	call->is_begin_pending = 0;
+	free(begin);
+	if (call == NULL)
+		return;
+	call->begin = NULL;
 	if (call->is_gone) {
 		return_grant(call, res);
 		return;
@@ -97,6 +115,27 @@
 	}
 }
 
+static void
+start_begin(struct bg_call *call)
+{
+	struct bg_begin *begin;
+
+	if ((begin = calloc(1, sizeof(*begin))) == NULL) {
+		bg_call_refuse(call, BG_REFUSAL_BUFFERS);
+		return;
+	}
+	begin->call = call;
+	call->begin = begin;
+	if (bg_records_begin(call->proxy->records, call->record_key,
+		request_digest(&call->args),
+		bg_deadline_left_ms(call->deadline_us, bg_clock_now_us()),
+		on_begin, begin) != 0) {
+		call->begin = NULL;
+		free(begin);
+		bg_call_refuse(call, BG_REFUSAL_RECORD);
+	}
+}
+
 void
 bg_call_step_record(struct bg_call *call)
 {
@@ -114,14 +153,7 @@
 		    "the Idempotency-Key is too long");
 		return;
 	}
-	call->is_begin_pending = 1;
-	if (bg_records_begin(call->proxy->records, call->record_key,
-		request_digest(&call->args),
-		bg_deadline_left_ms(call->deadline_us, bg_clock_now_us()),
-		on_begin, call) != 0) {
-		call->is_begin_pending = 0;
-		bg_call_refuse(call, BG_REFUSAL_RECORD);
-	}
+	start_begin(call);
 }
 
 static const struct bg_xanswer *
--- a/proxy/src/gatekeeper/answer.c
+++ b/proxy/src/gatekeeper/answer.c
@@ -63,16 +63,33 @@
 		   evhttp_connection_get_bufferevent(evcon))) > 0;
 }
 
+/* Probes have a connection of their own, on which there is no other answer. A
+ * refusal for load may come from a part of the server that has not read the
+ * identity; it carries nothing that belongs to a caller. */
+static int
+may_lack_identity(struct evhttp_request *req, int is_probe)
+{
+	struct bg_xheader headers[BG_HEADERS_MAX];
+	uint32_t count = bg_answer_headers(headers, BG_HEADERS_MAX, req);
+
+	return is_probe ||
+	    bg_answer_is_shed((uint32_t)evhttp_request_get_response_code(req),
+		headers, count);
+}
+
 int
 bg_answer_check(enum bg_discard *out_why, struct evhttp_request *req,
-    struct evhttp_connection *evcon, const char *request_id, int is_head)
+    struct evhttp_connection *evcon, const char *request_id, int is_head,
+    int is_probe)
 {
 	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
 	const char *id = evhttp_find_header(headers, "X-Request-Id");
 
 	*out_why = BG_DISCARD_FOREIGN;
-	if (id == NULL || strcmp(id, request_id) != 0 ||
-	    count_header(headers, "X-Request-Id") != 1 || has_more_bytes(evcon))
+	if (has_more_bytes(evcon) ||
+	    (id == NULL ? !may_lack_identity(req, is_probe)
+			: strcmp(id, request_id) != 0 ||
+			count_header(headers, "X-Request-Id") != 1))
 		return -1;
 	*out_why = BG_DISCARD_UNFRAMED;
 	return is_framed(req, is_head) ? 0 : -1;
@@ -89,7 +106,8 @@
 	if (http_status != 503)
 		return 0;
 	for (i = 0; i < header_count; i++) {
-		if (strcasecmp(headers[i].name, "Retry-After") == 0)
+		if (strcasecmp(headers[i].name, "Retry-After") == 0 ||
+		    strcasecmp(headers[i].name, "X-Shed") == 0)
 			return 1;
 	}
 	return 0;
--- a/proxy/src/gatekeeper/answer.h
+++ b/proxy/src/gatekeeper/answer.h
@@ -21,7 +21,8 @@
  * @return 0, or -1 with the reason in out_why
  */
 int bg_answer_check(enum bg_discard *out_why, struct evhttp_request *req,
-    struct evhttp_connection *evcon, const char *request_id, int is_head);
+    struct evhttp_connection *evcon, const char *request_id, int is_head,
+    int is_probe);
 
 /** 1 if the server refused for load: 429, or 503 with Retry-After. Any other
  * 503 is a failure; otherwise a version that answers 503 to all would never
--- a/proxy/src/gatekeeper/backend.c
+++ b/proxy/src/gatekeeper/backend.c
@@ -42,6 +42,7 @@
 	int is_written;
 	int has_received;
 	int is_head;
+	int is_probe;
 	int error; /* enum evhttp_request_error, or -1 */
 	char request_id[BG_REQUEST_ID_BYTES];
 };
@@ -272,7 +273,7 @@
 		return;
 	}
 	if (bg_answer_check(&why, req, xch->connection->evcon, xch->request_id,
-		xch->is_head) != 0) {
+		xch->is_head, xch->is_probe) != 0) {
 		bg_metrics_discarded(why);
 		bg_log_warn("gatekeeper",
 		    "answer discarded request=%s reason=%s", xch->request_id,
@@ -402,6 +403,7 @@
 	xch->arg = arg;
 	xch->error = -1;
 	xch->is_head = type == EVHTTP_REQ_HEAD;
+	xch->is_probe = opts->is_probe;
 	snprintf(
 	    xch->request_id, sizeof(xch->request_id), "%s", opts->request_id);
 	if ((error = exchange_start(xch, conn, type, opts)) != 0) {
@@ -431,10 +433,10 @@
 	}
 }
 
-uint32_t
-bg_backend_open_count(const struct bg_backend *be)
+void
+bg_backend_set_connections(struct bg_backend *be, uint32_t connections)
 {
-	return be->open_count;
+	be->connections_max = connections == 0 ? 1 : connections;
 }
 
 static int
@@ -465,7 +467,7 @@
 	if ((be = calloc(1, sizeof(*be))) == NULL)
 		return BG_ENOMEM;
 	be->base = base;
-	be->connections_max = connections == 0 ? 1 : connections;
+	bg_backend_set_connections(be, connections);
 	be->body_bytes = body_bytes;
 	if (parse_address(be, address) != 0) {
 		free(be);
--- a/proxy/src/gatekeeper/backend.h
+++ b/proxy/src/gatekeeper/backend.h
@@ -61,6 +61,7 @@
 	uint32_t depth;
 	int is_fresh_needed; /**< only a connection that was heard of lately */
 	int is_new_needed;   /**< only a new connection */
+	int is_probe;	     /**< the answer may lack the identity */
 };
 
 /** @return 0, BG_ELIMIT if no connection may be opened, or BG_ENOMEM */
@@ -68,8 +69,9 @@
     const struct bg_exchange_options *opts, bg_exchange_fn fn, void *arg);
 /** Closes the connection; the callback does not run. */
 void bg_backend_cancel(struct bg_exchange *xch);
+/** Changes the number of connections; those in use stay open. */
+void bg_backend_set_connections(struct bg_backend *be, uint32_t connections);
 /** Closes idle connections, after one of them was found dead. */
 void bg_backend_drop_idle(struct bg_backend *be);
-uint32_t bg_backend_open_count(const struct bg_backend *be);
 
 #endif
--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -196,8 +196,8 @@
 		ans->http_status, ans->headers, ans->header_count)) {
 		vdt.is_failed = 0;
 		vdt.sample = BG_LIMITER_SHED;
-	}
-	bg_health_answered(call->gatekeeper->health, ans->version);
+	} else
+		bg_health_answered(call->gatekeeper->health, ans->version);
 	finish(call, &res, &vdt);
 }
 
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -10,6 +10,13 @@
 /* A connection is kept free for the probe of the backend server. */
 #define PROBE_CONNECTIONS 1
 
+static uint32_t
+without_probe(uint32_t connections)
+{
+	return connections > PROBE_CONNECTIONS ? connections - PROBE_CONNECTIONS
+					       : connections;
+}
+
 static void
 admit(struct bg_gate_call *call)
 {
@@ -155,17 +162,29 @@
 	gk->is_leaving = 1;
 }
 
+/* The smaller of two limits of which either may be absent. */
+static uint32_t
+smaller(uint32_t a, uint32_t b)
+{
+	if (a == 0 || b == 0)
+		return a + b;
+	return a < b ? a : b;
+}
+
 void
 bg_gatekeeper_snapshot(struct bg_gatekeeper *gk, const struct bg_snapshot *snap)
 {
+	const struct bg_settings *set = gk->settings;
 	const struct bg_service *svc =
-	    bg_snapshot_service(snap, gk->settings->server.service);
-	uint32_t slots = gk->settings->server.slots;
+	    bg_snapshot_service(snap, set->server.service);
 
-	if (svc != NULL && svc->contract.slots != 0 &&
-	    (slots == 0 || svc->contract.slots < slots))
-		slots = svc->contract.slots;
-	bg_limiter_set_slots(&gk->limiter, slots);
+	if (svc == NULL || gk->backend == NULL)
+		return;
+	bg_limiter_set_slots(
+	    &gk->limiter, smaller(set->server.slots, svc->contract.slots));
+	bg_backend_set_connections(gk->backend,
+	    without_probe(
+		smaller(set->server.connections, svc->contract.connections)));
 	bg_gate_start_next(gk);
 }
 
@@ -179,15 +198,13 @@
 init_server_side(struct bg_gatekeeper *gk, struct bg_error *err)
 {
 	const struct bg_settings *set = gk->settings;
-	uint32_t connections = set->server.connections;
 	int error;
 
 	if (set->server.address[0] == '\0')
 		return 0;
-	if (connections > PROBE_CONNECTIONS)
-		connections -= PROBE_CONNECTIONS;
 	error = bg_backend_init(&gk->backend, gk->base, set->server.address,
-	    connections, set->limits.body_bytes, err);
+	    without_probe(set->server.connections), set->limits.body_bytes,
+	    err);
 	if (error != 0)
 		return error;
 	return bg_health_init(&gk->health, gk->base, set, gk->mesh, err);
--- a/proxy/src/gatekeeper/health.c
+++ b/proxy/src/gatekeeper/health.c
@@ -94,6 +94,7 @@
 	opts.deadline_ms = BG_PROBE_TIMEOUT_MS;
 	opts.depth = 1;
 	opts.is_fresh_needed = 1;
+	opts.is_probe = 1;
 	if (bg_backend_send(
 		&hlt->exchange, hlt->backend, &opts, on_probe, hlt) == 0) {
 		arm(hlt, BG_PROBE_TIMEOUT_MS);
--- a/proxy/src/gatekeeper/probe.c
+++ b/proxy/src/gatekeeper/probe.c
@@ -2,7 +2,7 @@
 
 /* A server that answered a real call within this time is alive, whatever its
  * own health page says. */
-#define ANSWERED_MS 3000
+#define ANSWERED_MS 1000
 
 void
 bg_probe_answered(struct bg_probe *prb, uint64_t now_ms)
@@ -37,5 +37,6 @@
 uint32_t
 bg_probe_interval_ms(const struct bg_probe *prb)
 {
-	return prb->is_ready ? BG_PROBE_MS : BG_PROBE_STARTING_MS;
+	return prb->is_ready && prb->failures == 0 ? BG_PROBE_MS
+						   : BG_PROBE_CHANGING_MS;
 }
--- a/proxy/src/gatekeeper/probe.h
+++ b/proxy/src/gatekeeper/probe.h
@@ -10,8 +10,9 @@
 
 /** Interval of probes to a ready server. */
 #define BG_PROBE_MS 1000
-/** Interval while it is not ready, so that a started server is used soon. */
-#define BG_PROBE_STARTING_MS 200
+/** Interval while it is not ready or a probe failed: a started server is used
+ * soon, and one that drains or hangs is left within a second. */
+#define BG_PROBE_CHANGING_MS 200
 /** Time allowed for the answer of a probe. */
 #define BG_PROBE_TIMEOUT_MS 1000
 /** Failed probes in a row that count, unless real calls are answered. */
--- a/proxy/src/ingress/guard.c
+++ b/proxy/src/ingress/guard.c
@@ -113,8 +113,8 @@
 	arm(grd, LINGER_MS);
 }
 
-/* Hands the next bytes of the body to libevhtp, but none of the next request:
- * its parser cannot wait for an answer between two requests. */
+/* Hands the next bytes of the body to libevhtp, but none of the next request,
+ * whose head was not checked yet. */
 static void
 pass_body(struct bg_guard *grd, size_t extra)
 {
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -1,5 +1,4 @@
 #include <assert.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -62,22 +61,6 @@
 	return bg_ingress_init(&prx->ingress, prx, err);
 }
 
-/* Load balancers of customers read this page. */
-static int
-health_page(void *arg, char **out, const char **content_type)
-{
-	const struct bg_proxy *prx = arg;
-	const char *state = "ready";
-
-	if (prx->drain.state != BG_DRAIN_NONE)
-		state = "draining";
-	else if (!bg_mesh_is_synced(prx->mesh))
-		state = "unsynced";
-	if (asprintf(out, "%s\n", state) < 0)
-		*out = NULL;
-	return strcmp(state, "ready") == 0 ? 200 : 503;
-}
-
 int
 bg_proxy_init(struct bg_proxy **out, const struct bg_proxy_options *opts,
     struct bg_error *err)
@@ -104,7 +87,6 @@
 		bg_proxy_free(prx);
 		return error;
 	}
-	bg_proxy_page(prx, "/health", health_page, prx);
 	listener.arg = prx;
 	if ((error = bg_mesh_listen(opts->mesh, &listener)) != 0) {
 		bg_proxy_free(prx);
