Accept servers without identity until they return one, and size moves by load

A server that never returns X-Request-Id could not be called; one that did once must now go on doing so, which keeps crossed answers out.

A starting node without a version lowered the confirmed version of its data centre, so that done turned to in progress whenever a VM was replaced.

A move with fewer but sufficient new servers never reached 100%: 18 slots against a rule of 19.2. The rule now compares the slots with the load measured in the calls' own times.

--- a/mesh/src/mesh/content.c
+++ b/mesh/src/mesh/content.c
@@ -191,9 +191,11 @@
 	if (bg_table_get(&item, tbl, BG_ITEM_ACK, m->address) == 0 &&
 	    item.major == m->incarnation)
 		bg_ack_decode(&ack, &item);
+	/* A node that starts takes no calls from customers before it holds a
+	 * version at or above the confirmed one, so it takes nothing back. */
 	if (ack.version != 0)
 		sum->synced_count++;
-	if (ack.version < sum->confirmed_version)
+	if (ack.version != 0 && ack.version < sum->confirmed_version)
 		sum->confirmed_version = ack.version;
 	if (ack.refused_version > sum->refused_version) {
 		sum->refused_version = ack.refused_version;
@@ -219,7 +221,7 @@
 		if (!m->is_dead && strcmp(m->data_centre, data_centre) == 0)
 			count_member(out, tbl, m);
 	}
-	if (out->member_count == 0)
+	if (out->synced_count == 0)
 		out->confirmed_version = 0;
 }
 
--- a/mesh/src/mesh/summary.c
+++ b/mesh/src/mesh/summary.c
@@ -11,7 +11,7 @@
 #define COALESCE_MS 200
 /* An unchanged summary is renewed, since its age is shown in the status. Each
  * renewal is one exchange with every node. */
-#define RENEW_MS 10000
+#define RENEW_MS 5000
 
 static int
 is_same(const struct bg_summary *a, const struct bg_summary *b)
--- a/moves/src/plan/plan.c
+++ b/moves/src/plan/plan.c
@@ -16,7 +16,7 @@
 /* Calls that let the first step end without a full verdict when time presses:
  * a version that fails every other call is found with these. */
 #define PRESSED_CALLS 20
-/* Slots of the new version against those that the share needs. */
+/* Part of the new version's slots that its share may keep busy. */
 #define CAPACITY_PERCENT 80
 
 uint64_t
@@ -46,14 +46,11 @@
 static int
 has_capacity(const struct bg_plan_input *in, uint32_t share_permille)
 {
-	uint64_t needed =
-	    (uint64_t)(in->slots_old + in->slots_new) * share_permille;
-
-	if (in->ready_old == 0)
-		return in->ready_new > 0;
-	/* Old and new servers together hold twice the capacity in use. */
-	return in->ready_new > 0 &&
-	    (uint64_t)in->slots_new * 2000 * 100 >= needed * CAPACITY_PERCENT;
+	uint64_t needed = (uint64_t)in->busy_millislots * share_permille / 1000;
+	uint64_t offered =
+	    (uint64_t)in->slots_new * 1000 * CAPACITY_PERCENT / 100;
+
+	return in->ready_new > 0 && offered >= needed;
 }
 
 /* Time still needed if every step were as short as allowed. */
--- a/moves/src/plan/plan.h
+++ b/moves/src/plan/plan.h
@@ -25,11 +25,12 @@
 	uint64_t old_calls; /**< calls of the old version lately */
 	uint32_t ready_old; /**< ready servers of `from` */
 	uint32_t ready_new; /**< ready servers of `to` */
-	uint32_t slots_old;
 	uint32_t slots_new;
-	int is_marked;	    /**< a MARK of this generation exists */
-	int is_confirmed;   /**< the last change is in force where reachable */
-	const char *reason; /**< of the mark or the verdict */
+	uint32_t
+	    busy_millislots; /**< 1,000 is one slot in use, both versions */
+	int is_marked;	     /**< a MARK of this generation exists */
+	int is_confirmed;    /**< the last change is in force where reachable */
+	const char *reason;  /**< of the mark or the verdict */
 };
 
 /**
--- a/moves/src/status/status.h
+++ b/moves/src/status/status.h
@@ -9,8 +9,9 @@
 
 #include "burdockgrade/moves.h"
 
-/** A data centre whose summary is older than this cannot be reached. */
-#define BG_STATUS_FRESH_MS 10000
+/** A data centre whose summary is older than this cannot be reached. An
+ * unchanged summary is renewed each 5 s. */
+#define BG_STATUS_FRESH_MS 12000
 
 #define BG_DATA_CENTRES_MAX 16
 
--- a/moves/src/verdict/tally.h
+++ b/moves/src/verdict/tally.h
@@ -27,6 +27,8 @@
     const struct bg_tally *before);
 /** Multiplies all counts by num / den, so that old calls weigh less. */
 void bg_tally_scale(struct bg_tally *tly, uint32_t num, uint32_t den);
+/** Estimated sum of the own times, from the middle of each bucket. */
+uint64_t bg_tally_total_us(const struct bg_tally *tly);
 /** Calls at or above a bucket. */
 uint64_t bg_tally_above(const struct bg_tally *tly, uint32_t bucket);
 /** Bucket that holds the given quantile. @param permille 900 is p90 */
--- a/proxy/src/gatekeeper/backend.c
+++ b/proxy/src/gatekeeper/backend.c
@@ -42,6 +42,7 @@
 	int is_written;
 	int has_received;
 	int is_head;
+	int is_probe;
 	int error; /* enum evhttp_request_error, or -1 */
 	char request_id[BG_REQUEST_ID_BYTES];
 };
@@ -54,6 +55,7 @@
 	uint32_t open_count;
 	uint32_t connections_max;
 	uint32_t body_bytes;
+	int returns_identity; /* this server returned X-Request-Id before */
 	uint16_t port;
 	char ip[IP_BYTES];
 	char host[BG_ADDRESS_BYTES];
@@ -260,6 +262,7 @@
 	struct bg_xheader headers[BG_HEADERS_MAX];
 	struct bg_exchange *xch = arg;
 	struct bg_exchange_result res;
+	struct bg_backend *be = xch->connection->backend;
 	struct evbuffer *in;
 	enum bg_discard why;
 
@@ -272,7 +275,7 @@
 		return;
 	}
 	if (bg_answer_check(&why, req, xch->connection->evcon, xch->request_id,
-		xch->is_head) != 0) {
+		xch->is_head, xch->is_probe || !be->returns_identity) != 0) {
 		bg_metrics_discarded(why);
 		bg_log_warn("gatekeeper",
 		    "answer discarded request=%s reason=%s", xch->request_id,
@@ -281,6 +284,11 @@
 		exchange_finish(xch, &res);
 		return;
 	}
+	/* Not every server returns the identity; one that did once must go on
+	 * doing so. */
+	if (evhttp_find_header(
+		evhttp_request_get_input_headers(req), "X-Request-Id") != NULL)
+		be->returns_identity = 1;
 	in = evhttp_request_get_input_buffer(req);
 	res.http_status = (uint32_t)evhttp_request_get_response_code(req);
 	res.headers = headers;
@@ -402,6 +410,7 @@
 	xch->arg = arg;
 	xch->error = -1;
 	xch->is_head = type == EVHTTP_REQ_HEAD;
+	xch->is_probe = opts->is_probe;
 	snprintf(
 	    xch->request_id, sizeof(xch->request_id), "%s", opts->request_id);
 	if ((error = exchange_start(xch, conn, type, opts)) != 0) {
@@ -431,10 +440,10 @@
 	}
 }
 
-uint32_t
-bg_backend_open_count(const struct bg_backend *be)
+void
+bg_backend_set_connections(struct bg_backend *be, uint32_t connections)
 {
-	return be->open_count;
+	be->connections_max = connections == 0 ? 1 : connections;
 }
 
 static int
@@ -465,7 +474,7 @@
 	if ((be = calloc(1, sizeof(*be))) == NULL)
 		return BG_ENOMEM;
 	be->base = base;
-	be->connections_max = connections == 0 ? 1 : connections;
+	bg_backend_set_connections(be, connections);
 	be->body_bytes = body_bytes;
 	if (parse_address(be, address) != 0) {
 		free(be);
