Separate the link to the parent from the lease and root role

The parent's handlers, the search for one and the check of a lost one move to parent.c; behaviour is unchanged.

--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -128,7 +128,7 @@
 /** Takes the floor from a parent's reply. */
 void bg_mesh_floor_reply(struct bg_mesh *mesh, const struct bg_xsync_res *res);
 
-/* role.c: lease, parent and root */
+/* role.c: lease and root */
 void bg_mesh_role_init(struct bg_mesh *mesh);
 void bg_mesh_role_tick(struct bg_mesh *mesh, uint64_t now_ms);
 /** This process did not run for a while and could not hear anybody. */
@@ -137,6 +137,14 @@
 void bg_mesh_view(struct bg_mesh *mesh, struct bg_root_view *out);
 int bg_mesh_view_is_fresh(struct bg_mesh *mesh);
 
+/** Changes what this node is in its data centre. */
+void bg_mesh_set_root(struct bg_mesh *mesh, enum bg_root_kind kind);
+
+/* parent.c: the link to the parent */
+/** Looks for a parent, and leaves one that has no root. */
+void bg_mesh_parent_tick(struct bg_mesh *mesh, uint64_t now_ms);
+void bg_mesh_close_parent(struct bg_mesh *mesh);
+
 /* peers.c: roots of other data centres */
 void bg_mesh_peers_tick(struct bg_mesh *mesh, uint64_t now_ms);
 void bg_mesh_peers_flush(struct bg_mesh *mesh);
