--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -117,7 +117,8 @@
 	static const struct timeval interval = {0, ARRIVALS_US};
 	struct event_config *cfg = event_config_new();
 
-	/* Without it, arrivals follow a clock that advances in steps of 4 ms. */
+	/* Without it, arrivals follow a clock that advances in steps of 4 ms.
+	 */
 	event_config_set_flag(cfg, EVENT_BASE_FLAG_PRECISE_TIMER);
 	load->base = event_base_new_with_config(cfg);
 	event_config_free(cfg);
--- a/record/src/group/group.c
+++ b/record/src/group/group.c
@@ -16,6 +16,8 @@
 #define RUN_DEFAULT_MS 30000
 /* Tolerated difference between the clocks of customers and of the relay. */
 #define CLOCK_SKEW_MS 10000
+/* A report is repeated, since a new relay does not know earlier ones. */
+#define REPORT_MS 5000
 /* Slots looked at for expired records in one tick (50 ms): a set of a million
  * records is swept within 15 min. */
 #define SWEEP_SLOTS 64
@@ -547,6 +549,22 @@
 	}
 }
 
+static void
+repeat_report(struct bg_group *grp, uint64_t now_ms)
+{
+	size_t i;
+
+	if (!grp->is_holder || grp->is_sealed || now_ms < grp->next_report_ms)
+		return;
+	grp->next_report_ms = now_ms + REPORT_MS;
+	for (i = 0; i < grp->target_count; i++) {
+		if (grp->targets[i].is_complete || grp->targets[i].is_silent) {
+			grp->io->report(grp->io, grp);
+			return;
+		}
+	}
+}
+
 void
 bg_group_tick(struct bg_group *grp, uint64_t now_ms)
 {
@@ -558,5 +576,6 @@
 	bg_fill_tick(grp, now_ms);
 	expire_running(grp, now_ms);
 	expire_waiters(grp, now_ms);
+	repeat_report(grp, now_ms);
 	bg_record_set_sweep(grp->set, now_ms, SWEEP_SLOTS);
 }
--- a/record/src/group/internal.h
+++ b/record/src/group/internal.h
@@ -81,6 +81,7 @@
 	int is_sealed; /**< a member knows a higher epoch */
 	uint64_t next_grant;
 	uint64_t next_write_id;
+	uint64_t next_report_ms;
 	uint64_t wall_ms; /**< of the last begin */
 	struct target targets[TARGETS_MAX];
 	size_t target_count;
--- a/record/src/records/ask.c
+++ b/record/src/records/ask.c
@@ -300,6 +300,8 @@
 	ask->fn = fn;
 	ask->arg = arg;
 	DL_APPEND(rcs->asks, ask);
-	/* The first attempt runs from the loop as well, within this turn. */
-	return bg_mailbox_post(rcs->mailbox, 0, NULL);
+	/* The first attempt runs from the loop, like all callbacks; without
+	 * memory for the message the next tick starts it. */
+	bg_mailbox_post(rcs->mailbox, 0, NULL);
+	return 0;
 }
--- a/record/tests/test_group.c
+++ b/record/tests/test_group.c
@@ -365,6 +365,23 @@
 }
 END_TEST
 
+/* Guards against a filled node that is never promoted because the relay that
+ * knew of it was replaced. */
+START_TEST(report_is_repeated)
+{
+	int first;
+
+	setup(BG_STORE_BYTES);
+	adopt_all(1, "01+2");
+	run(300);
+	first = reports;
+	ck_assert_int_ge(first, 1);
+	run(10500);
+	ck_assert_int_ge(reports, first + 2);
+	teardown();
+}
+END_TEST
+
 /* Guards against grants that wait for a joining node that is gone, and against
  * the promotion of a node that is no longer written to. */
 START_TEST(silent_joining_node_is_dropped)
@@ -636,6 +653,7 @@
 	tcase_add_test(tc, replaced_holder_grants_nothing);
 	tcase_add_test(tc, new_holder_knows_every_grant);
 	tcase_add_test(tc, joining_node_is_filled_before_the_report);
+	tcase_add_test(tc, report_is_repeated);
 	tcase_add_test(tc, silent_joining_node_is_dropped);
 	tcase_add_test(tc, complete_joining_node_is_never_skipped);
 	tcase_add_test(tc, unconfirmed_grant_is_withdrawn);
