Release the echo connections of test_faultproxy and check the proxy's exit

LeakSanitizer reported 7 connections at the end of test_faultproxy, whose end the test's loop had not seen before the base was freed; the verdict depended on timing. They are released now. The test also checks that the proxy exits with 0, and that jitter keeps the order of bytes.

--- a/standins/test_faultproxy.c
+++ b/standins/test_faultproxy.c
@@ -18,6 +18,8 @@
 
 /* Upper bound of each wait; a fault that is missing fails, not hangs. */
 #define WAIT_MS 5000
+/* Connections of one test at the target. */
+#define ECHOES_MAX 16
 #define SOURCE_IP "127.77.0.1"
 #define TARGET_IP "127.77.0.2"
 
@@ -25,6 +27,8 @@
 	struct bufferevent *bev;
 	size_t received_bytes;
 	uint64_t received_us;
+	unsigned char last_byte;
+	int is_reordered;
 	int is_closed;
 };
 
@@ -35,6 +39,8 @@
 static uint16_t control_port;
 static char last_peer_ip[INET_ADDRSTRLEN];
 static size_t echoed_bytes;
+static struct bufferevent *echoes[ECHOES_MAX];
+static size_t echo_count;
 
 static void
 echo_read(struct bufferevent *bev, void *arg)
@@ -46,7 +52,10 @@
 static void
 echo_event(struct bufferevent *bev, short what, void *arg)
 {
+	struct bufferevent **slot = arg;
+
 	bufferevent_free(bev);
+	*slot = NULL;
 }
 
 static void
@@ -58,7 +67,10 @@
 
 	inet_ntop(AF_INET, &((struct sockaddr_in *)addr)->sin_addr,
 	    last_peer_ip, sizeof(last_peer_ip));
-	bufferevent_setcb(bev, echo_read, NULL, echo_event, NULL);
+	ck_assert_uint_lt(echo_count, ECHOES_MAX);
+	echoes[echo_count] = bev;
+	bufferevent_setcb(
+	    bev, echo_read, NULL, echo_event, &echoes[echo_count++]);
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
 }
 
@@ -158,8 +170,18 @@
 static void
 stop_proxy(void)
 {
+	size_t i;
+	int status;
+
 	kill(proxy_pid, SIGTERM);
-	waitpid(proxy_pid, NULL, 0);
+	ck_assert_int_eq(waitpid(proxy_pid, &status, 0), proxy_pid);
+	ck_assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+	/* Those whose end the loop has not seen yet. */
+	for (i = 0; i < echo_count; i++) {
+		if (echoes[i] != NULL)
+			bufferevent_free(echoes[i]);
+	}
+	echo_count = 0;
 	evconnlistener_free(echo);
 	event_base_free(base);
 }
@@ -190,9 +212,14 @@
 	struct peer *peer = arg;
 	struct evbuffer *in = bufferevent_get_input(bev);
 
-	peer->received_bytes += evbuffer_get_length(in);
+	unsigned char byte;
+
 	peer->received_us = bg_clock_now_us();
-	evbuffer_drain(in, evbuffer_get_length(in));
+	while (evbuffer_remove(in, &byte, 1) == 1) {
+		peer->received_bytes++;
+		peer->is_reordered |= byte < peer->last_byte;
+		peer->last_byte = byte;
+	}
 }
 
 static void
@@ -221,6 +248,12 @@
 	    peer->bev, (struct sockaddr *)&sin, sizeof(sin));
 }
 
+static int
+has_hundred_bytes(void *arg)
+{
+	return ((struct peer *)arg)->received_bytes >= 100;
+}
+
 static int
 has_ten_bytes(void *arg)
 {
@@ -387,6 +420,28 @@
 }
 END_TEST
 
+/* Guards against jitter that lets later bytes of a connection overtake earlier
+ * ones, which TCP never does. */
+START_TEST(jitter_keeps_the_order_of_bytes)
+{
+	struct peer peer;
+	unsigned char i;
+
+	start_proxy();
+	set_rules("{\"jitter_ms\":30}");
+	peer_open(&peer);
+	for (i = 1; i <= 100; i++) {
+		bufferevent_write(peer.bev, &i, 1);
+		loop_for_ms(1);
+	}
+	ck_assert(wait_for(has_hundred_bytes, &peer));
+	ck_assert_int_eq(peer.is_reordered, 0);
+	ck_assert_uint_eq(peer.last_byte, 100);
+	bufferevent_free(peer.bev);
+	stop_proxy();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -405,6 +460,7 @@
 	tcase_add_test(tc, drop_and_refuse_close_connections);
 	tcase_add_test(tc, duplication_repeats_whole_messages);
 	tcase_add_test(tc, slow_drip_limits_the_rate);
+	tcase_add_test(tc, jitter_keeps_the_order_of_bytes);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
 	srunner_set_fork_status(runner, CK_NOFORK);
