Refuse a request that begins with an empty line

fuzz_request_head found that a head without a request line was accepted as a request without method and target. It is refused with 400.

--- a/proxy/src/ingress/request_head.c
+++ b/proxy/src/ingress/request_head.c
@@ -162,6 +162,8 @@
 
 	for (; line < end; line = eol + 2) {
 		eol = memmem(line, (size_t)(end - line), "\r\n", 2);
+		if (eol == line && line == data)
+			return refuse(sc, 400, "the request line is missing");
 		if (eol == NULL || eol == line)
 			break;
 		status = line == data
--- a/proxy/tests/test_deadline.c
+++ b/proxy/tests/test_deadline.c
@@ -122,6 +122,17 @@
 }
 END_TEST
 
+/* Found by fuzz_request_head: an empty line in place of the request line was
+ * accepted as a request without method and target. */
+START_TEST(missing_request_line_is_refused)
+{
+	struct bg_request_head head;
+
+	ck_assert_int_eq(check("\r\n\r\n", &head), 400);
+	ck_assert_int_eq(check("\r\n\r\nGET / HTTP/1.1\r\n\r\n", &head), 400);
+}
+END_TEST
+
 START_TEST(head_bounds_hold)
 {
 	static char text[BG_REQUEST_HEAD_BYTES + 4096];
@@ -159,6 +170,7 @@
 	tcase_add_test(tc, bad_probes_do_not_remove_a_server_that_answers);
 	tcase_add_test(tc, refused_connection_removes_at_once);
 	tcase_add_test(tc, split_head_is_complete_only_at_its_end);
+	tcase_add_test(tc, missing_request_line_is_refused);
 	tcase_add_test(tc, head_bounds_hold);
 	return run_suite("deadline", tc);
 }
