Fit the steps of a move to the time that is left

A move whose first verdict came late had no time left for its other steps: with 30 s promised it was rolled back at 100% share. Steps now count the holder's interval and the confirmation, and shrink when time presses.

--- a/moves/src/plan/plan.c
+++ b/moves/src/plan/plan.c
@@ -9,9 +9,12 @@
 #define STEP_COUNT (sizeof(SHARES) / sizeof(SHARES[0]))
 /* The plan uses this part of the promised time; the rest is for news, a change
  * of holder and a slow platform. */
-#define PLAN_PERCENT 60
+#define PLAN_PERCENT 50
 /* Nodes learn of a step within a second; evidence needs some more. */
 #define STEP_MIN_MS 2000
+/* A step ends this much later than planned: the holder looks once a second, and
+ * the step before has to be confirmed everywhere. */
+#define STEP_OVERHEAD_MS 1500
 #define STEP_MAX_MS 300000
 /* Calls that let the first step end without a full verdict when time presses:
  * a version that fails every other call is found with these. */
@@ -60,14 +63,33 @@
 	return (STEP_COUNT - move->step) * STEP_MIN_MS;
 }
 
+static uint64_t
+left_ms(const struct bg_move *move, uint64_t now_ms)
+{
+	return move->deadline_ms > now_ms ? move->deadline_ms - now_ms : 0;
+}
+
 static int
 is_pressed(const struct bg_move *move, uint64_t now_ms)
 {
-	uint64_t left_ms =
-	    move->deadline_ms > now_ms ? move->deadline_ms - now_ms : 0;
+	return left_ms(move, now_ms) < (STEP_COUNT - move->step) *
+		(bg_plan_step_ms(move) + STEP_OVERHEAD_MS) +
+	    STEP_MIN_MS;
+}
 
-	return left_ms <
-	    (STEP_COUNT - move->step) * bg_plan_step_ms(move) + STEP_MIN_MS;
+/* Steps become shorter if the rest of the time asks for it. */
+static uint64_t
+dwell_ms(const struct bg_move *move, uint64_t now_ms)
+{
+	uint64_t step_ms = bg_plan_step_ms(move);
+	uint64_t fair_ms =
+	    left_ms(move, now_ms) / (STEP_COUNT - move->step + 1);
+
+	if (fair_ms >= step_ms + STEP_OVERHEAD_MS)
+		return step_ms;
+	return fair_ms < STEP_MIN_MS + STEP_OVERHEAD_MS
+	    ? STEP_MIN_MS
+	    : fair_ms - STEP_OVERHEAD_MS;
 }
 
 /* The first step ends with a good verdict; without one, only if time presses
@@ -91,7 +113,7 @@
 	    ? in->now_ms - move->step_since_ms
 	    : 0;
 
-	if (age_ms < bg_plan_step_ms(move) || !in->is_confirmed ||
+	if (age_ms < dwell_ms(move, in->now_ms) || !in->is_confirmed ||
 	    !is_step_proven(move, in))
 		return 0;
 	if (move->step + 1 == STEP_COUNT) {
--- a/moves/tests/test_plan.c
+++ b/moves/tests/test_plan.c
@@ -83,6 +83,25 @@
 }
 END_TEST
 
+/* Guards against a plan that has no room for the holder's interval and for the
+ * confirmation of each step: such a move passed its promised time by 4 s. */
+START_TEST(slow_confirmation_leaves_room_for_the_promised_time)
+{
+	struct bg_move next;
+
+	setup();
+	move.deadline_ms = START_MS + 30000;
+	input.verdict = BG_VERDICT_NONE;
+	input.new_calls = 40;
+	for (; move.state == BG_MOVE_IN_PROGRESS; input.now_ms += 1000) {
+		input.is_confirmed = input.now_ms >= move.step_since_ms + 1000;
+		if (bg_plan_next(&next, &move, &contract, &input))
+			move = next;
+	}
+	ck_assert_int_eq(move.state, BG_MOVE_DONE);
+}
+END_TEST
+
 /* Guards against a service without callers that can never be moved. */
 START_TEST(service_without_calls_is_moved)
 {
@@ -196,6 +215,7 @@
 
 	tcase_add_test(tc, good_version_is_done_by_the_promised_time);
 	tcase_add_test(tc, share_stays_at_first_cap_without_verdict);
+	tcase_add_test(tc, slow_confirmation_leaves_room_for_the_promised_time);
 	tcase_add_test(tc, service_without_calls_is_moved);
 	tcase_add_test(tc, bad_verdict_rolls_back_at_each_step);
 	tcase_add_test(tc, mark_of_a_data_centre_rolls_back);
