Name the record map by a key that the platform client accepts

With real processes no record views were written: the client refuses '@' in a key, and the relay backed off without a word. The stub of the tests accepted every key.

The map is now records/.map, a refused read or write is logged, and the stub checks keys as the client does.

--- a/record/src/placement/placement.h
+++ b/record/src/placement/placement.h
@@ -14,8 +14,8 @@
 
 #define BG_MAP_DATA_CENTRES 16
 #define BG_MAP_GENERATIONS 16
-/** Key of the VIEW item and of the object (`records/@map`) of the map. */
-#define BG_MAP_KEY "@map"
+/** Key of the VIEW item and of the object (`records/.map`) of the map. */
+#define BG_MAP_KEY ".map"
 /** A new generation is in force this long after it was written. Every node
  * knows it by then unless a partition lasts longer than 30 min. */
 #define BG_MAP_LEAD_MS (30ull * 60 * 1000)
--- a/record/src/records/relay.c
+++ b/record/src/records/relay.c
@@ -152,6 +152,7 @@
 	rcs->relay.is_busy = 1;
 	if (bg_platform_put(rcs->platform, key, version, body, strlen(body), fn,
 		rcs) != 0) {
+		bg_log_error("record", "write refused key=%s", key);
 		rcs->relay.is_busy = 0;
 		rcs->relay.has_views = 0;
 		back_off(rcs);
@@ -166,6 +167,7 @@
 	object_key(key, name);
 	rcs->relay.is_busy = 1;
 	if (bg_platform_get(rcs->platform, key, fn, rcs) != 0) {
+		bg_log_error("record", "read refused key=%s", key);
 		rcs->relay.is_busy = 0;
 		back_off(rcs);
 	}
--- a/record/tests/mesh_stub.c
+++ b/record/tests/mesh_stub.c
@@ -277,12 +277,25 @@
 	return &objects[i];
 }
 
+/* The same characters as in the client of the platform. */
+static int
+is_valid_key(const char *key)
+{
+	return key[strspn(key,
+		   "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+		   "0123456789-._~:/")] == '\0';
+}
+
 int
 bg_platform_get(
     struct bg_platform *plt, const char *key, bg_platform_fn fn, void *arg)
 {
-	struct answer *a = new_answer(fn, arg);
 	const struct object *obj = find_object(key);
+	struct answer *a;
+
+	if (!is_valid_key(key))
+		return BG_EINVAL;
+	a = new_answer(fn, arg);
 
 	if (is_down)
 		a->answer.code = BG_EUNAVAILABLE;
@@ -301,9 +314,12 @@
     uint64_t expected_version, const char *body, size_t body_bytes,
     bg_platform_fn fn, void *arg)
 {
-	struct answer *a = new_answer(fn, arg);
 	struct object *obj = find_object(key);
+	struct answer *a;
 
+	if (!is_valid_key(key))
+		return BG_EINVAL;
+	a = new_answer(fn, arg);
 	if (is_down) {
 		a->answer.code = BG_EUNAVAILABLE;
 		return 0;
