Start earlier versions by an operator only, and find broken ones at once

After 3.0 was rolled back to 2.0, the servers of 1.0 were still ready and the automatic start moved the traffic back to them, and then to 3.0 again. A move now carries the versions that served or were tried before; only an operator starts one of them again. The move holder marks a bad version, so that nodes stop it without waiting for the head.

A step up under time pressure was taken with 33 of 33 calls failed: with an allowed error ratio of 1% the verdict needed 25 failures. A further test looks for 40% more failures, and any doubt holds the share.

--- a/config/include/burdockgrade/snapshot.h
+++ b/config/include/burdockgrade/snapshot.h
@@ -11,6 +11,7 @@
 
 #include "burdockgrade/contract.h"
 
+#define BG_RETIRED_BYTES 256
 #define BG_REASON_BYTES 128
 #define BG_NONCE_BYTES 40
 
@@ -34,8 +35,19 @@
 	uint64_t step_since_ms;	 /**< wall clock */
 	int is_late; /**< cannot be done safely by the promised time */
 	char reason[BG_REASON_BYTES];
+	/** Versions that served or were tried before, separated by spaces; only
+	 * an operator starts one of them again. */
+	char retired[BG_RETIRED_BYTES];
 };
 
+/** Version that serves: `to` of a done move, else `from`. */
+const char *bg_move_serving(const struct bg_move *move);
+/** Carries the versions of the last move over into the next one; the oldest
+ * are dropped if there are too many. */
+void bg_move_retire(struct bg_move *next, const struct bg_move *last);
+/** 1 if the version served or was tried before. */
+int bg_move_is_retired(const struct bg_move *move, const char *server_version);
+
 /** What the head says of one service. */
 struct bg_head_service {
 	char name[BG_NAME_BYTES];
--- a/config/src/head_json.c
+++ b/config/src/head_json.c
@@ -16,11 +16,11 @@
 	json_t *value;
 	int failed;
 
-	value = json_pack("{s:s, s:s, s:s, s:I, s:I, s:b, s:s}", "state",
+	value = json_pack("{s:s, s:s, s:s, s:I, s:I, s:b, s:s, s:s}", "state",
 	    MOVE_STATES[mv->state], "from", mv->from, "to", mv->to, "step",
 	    (json_int_t)mv->step, "share_permille",
 	    (json_int_t)mv->share_permille, "late", mv->is_late, "reason",
-	    mv->reason);
+	    mv->reason, "retired", mv->retired);
 	if (value == NULL)
 		return NULL;
 	failed = bg_json_set_u64(value, "generation", mv->generation);
@@ -71,6 +71,7 @@
 	bg_json_u32(&rdr, "share_permille", &out->share_permille);
 	bg_json_bool(&rdr, "late", &out->is_late);
 	bg_json_string(&rdr, "reason", out->reason, sizeof(out->reason));
+	bg_json_string(&rdr, "retired", out->retired, sizeof(out->retired));
 	bg_json_u64(&rdr, "generation", &out->generation);
 	bg_json_u64(&rdr, "started_ms", &out->started_ms);
 	bg_json_u64(&rdr, "deadline_ms", &out->deadline_ms);
--- /dev/null
+++ b/config/src/move.c
@@ -0,0 +1,58 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "burdockgrade/snapshot.h"
+
+const char *
+bg_move_serving(const struct bg_move *move)
+{
+	return move->state == BG_MOVE_DONE ? move->to : move->from;
+}
+
+/* Finds a whole word in a list separated by spaces. */
+static int
+has_word(const char *list, const char *word)
+{
+	size_t bytes = strlen(word);
+	const char *at;
+
+	if (bytes == 0)
+		return 0;
+	for (at = strstr(list, word); at != NULL; at = strstr(at + 1, word)) {
+		if ((at == list || at[-1] == ' ') &&
+		    (at[bytes] == ' ' || at[bytes] == '\0'))
+			return 1;
+	}
+	return 0;
+}
+
+static void
+add_word(char list[BG_RETIRED_BYTES], const char *word)
+{
+	char grown[BG_RETIRED_BYTES + BG_NAME_BYTES];
+	const char *rest = grown;
+
+	if (word[0] == '\0' || has_word(list, word))
+		return;
+	snprintf(grown, sizeof(grown), "%s%s%s", list,
+	    list[0] == '\0' ? "" : " ", word);
+	while (strlen(rest) >= BG_RETIRED_BYTES)
+		rest = strchr(rest, ' ') + 1;
+	snprintf(list, BG_RETIRED_BYTES, "%s", rest);
+}
+
+void
+bg_move_retire(struct bg_move *next, const struct bg_move *last)
+{
+	snprintf(next->retired, sizeof(next->retired), "%s", last->retired);
+	add_word(next->retired, last->from);
+	add_word(next->retired, last->to);
+}
+
+int
+bg_move_is_retired(const struct bg_move *move, const char *server_version)
+{
+	return strcmp(server_version, move->from) == 0 ||
+	    strcmp(server_version, move->to) == 0 ||
+	    has_word(move->retired, server_version);
+}
--- /dev/null
+++ b/config/tests/test_move.c
@@ -0,0 +1,75 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/snapshot.h"
+
+static void
+name_move(struct bg_move *out, enum bg_move_state state, const char *from,
+    const char *to)
+{
+	out->state = state;
+	snprintf(out->from, sizeof(out->from), "%s", from);
+	snprintf(out->to, sizeof(out->to), "%s", to);
+}
+
+/* Guards against an old version that starts again by itself: after 3.0 was
+ * rolled back to 2.0, the servers of 1.0 took the traffic over. */
+START_TEST(earlier_versions_stay_retired)
+{
+	struct bg_move first = {0};
+	struct bg_move second = {0};
+
+	name_move(&first, BG_MOVE_DONE, "1.0", "2.0");
+	bg_move_retire(&second, &first);
+	name_move(&second, BG_MOVE_ROLLED_BACK, "2.0", "3.0");
+	ck_assert(bg_move_is_retired(&second, "1.0"));
+	ck_assert(bg_move_is_retired(&second, "2.0"));
+	ck_assert(bg_move_is_retired(&second, "3.0"));
+	ck_assert(!bg_move_is_retired(&second, "4.0"));
+	ck_assert(!bg_move_is_retired(&second, "1"));
+	ck_assert(!bg_move_is_retired(&second, ""));
+	ck_assert_str_eq(bg_move_serving(&second), "2.0");
+}
+END_TEST
+
+/* Guards against a list that outgrows its field or loses the latest names. */
+START_TEST(list_keeps_the_latest_versions)
+{
+	struct bg_move last = {0};
+	struct bg_move next = {0};
+	char name[BG_NAME_BYTES];
+	int i;
+
+	for (i = 0; i < 100; i++) {
+		snprintf(name, sizeof(name), "2026.12.%d", i);
+		name_move(&last, BG_MOVE_DONE, "", name);
+		bg_move_retire(&next, &last);
+		last = next;
+	}
+	ck_assert(strlen(next.retired) < BG_RETIRED_BYTES);
+	ck_assert(bg_move_is_retired(&next, "2026.12.99"));
+	ck_assert(bg_move_is_retired(&next, "2026.12.90"));
+	ck_assert(!bg_move_is_retired(&next, "2026.12.0"));
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("move");
+	TCase *tc = tcase_create("move");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_test(tc, earlier_versions_stay_retired);
+	tcase_add_test(tc, list_keeps_the_latest_versions);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
--- a/moves/src/plan/plan.c
+++ b/moves/src/plan/plan.c
@@ -114,7 +114,7 @@
 	    : 0;
 
 	if (age_ms < dwell_ms(move, in->now_ms) || !in->is_confirmed ||
-	    !is_step_proven(move, in))
+	    in->is_doubtful || !is_step_proven(move, in))
 		return 0;
 	if (move->step + 1 == STEP_COUNT) {
 		finish(out, BG_MOVE_DONE, in->now_ms, "");
--- a/moves/src/plan/plan.h
+++ b/moves/src/plan/plan.h
@@ -28,9 +28,10 @@
 	uint32_t slots_new;
 	uint32_t
 	    busy_millislots; /**< 1,000 is one slot in use, both versions */
-	int is_marked;	     /**< a MARK of this generation exists */
-	int is_confirmed;    /**< the last change is in force where reachable */
-	const char *reason;  /**< of the mark or the verdict */
+	int is_doubtful;    /**< some evidence speaks against the new version */
+	int is_marked;	    /**< a MARK of this generation exists */
+	int is_confirmed;   /**< the last change is in force where reachable */
+	const char *reason; /**< of the mark or the verdict */
 };
 
 /**
--- a/moves/src/stats/judge.c
+++ b/moves/src/stats/judge.c
@@ -3,6 +3,9 @@
 
 #include "stats.h"
 
+/* "Bad" explains the calls e^3, about 20, times better than "good". */
+#define DOUBT_SCORE 3.0
+
 void
 bg_judge_reset(struct bg_judge *jdg, uint64_t generation)
 {
@@ -53,3 +56,27 @@
 		explain(jdg, &jdg->service, where, "all routes");
 	return is_bad ? BG_VERDICT_BAD : verdict;
 }
+
+static int
+is_cell_doubtful(const struct bg_cell *cell)
+{
+	int test;
+
+	for (test = 0; test < BG_TEST_COUNT; test++) {
+		if (cell->score[test] > DOUBT_SCORE)
+			return 1;
+	}
+	return 0;
+}
+
+int
+bg_judge_is_doubtful(const struct bg_judge *jdg)
+{
+	size_t i;
+
+	for (i = 0; i < BG_ROUTES_MAX; i++) {
+		if (is_cell_doubtful(&jdg->routes[i]))
+			return 1;
+	}
+	return is_cell_doubtful(&jdg->service);
+}
--- a/moves/src/stats/stats.h
+++ b/moves/src/stats/stats.h
@@ -70,6 +70,8 @@
 
 /** Starts a new generation. */
 void bg_judge_reset(struct bg_judge *jdg, uint64_t generation);
+/** 1 if some evidence speaks against the new version, short of a verdict. */
+int bg_judge_is_doubtful(const struct bg_judge *jdg);
 /**
  * Compares the calls of both versions since the last update.
  *
--- a/moves/src/task/data_centre.c
+++ b/moves/src/task/data_centre.c
@@ -87,10 +87,13 @@
 	return 0;
 }
 
-static void
-publish_mark(struct bg_moves *mvs, const struct bg_move *move,
+void
+bg_moves_mark(struct bg_moves *mvs, const struct bg_move *move,
     const char *service, const char *reason)
 {
+	if (bg_mark_generation(bg_mesh_table(mvs->mesh), service, move->to) >=
+	    move->generation)
+		return;
 	bg_counter_add(&marks, 1);
 	bg_log_warn("moves",
 	    "version marked bad service=%s version=%s generation=%llu "
@@ -135,10 +138,8 @@
 	publish_totals(mvs, wch);
 	verdict = bg_judge_update(&wch->own_judge, &svc->contract, old_delta,
 	    new_delta, BG_DATA_CENTRES_MAX, mvs->settings->node.data_centre);
-	if (verdict == BG_VERDICT_BAD &&
-	    bg_mark_generation(bg_mesh_table(mvs->mesh), svc->head.name,
-		move->to) < move->generation)
-		publish_mark(mvs, move, svc->head.name, wch->own_judge.reason);
+	if (verdict == BG_VERDICT_BAD)
+		bg_moves_mark(mvs, move, svc->head.name, wch->own_judge.reason);
 }
 
 void
--- a/moves/src/task/holder.c
+++ b/moves/src/task/holder.c
@@ -162,27 +162,15 @@
 	}
 }
 
-static const char *
-serving_version(const struct bg_move *move)
-{
-	return move->state == BG_MOVE_DONE ? move->to : move->from;
-}
-
-/* A version may start by itself unless it serves already or was marked or
- * rolled back before; then only an operator starts it again. */
+/* A version may start by itself unless it served or was tried before, or is
+ * marked; then only an operator starts it again. */
 static int
 is_candidate(const struct bg_moves *mvs, const struct bg_service *svc,
     const char *server_version)
 {
-	const struct bg_move *move = &svc->head.move;
-
-	if (strcmp(server_version, serving_version(move)) == 0)
-		return 0;
-	if (move->state == BG_MOVE_ROLLED_BACK &&
-	    strcmp(server_version, move->to) == 0)
-		return 0;
-	return bg_mark_generation(bg_mesh_table(mvs->mesh), svc->head.name,
-		   server_version) == 0;
+	return !bg_move_is_retired(&svc->head.move, server_version) &&
+	    bg_mark_generation(
+		bg_mesh_table(mvs->mesh), svc->head.name, server_version) == 0;
 }
 
 /* Picks the ready version whose servers were started last. */
@@ -218,6 +206,7 @@
 	if (!find_candidate(&vc, mvs, svc))
 		return;
 	memset(&next, 0, sizeof(next));
+	bg_move_retire(&next, move);
 	next.generation = move->generation + 1;
 	next.started_ms = now_ms;
 	next.step_since_ms = now_ms;
@@ -232,7 +221,7 @@
 		next.share_permille = BG_PLAN_FIRST_SHARE_PERMILLE;
 		next.deadline_ms = now_ms + svc->contract.take_over_ms;
 		snprintf(
-		    next.from, sizeof(next.from), "%s", serving_version(move));
+		    next.from, sizeof(next.from), "%s", bg_move_serving(move));
 	} else
 		return;
 	start_change(mvs, svc, &next);
@@ -347,6 +336,9 @@
 	memset(&in, 0, sizeof(in));
 	in.now_ms = bg_clock_wall_ms();
 	in.verdict = judge_all(wch, svc);
+	if (in.verdict == BG_VERDICT_BAD)
+		bg_moves_mark(mvs, move, svc->head.name, wch->all_judge.reason);
+	in.is_doubtful = bg_judge_is_doubtful(&wch->all_judge);
 	in.old_calls = wch->old_calls;
 	in.new_calls = wch->all_judge.service.new_calls;
 	count_ready(&before, ros, svc->head.name, move->from);
--- a/moves/src/task/task.h
+++ b/moves/src/task/task.h
@@ -61,6 +61,9 @@
 void bg_moves_publish_stat(struct bg_moves *mvs);
 /** As root: sums STAT items, judges, publishes DCSTAT and MARK. */
 void bg_moves_judge_data_centre(struct bg_moves *mvs);
+/** Publishes a MARK unless this generation is marked already. */
+void bg_moves_mark(struct bg_moves *mvs, const struct bg_move *move,
+    const char *service, const char *reason);
 /** As move holder: judges over all data centres and advances moves. */
 void bg_moves_hold(struct bg_moves *mvs);
 /** Renews or takes the lease of the move holder. */
--- a/moves/src/verdict/verdict.c
+++ b/moves/src/verdict/verdict.c
@@ -15,6 +15,8 @@
 /* A ratio of zero cannot be told from this one with the calls of a move. */
 #define BASELINE_MIN 0.005
 #define RATIO_MAX 0.98
+/* This share of additional failures is found with a handful of calls. */
+#define BROKEN_MARGIN 0.4
 /* More than this share of additional slow calls is bad. */
 #define SLOW_MARGIN 0.15
 /* Two half-octave buckets above p90 is twice its latency. */
@@ -92,6 +94,9 @@
 	cell->gained[BG_TEST_ERRORS] = evidence(new_delta->failed, calls,
 	    expected_ratio(cell, cell->old.failed, cell->recent.failed),
 	    opts->max_error_permille / 1000.0);
+	cell->gained[BG_TEST_BROKEN] = evidence(new_delta->failed, calls,
+	    expected_ratio(cell, cell->old.failed, cell->recent.failed),
+	    BROKEN_MARGIN);
 	cell->gained[BG_TEST_SLOW] = evidence(new_delta->slow, calls,
 	    expected_ratio(cell, cell->old.slow, cell->recent.slow),
 	    SLOW_MARGIN);
@@ -177,7 +182,8 @@
 bg_cell_explain(
     char out[BG_REASON_BYTES], const struct bg_cell *cell, const char *where)
 {
-	static const char *const WHAT[] = {"errors", "slow", "slower"};
+	static const char *const WHAT[] = {
+	    "errors", "errors", "slow", "slower"};
 
 	snprintf(out, BG_REASON_BYTES, "%s: %s, %llu of %llu calls failed",
 	    where, WHAT[cell->failed_test],
--- a/moves/src/verdict/verdict.h
+++ b/moves/src/verdict/verdict.h
@@ -33,6 +33,7 @@
 
 enum bg_verdict_test {
 	BG_TEST_ERRORS,
+	BG_TEST_BROKEN, /**< many more errors; found within a few calls */
 	BG_TEST_SLOW,
 	BG_TEST_SLOWER,
 	BG_TEST_COUNT,
--- a/moves/tests/test_plan.c
+++ b/moves/tests/test_plan.c
@@ -156,6 +156,17 @@
 }
 END_TEST
 
+/* Guards against a step up while calls of the new version fail: a move went to
+ * 10% with 33 of 33 calls failed because the time pressed. */
+START_TEST(doubt_holds_the_share)
+{
+	setup();
+	input.is_doubtful = 1;
+	run_plan(START_MS + PROMISED_MS - 1000);
+	ck_assert_uint_eq(move.share_permille, BG_PLAN_FIRST_SHARE_PERMILLE);
+}
+END_TEST
+
 /* Guards against more traffic than the new servers can carry. */
 START_TEST(share_waits_for_capacity)
 {
@@ -220,6 +231,7 @@
 	tcase_add_test(tc, bad_verdict_rolls_back_at_each_step);
 	tcase_add_test(tc, mark_of_a_data_centre_rolls_back);
 	tcase_add_test(tc, unconfirmed_step_is_not_followed_by_another);
+	tcase_add_test(tc, doubt_holds_the_share);
 	tcase_add_test(tc, share_waits_for_capacity);
 	tcase_add_test(tc, version_is_taken_back_during_the_soak);
 	tcase_add_test(tc, same_input_gives_same_step);
--- a/moves/tests/test_verdict.c
+++ b/moves/tests/test_verdict.c
@@ -158,6 +158,30 @@
 }
 END_TEST
 
+/* Guards against a version that fails every call and yet needs 25 calls for a
+ * verdict when the allowed error ratio is small. */
+START_TEST(broken_version_is_found_within_ten_calls)
+{
+	static const struct bg_verdict_options strict = {10, 64};
+	struct bg_tally old_delta;
+	struct bg_tally new_delta;
+	struct bg_cell cell;
+	unsigned calls = 0;
+
+	memset(&cell, 0, sizeof(cell));
+	memset(&old_delta, 0, sizeof(old_delta));
+	memset(&new_delta, 0, sizeof(new_delta));
+	old_delta.calls = 200;
+	old_delta.histogram[10] = 200;
+	bg_tally_count(&new_delta, 8000, 1, 0);
+	while (bg_cell_update(&cell, &old_delta, &new_delta, &strict) !=
+		BG_VERDICT_BAD &&
+	    calls < 100)
+		calls++;
+	ck_assert_uint_lt(calls, 10);
+}
+END_TEST
+
 /* Guards against a verdict from too few calls. */
 START_TEST(few_calls_give_no_verdict)
 {
@@ -229,6 +253,7 @@
 	tcase_add_test(tc, failing_baseline_does_not_condemn_an_equal_version);
 	tcase_add_test(tc, slow_dependency_hits_both_and_is_no_evidence);
 	tcase_add_test(tc, version_that_turns_bad_late_is_found_in_30_calls);
+	tcase_add_test(tc, broken_version_is_found_within_ten_calls);
 	tcase_add_test(tc, few_calls_give_no_verdict);
 	tcase_add_test(tc, bad_route_is_named);
 	suite_add_tcase(suite, tc);
