Write the last answers of a draining bg-backend

bg-backend left its loop when the last run ended, before its answer was written, so every graceful stop with a call in flight cut that call off. It now ends once the answers are written.

--- a/standins/backend/backend.h
+++ b/standins/backend/backend.h
@@ -50,6 +50,7 @@
 	uint64_t calls;
 	uint64_t shed;
 	uint32_t running;
+	uint32_t unsent; /**< runs that ended, their answer is being written */
 	uint32_t open_connections;
 	uint32_t running_max;
 	uint32_t connections_max;
--- a/standins/backend/run.c
+++ b/standins/backend/run.c
@@ -59,6 +59,24 @@
 	fflush(bke->log);
 }
 
+/* A drained server ends once its answers are written, not only computed. */
+static void
+end_if_drained(struct backend *bke)
+{
+	if (bke->is_draining && bke->running == 0 && bke->unsent == 0)
+		event_base_loopbreak(bke->serve.base);
+}
+
+static evhtp_res
+on_sent(evhtp_request_t *req, void *arg)
+{
+	struct backend *bke = arg;
+
+	bke->unsent--;
+	end_if_drained(bke);
+	return EVHTP_RES_OK;
+}
+
 void
 run_finish(struct run *run)
 {
@@ -67,17 +85,17 @@
 	bke->running--;
 	load_record(bke);
 	/* The request outlives the run until its answer is written. */
-	if (run->request != NULL)
-		evhtp_request_unset_hook(
-		    run->request, evhtp_hook_on_request_fini);
+	if (run->request != NULL) {
+		bke->unsent++;
+		serve_on_gone(run->request, on_sent, bke);
+	}
 	if (run->timer != NULL)
 		event_free(run->timer);
 	if (run->dependency != NULL)
 		evhttp_connection_free(run->dependency);
 	free(run->answer);
 	free(run);
-	if (bke->is_draining && bke->running == 0)
-		event_base_loopbreak(bke->serve.base);
+	end_if_drained(bke);
 }
 
 void
