--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -164,15 +164,7 @@
 fanout = %d
 direct_watch = %s
 
-[server]
-address = "%s"
-service = "%s"
-version = "%s"
-slots = %d
-connections = %d
-probe_path = "/probe"
-
-[limits]
+%s[limits]
 drain_ms = 10000
 
 [log]
@@ -182,10 +174,24 @@
                 self.mesh, cl.platform_address,
                 ", ".join('"%s"' % s for s in cl.seeds(self)), cl.fanout,
                 "true" if cl.direct_watch else "false",
-                self.address(BACKEND_OFFSET), self.service, self.version,
-                cl.user["slots"], cl.user["connections"], cl.log_level))
+                self.server_settings(), cl.log_level))
         return path
 
+    def server_settings(self):
+        """The [server] section; empty for a node without a backend server."""
+        if self.service is None:
+            return ""
+        return """[server]
+address = "%s"
+service = "%s"
+version = "%s"
+slots = %d
+connections = %d
+probe_path = "/probe"
+
+""" % (self.address(BACKEND_OFFSET), self.service, self.version,
+                self.cluster.user["slots"], self.cluster.user["connections"])
+
     def start_backend(self, extra=()):
         user = self.cluster.user
         self.backend = Process(self.name + "-backend", [
@@ -305,6 +311,11 @@
                 self.add(i, service, version)
                 i += 1
 
+    def populate_bare(self, nodes):
+        """Spreads nodes without backend servers over the data centres."""
+        for i in range(nodes):
+            self.add(i, None, None)
+
     def seeds(self, server):
         """The first servers of each data centre, own one first."""
         own = [s.mesh for s in self.servers
@@ -391,7 +402,8 @@
         self.start_platform()
         self.start_proxy(spare)
         for s in self.servers:
-            s.start_backend()
+            if s.service is not None:
+                s.start_backend()
         for s in self.servers:
             s.start_node()
             if stagger:
