--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -72,6 +72,24 @@
                 sock.close()
 
 
+CHILDREN = []
+
+
+def kill_children():
+    """Ends every child of every fleet, by its id."""
+    for child in CHILDREN:
+        if child.poll() is None:
+            child.kill()
+    for child in CHILDREN:
+        child.wait()
+
+
+def end_on_signal(number, frame):
+    """Handler for a signal that ends the bench: nothing stays behind."""
+    kill_children()
+    os._exit(128 + number)
+
+
 class Process:
     """A child process whose output goes to a file."""
 
@@ -82,6 +100,7 @@
         self.log = open(self.log_path, "ab")
         self.child = subprocess.Popen(argv, stdout=self.log, stderr=self.log,
                                       stdin=subprocess.DEVNULL)
+        CHILDREN.append(self.child)
 
     def signal(self, number):
         if self.child.poll() is None:
