--- a/bench/bench.py
+++ b/bench/bench.py
@@ -147,15 +147,27 @@
     return out
 
 
-def run_sweep(nodes, direct, seed):
-    run = new_run("sweep-%d%s" % (nodes, "-direct" if direct else ""), nodes,
-                  seed)
-    with Cluster("belanger", seed=seed, use_proxy=False,
-                 direct_watch=direct) as cl:
+def more_questionnaires(cluster, files, count):
+    """Adds copies of the catalogue's questionnaire under other names."""
+    with open(files["catalogue"]) as fp:
+        text = fp.read()
+    for i in range(count - len(files)):
+        name = "service-%03d" % i
+        files[name] = os.path.join(cluster.dir, name + ".toml")
+        with open(files[name], "w") as fp:
+            fp.write(text.replace("catalogue", name))
+
+
+def run_sweep(name, nodes, seed, direct=False, data_centres=None, services=3):
+    run = new_run(name, nodes, seed)
+    with Cluster("belanger", seed=seed, use_proxy=False, direct_watch=direct,
+                 data_centres=data_centres) as cl:
         cl.populate_bare(nodes)
         cl.start()
         files = copy_questionnaires(cl)
+        more_questionnaires(cl, files, services)
         accept(cl, files.values())
+        run.update(services=services, data_centres=len(cl.data_centres))
         cl.wait_synced(60)
         time.sleep(SETTLE_S)
         idle = measure.idle_figures(cl, IDLE_S)
@@ -166,11 +178,16 @@
 
 
 def sweep_runs(seed):
-    for nodes in (12, 25, 50, 100, 200):
-        yield "sweep-%d" % nodes, lambda n=nodes: run_sweep(n, False, seed)
-    for nodes in (12, 25, 50, 100):
-        yield ("sweep-%d-direct" % nodes,
-               lambda n=nodes: run_sweep(n, True, seed))
+    sweeps = [("sweep-%d" % n, n, {}) for n in (12, 25, 50, 100, 200)]
+    sweeps += [("sweep-%d-direct" % n, n, {"direct": True})
+               for n in (12, 25, 50, 100)]
+    # Data centres and services of the target size; see docs/CAPACITY.md.
+    sweeps += [("sweep-100-6dc", 100,
+                {"data_centres": ["dc-%d" % i for i in range(6)]}),
+               ("sweep-50-140services", 50, {"services": 140})]
+    for name, nodes, options in sweeps:
+        yield (name, lambda a=name, n=nodes, o=options:
+               run_sweep(a, n, seed, **o))
 
 
 class Load:
