--- a/bench/bench.py
+++ b/bench/bench.py
@@ -385,13 +385,20 @@
         load = Load(cl, [s.customer for s in cl.servers], USER_RATE, 40,
                     mix_path(user), attempts=3)
         try:
-            cut_span, stopped = inject_faults(cl, conv)
+            spans, stopped, exit_us = inject_faults(cl, conv)
             summary, calls = load.finish()
         finally:
             load.kill()
             watch.stop()
-        run.update(judge_figures(cl, calls, watch, [stopped.customer],
-                                 [cut_span]))
+        # A call sent so late arrives after the exit and is not a call that
+        # the exit cut off.
+        last_us = exit_us - 2000 * cl.user["client_ms"]
+        late = [c for c in calls if c["outcome"] == "no-answer" and
+                c["target"] == stopped.customer and c["sent_us"] > last_us]
+        ids = set(id(c) for c in late)
+        run.update(judge_figures(cl, [c for c in calls if id(c) not in ids],
+                                 watch, [stopped.customer], spans))
+        run["refused_after_exit"] = len(late)
         run.update(conv.figures())
         run.update(calls=summary["calls"], call_summary=summary,
                    stop_exit_code=stopped.node.child.returncode)
@@ -399,13 +406,19 @@
 
 
 def inject_faults(cl, conv):
-    """Returns ((data centre, start, end) of the cut, stopped server)."""
+    """Returns (spans excused from `done`, stopped server, time of its
+    exit)."""
     time.sleep(2)
     killed = find_relay(cl, cl.data_centres[0])
+    killed_s = time.time()
     killed.node.kill()
     time.sleep(6)
     conv.change()
+    restart_s = time.time()
     killed.start_node()
+    wait_for("restarted node in force", lambda: measure.first_in_force(
+        killed, 1, restart_s))
+    spans = [(killed, killed_s, time.time())]
     time.sleep(2)
     cut = cl.data_centres[1]
     start_s = time.time()
@@ -413,7 +426,7 @@
     time.sleep(5)
     cl.set_delays()
     # Links and summaries are replaced within 2.5 s, attaches take up to 5 s.
-    span = (cut, start_s, time.time() + 8)
+    spans.append((cut, start_s, time.time() + 8))
     time.sleep(2)
     conv.change()
     cl.platform_control(outage=True)
@@ -428,8 +441,9 @@
     stopped = next(s for s in reversed(cl.servers)
                    if s is not killed and s.service == "catalogue")
     stopped.node.stop()
+    exit_us = time.clock_gettime(time.CLOCK_BOOTTIME) * 1e6
     conv.change()
-    return span, stopped
+    return spans, stopped, exit_us
 
 
 MOVES = {
