--- a/bench/bench.py
+++ b/bench/bench.py
@@ -269,6 +269,7 @@
         idle = measure.idle_figures(cl, IDLE_S)
         run.update(idle)
         watch = measure.StatusWatch(cl)
+        before = measure.Sample(cl)
         load = Load(cl, [s.customer for s in cl.servers], USER_RATE, 12,
                     mix_path(user), attempts=3)
         try:
@@ -278,8 +279,14 @@
         finally:
             load.kill()
             watch.stop()
+        after = measure.Sample(cl)
         run.update(judge_figures(cl, calls, watch))
         run.update(calls=summary["calls"], call_summary=summary)
+        # Of all nodes together, with the control traffic and status polls.
+        cpu = sum(after.cpu[n] - before.cpu[n] for n in after.cpu)
+        run["cpu_us_per_call"] = 1e6 * cpu / summary["calls"]
+        rates = measure.control_rates(before, after).values()
+        run["control_bytes_per_node_s_loaded"] = sum(rates) / len(rates)
         # Under load, the difference to idle is mostly status and records.
         run["control_bytes_per_change"] = None
     return run
