--- a/bench/bench.py
+++ b/bench/bench.py
@@ -569,6 +569,8 @@
                 d["took_s"] <= PROMISED_S + MOVE_GRACE_S for d in good),
             bad_moves=len(bad),
             bad_moves_taken_back=sum(d["took_s"] is not None for d in bad),
+            bad_moves_out_of_time=sum(
+                "promised_time_passed" in d["last_line"] for d in bad),
             bad_share_max=max(d["share"] for d in bad),
             bad_last_call_ms=None if None in last else max(last))
     return run
