Merge burn data of a whole mesh and refuse faulty parts as a whole

Cause: a report held at most 256 series, as many as one node, so reports of 140 services failed; a faulty report was added up to its first fault; an entry without server version made the data of its node invalid, and a number above 32 bits was cut.

Change: reports hold 4,480 series, entries are checked before any is added, and an empty version is a series of its own.

--- a/moves/include/burdockgrade/burn.h
+++ b/moves/include/burdockgrade/burn.h
@@ -35,7 +35,8 @@
 
 /** Encodes everything kept as JSON. @param out free() it */
 int bg_burn_encode(char **out, const struct bg_burn *brn);
-/** Adds the JSON of a node, so that reports of many nodes add up. */
+/** Adds the JSON of a node, so that reports of many nodes add up.
+ * @return 0, BG_EPROTO with nothing added, or BG_ENOMEM with a part added */
 int bg_burn_merge(struct bg_burn *brn, const char *json, size_t json_bytes);
 
 /** Calls fn for each (service, route, version) series, in order of arrival. */
--- a/moves/src/burn/burn.c
+++ b/moves/src/burn/burn.c
@@ -5,8 +5,12 @@
 
 #include "burdockgrade/burn.h"
 
-/* Routes of one service times the versions of three days; more are dropped. */
+/* At a node: routes of one service times the versions of three days; more are
+ * dropped. */
 #define SERIES_MAX 256
+/* In a report: 140 services with all 16 routes, in two versions each, at most
+ * 310 MB. */
+#define MERGED_SERIES_MAX 4480
 
 /* A budget of 30 days is used up by 2% within an hour. */
 #define PAGE_FAST_RATE 14.4
@@ -29,7 +33,7 @@
 };
 
 struct bg_burn {
-	struct series *series[SERIES_MAX];
+	struct series **series;
 	size_t series_count;
 };
 
@@ -51,6 +55,7 @@
 		free(brn->series[i]->minutes);
 		free(brn->series[i]);
 	}
+	free(brn->series);
 	free(brn);
 }
 
@@ -68,10 +73,15 @@
 add_series(struct bg_burn *brn, const char *service, const char *route,
     const char *server_version)
 {
+	struct series **grown;
 	struct series *srs;
 
-	if (brn->series_count == SERIES_MAX ||
-	    (srs = calloc(1, sizeof(*srs))) == NULL)
+	grown = realloc(
+	    brn->series, (brn->series_count + 1) * sizeof(struct series *));
+	if (grown == NULL)
+		return NULL;
+	brn->series = grown;
+	if ((srs = calloc(1, sizeof(*srs))) == NULL)
 		return NULL;
 	srs->minutes = calloc(BG_BURN_MINUTES, sizeof(*srs->minutes));
 	if (srs->minutes == NULL) {
@@ -86,16 +96,23 @@
 	return srs;
 }
 
+/* Unlike is_series, an empty route or version is one of its own here. */
 static struct series *
 find_series(struct bg_burn *brn, const char *service, const char *route,
-    const char *server_version)
+    const char *server_version, size_t max)
 {
+	struct series *srs;
 	size_t i;
 
 	for (i = 0; i < brn->series_count; i++) {
-		if (is_series(brn->series[i], service, route, server_version))
-			return brn->series[i];
+		srs = brn->series[i];
+		if (strcmp(srs->service, service) == 0 &&
+		    strcmp(srs->route, route) == 0 &&
+		    strcmp(srs->server_version, server_version) == 0)
+			return srs;
 	}
+	if (brn->series_count >= max)
+		return NULL;
 	return add_series(brn, service, route, server_version);
 }
 
@@ -122,7 +139,7 @@
 {
 	struct series *srs;
 
-	srs = find_series(brn, service, route, server_version);
+	srs = find_series(brn, service, route, server_version, SERIES_MAX);
 	if (srs != NULL)
 		add_minute(srs, now_minute, 1, is_bad ? 1 : 0);
 }
@@ -184,35 +201,69 @@
 	return *out == NULL ? BG_ENOMEM : 0;
 }
 
-static int
-merge_series(struct bg_burn *brn, json_t *entry)
-{
-	struct series *srs;
+struct entry {
 	const char *service;
 	const char *route;
 	const char *version;
+	json_t *minutes;
+};
+
+static int
+read_slot(struct minute *out, json_t *slot)
+{
 	json_int_t minute;
 	json_int_t calls;
 	json_int_t bad;
-	json_t *minutes;
-	json_t *slot;
+
+	if (json_unpack(slot, "[I,I,I]", &minute, &calls, &bad) != 0 ||
+	    minute < 0 || calls < 0 || calls > UINT32_MAX || bad < 0 ||
+	    bad > calls)
+		return BG_EPROTO;
+	out->minute = (uint64_t)minute;
+	out->calls = (uint32_t)calls;
+	out->bad = (uint32_t)bad;
+	return 0;
+}
+
+static int
+read_entry(struct entry *out, json_t *entry)
+{
+	struct minute slot;
+	json_t *item;
 	size_t i;
 
-	if (json_unpack(entry, "{s:s,s:s,s:s,s:o}", "service", &service,
-		"route", &route, "version", &version, "minutes",
-		&minutes) != 0 ||
-	    route[0] == '\0' || version[0] == '\0')
+	if (json_unpack(entry, "{s:s,s:s,s:s,s:o}", "service", &out->service,
+		"route", &out->route, "version", &out->version, "minutes",
+		&out->minutes) != 0 ||
+	    !json_is_array(out->minutes) || out->service[0] == '\0' ||
+	    strlen(out->service) >= BG_NAME_BYTES ||
+	    strlen(out->route) >= BG_NAME_BYTES ||
+	    strlen(out->version) >= BG_NAME_BYTES)
 		return BG_EPROTO;
-	srs = find_series(brn, service, route, version);
+	json_array_foreach(out->minutes, i, item)
+	{
+		if (read_slot(&slot, item) != 0)
+			return BG_EPROTO;
+	}
+	return 0;
+}
+
+static int
+merge_entry(struct bg_burn *brn, const struct entry *ent)
+{
+	struct series *srs;
+	struct minute slot;
+	json_t *item;
+	size_t i;
+
+	srs = find_series(
+	    brn, ent->service, ent->route, ent->version, MERGED_SERIES_MAX);
 	if (srs == NULL)
 		return BG_ENOMEM;
-	json_array_foreach(minutes, i, slot)
+	json_array_foreach(ent->minutes, i, item)
 	{
-		if (json_unpack(slot, "[I,I,I]", &minute, &calls, &bad) != 0 ||
-		    minute < 0 || calls < 0 || bad < 0 || bad > calls)
-			return BG_EPROTO;
-		add_minute(
-		    srs, (uint64_t)minute, (uint32_t)calls, (uint32_t)bad);
+		if (read_slot(&slot, item) == 0)
+			add_minute(srs, slot.minute, slot.calls, slot.bad);
 	}
 	return 0;
 }
@@ -221,16 +272,21 @@
 bg_burn_merge(struct bg_burn *brn, const char *json, size_t json_bytes)
 {
 	json_t *list = json_loadb(json, json_bytes, 0, NULL);
-	json_t *entry;
+	struct entry ent;
+	json_t *item;
 	size_t i;
-	int error = BG_EPROTO;
+	int error = json_is_array(list) ? 0 : BG_EPROTO;
 
-	if (!json_is_array(list))
+	/* All entries are checked first, so that nothing of a faulty report is
+	 * added. */
+	for (i = 0; error == 0 && i < json_array_size(list); i++)
+		error = read_entry(&ent, json_array_get(list, i));
+	if (error != 0)
 		goto done;
-	error = 0;
-	json_array_foreach(list, i, entry)
+	json_array_foreach(list, i, item)
 	{
-		if ((error = merge_series(brn, entry)) != 0)
+		read_entry(&ent, item);
+		if ((error = merge_entry(brn, &ent)) != 0)
 			goto done;
 	}
 done:
--- a/moves/tests/test_burn.c
+++ b/moves/tests/test_burn.c
@@ -71,6 +71,64 @@
 }
 END_TEST
 
+/* Guards against a faulty report of which a part is counted. */
+START_TEST(faulty_report_adds_nothing)
+{
+	static const char *const faulty[] = {
+	    "[{\"service\":\"orders\",\"route\":\"r\",\"version\":\"1\","
+	    "\"minutes\":[[29000000,5,1]]},{\"service\":\"orders\"}]",
+	    "[{\"service\":\"orders\",\"route\":\"r\",\"version\":\"1\","
+	    "\"minutes\":[[29000000,5,1],[29000000,5,6]]}]",
+	    "[{\"service\":\"orders\",\"route\":\"r\",\"version\":\"1\","
+	    "\"minutes\":[[29000000,5,1],[29000000,4294967296,1]]}]",
+	};
+	struct bg_burn *brn;
+	struct bg_burn_sum sum;
+	size_t i;
+
+	ck_assert_int_eq(bg_burn_init(&brn), 0);
+	for (i = 0; i < sizeof(faulty) / sizeof(faulty[0]); i++) {
+		ck_assert_int_eq(
+		    bg_burn_merge(brn, faulty[i], strlen(faulty[i])),
+		    BG_EPROTO);
+		bg_burn_window(&sum, brn, "orders", "", "", 0, 2 * MINUTE);
+		ck_assert_uint_eq(sum.calls, 0);
+	}
+	bg_burn_free(brn);
+}
+END_TEST
+
+/* Guards against a report of a whole mesh that stops at the number of series
+ * of one node, and against calls without a server version that are refused or
+ * added to another version. */
+START_TEST(report_holds_more_series_than_a_node)
+{
+	struct bg_burn *brn;
+	struct bg_burn_sum sum;
+	char json[256];
+	int i;
+
+	ck_assert_int_eq(bg_burn_init(&brn), 0);
+	for (i = 0; i < 600; i++) {
+		snprintf(json, sizeof(json),
+		    "[{\"service\":\"s%d\",\"route\":\"r\",\"version\":"
+		    "\"1\",\"minutes\":[[%d,2,1]]}]",
+		    i, MINUTE);
+		ck_assert_int_eq(bg_burn_merge(brn, json, strlen(json)), 0);
+	}
+	snprintf(json, sizeof(json),
+	    "[{\"service\":\"s599\",\"route\":\"r\",\"version\":\"\","
+	    "\"minutes\":[[%d,5,0]]}]",
+	    MINUTE);
+	ck_assert_int_eq(bg_burn_merge(brn, json, strlen(json)), 0);
+	bg_burn_window(&sum, brn, "s599", "", "", MINUTE, MINUTE);
+	ck_assert_uint_eq(sum.calls, 7);
+	bg_burn_window(&sum, brn, "s599", "", "1", MINUTE, MINUTE);
+	ck_assert_uint_eq(sum.calls, 2);
+	bg_burn_free(brn);
+}
+END_TEST
+
 /* Guards against an alert that stays off while the budget burns, or on after
  * the cause is gone. */
 START_TEST(alert_follows_both_windows)
@@ -147,6 +205,8 @@
 	tcase_add_test(tc, window_counts_its_own_calls);
 	tcase_add_test(tc, ring_drops_minutes_after_three_days);
 	tcase_add_test(tc, reports_of_two_nodes_add_up);
+	tcase_add_test(tc, faulty_report_adds_nothing);
+	tcase_add_test(tc, report_holds_more_series_than_a_node);
 	tcase_add_test(tc, alert_follows_both_windows);
 	tcase_add_test(tc, stat_survives_encoding);
 	tcase_add_test(tc, sum_counts_differences_once);
