Add the burn report

Cause: operators could not see which route burns its error budget, nor which move burned it.

Change: 'report burn' reads /burn of up to 128 nodes at a time, adds the answers up and joins them with objectives, history and head. A node without a valid answer is named, and the exit code is 1.

--- /dev/null
+++ b/cli/src/burn.c
@@ -0,0 +1,328 @@
+/* What the burn report says, from calls, objectives, history and head. */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "burn.h"
+
+#define MINUTE_MS 60000
+/* The head takes the time of a move shortly before its history entry. */
+#define SAME_MOVE_MS 60000
+
+const char *const BG_CLI_WINDOW_NAMES[BG_CLI_WINDOWS] = {
+    "5m", "1h", "6h", "3d"};
+static const uint64_t WINDOW_MINUTES[BG_CLI_WINDOWS] = {
+    5, 60, 360, BG_BURN_MINUTES};
+
+struct work {
+	const struct bg_cli_burn_input *in;
+	struct bg_cli_burn *rep;
+	int error;
+};
+
+static const struct bg_contract *
+find_contract(const struct bg_cli_burn_input *in, const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < in->head->service_count; i++)
+		if (strcmp(in->head->services[i].name, service) == 0)
+			return &in->contracts[i];
+	return NULL;
+}
+
+static void
+add_route(struct work *work, const char *service, const char *route)
+{
+	struct bg_cli_burn *rep = work->rep;
+	struct bg_cli_burn_route *grown;
+	size_t i;
+
+	for (i = 0; i < rep->route_count; i++)
+		if (strcmp(rep->routes[i].service, service) == 0 &&
+		    strcmp(rep->routes[i].route, route) == 0)
+			return;
+	grown = realloc(rep->routes, (rep->route_count + 1) * sizeof(*grown));
+	if (grown == NULL) {
+		work->error = BG_ENOMEM;
+		return;
+	}
+	rep->routes = grown;
+	grown += rep->route_count++;
+	memset(grown, 0, sizeof(*grown));
+	snprintf(grown->service, sizeof(grown->service), "%s", service);
+	snprintf(grown->route, sizeof(grown->route), "%s", route);
+}
+
+static void
+add_series(void *arg, const char *service, const char *route,
+    const char *server_version)
+{
+	/* An empty route would stand for all routes of the service. */
+	if (route[0] != '\0')
+		add_route(arg, service, route);
+}
+
+static uint64_t
+window_start(uint64_t now_minute, uint64_t minutes)
+{
+	return now_minute < minutes ? 0 : now_minute - minutes + 1;
+}
+
+static void
+judge_route(struct bg_cli_burn_route *rt, const struct bg_cli_burn_input *in)
+{
+	const struct bg_contract *ctr = find_contract(in, rt->service);
+	uint64_t now = in->now_ms / MINUTE_MS;
+	struct bg_burn_sum sum;
+	uint64_t end;
+	size_t i;
+
+	rt->has_objective = ctr != NULL;
+	rt->slo_permyriad = ctr == NULL ? 0 : ctr->slo_permyriad;
+	for (i = 0; i < BG_CLI_WINDOWS; i++)
+		bg_burn_window(&rt->sums[i], in->burn, rt->service, rt->route,
+		    "", window_start(now, WINDOW_MINUTES[i]), now);
+	if (ctr == NULL)
+		return;
+	for (i = 0; i < BG_CLI_WINDOWS; i++)
+		rt->rates[i] = bg_burn_rate(&rt->sums[i], ctr->slo_permyriad);
+	rt->alert = bg_burn_alert(rt->rates[BG_CLI_5M], rt->rates[BG_CLI_1H],
+	    rt->rates[BG_CLI_6H], rt->rates[BG_CLI_3D]);
+	for (i = 0; i < BG_CLI_HOURS && rt->sums[BG_CLI_3D].bad > 0; i++) {
+		end = now - 60 * (BG_CLI_HOURS - 1 - i);
+		bg_burn_window(
+		    &sum, in->burn, rt->service, rt->route, "", end - 59, end);
+		rt->hours[i] = bg_burn_rate(&sum, ctr->slo_permyriad);
+	}
+}
+
+static int
+is_same_move(
+    const struct bg_cli_burn_move *move, const char *to, uint64_t started_ms)
+{
+	uint64_t apart = move->started_ms > started_ms
+	    ? move->started_ms - started_ms
+	    : started_ms - move->started_ms;
+
+	return strcmp(move->to, to) == 0 && apart <= SAME_MOVE_MS;
+}
+
+static struct bg_cli_burn_move *
+add_move(
+    struct work *work, const char *service, const char *to, uint64_t started_ms)
+{
+	struct bg_cli_burn *rep = work->rep;
+	struct bg_cli_burn_move *move;
+	size_t i;
+
+	for (i = 0; i < rep->move_count; i++)
+		if (strcmp(rep->moves[i].service, service) == 0 &&
+		    is_same_move(&rep->moves[i], to, started_ms))
+			return &rep->moves[i];
+	move = realloc(rep->moves, (rep->move_count + 1) * sizeof(*move));
+	if (move == NULL) {
+		work->error = BG_ENOMEM;
+		return NULL;
+	}
+	rep->moves = move;
+	move += rep->move_count++;
+	memset(move, 0, sizeof(*move));
+	snprintf(move->service, sizeof(move->service), "%s", service);
+	snprintf(move->to, sizeof(move->to), "%s", to);
+	move->state = "replaced";
+	move->started_ms = started_ms;
+	return move;
+}
+
+static const char *
+state_name(enum bg_move_state state)
+{
+	switch (state) {
+	case BG_MOVE_IN_PROGRESS:
+		return "in progress";
+	case BG_MOVE_DONE:
+		return "done";
+	case BG_MOVE_ROLLED_BACK:
+		return "rolled back";
+	default:
+		return "none";
+	}
+}
+
+/* A move by an operator is in the history; one that started by itself is known
+ * only from the head, and only until the next one. */
+static void
+collect_moves(struct work *work)
+{
+	const struct bg_history *hist = work->in->history;
+	const struct bg_head *head = work->in->head;
+	const struct bg_move *last;
+	struct bg_cli_burn_move *move;
+	size_t i;
+
+	for (i = 0; i < hist->entry_count; i++)
+		if (strcmp(hist->entries[i].action, "move") == 0)
+			add_move(work, hist->entries[i].service,
+			    hist->entries[i].to, hist->entries[i].time_ms);
+	for (i = 0; i < head->service_count; i++) {
+		last = &head->services[i].move;
+		if (last->state == BG_MOVE_NONE || last->started_ms == 0)
+			continue;
+		move = add_move(
+		    work, head->services[i].name, last->to, last->started_ms);
+		if (move == NULL)
+			return;
+		move->state = state_name(last->state);
+		snprintf(move->from, sizeof(move->from), "%s", last->from);
+		snprintf(
+		    move->reason, sizeof(move->reason), "%s", last->reason);
+	}
+}
+
+/* First minute that belongs to the next move of the service. */
+static uint64_t
+end_minute(const struct bg_cli_burn *rep, size_t at)
+{
+	size_t i;
+
+	for (i = at + 1; i < rep->move_count; i++)
+		if (strcmp(rep->moves[i].service, rep->moves[at].service) == 0)
+			return rep->moves[i].started_ms / MINUTE_MS;
+	return UINT64_MAX;
+}
+
+static void
+judge_move(
+    struct bg_cli_burn *rep, size_t at, const struct bg_cli_burn_input *in)
+{
+	struct bg_cli_burn_move *move = &rep->moves[at];
+	const struct bg_contract *ctr = find_contract(in, move->service);
+	uint64_t now = in->now_ms / MINUTE_MS;
+	uint64_t from = move->started_ms / MINUTE_MS;
+	uint64_t end = end_minute(rep, at);
+	struct bg_burn_sum all;
+	double budget;
+
+	/* Two moves within a minute: it counts for the later one. */
+	if (end > from)
+		bg_burn_window(&move->sum, in->burn, move->service, "",
+		    move->to, from, end > now ? now : end - 1);
+	if (ctr == NULL)
+		return;
+	bg_burn_window(&all, in->burn, move->service, "", "",
+	    window_start(now, BG_BURN_MINUTES), now);
+	budget = (double)all.calls * (10000.0 - ctr->slo_permyriad) / 10000.0;
+	/* Without calls or with an objective of 100% there is no budget. */
+	move->has_share = budget > 0.0;
+	if (move->has_share)
+		move->share = (double)move->sum.bad / budget;
+}
+
+/* A move that began before the window is kept if its version failed within
+ * it. */
+static void
+drop_old_moves(struct bg_cli_burn *rep)
+{
+	uint64_t window_ms = (uint64_t)BG_BURN_MINUTES * MINUTE_MS;
+	size_t kept = 0;
+	size_t i;
+
+	for (i = 0; i < rep->move_count; i++)
+		if (rep->moves[i].started_ms + window_ms >= rep->now_ms ||
+		    rep->moves[i].sum.bad > 0)
+			rep->moves[kept++] = rep->moves[i];
+	rep->move_count = kept;
+}
+
+static int
+compare_routes(const void *one, const void *two)
+{
+	const struct bg_cli_burn_route *a = one;
+	const struct bg_cli_burn_route *b = two;
+	int order = strcmp(a->service, b->service);
+
+	return order != 0 ? order : strcmp(a->route, b->route);
+}
+
+static int
+compare_moves(const void *one, const void *two)
+{
+	const struct bg_cli_burn_move *a = one;
+	const struct bg_cli_burn_move *b = two;
+
+	if (a->started_ms != b->started_ms)
+		return a->started_ms < b->started_ms ? -1 : 1;
+	return strcmp(a->service, b->service);
+}
+
+static void
+collect_routes(struct work *work)
+{
+	const struct bg_contract *ctr;
+	size_t i;
+	size_t r;
+
+	for (i = 0; i < work->in->head->service_count; i++) {
+		ctr = &work->in->contracts[i];
+		for (r = 0; r < ctr->route_count; r++)
+			add_route(work, ctr->name, ctr->routes[r].name);
+	}
+	bg_burn_each(work->in->burn, add_series, work);
+}
+
+int
+bg_cli_burn_decide(struct bg_cli_burn *out, const struct bg_cli_burn_input *in)
+{
+	struct work work = {in, out, 0};
+	size_t i;
+
+	memset(out, 0, sizeof(*out));
+	out->now_ms = in->now_ms;
+	out->nodes = in->nodes;
+	collect_routes(&work);
+	collect_moves(&work);
+	if (work.error != 0) {
+		bg_cli_burn_free(out);
+		return work.error;
+	}
+	if (out->route_count > 0)
+		qsort(out->routes, out->route_count, sizeof(*out->routes),
+		    compare_routes);
+	if (out->move_count > 0)
+		qsort(out->moves, out->move_count, sizeof(*out->moves),
+		    compare_moves);
+	for (i = 0; i < out->route_count; i++)
+		judge_route(&out->routes[i], in);
+	for (i = 0; i < out->move_count; i++)
+		judge_move(out, i, in);
+	drop_old_moves(out);
+	return 0;
+}
+
+void
+bg_cli_burn_free(struct bg_cli_burn *rep)
+{
+	free(rep->routes);
+	free(rep->moves);
+	memset(rep, 0, sizeof(*rep));
+}
+
+const char *
+bg_cli_burn_alert_name(const struct bg_cli_burn_route *rt)
+{
+	static const char *const names[] = {"ok", "ticket", "page"};
+
+	return rt->has_objective ? names[rt->alert] : "no objective";
+}
+
+size_t
+bg_cli_burn_missing(const struct bg_cli_burn *rep)
+{
+	size_t missing = 0;
+	size_t i;
+
+	for (i = 0; i < rep->nodes->count; i++)
+		missing += rep->nodes->items[i].fault[0] != '\0';
+	return missing;
+}
--- /dev/null
+++ b/cli/src/gather.c
@@ -0,0 +1,199 @@
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gather.h"
+#include "node.h"
+
+/* A node answers its own pages at once; a longer silence is a failure. */
+#define TIMEOUT_S 5
+/* Three days of 256 series have about 22 MiB. */
+#define BODY_MAX_BYTES (32 * 1024 * 1024)
+/* Nodes read at the same time: well below the usual 1,024 open files. */
+#define BATCH_MAX 128
+
+struct batch {
+	struct event_base *base;
+	size_t pending;
+};
+
+struct read {
+	struct batch *batch;
+	struct bg_cli_node *node;
+	struct evhttp_connection *conn;
+};
+
+static int
+is_listed(const struct bg_cli_nodes *nodes, const char *address)
+{
+	size_t i;
+
+	for (i = 0; i < nodes->count; i++)
+		if (strcmp(nodes->items[i].address, address) == 0)
+			return 1;
+	return 0;
+}
+
+static int
+add_node(struct bg_cli_nodes *nodes, const char *address, struct bg_error *err)
+{
+	char ip[BG_CLI_ADDRESS_BYTES];
+	struct bg_cli_node *grown;
+	uint16_t port;
+
+	if (bg_cli_node_split(ip, &port, address) != 0)
+		return bg_error_set(err, BG_EINVAL, "node", NULL,
+		    "--node: expected IP:PORT, found \"%.64s\"", address);
+	if (is_listed(nodes, address))
+		return 0;
+	grown = realloc(nodes->items, (nodes->count + 1) * sizeof(*grown));
+	if (grown == NULL)
+		return bg_error_set(
+		    err, BG_ENOMEM, "node", NULL, "out of memory");
+	nodes->items = grown;
+	memset(&grown[nodes->count], 0, sizeof(*grown));
+	snprintf(grown[nodes->count].address,
+	    sizeof(grown[nodes->count].address), "%s", address);
+	nodes->count++;
+	return 0;
+}
+
+int
+bg_cli_nodes_parse(
+    struct bg_cli_nodes *out, const char *list, struct bg_error *err)
+{
+	char address[BG_CLI_ADDRESS_BYTES];
+	const char *rest = list;
+	size_t len;
+	int error = 0;
+
+	memset(out, 0, sizeof(*out));
+	if (list == NULL)
+		return bg_error_set(err, BG_EINVAL, "node", NULL,
+		    "expected the nodes' addresses by --node or "
+		    "BURDOCKGRADE_NODE");
+	do {
+		len = strcspn(rest, ",");
+		snprintf(address, sizeof(address), "%.*s", (int)len, rest);
+		error = add_node(out, address, err);
+		rest += len + (rest[len] == ',');
+	} while (error == 0 && *rest != '\0');
+	if (error != 0)
+		bg_cli_nodes_free(out);
+	return error;
+}
+
+static void
+finish(struct read *rd)
+{
+	if (rd->node->is_done)
+		return;
+	rd->node->is_done = 1;
+	if (rd->node->body == NULL && rd->node->status == 0)
+		snprintf(rd->node->fault, sizeof(rd->node->fault),
+		    "the node does not answer");
+	else if (rd->node->body == NULL)
+		snprintf(rd->node->fault, sizeof(rd->node->fault),
+		    "HTTP status %d", rd->node->status);
+	if (--rd->batch->pending == 0)
+		event_base_loopbreak(rd->batch->base);
+}
+
+static void
+on_page(struct evhttp_request *req, void *arg)
+{
+	struct read *rd = arg;
+	struct evbuffer *buffer;
+	size_t bytes;
+
+	if (req != NULL)
+		rd->node->status = evhttp_request_get_response_code(req);
+	if (rd->node->status == HTTP_OK) {
+		buffer = evhttp_request_get_input_buffer(req);
+		bytes = evbuffer_get_length(buffer);
+		if ((rd->node->body = calloc(1, bytes + 1)) != NULL)
+			evbuffer_remove(buffer, rd->node->body, bytes);
+	}
+	finish(rd);
+}
+
+static void
+start(struct read *rd, const char *path)
+{
+	struct evhttp_request *req = evhttp_request_new(on_page, rd);
+	char ip[BG_CLI_ADDRESS_BYTES];
+	uint16_t port = 0;
+
+	/* The address was checked when the list was parsed. */
+	bg_cli_node_split(ip, &port, rd->node->address);
+	rd->conn = evhttp_connection_base_new(rd->batch->base, NULL, ip, port);
+	if (req == NULL || rd->conn == NULL) {
+		if (req != NULL)
+			evhttp_request_free(req);
+		finish(rd);
+		return;
+	}
+	evhttp_connection_set_timeout(rd->conn, TIMEOUT_S);
+	evhttp_connection_set_max_body_size(rd->conn, BODY_MAX_BYTES);
+	evhttp_add_header(
+	    evhttp_request_get_output_headers(req), "Host", rd->node->address);
+	evhttp_add_header(
+	    evhttp_request_get_output_headers(req), "Connection", "close");
+	if (evhttp_make_request(rd->conn, req, EVHTTP_REQ_GET, path) != 0)
+		finish(rd);
+}
+
+static int
+read_batch(struct bg_cli_node *nodes, size_t count, const char *path)
+{
+	static struct read reads[BATCH_MAX];
+	struct batch batch = {event_base_new(), count};
+	size_t i;
+
+	if (batch.base == NULL)
+		return BG_ENOMEM;
+	memset(reads, 0, sizeof(reads));
+	for (i = 0; i < count; i++) {
+		reads[i].batch = &batch;
+		reads[i].node = &nodes[i];
+		start(&reads[i], path);
+	}
+	if (batch.pending > 0)
+		event_base_dispatch(batch.base);
+	for (i = 0; i < count; i++)
+		if (reads[i].conn != NULL)
+			evhttp_connection_free(reads[i].conn);
+	event_base_free(batch.base);
+	return 0;
+}
+
+int
+bg_cli_nodes_get(struct bg_cli_nodes *nodes, const char *path)
+{
+	size_t count;
+	size_t i;
+	int error = 0;
+
+	for (i = 0; error == 0 && i < nodes->count; i += count) {
+		count = nodes->count - i;
+		if (count > BATCH_MAX)
+			count = BATCH_MAX;
+		error = read_batch(&nodes->items[i], count, path);
+	}
+	return error;
+}
+
+void
+bg_cli_nodes_free(struct bg_cli_nodes *nodes)
+{
+	size_t i;
+
+	for (i = 0; i < nodes->count; i++)
+		free(nodes->items[i].body);
+	free(nodes->items);
+	memset(nodes, 0, sizeof(*nodes));
+}
--- a/cli/src/main.c
+++ b/cli/src/main.c
@@ -29,6 +29,11 @@
 	0, BG_CLI_ARGS_MAX, bg_cli_watch},
     {"history", "[SERVICE...]", "Print the last changes", 0, BG_CLI_ARGS_MAX,
 	bg_cli_history},
+    {"report", "burn",
+	"Report the burn of the error budgets\n\nAdds up the calls of all "
+	"nodes given by --node (separated by commas). If a node does not "
+	"answer, the report names it and the exit code is 1.",
+	1, 1, bg_cli_report},
     {NULL, NULL, NULL, 0, 0, NULL},
 };
 
--- a/cli/src/node.c
+++ b/cli/src/node.c
@@ -13,7 +13,6 @@
 #define TIMEOUT_S 5
 /* The status of 140 services has less than 64 KiB. */
 #define BODY_MAX_BYTES (16 * 1024 * 1024)
-#define ADDRESS_BYTES 64
 
 struct fetch {
 	struct event_base *base;
@@ -38,17 +37,19 @@
 		evbuffer_remove(buffer, fetch->body, bytes);
 }
 
-static int
-split_address(char ip[ADDRESS_BYTES], uint16_t *port, const char *address)
+int
+bg_cli_node_split(
+    char ip[BG_CLI_ADDRESS_BYTES], uint16_t *port, const char *address)
 {
 	const char *colon = strrchr(address, ':');
 	struct in_addr addr;
 	char *end;
 	unsigned long number;
 
-	if (colon == NULL || (size_t)(colon - address) >= ADDRESS_BYTES)
+	if (colon == NULL || (size_t)(colon - address) >= BG_CLI_ADDRESS_BYTES)
 		return BG_EINVAL;
-	snprintf(ip, ADDRESS_BYTES, "%.*s", (int)(colon - address), address);
+	snprintf(
+	    ip, BG_CLI_ADDRESS_BYTES, "%.*s", (int)(colon - address), address);
 	number = strtoul(colon + 1, &end, 10);
 	if (colon[1] < '0' || colon[1] > '9' || *end != '\0' || number == 0 ||
 	    number > UINT16_MAX || inet_pton(AF_INET, ip, &addr) != 1)
@@ -82,10 +83,10 @@
 {
 	struct fetch fetch = {NULL, NULL, 0};
 	struct evhttp_connection *conn = NULL;
-	char ip[ADDRESS_BYTES];
+	char ip[BG_CLI_ADDRESS_BYTES];
 	uint16_t port = 0;
 
-	if (split_address(ip, &port, address) != 0)
+	if (bg_cli_node_split(ip, &port, address) != 0)
 		return bg_error_set(err, BG_EINVAL, "node", NULL,
 		    "--node: expected IP:PORT, found \"%.64s\"", address);
 	if ((fetch.base = event_base_new()) != NULL)
@@ -110,7 +111,7 @@
 bg_cli_node_get(char **out_body, const struct bg_cli *cli, const char *path,
     struct bg_error *err)
 {
-	char address[ADDRESS_BYTES];
+	char address[BG_CLI_ADDRESS_BYTES];
 	const char *rest = cli->node;
 	size_t len;
 	int error = BG_EINVAL;
--- a/cli/src/node.h
+++ b/cli/src/node.h
@@ -17,6 +17,12 @@
 int bg_cli_node_get(char **out_body, const struct bg_cli *cli, const char *path,
     struct bg_error *err);
 
+#define BG_CLI_ADDRESS_BYTES 64
+
+/** Splits IP:PORT. @return 0 or BG_EINVAL */
+int bg_cli_node_split(
+    char ip[BG_CLI_ADDRESS_BYTES], uint16_t *port, const char *address);
+
 /** The status of one service. */
 struct bg_cli_line {
 	const char *state; /**< "done", "in progress" or "rolled back" */
--- a/cli/tests/test_cli.c
+++ b/cli/tests/test_cli.c
@@ -9,6 +9,7 @@
 #include <jansson.h>
 #include <limits.h>
 #include <sys/stat.h>
+#include <time.h>
 
 #include "../../platform/tests/standin.h"
 
@@ -446,6 +447,60 @@
 }
 END_TEST
 
+/* Guards against a report that leaves out the calls of a node, takes a missing
+ * or faulty one for a quiet one, or writes no page. */
+START_TEST(report_adds_up_and_names_missing_nodes)
+{
+	static const char *const faulty[] = {"[{}]", NULL};
+	const char *pages[] = {NULL, NULL};
+	struct stub stubs[4];
+	char page[256];
+	char nodes[300];
+	char path[128];
+	struct stat info;
+	int i;
+
+	snprintf(page, sizeof(page),
+	    "[{\"service\":\"orders\",\"route\":\"r\",\"version\":\"2.0\","
+	    "\"minutes\":[[%lld,4321,500]]}]",
+	    (long long)time(NULL) / 60);
+	pages[0] = page;
+	EXPECT(0, "ok", "accept", "--json", "orders.toml", "catalogue.toml");
+	EXPECT(0, "move orders 2.0", "move", "orders", "2.0");
+	for (i = 0; i < 4; i++)
+		stub_start(&stubs[i], i == 3 ? faulty : pages);
+	stub_stop(&stubs[2]);
+	snprintf(
+	    nodes, sizeof(nodes), "%s,%s", stubs[0].address, stubs[1].address);
+	EXPECT(0, "2 of 2 answered", "report", "burn", "--node", nodes);
+	ck_assert_ptr_nonnull(strstr(output, "8642"));
+	ck_assert_ptr_nonnull(strstr(output, "page"));
+	ck_assert_ptr_nonnull(strstr(output, "failed=1000"));
+	EXPECT(0, "<svg", "report", "burn", "--html", "-", "--node", nodes);
+	EXPECT(0, "", "report", "burn", "--html", "burn.html", "--node", nodes);
+	snprintf(path, sizeof(path), "%s/burn.html", folder);
+	ck_assert_int_eq(stat(path, &info), 0);
+	ck_assert_int_gt(info.st_size, 0);
+	unlink(path);
+	snprintf(nodes, sizeof(nodes), "%s,%s,%s", stubs[0].address,
+	    stubs[2].address, stubs[3].address);
+	EXPECT(1, "1 of 3 answered", "report", "burn", "--node", nodes);
+	ck_assert_ptr_nonnull(strstr(output, "does not answer"));
+	ck_assert_ptr_nonnull(strstr(output, "not a burn report"));
+	EXPECT(
+	    1, "\"failed\": 500", "report", "burn", "--json", "--node", nodes);
+	EXPECT(2, "unknown report", "report", "heat", "--node", nodes);
+	EXPECT(2, "exclude", "report", "burn", "--json", "--html", "x",
+	    "--node", nodes);
+	EXPECT(2, "--node", "report", "burn");
+	standin_control(&platform, "{\"outage\":true}");
+	EXPECT(4, "unavailable", "report", "burn", "--node", nodes);
+	for (i = 0; i < 4; i++)
+		if (i != 2)
+			stub_stop(&stubs[i]);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -469,6 +524,7 @@
 	tcase_add_test(tc, status_takes_the_first_node_that_answers);
 	tcase_add_test(tc, watch_waits_for_the_config_version);
 	tcase_add_test(tc, watch_fails_on_rollback_and_time);
+	tcase_add_test(tc, report_adds_up_and_names_missing_nodes);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
 	srunner_set_fork_status(runner, CK_NOFORK);
--- /dev/null
+++ b/cli/tests/test_report.c
@@ -0,0 +1,302 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burn.h"
+
+#define MINUTE 29000000ULL
+#define NOW_MS (MINUTE * 60000 + 30000)
+
+static struct bg_burn *burn;
+static struct bg_head head;
+static struct bg_contract contract;
+static struct bg_history history;
+static struct bg_history_entry entries[4];
+static struct bg_cli_node node_items[2];
+static struct bg_cli_nodes nodes;
+static struct bg_cli_burn report;
+
+static void
+setup(void)
+{
+	struct bg_head_service *svc;
+
+	ck_assert_int_eq(bg_burn_init(&burn), 0);
+	bg_head_init(&head);
+	svc = bg_head_add(&head, "orders");
+	ck_assert_ptr_nonnull(svc);
+	memset(&contract, 0, sizeof(contract));
+	snprintf(contract.name, sizeof(contract.name), "orders");
+	snprintf(contract.routes[0].name, BG_NAME_BYTES, "checkouts");
+	snprintf(contract.routes[1].name, BG_NAME_BYTES, "browse");
+	contract.route_count = 2;
+	contract.slo_permyriad = 9900;
+	memset(entries, 0, sizeof(entries));
+	history.entries = entries;
+	history.entry_count = 0;
+	memset(node_items, 0, sizeof(node_items));
+	snprintf(node_items[0].address, 64, "127.0.0.1:1");
+	snprintf(node_items[1].address, 64, "127.0.0.1:2");
+	nodes.items = node_items;
+	nodes.count = 2;
+}
+
+static void
+teardown(void)
+{
+	bg_cli_burn_free(&report);
+	bg_head_free(&head);
+	bg_burn_free(burn);
+}
+
+static void
+decide(void)
+{
+	const struct bg_cli_burn_input in = {
+	    burn, &head, &contract, &history, &nodes, NOW_MS};
+
+	ck_assert_int_eq(bg_cli_burn_decide(&report, &in), 0);
+}
+
+/* Counts calls of which the first are failures. */
+static void
+count(
+    const char *route, const char *version, uint64_t minute, int calls, int bad)
+{
+	int i;
+
+	for (i = 0; i < calls; i++)
+		bg_burn_count(burn, "orders", route, version, minute, i < bad);
+}
+
+static void
+add_entry(const char *action, const char *to, uint64_t minute)
+{
+	struct bg_history_entry *e = &entries[history.entry_count++];
+
+	snprintf(e->service, sizeof(e->service), "orders");
+	snprintf(e->action, sizeof(e->action), "%s", action);
+	snprintf(e->to, sizeof(e->to), "%s", to);
+	e->time_ms = minute * 60000;
+}
+
+/* Guards against a call at the edge of a window that is counted in the next
+ * one or in none, and against a burn rate with the wrong objective. */
+START_TEST(windows_end_where_they_should)
+{
+	static const uint64_t calls[] = {1, 2, 3, 4};
+	size_t i;
+
+	count("checkouts", "1", MINUTE - 4, 1, 1);
+	count("checkouts", "1", MINUTE - 59, 1, 0);
+	count("checkouts", "1", MINUTE - 359, 1, 0);
+	count("checkouts", "1", MINUTE - 4319, 1, 0);
+	decide();
+	ck_assert_uint_eq(report.route_count, 2);
+	ck_assert_str_eq(report.routes[1].route, "checkouts");
+	for (i = 0; i < BG_CLI_WINDOWS; i++) {
+		ck_assert_uint_eq(report.routes[1].sums[i].calls, calls[i]);
+		ck_assert_uint_eq(report.routes[1].sums[i].bad, 1);
+		ck_assert_double_eq_tol(
+		    report.routes[1].rates[i], 100.0 / (double)calls[i], 0.001);
+	}
+	ck_assert_double_eq_tol(report.routes[1].hours[71], 50.0, 0.001);
+	ck_assert_double_eq_tol(report.routes[1].hours[70], 0.0, 0.001);
+}
+END_TEST
+
+/* Guards against an alert that one route takes from another, a route without
+ * calls that is left out, and a service without objective that looks ok. */
+START_TEST(alert_is_of_the_route)
+{
+	count("checkouts", "1", MINUTE, 100, 50);
+	count("browse", "1", MINUTE - 100, 1000, 15);
+	bg_burn_count(burn, "gone", "r", "1", MINUTE, 1);
+	decide();
+	ck_assert_uint_eq(report.route_count, 3);
+	ck_assert_str_eq(
+	    bg_cli_burn_alert_name(&report.routes[0]), "no objective");
+	ck_assert_str_eq(report.routes[1].route, "browse");
+	ck_assert_str_eq(bg_cli_burn_alert_name(&report.routes[1]), "ticket");
+	ck_assert_str_eq(bg_cli_burn_alert_name(&report.routes[2]), "page");
+}
+END_TEST
+
+/* Guards against failures of the old version, or from before the move or after
+ * the next one, that are attributed to a move. */
+START_TEST(move_burns_only_its_own_failures)
+{
+	add_entry("accept", "", MINUTE - 70);
+	add_entry("move", "2", MINUTE - 60);
+	add_entry("move", "3", MINUTE - 20);
+	count("checkouts", "1", MINUTE - 50, 960, 7);
+	count("checkouts", "2", MINUTE - 61, 10, 5);
+	count("checkouts", "2", MINUTE - 60, 10, 4);
+	count("browse", "2", MINUTE - 21, 10, 1);
+	count("checkouts", "2", MINUTE - 20, 10, 3);
+	decide();
+	ck_assert_uint_eq(report.move_count, 2);
+	ck_assert_str_eq(report.moves[0].to, "2");
+	ck_assert_str_eq(report.moves[0].state, "replaced");
+	ck_assert_uint_eq(report.moves[0].sum.calls, 20);
+	ck_assert_uint_eq(report.moves[0].sum.bad, 5);
+	/* 1,000 calls at 99% leave a budget of 10 failures. */
+	ck_assert_int_eq(report.moves[0].has_share, 1);
+	ck_assert_double_eq_tol(report.moves[0].share, 0.5, 0.001);
+	ck_assert_uint_eq(report.moves[1].sum.calls, 0);
+}
+END_TEST
+
+/* Guards against a move that is listed twice because history and head both have
+ * it, and one that started by itself and is is not listed. */
+START_TEST(history_and_head_are_one_list)
+{
+	struct bg_move *move = &bg_head_find(&head, "orders")->move;
+
+	add_entry("move", "2", MINUTE - 60);
+	snprintf(move->from, sizeof(move->from), "1");
+	snprintf(move->to, sizeof(move->to), "2");
+	snprintf(move->reason, sizeof(move->reason), "errors");
+	move->state = BG_MOVE_ROLLED_BACK;
+	move->started_ms = (MINUTE - 60) * 60000 + 900;
+	decide();
+	ck_assert_uint_eq(report.move_count, 1);
+	ck_assert_str_eq(report.moves[0].state, "rolled back");
+	ck_assert_str_eq(report.moves[0].from, "1");
+	bg_cli_burn_free(&report);
+	move->started_ms = (MINUTE - 30) * 60000;
+	decide();
+	ck_assert_uint_eq(report.move_count, 2);
+	ck_assert_str_eq(report.moves[0].state, "replaced");
+	ck_assert_str_eq(report.moves[1].state, "rolled back");
+}
+END_TEST
+
+/* Guards against moves of last week that fill the report, and against one that
+ * still burns and is dropped for its age. */
+START_TEST(old_moves_are_listed_only_if_they_burn)
+{
+	add_entry("move", "2", MINUTE - 3 * BG_BURN_MINUTES);
+	add_entry("move", "3", MINUTE - 2 * BG_BURN_MINUTES);
+	count("checkouts", "3", MINUTE - 10, 5, 1);
+	decide();
+	ck_assert_uint_eq(report.move_count, 1);
+	ck_assert_str_eq(report.moves[0].to, "3");
+}
+END_TEST
+
+/* Guards against a report that hides a missing node in one of its forms. */
+START_TEST(missing_node_is_named_in_every_form)
+{
+	json_t *json;
+	json_t *missing;
+	char *text;
+
+	snprintf(node_items[1].fault, 96, "the node does not answer");
+	decide();
+	ck_assert_uint_eq(bg_cli_burn_missing(&report), 1);
+	ck_assert_int_eq(bg_cli_burn_text(&text, &report), 0);
+	ck_assert_ptr_nonnull(strstr(text, "1 of 2 answered"));
+	ck_assert_ptr_nonnull(strstr(text, "missing node 127.0.0.1:2"));
+	free(text);
+	ck_assert_int_eq(bg_cli_burn_html(&text, &report), 0);
+	ck_assert_ptr_nonnull(strstr(text, "Missing node 127.0.0.1:2"));
+	free(text);
+	json = bg_cli_burn_json(&report);
+	missing = json_object_get(json, "missing");
+	ck_assert_uint_eq(json_array_size(missing), 1);
+	ck_assert(json_is_false(json_object_get(json, "ok")));
+	json_decref(json);
+}
+END_TEST
+
+/* Guards against markup in a reason that runs in the operator's browser, a page
+ * that loads something from outside, and a plot without its moves. */
+START_TEST(page_is_escaped_and_self_contained)
+{
+	struct bg_move *move = &bg_head_find(&head, "orders")->move;
+	char *text;
+
+	snprintf(move->to, sizeof(move->to), "2");
+	snprintf(move->reason, sizeof(move->reason), "<script>\"&");
+	move->state = BG_MOVE_ROLLED_BACK;
+	move->started_ms = (MINUTE - 30) * 60000;
+	count("checkouts", "2", MINUTE, 10, 5);
+	decide();
+	ck_assert_int_eq(bg_cli_burn_html(&text, &report), 0);
+	ck_assert_ptr_nonnull(strstr(text, "&lt;script&gt;&quot;&amp;"));
+	ck_assert_ptr_null(strstr(text, "<script"));
+	ck_assert_ptr_null(strstr(text, "http"));
+	ck_assert_ptr_null(strstr(text, "src="));
+	ck_assert_ptr_nonnull(strstr(text, "<svg"));
+	ck_assert_ptr_nonnull(strstr(text, "class=\"move\""));
+	free(text);
+}
+END_TEST
+
+/* Guards against columns that a long service name pushes apart. */
+START_TEST(table_is_aligned)
+{
+	const char *first;
+	const char *second;
+	char *text;
+
+	bg_burn_count(burn, "a-service-with-a-long-name", "r", "1", MINUTE, 0);
+	decide();
+	ck_assert_int_eq(bg_cli_burn_text(&text, &report), 0);
+	first = strstr(text, "\nSERVICE");
+	ck_assert_ptr_nonnull(first);
+	second = strchr(first + 1, '\n');
+	ck_assert_ptr_nonnull(second);
+	ck_assert_int_eq(strchr(second + 1, '\n') - second, second - first);
+	free(text);
+}
+END_TEST
+
+/* Guards against the calls of a node that is named twice being counted twice,
+ * and against a wrong address that is skipped. */
+START_TEST(node_list_is_checked)
+{
+	struct bg_cli_nodes list;
+	struct bg_error err = {0};
+
+	ck_assert_int_eq(bg_cli_nodes_parse(&list,
+			     "127.0.0.1:1,127.0.0.1:2,127.0.0.1:1", &err),
+	    0);
+	ck_assert_uint_eq(list.count, 2);
+	bg_cli_nodes_free(&list);
+	ck_assert_int_eq(
+	    bg_cli_nodes_parse(&list, "127.0.0.1:1,host:2", &err), BG_EINVAL);
+	ck_assert_int_eq(
+	    bg_cli_nodes_parse(&list, "127.0.0.1:1,,", &err), BG_EINVAL);
+	ck_assert_int_eq(bg_cli_nodes_parse(&list, NULL, &err), BG_EINVAL);
+}
+END_TEST
+
+int
+main(void)
+{
+	Suite *suite = suite_create("report");
+	TCase *tc = tcase_create("report");
+	SRunner *runner;
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, windows_end_where_they_should);
+	tcase_add_test(tc, alert_is_of_the_route);
+	tcase_add_test(tc, move_burns_only_its_own_failures);
+	tcase_add_test(tc, history_and_head_are_one_list);
+	tcase_add_test(tc, old_moves_are_listed_only_if_they_burn);
+	tcase_add_test(tc, missing_node_is_named_in_every_form);
+	tcase_add_test(tc, page_is_escaped_and_self_contained);
+	tcase_add_test(tc, table_is_aligned);
+	tcase_add_test(tc, node_list_is_checked);
+	suite_add_tcase(suite, tc);
+	runner = srunner_create(suite);
+	srunner_set_fork_status(runner, CK_NOFORK);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed == 0 ? 0 : 1;
+}
