Print real numbers of JSON output with nine digits

Change: real numbers are printed with nine digits.

Result: test_cli checks the objective and passes.

--- a/cli/src/output.c
+++ b/cli/src/output.c
@@ -4,6 +4,9 @@
 
 #include "cli.h"
 
+/* All 17 digits would print an objective of 99.9 as 99.900000000000006. */
+#define REAL_DIGITS 9
+
 static int
 exit_code(int code)
 {
@@ -80,7 +83,8 @@
 void
 bg_cli_print_json(json_t *value)
 {
-	char *text = json_dumps(value, JSON_INDENT(2) | JSON_SORT_KEYS);
+	char *text = json_dumps(value,
+	    JSON_INDENT(2) | JSON_SORT_KEYS | JSON_REAL_PRECISION(REAL_DIGITS));
 
 	if (text != NULL)
 		puts(text);
--- a/cli/tests/test_cli.c
+++ b/cli/tests/test_cli.c
@@ -489,6 +489,8 @@
 	ck_assert_ptr_nonnull(strstr(output, "not a burn report"));
 	EXPECT(
 	    1, "\"failed\": 500", "report", "burn", "--json", "--node", nodes);
+	/* Guards against 99.900000000000006. */
+	ck_assert_ptr_nonnull(strstr(output, "\"objective_percent\": 99.9,"));
 	EXPECT(2, "unknown report", "report", "heat", "--node", nodes);
 	EXPECT(2, "exclude", "report", "burn", "--json", "--html", "x",
 	    "--node", nodes);
