Leave moves without failures that only calls show out of the report

Cause: on real nodes the first version of a service was listed as a move with no calls, because the next move began within the same minute.

Change: such a move has the calls of its first minute, and a move that only calls show is listed if its version failed.

--- a/cli/src/burn.c
+++ b/cli/src/burn.c
@@ -9,6 +9,7 @@
 /* The head takes the time of a move shortly before its history entry. */
 #define SAME_MOVE_MS 60000
 
+#define UNRECORDED "not recorded"
 /* A route without calls for an hour is rare. */
 #define SETTLED_MINUTES 60
 
@@ -203,7 +204,7 @@
 		return;
 	move = add_move(work, service, server_version, minute * MINUTE_MS);
 	if (move != NULL)
-		move->state = "not recorded";
+		move->state = UNRECORDED;
 }
 
 /* A move by an operator is in the history; one that started by itself is known
@@ -260,8 +261,10 @@
 	struct bg_burn_sum all;
 	double budget;
 
-	/* Two moves within a minute: it counts for the later one. */
-	if (end > from)
+	/* A move that is replaced within its first minute has that minute. */
+	if (end <= from)
+		end = from + 1;
+	if (from <= now)
 		bg_burn_window(&move->sum, in->burn, move->service, "",
 		    move->to, from, end > now ? now : end - 1);
 	if (ctr == NULL)
@@ -275,18 +278,26 @@
 		move->share = (double)move->sum.bad / budget;
 }
 
-/* A move that began before the window is kept if its version failed within
- * it. */
-static void
-drop_old_moves(struct bg_cli_burn *rep)
+/* A move that began before the window is kept if its version failed within it.
+ * One that only calls show may be no move, so it is kept only if it failed. */
+static int
+is_listed(const struct bg_cli_burn *rep, const struct bg_cli_burn_move *move)
 {
 	uint64_t window_ms = (uint64_t)BG_BURN_MINUTES * MINUTE_MS;
+
+	return move->sum.bad > 0 ||
+	    (strcmp(move->state, UNRECORDED) != 0 &&
+		move->started_ms + window_ms >= rep->now_ms);
+}
+
+static void
+drop_moves(struct bg_cli_burn *rep)
+{
 	size_t kept = 0;
 	size_t i;
 
 	for (i = 0; i < rep->move_count; i++)
-		if (rep->moves[i].started_ms + window_ms >= rep->now_ms ||
-		    rep->moves[i].sum.bad > 0)
+		if (is_listed(rep, &rep->moves[i]))
 			rep->moves[kept++] = rep->moves[i];
 	rep->move_count = kept;
 }
@@ -353,7 +364,7 @@
 		judge_route(&out->routes[i], in);
 	for (i = 0; i < out->move_count; i++)
 		judge_move(out, i, in);
-	drop_old_moves(out);
+	drop_moves(out);
 	return 0;
 }
 
--- a/cli/tests/test_report.c
+++ b/cli/tests/test_report.c
@@ -189,6 +189,7 @@
 	count("checkouts", "0.9", MINUTE - 10, 10, 0);
 	count("checkouts", "3.0", MINUTE - 9, 10, 10);
 	count("browse", "3.0", MINUTE - 8, 10, 7);
+	count("browse", "0.95", MINUTE - 20, 10, 0);
 	decide();
 	ck_assert_uint_eq(report.move_count, 2);
 	ck_assert_str_eq(report.moves[0].to, "3.0");
@@ -199,6 +200,27 @@
 }
 END_TEST
 
+/* Guards against a move without calls because the next one began within the
+ * same minute, as seen with moves that start by themselves. */
+START_TEST(move_replaced_within_a_minute_has_its_calls)
+{
+	struct bg_move *move = &bg_head_find(&head, "orders")->move;
+
+	add_entry("move", "2", MINUTE - 5);
+	snprintf(move->to, sizeof(move->to), "3");
+	move->state = BG_MOVE_DONE;
+	move->started_ms = (MINUTE - 5) * 60000 + 40000;
+	count("checkouts", "2", MINUTE - 5, 10, 6);
+	count("checkouts", "2", MINUTE - 4, 10, 3);
+	count("checkouts", "3", MINUTE - 5, 10, 1);
+	decide();
+	ck_assert_uint_eq(report.move_count, 2);
+	ck_assert_str_eq(report.moves[0].to, "2");
+	ck_assert_uint_eq(report.moves[0].sum.bad, 6);
+	ck_assert_uint_eq(report.moves[1].sum.bad, 1);
+}
+END_TEST
+
 /* Guards against moves of last week that fill the report, and against one that
  * still burns and is dropped for its age. */
 START_TEST(old_moves_are_listed_only_if_they_burn)
@@ -314,6 +336,7 @@
 	tcase_add_test(tc, move_burns_only_its_own_failures);
 	tcase_add_test(tc, history_and_head_are_one_list);
 	tcase_add_test(tc, unrecorded_move_is_found_by_its_calls);
+	tcase_add_test(tc, move_replaced_within_a_minute_has_its_calls);
 	tcase_add_test(tc, old_moves_are_listed_only_if_they_burn);
 	tcase_add_test(tc, missing_node_is_named_in_every_form);
 	tcase_add_test(tc, page_is_escaped_and_self_contained);
