Count the failures of a version until it is moved to again

Cause: on real nodes a bad version burned 1,741 failures, of which the report attributed 36 to its move: the count ended when a move to another version began, while the bad version still had most calls.

Change: the count ends at the next move to the same version.

--- a/cli/src/burn.c
+++ b/cli/src/burn.c
@@ -237,14 +237,17 @@
 	}
 }
 
-/* First minute that belongs to the next move of the service. */
+/* First minute that belongs to the next move to the same version. A move to
+ * another version ends nothing: the version still has calls while it leaves. */
 static uint64_t
 end_minute(const struct bg_cli_burn *rep, size_t at)
 {
 	size_t i;
 
 	for (i = at + 1; i < rep->move_count; i++)
-		if (strcmp(rep->moves[i].service, rep->moves[at].service) == 0)
+		if (strcmp(rep->moves[i].service, rep->moves[at].service) ==
+			0 &&
+		    strcmp(rep->moves[i].to, rep->moves[at].to) == 0)
 			return rep->moves[i].started_ms / MINUTE_MS;
 	return UINT64_MAX;
 }
@@ -261,7 +264,7 @@
 	struct bg_burn_sum all;
 	double budget;
 
-	/* A move that is replaced within its first minute has that minute. */
+	/* A move that is repeated within its first minute has that minute. */
 	if (end <= from)
 		end = from + 1;
 	if (from <= now)
--- a/cli/src/burn.h
+++ b/cli/src/burn.h
@@ -46,8 +46,8 @@
 	const char *state;
 	char reason[BG_REASON_BYTES];
 	uint64_t started_ms;
-	/** Calls and failures of the new version from the start of the move to
-	 * the next move of the service. */
+	/** Calls and failures of the new version from the start of the move,
+	 * until the next move to the same version. */
 	struct bg_burn_sum sum;
 	int has_share;
 	double share; /**< of the service's budget of the 3 days; 1.0 is all */
