--- a/core/tests/test_core.c
+++ b/core/tests/test_core.c
@@ -55,6 +55,26 @@
 }
 END_TEST
 
+/* Guards against labels in the lines of type and help, which the format does
+ * not allow. */
+START_TEST(labels_stand_in_the_sample_only)
+{
+	static struct bg_counter ctr =
+	    BG_COUNTER("labelled_total{reason=\"x\"}", "Help text.");
+	static struct bg_counter other =
+	    BG_COUNTER("labelled_total{reason=\"y\"}", "Help text.");
+	char *text;
+	size_t text_bytes;
+
+	bg_counter_add(&ctr, 1);
+	bg_counter_add(&other, 2);
+	ck_assert_int_eq(bg_counter_render(&text, &text_bytes), 0);
+	ck_assert_ptr_nonnull(strstr(text, "# TYPE labelled_total counter\n"));
+	ck_assert_ptr_nonnull(strstr(text, "labelled_total{reason=\"x\"} 1\n"));
+	free(text);
+}
+END_TEST
+
 struct receiver {
 	struct bg_mailbox *mailbox;
 	int order[4];
@@ -101,6 +121,7 @@
 	tcase_add_test(tc, backoff_stays_within_bounds);
 	tcase_add_test(tc, error_carries_step_and_peer);
 	tcase_add_test(tc, counter_renders_value_and_type);
+	tcase_add_test(tc, labels_stand_in_the_sample_only);
 	tcase_add_test(tc, mailbox_keeps_order);
 	suite_add_tcase(suite, tc);
 	runner = srunner_create(suite);
--- a/moves/src/plan/plan.c
+++ b/moves/src/plan/plan.c
@@ -19,6 +19,9 @@
 /* Calls that let the first step end without a full verdict when time presses:
  * a version that fails every other call is found with these. */
 #define PRESSED_CALLS 20
+/* Calls that a step may expose without a verdict. A broken version is found
+ * with fewer. */
+#define EXPOSED_CALLS 20
 /* Part of the new version's slots that its share may keep busy. */
 #define CAPACITY_PERCENT 80
 
@@ -92,8 +95,17 @@
 	    : fair_ms - STEP_OVERHEAD_MS;
 }
 
-/* The first step ends with a good verdict; without one, only if time presses
- * and what little was called looks well, or if nothing is called at all. */
+/* Calls that the next step would send to the new version. */
+static uint64_t
+exposed_calls(const struct bg_move *move, const struct bg_plan_input *in)
+{
+	return (uint64_t)in->calls_per_s * SHARES[move->step + 1] *
+	    dwell_ms(move, in->now_ms) / 1000000;
+}
+
+/* The first step ends with a good verdict; without one, only if time presses,
+ * and enough calls look well or the next step exposes few. A share of few calls
+ * says little: 5% of them can be none. */
 static int
 is_step_proven(const struct bg_move *move, const struct bg_plan_input *in)
 {
@@ -102,7 +114,7 @@
 	if (!is_pressed(move, in->now_ms))
 		return 0;
 	return in->new_calls >= PRESSED_CALLS ||
-	    (in->old_calls == 0 && in->new_calls == 0);
+	    exposed_calls(move, in) <= EXPOSED_CALLS;
 }
 
 static int
--- a/moves/src/plan/plan.h
+++ b/moves/src/plan/plan.h
@@ -21,10 +21,11 @@
 struct bg_plan_input {
 	uint64_t now_ms; /**< wall clock */
 	enum bg_verdict verdict;
-	uint64_t new_calls; /**< calls of the new version so far */
-	uint64_t old_calls; /**< calls of the old version lately */
-	uint32_t ready_old; /**< ready servers of `from` */
-	uint32_t ready_new; /**< ready servers of `to` */
+	uint64_t new_calls;   /**< calls of the new version so far */
+	uint32_t calls_per_s; /**< of both versions, smoothed */
+	uint64_t old_calls;   /**< calls of the old version lately */
+	uint32_t ready_old;   /**< ready servers of `from` */
+	uint32_t ready_new;   /**< ready servers of `to` */
 	uint32_t slots_new;
 	uint32_t
 	    busy_millislots; /**< 1,000 is one slot in use, both versions */
--- a/moves/src/task/holder.c
+++ b/moves/src/task/holder.c
@@ -295,6 +295,11 @@
 	bg_stat_sum_drain(&deltas[0], wch->all, move->from);
 	bg_stat_sum_drain(&deltas[1], wch->all, move->to);
 	wch->old_calls = sum_calls(&deltas[0]);
+	wch->calls_per_s =
+	    (uint32_t)((wch->calls_per_s * 3ULL +
+			   (wch->old_calls + sum_calls(&deltas[1])) * 1000 /
+			       BG_MOVES_TICK_MS) /
+		4);
 	wch->busy_millislots = busy_millislots(deltas, wch->busy_millislots);
 	verdict = bg_judge_update(&wch->all_judge, &svc->contract, &deltas[0],
 	    &deltas[1], BG_DATA_CENTRES_MAX, "all data centres");
@@ -340,6 +345,7 @@
 		bg_moves_mark(mvs, move, svc->head.name, wch->all_judge.reason);
 	in.is_doubtful = bg_judge_is_doubtful(&wch->all_judge);
 	in.old_calls = wch->old_calls;
+	in.calls_per_s = wch->calls_per_s;
 	in.new_calls = wch->all_judge.service.new_calls;
 	count_ready(&before, ros, svc->head.name, move->from);
 	count_ready(&after, ros, svc->head.name, move->to);
--- a/moves/tests/test_plan.c
+++ b/moves/tests/test_plan.c
@@ -31,6 +31,7 @@
 	input.verdict = BG_VERDICT_GOOD;
 	input.new_calls = 500;
 	input.old_calls = 500;
+	input.calls_per_s = 500;
 	input.ready_old = 5;
 	input.ready_new = 5;
 	input.slots_new = 30;
@@ -109,6 +110,7 @@
 	input.verdict = BG_VERDICT_NONE;
 	input.new_calls = 0;
 	input.old_calls = 0;
+	input.calls_per_s = 0;
 	run_plan(START_MS + PROMISED_MS);
 	ck_assert_int_eq(move.state, BG_MOVE_DONE);
 }
@@ -156,6 +158,20 @@
 }
 END_TEST
 
+/* Guards against good versions of services with few calls that were rolled back
+ * with "promised time passed": 5% of few calls was no call at all. */
+START_TEST(service_with_few_calls_is_moved)
+{
+	setup();
+	input.verdict = BG_VERDICT_NONE;
+	input.new_calls = 0;
+	input.old_calls = 6;
+	input.calls_per_s = 6;
+	run_plan(START_MS + PROMISED_MS);
+	ck_assert_int_eq(move.state, BG_MOVE_DONE);
+}
+END_TEST
+
 /* Guards against a step up while calls of the new version fail: a move went to
  * 10% with 33 of 33 calls failed because the time pressed. */
 START_TEST(doubt_holds_the_share)
@@ -231,6 +247,7 @@
 	tcase_add_test(tc, bad_verdict_rolls_back_at_each_step);
 	tcase_add_test(tc, mark_of_a_data_centre_rolls_back);
 	tcase_add_test(tc, unconfirmed_step_is_not_followed_by_another);
+	tcase_add_test(tc, service_with_few_calls_is_moved);
 	tcase_add_test(tc, doubt_holds_the_share);
 	tcase_add_test(tc, share_waits_for_capacity);
 	tcase_add_test(tc, version_is_taken_back_during_the_soak);
--- a/proxy/src/call/record.c
+++ b/proxy/src/call/record.c
@@ -97,7 +97,9 @@
 		    res->retry_after_ms, "a call with this key is running");
 		break;
 	case BG_XBEGIN_UNKNOWN:
-		bg_call_reply_error(call, BG_XOUTCOME_UNKNOWN, 502, 0,
+		/* Above 0: the same key may be sent again later. */
+		bg_call_reply_error(call, BG_XOUTCOME_UNKNOWN, 502,
+		    res->retry_after_ms,
 		    "the outcome of the call with this key is not known");
 		break;
 	case BG_XBEGIN_MISMATCH:
@@ -132,7 +134,10 @@
 		on_begin, begin) != 0) {
 		call->begin = NULL;
 		free(begin);
-		bg_call_refuse(call, BG_REFUSAL_RECORD);
+		/* The records were not asked; an earlier call with this key
+		 * may have run. */
+		bg_call_reply_error(call, BG_XOUTCOME_UNKNOWN, 502,
+		    BG_RETRY_AFTER_MS, "the record of the key was not read");
 	}
 }
 
