--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -1,3 +1,19 @@
+/* The way of a configuration, in order:
+ *  1. `burdockgrade accept` writes the contract and updates the head
+ *     (platform/src/change/operate.c).
+ *  2. The relay's watch ends; it reads the head and the changed contracts into
+ *     HEAD and SERVICE items (reader.c, role.c).
+ *  3. The table logs the change (table.c); SYNCs that children hold are
+ *     answered with it (children.c), and peers of other data centres ask for it
+ *     (peers.c).
+ *  4. A child merges the items (uplink.c) and answers its own children.
+ *  5. Each node builds and validates the snapshot and installs it by one
+ *     pointer (install.c, content.c).
+ *  6. Its ACK goes up to the root, which reduces ACKs to the SUMMARY of the
+ *     data centre (summary.c).
+ *  7. The status text says done once all summaries confirm the version
+ *     (moves/src/status/status.c). */
+
 #include <assert.h>
 #include <inttypes.h>
 #include <stdio.h>
--- a/moves/src/task/data_centre.c
+++ b/moves/src/task/data_centre.c
@@ -8,9 +8,6 @@
 
 #include "task.h"
 
-/* Stats in one item: old, new and leftovers of earlier moves. */
-#define STATS_MAX 4
-
 static struct bg_counter marks = BG_COUNTER("burdock_moves_marks_total",
     "Server versions that this node marked as bad.");
 
@@ -66,24 +63,8 @@
 take_stat(void *arg, const struct bg_item *item)
 {
 	struct bg_moves *mvs = arg;
-	struct bg_stat *stats;
-	struct bg_watch *wch;
-	size_t count;
-	size_t i;
-	int is_settled =
-	    bg_clock_now_ms() - mvs->root_since_ms > BG_MOVES_SETTLED_MS;
 
-	if ((stats = calloc(STATS_MAX, sizeof(*stats))) == NULL)
-		return 0;
-	if (bg_stat_decode(
-		stats, &count, STATS_MAX, item->value, item->value_bytes) != 0)
-		count = 0;
-	for (i = 0; i < count; i++) {
-		if ((wch = bg_watch_find(mvs, stats[i].service)) != NULL)
-			bg_stat_sum_take(wch->own, item->key, item->major,
-			    &stats[i], is_settled);
-	}
-	free(stats);
+	bg_watch_take(mvs, item, 0, mvs->root_since_ms);
 	return 0;
 }
 
--- a/moves/src/task/task.h
+++ b/moves/src/task/task.h
@@ -57,6 +57,11 @@
 /** Finds or adds the watch of a service. @return NULL if out of memory */
 struct bg_watch *bg_watch_find(struct bg_moves *mvs, const char *service);
 void bg_watch_free_all(struct bg_moves *mvs);
+/** Adds the report of an item to the sums of its services.
+ * @param is_data_centre 1 for DCSTAT, 0 for STAT
+ * @param role_since_ms since when this node is root or move holder */
+void bg_watch_take(struct bg_moves *mvs, const struct bg_item *item,
+    int is_data_centre, uint64_t role_since_ms);
 
 /** Publishes this node's STAT item if it changed. */
 void bg_moves_publish_stat(struct bg_moves *mvs);
