Keep an unproven version at 5% also where calls are few

The share of an unproven version comes first, so the rule is taken back; such a move is late and rolled back at its promised time.

--- a/moves/src/plan/plan.c
+++ b/moves/src/plan/plan.c
@@ -19,9 +19,6 @@
 /* Calls that let the first step end without a full verdict when time presses:
  * a version that fails every other call is found with these. */
 #define PRESSED_CALLS 20
-/* Calls that a step may expose without a verdict. A broken version is found
- * with fewer. */
-#define EXPOSED_CALLS 20
 /* Part of the new version's slots that its share may keep busy. */
 #define CAPACITY_PERCENT 80
 
@@ -95,17 +92,10 @@
 	    : fair_ms - STEP_OVERHEAD_MS;
 }
 
-/* Calls that the next step would send to the new version. */
-static uint64_t
-exposed_calls(const struct bg_move *move, const struct bg_plan_input *in)
-{
-	return (uint64_t)in->calls_per_s * SHARES[move->step + 1] *
-	    dwell_ms(move, in->now_ms) / 1000000;
-}
-
-/* The first step ends with a good verdict; without one, only if time presses,
- * and enough calls look well or the next step exposes few. A share of few calls
- * says little: 5% of them can be none. */
+/* The first step ends with a good verdict; without one, only if time presses
+ * and enough calls look well, or if nothing is called at all. A service with
+ * few calls stays at the first share: its move is late, and rolled back at the
+ * promised time, rather than give an unproven version a larger share. */
 static int
 is_step_proven(const struct bg_move *move, const struct bg_plan_input *in)
 {
@@ -114,7 +104,7 @@
 	if (!is_pressed(move, in->now_ms))
 		return 0;
 	return in->new_calls >= PRESSED_CALLS ||
-	    exposed_calls(move, in) <= EXPOSED_CALLS;
+	    (in->calls_per_s == 0 && in->new_calls == 0);
 }
 
 static int
