Refuse new connections while leaving, and finish late calls before the exit

A stopping node went on accepting customers until its process ended, so calls that came while its records were handed over were cut off at the exit. It now refuses new connections once it leaves, and exits only without a call in flight. bg-load tells a refused connection from a call without an answer.

--- a/bench/bench.py
+++ b/bench/bench.py
@@ -397,11 +397,13 @@
         finally:
             load.kill()
             watch.stop()
-        # A call sent so late arrives after the exit and is not a call that
-        # the exit cut off.
+        # The fault proxy accepts what the leaving node refuses: a new
+        # connection that is closed unused is no call that was cut off. On a
+        # connection in use, only a call that arrives after the exit is not.
         last_us = exit_us - 2000 * cl.user["client_ms"]
         late = [c for c in calls if c["outcome"] == "no-answer" and
-                c["target"] == stopped.customer and c["sent_us"] > last_us]
+                c["target"] == stopped.customer and
+                (c["fresh"] or c["sent_us"] > last_us)]
         ids = set(id(c) for c in late)
         run.update(judge_figures(cl, [c for c in calls if id(c) not in ids],
                                  watch, [stopped.customer], spans))
--- a/bench/load/load.h
+++ b/bench/load/load.h
@@ -48,6 +48,7 @@
 	BG_LOAD_NOT_RUN,
 	BG_LOAD_UNKNOWN,
 	BG_LOAD_NO_ANSWER, /**< connection lost, or time-out */
+	BG_LOAD_REFUSED,   /**< no connection, so nothing was sent */
 	BG_LOAD_OTHER,	   /**< an answer without an outcome */
 	BG_LOAD_OUTCOME_COUNT,
 };
--- a/bench/load/print.c
+++ b/bench/load/print.c
@@ -33,13 +33,14 @@
 
 	qsort(load->latencies_us, load->latency_count,
 	    sizeof(*load->latencies_us), compare);
-	out = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:o,s:o,s:o}",
+	out = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:o,s:o,s:o}",
 	    "calls", (json_int_t)load->calls, "attempts",
 	    (json_int_t)load->sent, "done",
 	    (json_int_t)load->outcomes[BG_LOAD_DONE], "not_run",
 	    (json_int_t)load->outcomes[BG_LOAD_NOT_RUN], "unknown",
 	    (json_int_t)load->outcomes[BG_LOAD_UNKNOWN], "no_answer",
-	    (json_int_t)load->outcomes[BG_LOAD_NO_ANSWER], "other",
+	    (json_int_t)load->outcomes[BG_LOAD_NO_ANSWER], "refused",
+	    (json_int_t)load->outcomes[BG_LOAD_REFUSED], "other",
 	    (json_int_t)load->outcomes[BG_LOAD_OTHER], "wrong",
 	    (json_int_t)load->wrong, "seconds", elapsed_s, "p50_us",
 	    percentile(load, 500), "p99_us", percentile(load, 990), "max_us",
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -2,22 +2,41 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "burdockgrade/clock.h"
 #include "burdockgrade/log.h"
 
 #include "node.h"
 #include "pages.h"
 
+/* Interval at which a node that is about to exit looks for calls in flight. */
+#define EXIT_TICK_MS 50
+
 static const int STOP_SIGNALS[] = {SIGTERM, SIGINT};
 
+/* Calls that came on open connections while the records were handed over are
+ * finished as well; the exit would cut them off. */
 static void
-on_records_drained(void *arg)
+on_exit_tick(evutil_socket_t fd, short what, void *arg)
 {
 	struct bg_node *node = arg;
 
+	if (!bg_proxy_is_idle(node->proxy) &&
+	    bg_clock_now_ms() < node->exit_by_ms)
+		return;
 	bg_log_info("node", "stopped");
 	event_base_loopbreak(node->base);
 }
 
+static void
+on_records_drained(void *arg)
+{
+	static const struct timeval tick = {0, EXIT_TICK_MS * 1000};
+	struct bg_node *node = arg;
+
+	node->exit_by_ms = bg_clock_now_ms() + node->settings.limits.drain_ms;
+	event_add(node->exit_timer, &tick);
+}
+
 static void
 on_proxy_drained(void *arg)
 {
@@ -71,7 +90,9 @@
 		    event_add(node->stop_signals[i], NULL) != 0)
 			return BG_ENOMEM;
 	}
-	return 0;
+	node->exit_timer =
+	    event_new(node->base, -1, EV_PERSIST, on_exit_tick, node);
+	return node->exit_timer == NULL ? BG_ENOMEM : 0;
 }
 
 static int
@@ -194,6 +215,8 @@
 		if (node->stop_signals[i] != NULL)
 			event_free(node->stop_signals[i]);
 	}
+	if (node->exit_timer != NULL)
+		event_free(node->exit_timer);
 	if (node->base != NULL)
 		event_base_free(node->base);
 	memset(node, 0, sizeof(*node));
--- a/daemon/src/node.h
+++ b/daemon/src/node.h
@@ -25,6 +25,8 @@
 	struct bg_moves *moves;
 	struct bg_proxy *proxy;
 	struct event *stop_signals[2];
+	struct event *exit_timer;
+	uint64_t exit_by_ms; /**< monotonic; 0: not about to exit */
 	int is_stopping;
 };
 
--- a/proxy/include/burdockgrade/proxy.h
+++ b/proxy/include/burdockgrade/proxy.h
@@ -48,6 +48,9 @@
 void bg_proxy_ban(struct bg_proxy *prx, const char *service,
     const char *server_version, uint64_t move_generation);
 
+/** 1 if no call is in flight at the ingress or the gatekeeper. */
+int bg_proxy_is_idle(const struct bg_proxy *prx);
+
 /** Begins a graceful stop; done is called once nothing runs any more, or when
  * limits.drain_ms has passed. */
 void bg_proxy_drain(struct bg_proxy *prx, void (*done)(void *arg), void *arg);
--- a/proxy/src/ingress/ingress.c
+++ b/proxy/src/ingress/ingress.c
@@ -26,6 +26,7 @@
 };
 
 struct bg_ingress {
+	int is_listening;
 	struct bg_proxy *proxy;
 	evhtp_t *http;
 	struct bg_guard *connections;
@@ -343,6 +344,7 @@
 		set->node.customer_port, BACKLOG) != 0)
 		return bg_error_set(err, BG_EIO, "listen", set->node.address,
 		    "cannot bind customer port %u", set->node.customer_port);
+	ing->is_listening = 1;
 	getsockname(evconnlistener_get_fd(ing->http->server),
 	    (struct sockaddr *)&sin, &sin_bytes);
 	ing->port = ntohs(sin.sin_port);
@@ -375,13 +377,20 @@
 	return 0;
 }
 
+void
+bg_ingress_stop_listening(struct bg_ingress *ing)
+{
+	if (ing->is_listening)
+		evhtp_unbind_socket(ing->http);
+	ing->is_listening = 0;
+}
+
 void
 bg_ingress_free(struct bg_ingress *ing)
 {
 	if (ing == NULL)
 		return;
-	if (ing->port != 0)
-		evhtp_unbind_socket(ing->http);
+	bg_ingress_stop_listening(ing);
 	bg_guard_close_all(&ing->connections);
 	evhtp_free(ing->http);
 	free(ing);
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -143,6 +143,12 @@
 	return prx->calls_in_flight + bg_gatekeeper_in_flight(prx->gatekeeper);
 }
 
+int
+bg_proxy_is_idle(const struct bg_proxy *prx)
+{
+	return in_flight(prx) == 0;
+}
+
 static void
 on_drain(evutil_socket_t fd, short what, void *arg)
 {
@@ -155,6 +161,7 @@
 			bg_log_info("proxy", "leaving");
 			bg_mesh_set_state(prx->mesh, BG_MEMBER_LEAVING);
 			bg_gatekeeper_leave(prx->gatekeeper);
+			bg_ingress_stop_listening(prx->ingress);
 		}
 		if (prx->drain.state == BG_DRAIN_DONE) {
 			bg_log_info("proxy", "drained left_running=%u",
