Remove an unread input of the move plan and a second first-share constant

plan.c no longer reads the calls of the old version, but the move holder still kept and passed them. Behaviour is the same; the tests lose only the lines that set the input.

--- a/config/include/burdockgrade/snapshot.h
+++ b/config/include/burdockgrade/snapshot.h
@@ -22,6 +22,9 @@
 	BG_MOVE_ROLLED_BACK,
 };
 
+/** Cap on the share of an unproven version before the first verdict: 5%. */
+#define BG_MOVE_FIRST_SHARE_PERMILLE 50
+
 /** A move of traffic from one backend server version to another. */
 struct bg_move {
 	uint64_t generation; /**< rises with each move of the service */
--- a/moves/src/plan/plan.c
+++ b/moves/src/plan/plan.c
@@ -4,7 +4,7 @@
 #include "plan.h"
 
 static const uint32_t SHARES[] = {
-    BG_PLAN_FIRST_SHARE_PERMILLE, 100, 250, 500, 1000};
+    BG_MOVE_FIRST_SHARE_PERMILLE, 100, 250, 500, 1000};
 
 #define STEP_COUNT (sizeof(SHARES) / sizeof(SHARES[0]))
 /* The plan uses this part of the promised time; the rest is for news, a change
--- a/moves/src/plan/plan.h
+++ b/moves/src/plan/plan.h
@@ -14,16 +14,12 @@
 
 #include "verdict/verdict.h"
 
-/** Cap of an unproven version before the first verdict: 5%. */
-#define BG_PLAN_FIRST_SHARE_PERMILLE 50
-
 /** What the holder knows when it decides. */
 struct bg_plan_input {
 	uint64_t now_ms; /**< wall clock */
 	enum bg_verdict verdict;
 	uint64_t new_calls;   /**< calls of the new version so far */
 	uint32_t calls_per_s; /**< of both versions, smoothed */
-	uint64_t old_calls;   /**< calls of the old version lately */
 	uint32_t ready_old;   /**< ready servers of `from` */
 	uint32_t ready_new;   /**< ready servers of `to` */
 	uint32_t slots_new;
--- a/moves/src/task/holder.c
+++ b/moves/src/task/holder.c
@@ -217,7 +217,7 @@
 		next.deadline_ms = now_ms;
 	} else if (svc->contract.move_auto_start) {
 		next.state = BG_MOVE_IN_PROGRESS;
-		next.share_permille = BG_PLAN_FIRST_SHARE_PERMILLE;
+		next.share_permille = BG_MOVE_FIRST_SHARE_PERMILLE;
 		next.deadline_ms = now_ms + svc->contract.take_over_ms;
 		snprintf(
 		    next.from, sizeof(next.from), "%s", bg_move_serving(move));
@@ -277,11 +277,10 @@
 		bg_judge_reset(&wch->all_judge, move->generation);
 	bg_stat_sum_drain(&deltas[0], wch->all, move->from);
 	bg_stat_sum_drain(&deltas[1], wch->all, move->to);
-	wch->old_calls = sum_calls(&deltas[0]);
 	wch->calls_per_s =
 	    (uint32_t)((wch->calls_per_s * 3ULL +
-			   (wch->old_calls + sum_calls(&deltas[1])) * 1000 /
-			       BG_MOVES_TICK_MS) /
+			   (sum_calls(&deltas[0]) + sum_calls(&deltas[1])) *
+			       1000 / BG_MOVES_TICK_MS) /
 		4);
 	wch->busy_millislots = busy_millislots(deltas, wch->busy_millislots);
 	verdict = bg_judge_update(&wch->all_judge, &svc->contract, &deltas[0],
@@ -327,7 +326,6 @@
 	if (in.verdict == BG_VERDICT_BAD)
 		bg_moves_mark(mvs, move, svc->head.name, wch->all_judge.reason);
 	in.is_doubtful = bg_judge_is_doubtful(&wch->all_judge);
-	in.old_calls = wch->old_calls;
 	in.calls_per_s = wch->calls_per_s;
 	in.new_calls = wch->all_judge.service.new_calls;
 	count_ready(&before, ros, svc->head.name, move->from);
--- a/moves/src/task/task.h
+++ b/moves/src/task/task.h
@@ -25,7 +25,6 @@
 	/* As move holder: from DCSTAT items. */
 	struct bg_stat_sum *all;
 	struct bg_judge all_judge;
-	uint64_t old_calls;	  /**< of the last tick */
 	uint32_t calls_per_s;	  /**< of both versions, smoothed */
 	uint32_t busy_millislots; /**< of both versions, smoothed */
 	struct bg_watch *next;
--- a/moves/tests/test_plan.c
+++ b/moves/tests/test_plan.c
@@ -22,7 +22,7 @@
 	move.state = BG_MOVE_IN_PROGRESS;
 	snprintf(move.from, sizeof(move.from), "%s", "1.0");
 	snprintf(move.to, sizeof(move.to), "%s", "2.0");
-	move.share_permille = BG_PLAN_FIRST_SHARE_PERMILLE;
+	move.share_permille = BG_MOVE_FIRST_SHARE_PERMILLE;
 	move.started_ms = START_MS;
 	move.step_since_ms = START_MS;
 	move.deadline_ms = START_MS + PROMISED_MS;
@@ -30,7 +30,6 @@
 	input.now_ms = START_MS;
 	input.verdict = BG_VERDICT_GOOD;
 	input.new_calls = 500;
-	input.old_calls = 500;
 	input.calls_per_s = 500;
 	input.ready_old = 5;
 	input.ready_new = 5;
@@ -77,7 +76,7 @@
 	input.new_calls = 3;
 	run_plan(START_MS + PROMISED_MS - 1000);
 	ck_assert_int_eq(move.state, BG_MOVE_IN_PROGRESS);
-	ck_assert_uint_eq(move.share_permille, BG_PLAN_FIRST_SHARE_PERMILLE);
+	ck_assert_uint_eq(move.share_permille, BG_MOVE_FIRST_SHARE_PERMILLE);
 	ck_assert(move.is_late);
 	run_plan(START_MS + PROMISED_MS + 1000);
 	ck_assert_int_eq(move.state, BG_MOVE_ROLLED_BACK);
@@ -109,7 +108,6 @@
 	setup();
 	input.verdict = BG_VERDICT_NONE;
 	input.new_calls = 0;
-	input.old_calls = 0;
 	input.calls_per_s = 0;
 	run_plan(START_MS + PROMISED_MS);
 	ck_assert_int_eq(move.state, BG_MOVE_DONE);
@@ -166,10 +164,9 @@
 	setup();
 	input.verdict = BG_VERDICT_NONE;
 	input.new_calls = 0;
-	input.old_calls = 6;
 	input.calls_per_s = 6;
 	run_plan(START_MS + PROMISED_MS - 1000);
-	ck_assert_uint_eq(move.share_permille, BG_PLAN_FIRST_SHARE_PERMILLE);
+	ck_assert_uint_eq(move.share_permille, BG_MOVE_FIRST_SHARE_PERMILLE);
 	ck_assert(move.is_late);
 }
 END_TEST
@@ -181,7 +178,7 @@
 	setup();
 	input.is_doubtful = 1;
 	run_plan(START_MS + PROMISED_MS - 1000);
-	ck_assert_uint_eq(move.share_permille, BG_PLAN_FIRST_SHARE_PERMILLE);
+	ck_assert_uint_eq(move.share_permille, BG_MOVE_FIRST_SHARE_PERMILLE);
 }
 END_TEST
 
