Share the test set-up; small HTTP pages in one module

The main() of each test program stood in 26 places; testing/suite.h has it once, with a form that runs each test in a process of its own. testing/memory_store is a store in a test's memory. core/web serves what a node itself answers (heartbeats, readiness).

--- a/core/include/burdockgrade/toml.h
+++ b/core/include/burdockgrade/toml.h
@@ -112,6 +112,10 @@
 /** Line of a key, of the table if the key is absent. */
 uint32_t bg_toml_line(const struct bg_toml_table *tbl, const char *key);
 
+/** Keys that no getter asked for are no problem: the file belongs to someone
+ * else, who may add some. */
+void bg_toml_allow_unknown(struct bg_toml *doc);
+
 /**
  * Adds the unknown keys and closes the list of problems.
  *
--- a/core/src/toml.cpp
+++ b/core/src/toml.cpp
@@ -55,6 +55,7 @@
 	bool is_broken = false;
 	bool is_unread = false;
 	bool is_out_of_memory = false;
+	bool allows_unknown = false;
 };
 
 static const toml::table *
@@ -703,11 +704,18 @@
 	return text;
 }
 
+extern "C" void
+bg_toml_allow_unknown(struct bg_toml *doc)
+{
+	doc->allows_unknown = true;
+}
+
 extern "C" int
 bg_toml_finish(struct bg_toml *doc, struct bg_error *err)
 {
 	return guarded(doc, static_cast<int>(BG_ENOMEM), [&]() -> int {
-		add_unknown(doc, doc->root);
+		if (!doc->allows_unknown)
+			add_unknown(doc, doc->root);
 		std::stable_sort(doc->problems.begin(), doc->problems.end(),
 		    [](const bg_toml_problem &a, const bg_toml_problem &b) {
 			    return a.line != b.line ? a.line < b.line
--- /dev/null
+++ b/core/src/web.c
@@ -0,0 +1,151 @@
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/web.h"
+
+#define HEADERS_MAX_BYTES 16384
+#define IP_BYTES 16
+/* A caller that sends nothing for this long is disconnected. */
+#define IDLE_S 60
+#define STATUS_ERROR 500
+
+struct bg_web {
+	struct evhttp *http;
+	bg_web_fn fn;
+	void *arg;
+};
+
+static const char *
+method_name(struct evhttp_request *req)
+{
+	switch (evhttp_request_get_command(req)) {
+	case EVHTTP_REQ_GET:
+		return "GET";
+	case EVHTTP_REQ_POST:
+		return "POST";
+	case EVHTTP_REQ_PUT:
+		return "PUT";
+	case EVHTTP_REQ_DELETE:
+		return "DELETE";
+	case EVHTTP_REQ_HEAD:
+		return "HEAD";
+	default:
+		return "";
+	}
+}
+
+static void
+send_answer(struct evhttp_request *req, const struct bg_web_answer *ans)
+{
+	struct evbuffer *body = evbuffer_new();
+
+	if (body != NULL && ans->body != NULL)
+		evbuffer_add(body, ans->body, strlen(ans->body));
+	if (ans->content_type != NULL)
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+		    "Content-Type", ans->content_type);
+	evhttp_send_reply(req, ans->status, NULL, body);
+	if (body != NULL)
+		evbuffer_free(body);
+}
+
+static void
+on_request(struct evhttp_request *req, void *arg)
+{
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(req);
+	struct evbuffer *in = evhttp_request_get_input_buffer(req);
+	struct bg_web_answer ans = {STATUS_ERROR, NULL, NULL};
+	struct bg_web *web = arg;
+	struct bg_web_request r;
+
+	r.method = method_name(req);
+	r.path = evhttp_uri_get_path(uri);
+	r.query = evhttp_uri_get_query(uri);
+	if (r.query == NULL)
+		r.query = "";
+	r.body_bytes = evbuffer_get_length(in);
+	r.body = (const char *)evbuffer_pullup(in, -1);
+	web->fn(web->arg, &r, &ans);
+	send_answer(req, &ans);
+	free(ans.body);
+}
+
+static int
+listen_at(struct bg_web *web, const char *address)
+{
+	const char *colon = strrchr(address, ':');
+	char ip[IP_BYTES];
+	long port;
+
+	if (colon == NULL || (size_t)(colon - address) >= sizeof(ip))
+		return BG_EINVAL;
+	memcpy(ip, address, (size_t)(colon - address));
+	ip[colon - address] = '\0';
+	port = strtol(colon + 1, NULL, 10);
+	if (port <= 0 || port > UINT16_MAX)
+		return BG_EINVAL;
+	return evhttp_bind_socket(web->http, ip, (ev_uint16_t)port) == 0
+	    ? 0
+	    : BG_EIO;
+}
+
+int
+bg_web_init(struct bg_web **out, struct event_base *base, const char *address,
+    bg_web_fn fn, void *arg, struct bg_error *err)
+{
+	struct bg_web *web;
+	int error;
+
+	if ((web = calloc(1, sizeof(*web))) == NULL)
+		return BG_ENOMEM;
+	web->fn = fn;
+	web->arg = arg;
+	if ((web->http = evhttp_new(base)) == NULL) {
+		free(web);
+		return BG_ENOMEM;
+	}
+	evhttp_set_max_headers_size(web->http, HEADERS_MAX_BYTES);
+	evhttp_set_max_body_size(web->http, BG_WEB_BODY_BYTES);
+	evhttp_set_timeout(web->http, IDLE_S);
+	evhttp_set_gencb(web->http, on_request, web);
+	if ((error = listen_at(web, address)) != 0) {
+		bg_web_free(web);
+		return bg_error_set(
+		    err, error, "listen", address, "cannot listen");
+	}
+	*out = web;
+	return 0;
+}
+
+void
+bg_web_free(struct bg_web *web)
+{
+	if (web == NULL)
+		return;
+	evhttp_free(web->http);
+	free(web);
+}
+
+int
+bg_web_query_value(
+    char *out, size_t out_bytes, const char *query, const char *key)
+{
+	struct evkeyvalq pairs;
+	const char *value;
+	int error = BG_ENOTFOUND;
+
+	if (evhttp_parse_query_str(query, &pairs) != 0)
+		return BG_ENOTFOUND;
+	if ((value = evhttp_find_header(&pairs, key)) != NULL) {
+		error = strlen(value) < out_bytes ? 0 : BG_ELIMIT;
+		if (error == 0)
+			snprintf(out, out_bytes, "%s", value);
+	}
+	evhttp_clear_headers(&pairs);
+	return error;
+}
--- /dev/null
+++ b/testing/memory_store.c
@@ -0,0 +1,405 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "memory_store.h"
+
+/* Rounds of the loop that settle what a test started. */
+#define RUN_ROUNDS 50
+
+static void
+wake(struct memory_store *mem)
+{
+	event_active(mem->wakeup, EV_TIMEOUT, 0);
+}
+
+struct memory_object *
+memory_store_find(struct memory_store *mem, const char *kind, const char *name)
+{
+	struct memory_object *obj;
+	size_t i;
+
+	for (i = 0; i < mem->object_count; i++) {
+		obj = &mem->objects[i];
+		if (!obj->is_deleted && strcmp(obj->kind, kind) == 0 &&
+		    strcmp(obj->name, name) == 0)
+			return obj;
+	}
+	return NULL;
+}
+
+static struct memory_object *
+add_object(struct memory_store *mem, const char *kind, const char *name)
+{
+	struct memory_object *obj;
+
+	if (mem->object_count == MEMORY_STORE_OBJECTS)
+		abort();
+	obj = &mem->objects[mem->object_count++];
+	memset(obj, 0, sizeof(*obj));
+	snprintf(obj->kind, sizeof(obj->kind), "%s", kind);
+	snprintf(obj->name, sizeof(obj->name), "%s", name);
+	obj->created = mem->revision + 1;
+	return obj;
+}
+
+static void
+touch(struct memory_store *mem, struct memory_object *obj)
+{
+	obj->revision = ++mem->revision;
+	wake(mem);
+}
+
+void
+memory_store_set(
+    struct memory_store *mem, const char *kind, const char *name, json_t *spec)
+{
+	struct memory_object *obj = memory_store_find(mem, kind, name);
+
+	if (obj == NULL)
+		obj = add_object(mem, kind, name);
+	json_decref(obj->spec);
+	obj->spec = spec;
+	touch(mem, obj);
+}
+
+void
+memory_store_remove(
+    struct memory_store *mem, const char *kind, const char *name)
+{
+	struct memory_object *obj = memory_store_find(mem, kind, name);
+
+	obj->is_deleted = 1;
+	touch(mem, obj);
+}
+
+void
+memory_store_forget(struct memory_store *mem)
+{
+	mem->history_from = ++mem->revision;
+	wake(mem);
+}
+
+void
+memory_store_resume(struct memory_store *mem)
+{
+	mem->is_silent = 0;
+	mem->is_write_silent = 0;
+	wake(mem);
+}
+
+static struct bg_store_object
+describe(const struct memory_object *obj)
+{
+	struct bg_store_object out = {0};
+
+	out.kind = obj->kind;
+	out.name = obj->name;
+	out.revision = obj->revision;
+	out.created = obj->created;
+	out.spec = obj->spec;
+	out.status = obj->status;
+	out.is_deleted = obj->is_deleted;
+	return out;
+}
+
+static void
+finish(struct memory_call *call, struct bg_store_answer *answer)
+{
+	bg_store_fn fn = call->fn;
+	void *arg = call->arg;
+
+	call->is_used = 0;
+	fn(arg, answer);
+}
+
+static void
+finish_code(struct memory_call *call, int code, int is_unknown)
+{
+	struct bg_store_answer answer = {0};
+
+	answer.code = code;
+	answer.is_outcome_unknown = is_unknown;
+	finish(call, &answer);
+}
+
+static void
+finish_object(struct memory_store *mem, struct memory_call *call,
+    const struct memory_object *obj, int code)
+{
+	struct bg_store_answer answer = {0};
+	struct bg_store_object out = describe(obj);
+
+	answer.code = code;
+	answer.revision = mem->revision;
+	answer.objects = &out;
+	answer.object_count = 1;
+	finish(call, &answer);
+}
+
+static int
+compare_names(const void *a, const void *b)
+{
+	const struct bg_store_object *x = a;
+	const struct bg_store_object *y = b;
+
+	return strcmp(x->name, y->name);
+}
+
+static void
+answer_list(struct memory_store *mem, struct memory_call *call)
+{
+	struct bg_store_object out[MEMORY_STORE_OBJECTS] = {{0}};
+	struct bg_store_answer answer = {0};
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < mem->object_count; i++) {
+		if (mem->objects[i].is_deleted ||
+		    strcmp(mem->objects[i].kind, call->kind) != 0 ||
+		    strcmp(mem->objects[i].name, call->after) <= 0)
+			continue;
+		out[count++] = describe(&mem->objects[i]);
+	}
+	qsort(out, count, sizeof(out[0]), compare_names);
+	answer.has_more = count > mem->page;
+	answer.revision = mem->revision;
+	answer.objects = out;
+	answer.object_count = answer.has_more ? mem->page : count;
+	finish(call, &answer);
+}
+
+/* @return 1 if the watch was answered */
+static int
+answer_watch(struct memory_store *mem, struct memory_call *call)
+{
+	struct bg_store_object out[MEMORY_STORE_OBJECTS] = {{0}};
+	struct bg_store_answer answer = {0};
+	size_t i;
+
+	if (call->query.since < mem->history_from) {
+		finish_code(call, BG_ESTALE, 0);
+		return 1;
+	}
+	for (i = 0; i < mem->object_count; i++) {
+		if (strcmp(mem->objects[i].kind, call->kind) == 0 &&
+		    mem->objects[i].revision > call->query.since)
+			out[answer.object_count++] = describe(&mem->objects[i]);
+	}
+	if (answer.object_count == 0) {
+		call->is_watching = 1;
+		return 0;
+	}
+	answer.revision = mem->revision;
+	answer.objects = out;
+	finish(call, &answer);
+	return 1;
+}
+
+static int
+answer_read(struct memory_store *mem, struct memory_call *call)
+{
+	struct memory_object *obj;
+
+	if (call->query.wait_ms != 0)
+		return answer_watch(mem, call);
+	if (call->name[0] == '\0') {
+		answer_list(mem, call);
+		return 1;
+	}
+	obj = memory_store_find(mem, call->kind, call->name);
+	if (obj == NULL)
+		finish_code(call, BG_ENOTFOUND, 0);
+	else
+		finish_object(mem, call, obj, 0);
+	return 1;
+}
+
+static void
+apply(struct memory_store *mem, struct memory_object *obj,
+    const struct bg_store_change *change)
+{
+	json_t **field =
+	    change->action == BG_STORE_SET_STATUS ? &obj->status : &obj->spec;
+
+	if (change->action == BG_STORE_REMOVE) {
+		obj->is_deleted = 1;
+	} else {
+		if (json_equal(*field, change->value))
+			return;
+		json_decref(*field);
+		*field = json_incref(change->value);
+	}
+	touch(mem, obj);
+}
+
+static void
+answer_write(struct memory_store *mem, struct memory_call *call)
+{
+	struct memory_object *obj =
+	    memory_store_find(mem, call->kind, call->name);
+	int is_new = call->change.action == BG_STORE_CREATE;
+
+	if (!is_new && obj == NULL) {
+		finish_code(call, BG_ENOTFOUND, 0);
+		return;
+	}
+	if (obj != NULL &&
+	    (is_new || obj->revision != call->change.expected_revision)) {
+		finish_object(mem, call, obj, BG_ECONFLICT);
+		return;
+	}
+	if (obj == NULL)
+		obj = add_object(mem, call->kind, call->name);
+	apply(mem, obj, &call->change);
+	if (mem->lose_writes > 0) {
+		mem->lose_writes--;
+		finish_code(call, BG_EIO, 1);
+		return;
+	}
+	finish_object(mem, call, obj, 0);
+}
+
+/* @return 1 if the call was answered */
+static int
+answer_call(struct memory_store *mem, struct memory_call *call)
+{
+	json_t *value = call->change.value;
+
+	if (mem->is_silent || (call->is_write && mem->is_write_silent))
+		return 0;
+	if (mem->fail_code != 0) {
+		if (call->is_write)
+			json_decref(value);
+		finish_code(call, mem->fail_code, 0);
+		return 1;
+	}
+	if (!call->is_write)
+		return answer_read(mem, call);
+	answer_write(mem, call);
+	json_decref(value);
+	return 1;
+}
+
+static void
+on_wakeup(evutil_socket_t fd, short what, void *arg)
+{
+	struct memory_store *mem = arg;
+	size_t i;
+
+	for (i = 0; i < MEMORY_STORE_CALLS; i++) {
+		if (mem->calls[i].is_used &&
+		    answer_call(mem, &mem->calls[i]) == 1)
+			wake(mem);
+	}
+}
+
+static struct memory_call *
+add_call(struct memory_store *mem, const char *kind, const char *name,
+    bg_store_fn fn, void *arg)
+{
+	struct memory_call *call;
+	size_t i;
+
+	for (i = 0; i < MEMORY_STORE_CALLS; i++) {
+		call = &mem->calls[i];
+		if (call->is_used)
+			continue;
+		memset(call, 0, sizeof(*call));
+		call->is_used = 1;
+		call->fn = fn;
+		call->arg = arg;
+		snprintf(call->kind, sizeof(call->kind), "%s", kind);
+		snprintf(call->name, sizeof(call->name), "%s",
+		    name == NULL ? "" : name);
+		wake(mem);
+		return call;
+	}
+	return NULL;
+}
+
+static int
+memory_read(struct bg_store *store, const struct bg_store_query *query,
+    bg_store_fn fn, void *arg)
+{
+	struct memory_store *mem = (struct memory_store *)store;
+	struct memory_call *call =
+	    add_call(mem, query->kind, query->name, fn, arg);
+
+	if (call == NULL)
+		return BG_ELIMIT;
+	call->query = *query;
+	if (query->after != NULL)
+		snprintf(call->after, sizeof(call->after), "%s", query->after);
+	if (query->may_be_stale)
+		mem->stale_reads++;
+	else
+		mem->reads++;
+	return 0;
+}
+
+static int
+memory_write(struct bg_store *store, const struct bg_store_change *change,
+    bg_store_fn fn, void *arg)
+{
+	struct memory_store *mem = (struct memory_store *)store;
+	struct memory_call *call =
+	    add_call(mem, change->kind, change->name, fn, arg);
+
+	if (call == NULL)
+		return BG_ELIMIT;
+	call->is_write = 1;
+	call->change = *change;
+	/* The caller may change its value before the write takes effect. */
+	call->change.value = json_deep_copy(change->value);
+	mem->writes++;
+	return 0;
+}
+
+static void
+memory_free(struct bg_store *store)
+{
+}
+
+void
+memory_store_init(struct memory_store *out, struct event_base *base)
+{
+	memset(out, 0, sizeof(*out));
+	out->store.read = memory_read;
+	out->store.write = memory_write;
+	out->store.free = memory_free;
+	out->store.peer = "memory";
+	out->base = base;
+	out->page = MEMORY_STORE_OBJECTS;
+	out->wakeup = event_new(base, -1, 0, on_wakeup, out);
+	if (out->wakeup == NULL)
+		abort();
+}
+
+void
+memory_store_clear(struct memory_store *mem)
+{
+	size_t i;
+
+	for (i = 0; i < MEMORY_STORE_CALLS; i++) {
+		if (!mem->calls[i].is_used)
+			continue;
+		if (mem->calls[i].is_write)
+			json_decref(mem->calls[i].change.value);
+		finish_code(&mem->calls[i], BG_ECANCELED, 0);
+	}
+	for (i = 0; i < mem->object_count; i++) {
+		json_decref(mem->objects[i].spec);
+		json_decref(mem->objects[i].status);
+	}
+	event_free(mem->wakeup);
+}
+
+void
+memory_store_run(struct memory_store *mem)
+{
+	int i;
+
+	for (i = 0; i < RUN_ROUNDS; i++)
+		event_base_loop(mem->base, EVLOOP_NONBLOCK);
+}
