--- a/platform/include/burdockgrade/change.h
+++ b/store/include/burdockgrade/change.h
@@ -7,14 +7,16 @@
  * and settles a lost answer by reading back.
  */
 
-#include "burdockgrade/platform.h"
 #include "burdockgrade/snapshot.h"
+#include "burdockgrade/store.h"
 
-/** Keys of the objects of section 3 of docs/design.md. */
-#define BG_KEY_HEAD "config/head"
-#define BG_KEY_HISTORY "config/history"
-/** Followed by NAME/REV. */
-#define BG_KEY_SERVICE "config/service/"
+/** Objects of section 3 of docs/design.md: the document in force and the
+ * history of changes. */
+#define BG_KIND_CONFIG "burdock-config"
+#define BG_NAME_DOCUMENT "main"
+#define BG_NAME_HISTORY "history"
+/** Contracts, one object a revision, named SERVICE.REV. */
+#define BG_KIND_CONTRACTS "burdock-contracts"
 
 /** Revisions kept for each service, so that a withdraw finds its content. */
 #define BG_REVISIONS_KEPT 5
@@ -56,10 +58,18 @@
 
 /** Decodes {"changes":[{"version","time_ms","service","action","operator",
  * "rev","to"}]}. @return 0, BG_EPROTO or BG_ENOMEM */
-int bg_history_decode(
-    struct bg_history *out, const char *json, size_t json_bytes);
+int bg_history_decode(struct bg_history *out, const json_t *json);
 void bg_history_free(struct bg_history *hist);
 
+/** Reads the document in force and its contracts. @param out_revision of the
+ * object, 0 if there is none yet
+ * @return 0 (an empty head without an object), or a code with the reason */
+int bg_read_document(json_t **out, uint64_t *out_revision,
+    const struct bg_store_place *place, struct bg_error *err);
+/** Reads the history. @return 0 or a code with the reason in err */
+int bg_read_history(struct bg_history *out, const struct bg_store_place *place,
+    struct bg_error *err);
+
 /** Blocking operations of the operators' command. Each reads the head, decides,
  * writes the service object, updates the head and the history.
  *
@@ -70,29 +80,28 @@
  *     BG_EUNAVAILABLE; BG_ETIMEOUT if it stays open whether the update took
  *     effect
  */
-int bg_operate_accept(uint64_t *out_version,
-    const struct bg_platform_options *opts, const struct bg_contract *contracts,
-    size_t contract_count, uint64_t expected_version, const char *operator_name,
-    struct bg_error *err);
+int bg_operate_accept(uint64_t *out_version, const struct bg_store_place *place,
+    const struct bg_contract *contracts, size_t contract_count,
+    uint64_t expected_version, const char *operator_name, struct bg_error *err);
 int bg_operate_withdraw(uint64_t *out_version,
-    const struct bg_platform_options *opts, const char *service,
+    const struct bg_store_place *place, const char *service,
     uint64_t expected_version, const char *operator_name, struct bg_error *err);
-int bg_operate_move(uint64_t *out_version,
-    const struct bg_platform_options *opts, const char *service, const char *to,
-    uint32_t take_over_ms, const char *operator_name, struct bg_error *err);
+int bg_operate_move(uint64_t *out_version, const struct bg_store_place *place,
+    const char *service, const char *to, uint32_t take_over_ms,
+    const char *operator_name, struct bg_error *err);
 
-/** Asynchronous form for the move holder: reads the head, applies the decision
- * and writes it if the head is unchanged.
+/** Asynchronous form for a node that writes a move: reads the document, applies
+ * the decision to its head and writes it if the document is unchanged.
  *
  * @return 0 to write the head if its version rose, else the code for done */
 typedef int (*bg_change_fn)(
     void *arg, struct bg_head *head, struct bg_error *err);
-/** Receives the result once, unless the client is freed before. BG_ECONFLICT: a
- * newer head is in force, decide again.
+/** Receives the result exactly once, or not at all if the client is freed
+ * before. BG_ECONFLICT: a newer head is in force, decide again.
  *
  * @param version head version that holds the change; 0 if code is not 0 */
 typedef void (*bg_change_done_fn)(void *arg, int code, uint64_t version);
-int bg_change_start(struct bg_platform *plt, const char *writer,
+int bg_change_start(struct bg_store *store, const char *writer,
     bg_change_fn decide, bg_change_done_fn done, void *arg);
 
 #endif
--- a/platform/src/change/history.c
+++ b/store/src/change/history.c
@@ -45,10 +45,9 @@
 }
 
 int
-bg_history_decode(struct bg_history *out, const char *json, size_t json_bytes)
+bg_history_decode(struct bg_history *out, const json_t *json)
 {
-	json_t *root = json_loadb(json, json_bytes, 0, NULL);
-	const json_t *changes = json_object_get(root, "changes");
+	const json_t *changes = json_object_get(json, "changes");
 	struct bg_history_entry entry;
 	size_t i;
 	int error = json_is_array(changes) ? 0 : BG_EPROTO;
@@ -61,7 +60,6 @@
 	}
 	if (error != 0)
 		bg_history_free(out);
-	json_decref(root);
 	return error;
 }
 
@@ -72,12 +70,11 @@
 	memset(hist, 0, sizeof(*hist));
 }
 
-int
-bg_history_encode(char **out, const struct bg_history *hist)
+json_t *
+bg_history_encode(const struct bg_history *hist)
 {
 	const struct bg_history_entry *e;
 	json_t *changes = json_array();
-	json_t *root;
 	size_t i;
 
 	for (i = 0; i < hist->entry_count; i++) {
@@ -89,10 +86,7 @@
 			e->action, "operator", e->operator_name, "rev",
 			(json_int_t)e->rev, "to", e->to));
 	}
-	root = json_pack("{s:o}", "changes", changes);
-	*out = root == NULL ? NULL : json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	return *out == NULL ? BG_ENOMEM : 0;
+	return json_pack("{s:o}", "changes", changes);
 }
 
 int
--- a/platform/src/change/history.h
+++ b/store/src/change/history.h
@@ -1,5 +1,5 @@
-#ifndef BG_PLATFORM_HISTORY_H
-#define BG_PLATFORM_HISTORY_H
+#ifndef BG_STORE_HISTORY_H
+#define BG_STORE_HISTORY_H
 
 /** @file
  * The history of changes. Pure.
@@ -10,7 +10,8 @@
 /** Entries kept (section 3 of docs/design.md). */
 #define BG_HISTORY_MAX 200
 
-int bg_history_encode(char **out, const struct bg_history *hist);
+/** @return a new reference, or NULL if out of memory */
+json_t *bg_history_encode(const struct bg_history *hist);
 /** Inserts by version and drops the oldest above the maximum. */
 int bg_history_add(
     struct bg_history *hist, const struct bg_history_entry *entry);
--- a/platform/src/change/operate.c
+++ b/store/src/change/operate.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "burdockgrade/clock.h"
+#include "burdockgrade/document.h"
 #include "burdockgrade/log.h"
 
 #include "operation.h"
@@ -18,8 +19,8 @@
 #define SETTLE_MS 10000
 
 int
-bg_operation_get(struct bg_platform_answer *out, struct bg_operation *op,
-    const char *key, struct bg_error *err)
+bg_operation_get(struct bg_session_answer *out, struct bg_operation *op,
+    const char *kind, const char *name, struct bg_error *err)
 {
 	struct bg_backoff backoff = BG_BACKOFF_INIT;
 	struct bg_rand rnd;
@@ -28,32 +29,36 @@
 
 	bg_rand_init(&rnd, 0);
 	for (i = 0;; i++) {
-		error = bg_session_get(out, &op->session, key, err);
+		error = bg_session_get(out, &op->session, kind, name, err);
 		if ((error != BG_ELIMIT && error != BG_EIO) ||
 		    i + 1 == TRIES_MAX)
 			return error;
-		bg_platform_answer_free(out);
+		bg_session_answer_free(out);
 		bg_session_sleep(
 		    &op->session, bg_backoff_next_ms(&backoff, &rnd));
 	}
 }
 
+/* Reads the document in force. @param out_document its owner is the caller */
 static int
-read_head(struct bg_head *out, uint64_t *out_object_version,
+read_head(struct bg_head *out, json_t **out_document, uint64_t *out_revision,
     struct bg_operation *op, struct bg_error *err)
 {
-	struct bg_platform_answer answer;
+	struct bg_session_answer answer;
 	int error;
 
 	bg_head_init(out);
-	*out_object_version = 0;
-	error = bg_operation_get(&answer, op, BG_KEY_HEAD, err);
+	*out_document = NULL;
+	*out_revision = 0;
+	error = bg_operation_get(
+	    &answer, op, BG_KIND_CONFIG, BG_NAME_DOCUMENT, err);
 	if (error == 0) {
-		*out_object_version = answer.object_version;
-		error =
-		    bg_head_decode(out, answer.body, answer.body_bytes, err);
+		*out_revision = answer.revision;
+		error = bg_document_head(out, answer.spec, err);
 	}
-	bg_platform_answer_free(&answer);
+	if (error == 0)
+		*out_document = json_incref(answer.spec);
+	bg_session_answer_free(&answer);
 	return error == BG_ENOTFOUND ? 0 : error;
 }
 
@@ -145,32 +150,47 @@
 	return bg_revision_load(out, op, svc->name, svc->rev, err);
 }
 
-/* Builds the snapshot that every node will build. What a node would refuse is
- * not published. */
+/* The contracts of all services as the update leaves them. */
 static int
-validate_whole(struct bg_operation *op, struct bg_error *err)
+load_contracts(
+    struct bg_contract **out, struct bg_operation *op, struct bg_error *err)
 {
-	struct bg_snapshot *snap;
-	struct bg_service *services;
 	size_t i;
 	int error = 0;
 
-	services = calloc(op->next.service_count + 1, sizeof(*services));
-	if (services == NULL)
+	*out = calloc(op->next.service_count + 1, sizeof(**out));
+	if (*out == NULL)
 		return bg_error_set(
 		    err, BG_ENOMEM, "validate", NULL, "out of memory");
-	for (i = 0; i < op->next.service_count && error == 0; i++) {
-		services[i].head = op->next.services[i];
-		error = load_contract(
-		    &services[i].contract, op, &services[i].head, err);
+	for (i = 0; i < op->next.service_count && error == 0; i++)
+		error =
+		    load_contract(&(*out)[i], op, &op->next.services[i], err);
+	return error;
+}
+
+/* Builds the document that every node will read. What a node would refuse is
+ * not published. */
+static int
+build_document(json_t **out, struct bg_operation *op, struct bg_error *err)
+{
+	struct bg_contract *contracts;
+	struct bg_snapshot *snap;
+	int error;
+
+	*out = NULL;
+	if (op->to != NULL && op->document != NULL) {
+		/* A move changes the head only. */
+		*out = bg_document_with_head(op->document, &op->next);
+		return *out == NULL ? BG_ENOMEM : 0;
 	}
-	if (error == 0)
-		error = bg_snapshot_build(&snap, op->next.version,
-		    bg_head_digest(&op->next), services, op->next.service_count,
-		    err);
-	if (error == 0)
+	error = load_contracts(&contracts, op, err);
+	if (error == 0 &&
+	    (*out = bg_document_build(&op->next, contracts)) == NULL)
+		error = bg_error_set(err, BG_EINVAL, "write", NULL,
+		    "the configuration does not encode");
+	free(contracts);
+	if (error == 0 && (error = bg_document_snapshot(&snap, *out, err)) == 0)
 		bg_snapshot_release(snap);
-	free(services);
 	return error;
 }
 
@@ -202,13 +222,16 @@
 settle(enum bg_update_state *out, struct bg_operation *op, struct bg_error *err)
 {
 	struct bg_head head;
-	uint64_t object_version;
+	json_t *document;
+	uint64_t revision;
 	int error;
 
-	if ((error = read_head(&head, &object_version, op, err)) != 0)
+	error = read_head(&head, &document, &revision, op, err);
+	json_decref(document);
+	if (error != 0)
 		return error;
-	*out = bg_update_state(&head, object_version, op->base_object_version,
-	    op->operator_name, op->nonce);
+	*out = bg_update_state(
+	    &head, revision, op->base_revision, op->operator_name, op->nonce);
 	if (*out == BG_UPDATE_REPLACED && bg_operation_has_effect(op, &head))
 		*out = BG_UPDATE_DONE;
 	bg_head_free(&head);
@@ -219,10 +242,10 @@
  * condition, so that at most one of the writes takes effect. */
 static int
 write_until_settled(
-    struct bg_operation *op, const char *json, struct bg_error *err)
+    struct bg_operation *op, json_t *document, struct bg_error *err)
 {
 	struct bg_backoff backoff = BG_BACKOFF_INIT;
-	struct bg_platform_answer answer;
+	struct bg_session_answer answer;
 	uint64_t end_ms = bg_clock_now_ms() + SETTLE_MS;
 	enum bg_update_state state;
 	struct bg_rand rnd;
@@ -232,10 +255,10 @@
 
 	bg_rand_init(&rnd, 0);
 	for (;;) {
-		error = bg_session_put(&answer, &op->session, BG_KEY_HEAD,
-		    op->base_object_version, json, strlen(json), err);
+		error = bg_session_put(&answer, &op->session, BG_KIND_CONFIG,
+		    BG_NAME_DOCUMENT, op->base_revision, document, err);
 		is_open |= answer.is_outcome_unknown;
-		bg_platform_answer_free(&answer);
+		bg_session_answer_free(&answer);
 		if (error == BG_ELIMIT && ++tries < TRIES_MAX) {
 			bg_session_sleep(
 			    &op->session, bg_backoff_next_ms(&backoff, &rnd));
@@ -262,17 +285,17 @@
 }
 
 static int
-write_head(struct bg_operation *op, struct bg_error *err)
+write_document(struct bg_operation *op, struct bg_error *err)
 {
-	char *json;
+	json_t *document;
 	int error;
 
-	if ((error = bg_head_encode(&json, &op->next)) != 0)
-		return bg_error_set(
-		    err, error, "write", NULL, "the head does not encode");
-	error = write_until_settled(op, json, err);
-	free(json);
-	if (error == BG_ECONFLICT)
+	if ((error = build_document(&document, op, err)) == 0) {
+		error = write_until_settled(op, document, err);
+		op->is_raced = error == BG_ECONFLICT;
+	}
+	json_decref(document);
+	if (op->is_raced)
 		bg_error_set(err, error, "write", op->session.peer,
 		    "another operator changed the configuration");
 	return error;
@@ -281,6 +304,8 @@
 static void
 forget_round(struct bg_operation *op)
 {
+	json_decref(op->document);
+	op->document = NULL;
 	bg_head_free(&op->base);
 	bg_head_free(&op->next);
 	bg_history_free(&op->history);
@@ -331,7 +356,8 @@
 
 	forget_round(op);
 	op->is_raced = 0;
-	error = read_head(&op->base, &op->base_object_version, op, err);
+	error =
+	    read_head(&op->base, &op->document, &op->base_revision, op, err);
 	if (error != 0)
 		return error;
 	if ((op->is_unchanged = is_in_force(op)))
@@ -343,11 +369,7 @@
 		return error;
 	bg_update_seal(
 	    &op->next, op->base.version, op->operator_name, op->nonce);
-	if (op->to == NULL && (error = validate_whole(op, err)) != 0)
-		return error;
-	error = write_head(op, err);
-	op->is_raced = error == BG_ECONFLICT;
-	return error;
+	return write_document(op, err);
 }
 
 static void
@@ -384,7 +406,7 @@
 
 static int
 run(uint64_t *out_version, struct bg_operation *op,
-    const struct bg_platform_options *opts, const char *operator_name,
+    const struct bg_store_place *place, const char *operator_name,
     struct bg_error *err)
 {
 	int error;
@@ -396,7 +418,7 @@
 	    op->operator_name, sizeof(op->operator_name), "%s", operator_name);
 	bg_update_nonce(op->nonce);
 	op->now_wall_ms = bg_clock_wall_ms();
-	if ((error = bg_session_init(&op->session, opts, err)) != 0)
+	if ((error = bg_session_init(&op->session, place, err)) != 0)
 		return error;
 	error = run_rounds(out_version, op, err);
 	forget_round(op);
@@ -426,7 +448,7 @@
 }
 
 int
-bg_operate_accept(uint64_t *out_version, const struct bg_platform_options *opts,
+bg_operate_accept(uint64_t *out_version, const struct bg_store_place *place,
     const struct bg_contract *contracts, size_t contract_count,
     uint64_t expected_version, const char *operator_name, struct bg_error *err)
 {
@@ -440,15 +462,15 @@
 	op->contracts = contracts;
 	op->contract_count = contract_count;
 	op->expected_version = expected_version;
-	error = run(out_version, op, opts, operator_name, err);
+	error = run(out_version, op, place, operator_name, err);
 	free(op);
 	return error;
 }
 
 int
-bg_operate_withdraw(uint64_t *out_version,
-    const struct bg_platform_options *opts, const char *service,
-    uint64_t expected_version, const char *operator_name, struct bg_error *err)
+bg_operate_withdraw(uint64_t *out_version, const struct bg_store_place *place,
+    const char *service, uint64_t expected_version, const char *operator_name,
+    struct bg_error *err)
 {
 	struct bg_operation *op = calloc(1, sizeof(*op));
 	int error;
@@ -457,13 +479,13 @@
 		return BG_ENOMEM;
 	op->service = service;
 	op->expected_version = expected_version;
-	error = run(out_version, op, opts, operator_name, err);
+	error = run(out_version, op, place, operator_name, err);
 	free(op);
 	return error;
 }
 
 int
-bg_operate_move(uint64_t *out_version, const struct bg_platform_options *opts,
+bg_operate_move(uint64_t *out_version, const struct bg_store_place *place,
     const char *service, const char *to, uint32_t take_over_ms,
     const char *operator_name, struct bg_error *err)
 {
@@ -475,7 +497,7 @@
 	op->service = service;
 	op->to = to;
 	op->take_over_ms = take_over_ms;
-	error = run(out_version, op, opts, operator_name, err);
+	error = run(out_version, op, place, operator_name, err);
 	free(op);
 	return error;
 }
--- a/platform/src/change/operation.h
+++ b/store/src/change/operation.h
@@ -1,11 +1,11 @@
-#ifndef BG_PLATFORM_OPERATION_H
-#define BG_PLATFORM_OPERATION_H
+#ifndef BG_STORE_OPERATION_H
+#define BG_STORE_OPERATION_H
 
 /** @file
  * One operation of an operator: what it is and how far it came.
  */
 
-#include "../client/session.h"
+#include "../session/session.h"
 #include "history.h"
 
 /** Contracts of one accept. */
@@ -24,10 +24,11 @@
 
 	struct bg_session session;
 	struct bg_head base; /**< as read */
-	uint64_t base_object_version;
+	json_t *document;    /**< that holds it, or NULL */
+	uint64_t base_revision;
 	struct bg_head next; /**< to be written */
 	struct bg_history history;
-	uint64_t history_object_version;
+	uint64_t history_revision;
 	struct bg_contract earlier; /**< withdraw: what comes back */
 	uint64_t now_wall_ms;
 	uint64_t first_fingerprint;   /**< of the services in the first round */
@@ -41,13 +42,13 @@
 int bg_operation_has_effect(
     const struct bg_operation *op, const struct bg_head *head);
 /** Reads an object; repeated after a limit or a lost connection. */
-int bg_operation_get(struct bg_platform_answer *out, struct bg_operation *op,
-    const char *key, struct bg_error *err);
+int bg_operation_get(struct bg_session_answer *out, struct bg_operation *op,
+    const char *kind, const char *name, struct bg_error *err);
 
-/** Revisions of a service at the platform, by rising number. */
+/** Revisions of a service in the store, by rising number. */
 struct bg_revision {
 	uint64_t rev;
-	uint64_t object_version;
+	uint64_t object_revision;
 };
 
 int bg_revisions_list(struct bg_revision **out, size_t *out_count,
--- a/platform/src/change/record_history.c
+++ b/store/src/change/record_history.c
@@ -12,39 +12,39 @@
 static int
 read_history(struct bg_operation *op, struct bg_error *err)
 {
-	struct bg_platform_answer answer;
+	struct bg_session_answer answer;
 	int error;
 
 	bg_history_free(&op->history);
-	op->history_object_version = 0;
-	error = bg_operation_get(&answer, op, BG_KEY_HISTORY, err);
+	op->history_revision = 0;
+	error =
+	    bg_operation_get(&answer, op, BG_KIND_CONFIG, BG_NAME_HISTORY, err);
 	if (error == 0) {
-		op->history_object_version = answer.object_version;
+		op->history_revision = answer.revision;
 		/* A history that does not decode must not stop changes. */
-		if (bg_history_decode(
-			&op->history, answer.body, answer.body_bytes) != 0)
-			bg_log_warn("change", "history replaced bytes=%zu",
-			    answer.body_bytes);
+		if (bg_history_decode(&op->history, answer.spec) != 0)
+			bg_log_warn("change", "history replaced revision=%llu",
+			    (unsigned long long)answer.revision);
 	}
-	bg_platform_answer_free(&answer);
+	bg_session_answer_free(&answer);
 	return error == BG_ENOTFOUND ? 0 : error;
 }
 
 static int
 write_history(struct bg_operation *op)
 {
-	struct bg_platform_answer answer;
-	char *json;
+	struct bg_session_answer answer;
+	json_t *spec = bg_history_encode(&op->history);
 	int error;
 
-	if ((error = bg_history_encode(&json, &op->history)) != 0)
-		return error;
-	error = bg_session_put(&answer, &op->session, BG_KEY_HISTORY,
-	    op->history_object_version, json, strlen(json), NULL);
+	if (spec == NULL)
+		return BG_ENOMEM;
+	error = bg_session_put(&answer, &op->session, BG_KIND_CONFIG,
+	    BG_NAME_HISTORY, op->history_revision, spec, NULL);
 	if (error == 0)
-		op->history_object_version = answer.object_version;
-	bg_platform_answer_free(&answer);
-	free(json);
+		op->history_revision = answer.revision;
+	bg_session_answer_free(&answer);
+	json_decref(spec);
 	return error;
 }
 
--- a/platform/src/change/revisions.c
+++ b/store/src/change/revisions.c
@@ -9,12 +9,11 @@
 
 /* Numbers tried when racing operators store revisions of one service. */
 #define STORE_TRIES 8
-#define KEY_BYTES 192
 
 static void
-service_key(char out[KEY_BYTES], const char *service, uint64_t rev)
+revision_name(char out[BG_STORE_NAME_BYTES], const char *service, uint64_t rev)
 {
-	snprintf(out, KEY_BYTES, BG_KEY_SERVICE "%s/%" PRIu64, service, rev);
+	snprintf(out, BG_STORE_NAME_BYTES, "%s.%" PRIu64, service, rev);
 }
 
 static int
@@ -26,94 +25,104 @@
 	return (x->rev > y->rev) - (x->rev < y->rev);
 }
 
-/* Keeps the entries whose key is the prefix and a number. */
-static size_t
-pick_revisions(struct bg_revision *out,
-    const struct bg_platform_entries *entries, size_t prefix_bytes)
+/* Collects the revisions of one service from a list. */
+struct collector {
+	const char *service;
+	struct bg_revision *revs;
+	size_t count;
+	int error;
+};
+
+static void
+collect_revision(void *arg, const struct bg_store_object *obj)
 {
+	struct collector *col = arg;
+	size_t bytes = strlen(col->service);
+	struct bg_revision *grown;
 	const char *text;
 	char *end;
-	size_t count = 0;
-	size_t i;
+	uint64_t rev;
 
-	for (i = 0; i < entries->entry_count; i++) {
-		text = entries->entries[i].key + prefix_bytes;
-		if (text[0] < '1' || text[0] > '9')
-			continue;
-		out[count].rev = strtoull(text, &end, 10);
-		out[count].object_version = entries->entries[i].version;
-		if (*end == '\0')
-			count++;
+	if (strncmp(obj->name, col->service, bytes) != 0 ||
+	    obj->name[bytes] != '.')
+		return;
+	text = obj->name + bytes + 1;
+	if (text[0] < '1' || text[0] > '9')
+		return;
+	rev = strtoull(text, &end, 10);
+	if (*end != '\0')
+		return;
+	grown = realloc(col->revs, (col->count + 1) * sizeof(*grown));
+	if (grown == NULL) {
+		col->error = BG_ENOMEM;
+		return;
 	}
-	qsort(out, count, sizeof(*out), by_rev);
-	return count;
+	col->revs = grown;
+	grown[col->count].rev = rev;
+	grown[col->count].object_revision = obj->revision;
+	col->count++;
 }
 
 int
 bg_revisions_list(struct bg_revision **out, size_t *out_count,
     struct bg_operation *op, const char *service, struct bg_error *err)
 {
-	struct bg_platform_answer answer;
-	struct bg_platform_entries entries = {0};
-	char prefix[KEY_BYTES];
+	struct collector col = {service, NULL, 0, 0};
 	int error;
 
 	*out = NULL;
 	*out_count = 0;
-	snprintf(prefix, sizeof(prefix), BG_KEY_SERVICE "%s/", service);
-	error = bg_session_list(&answer, &op->session, prefix, err);
-	if (error == 0 &&
-	    (error = bg_platform_entries_decode(
-		 &entries, answer.body, answer.body_bytes)) != 0)
-		bg_error_set(err, error, "list", op->session.peer,
-		    "%s: the answer is no list", prefix);
-	bg_platform_answer_free(&answer);
-	if (error != 0)
+	error = bg_session_each(
+	    &op->session, BG_KIND_CONTRACTS, collect_revision, &col, err);
+	if (error == 0)
+		error = col.error;
+	if (error != 0) {
+		free(col.revs);
 		return error;
-	*out = calloc(entries.entry_count + 1, sizeof(**out));
-	if (*out == NULL)
-		error = BG_ENOMEM;
-	else
-		*out_count = pick_revisions(*out, &entries, strlen(prefix));
-	bg_platform_entries_free(&entries);
-	return error;
+	}
+	if (col.count > 0)
+		qsort(col.revs, col.count, sizeof(*col.revs), by_rev);
+	*out = col.revs;
+	*out_count = col.count;
+	return 0;
 }
 
 static int
-is_stored(struct bg_operation *op, const char *key, const char *json)
+is_stored(struct bg_operation *op, const char *name, json_t *spec)
 {
-	struct bg_platform_answer answer;
+	struct bg_session_answer answer;
 	int same;
 
-	same = bg_operation_get(&answer, op, key, NULL) == 0 &&
-	    strcmp(answer.body, json) == 0;
-	bg_platform_answer_free(&answer);
+	same =
+	    bg_operation_get(&answer, op, BG_KIND_CONTRACTS, name, NULL) == 0 &&
+	    json_equal(answer.spec, spec);
+	bg_session_answer_free(&answer);
 	return same;
 }
 
 /* A revision is immutable, so an object with this content is as good as one's
  * own, whether an answer was lost or another operator stored the same. */
 static int
-store_json(uint64_t *rev, struct bg_operation *op, const char *service,
-    const char *json, struct bg_error *err)
+store_spec(uint64_t *rev, struct bg_operation *op, const char *service,
+    json_t *spec, struct bg_error *err)
 {
-	struct bg_platform_answer answer;
-	char key[KEY_BYTES];
+	struct bg_session_answer answer;
+	char name[BG_STORE_NAME_BYTES];
 	int error = BG_ECONFLICT;
 	int unknown;
 	int i;
 
 	for (i = 0; i < STORE_TRIES; i++) {
-		service_key(key, service, *rev);
-		error = bg_session_put(
-		    &answer, &op->session, key, 0, json, strlen(json), err);
+		revision_name(name, service, *rev);
+		error = bg_session_put(&answer, &op->session, BG_KIND_CONTRACTS,
+		    name, 0, spec, err);
 		unknown = answer.is_outcome_unknown;
-		bg_platform_answer_free(&answer);
+		bg_session_answer_free(&answer);
 		if (error == 0)
 			return 0;
 		if (error != BG_ECONFLICT && !unknown)
 			return error;
-		if (is_stored(op, key, json))
+		if (is_stored(op, name, spec))
 			return 0;
 		if (error == BG_ECONFLICT)
 			(*rev)++;
@@ -121,27 +130,38 @@
 	return error;
 }
 
+static json_t *
+contract_spec(const struct bg_contract *ctr)
+{
+	json_t *spec = NULL;
+	char *text;
+
+	if (bg_contract_encode(&text, ctr) == 0)
+		spec = json_loads(text, 0, NULL);
+	free(text);
+	return spec;
+}
+
 int
 bg_revision_store(uint64_t *out, struct bg_operation *op,
     const struct bg_contract *ctr, struct bg_error *err)
 {
 	const struct bg_head_service *svc = bg_head_find(&op->base, ctr->name);
 	struct bg_revision *revs = NULL;
-	char *json = NULL;
+	json_t *spec = contract_spec(ctr);
 	size_t count;
-	int error;
+	int error = BG_EINVAL;
 
-	if ((error = bg_revisions_list(&revs, &count, op, ctr->name, err)) !=
-		0 ||
-	    (error = bg_contract_encode(&json, ctr)) != 0)
+	if (spec == NULL ||
+	    (error = bg_revisions_list(&revs, &count, op, ctr->name, err)) != 0)
 		goto done;
 	*out = svc == NULL ? 1 : svc->rev + 1;
 	if (count > 0 && revs[count - 1].rev >= *out)
 		*out = revs[count - 1].rev + 1;
-	error = store_json(out, op, ctr->name, json, err);
+	error = store_spec(out, op, ctr->name, spec, err);
 done:
 	free(revs);
-	free(json);
+	json_decref(spec);
 	return error;
 }
 
@@ -149,19 +169,23 @@
 bg_revision_load(struct bg_contract *out, struct bg_operation *op,
     const char *service, uint64_t rev, struct bg_error *err)
 {
-	struct bg_platform_answer answer;
-	char key[KEY_BYTES];
+	struct bg_session_answer answer;
+	char name[BG_STORE_NAME_BYTES];
+	char *text = NULL;
 	int error;
 
-	service_key(key, service, rev);
-	error = bg_operation_get(&answer, op, key, err);
+	revision_name(name, service, rev);
+	error = bg_operation_get(&answer, op, BG_KIND_CONTRACTS, name, err);
+	if (error == 0 &&
+	    (text = json_dumps(answer.spec, JSON_COMPACT)) == NULL)
+		error = BG_EPROTO;
 	if (error == 0)
-		error = bg_contract_decode(
-		    out, answer.body, answer.body_bytes, err);
+		error = bg_contract_decode(out, text, strlen(text), err);
 	if (error == 0 && strcmp(out->name, service) != 0)
 		error = bg_error_set(err, BG_EPROTO, "read", op->session.peer,
-		    "%s: holds another service", key);
-	bg_platform_answer_free(&answer);
+		    "%s: holds another service", name);
+	free(text);
+	bg_session_answer_free(&answer);
 	return error;
 }
 
@@ -212,7 +236,7 @@
     uint64_t previous, uint64_t present)
 {
 	struct bg_revision *revs;
-	char key[KEY_BYTES];
+	char name[BG_STORE_NAME_BYTES];
 	size_t count;
 	size_t i;
 
@@ -221,9 +245,9 @@
 	for (i = 0; i < count; i++) {
 		if (!bg_revision_is_garbage(revs, count, i, previous, present))
 			continue;
-		service_key(key, service, revs[i].rev);
-		bg_session_delete(
-		    &op->session, key, revs[i].object_version, NULL);
+		revision_name(name, service, revs[i].rev);
+		bg_session_delete(&op->session, BG_KIND_CONTRACTS, name,
+		    revs[i].object_revision, NULL);
 	}
 	free(revs);
 }
--- a/platform/src/change/update.c
+++ b/store/src/change/update.c
@@ -34,12 +34,11 @@
 }
 
 enum bg_update_state
-bg_update_state(const struct bg_head *head, uint64_t object_version,
-    uint64_t base_object_version, const char *writer, const char *nonce)
+bg_update_state(const struct bg_head *head, uint64_t revision,
+    uint64_t base_revision, const char *writer, const char *nonce)
 {
 	if (strcmp(head->nonce, nonce) == 0 &&
 	    strcmp(head->writer, writer) == 0)
 		return BG_UPDATE_DONE;
-	return object_version == base_object_version ? BG_UPDATE_OPEN
-						     : BG_UPDATE_REPLACED;
+	return revision == base_revision ? BG_UPDATE_OPEN : BG_UPDATE_REPLACED;
 }
--- a/platform/src/change/update.h
+++ b/store/src/change/update.h
@@ -1,5 +1,5 @@
-#ifndef BG_PLATFORM_UPDATE_H
-#define BG_PLATFORM_UPDATE_H
+#ifndef BG_STORE_UPDATE_H
+#define BG_STORE_UPDATE_H
 
 /** @file
  * The marks of one update of the head.
@@ -24,7 +24,7 @@
 
 /** Compares a head that was read back with the update of this writer. */
 enum bg_update_state bg_update_state(const struct bg_head *head,
-    uint64_t object_version, uint64_t base_object_version, const char *writer,
+    uint64_t revision, uint64_t base_revision, const char *writer,
     const char *nonce);
 
 #endif
--- /dev/null
+++ b/store/src/session/session.c
@@ -0,0 +1,206 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "session.h"
+
+/* A call that is waited for. */
+struct waiter {
+	struct bg_session *session;
+	struct bg_session_answer *out;
+	void (*fn)(void *arg, const struct bg_store_object *obj);
+	void *arg;
+	int is_done;
+	int has_more;
+	char after[BG_STORE_NAME_BYTES];
+};
+
+int
+bg_session_init(struct bg_session *out, const struct bg_store_place *place,
+    struct bg_error *err)
+{
+	int error;
+
+	memset(out, 0, sizeof(*out));
+	snprintf(out->peer, sizeof(out->peer), "%s",
+	    place->options.address == NULL ? "" : place->options.address);
+	if ((out->base = event_base_new()) == NULL)
+		return bg_error_set(
+		    err, BG_ENOMEM, "store", out->peer, "no event base");
+	error = place->open(&out->store, out->base, &place->options, err);
+	if (error != 0)
+		bg_session_free(out);
+	return error;
+}
+
+void
+bg_session_free(struct bg_session *ses)
+{
+	bg_store_free(ses->store);
+	if (ses->base != NULL)
+		event_base_free(ses->base);
+	ses->store = NULL;
+	ses->base = NULL;
+}
+
+static void
+take_objects(struct waiter *waiter, const struct bg_store_answer *answer)
+{
+	size_t i;
+
+	for (i = 0; i < answer->object_count; i++) {
+		if (waiter->fn != NULL)
+			waiter->fn(waiter->arg, &answer->objects[i]);
+		snprintf(waiter->after, sizeof(waiter->after), "%s",
+		    answer->objects[i].name);
+	}
+	waiter->has_more = answer->has_more;
+}
+
+static void
+on_answer(void *arg, const struct bg_store_answer *answer)
+{
+	struct waiter *waiter = arg;
+	struct bg_session_answer *out = waiter->out;
+
+	out->code = answer->code;
+	out->is_outcome_unknown = answer->is_outcome_unknown;
+	if (answer->code == 0 && answer->object_count == 1) {
+		out->revision = answer->objects[0].revision;
+		out->spec = json_incref(answer->objects[0].spec);
+	}
+	take_objects(waiter, answer);
+	waiter->is_done = 1;
+	event_base_loopbreak(waiter->session->base);
+}
+
+static const char *
+explain(int code)
+{
+	switch (code) {
+	case BG_ENOTFOUND:
+		return "no such object";
+	case BG_ECONFLICT:
+		return "the object was changed by another writer";
+	case BG_ETIMEOUT:
+		return "no answer in time";
+	case BG_EUNAVAILABLE:
+		return "the store refuses or is down";
+	case BG_ELIMIT:
+		return "a limit of the store was reached";
+	default:
+		return "the call failed";
+	}
+}
+
+static int
+wait_for(struct waiter *waiter, int error, const char *step, const char *kind,
+    const char *name, struct bg_error *err)
+{
+	struct bg_session *ses = waiter->session;
+
+	while (error == 0 && !waiter->is_done) {
+		if (event_base_dispatch(ses->base) != 0)
+			error = BG_EIO;
+	}
+	if (error == 0)
+		error = waiter->out->code;
+	else
+		waiter->out->code = error;
+	if (error != 0)
+		bg_error_set(err, error, step, ses->peer, "%s/%s: %s", kind,
+		    name, explain(error));
+	return error;
+}
+
+int
+bg_session_get(struct bg_session_answer *out, struct bg_session *ses,
+    const char *kind, const char *name, struct bg_error *err)
+{
+	struct waiter waiter = {ses, out, NULL, NULL, 0, 0, ""};
+	struct bg_store_query query = {0};
+
+	memset(out, 0, sizeof(*out));
+	query.kind = kind;
+	query.name = name;
+	return wait_for(&waiter,
+	    bg_store_read(ses->store, &query, on_answer, &waiter), "read", kind,
+	    name, err);
+}
+
+int
+bg_session_put(struct bg_session_answer *out, struct bg_session *ses,
+    const char *kind, const char *name, uint64_t expected_revision,
+    json_t *spec, struct bg_error *err)
+{
+	struct waiter waiter = {ses, out, NULL, NULL, 0, 0, ""};
+	struct bg_store_change change = {0};
+
+	memset(out, 0, sizeof(*out));
+	change.action =
+	    expected_revision == 0 ? BG_STORE_CREATE : BG_STORE_REPLACE;
+	change.kind = kind;
+	change.name = name;
+	change.expected_revision = expected_revision;
+	change.value = spec;
+	return wait_for(&waiter,
+	    bg_store_write(ses->store, &change, on_answer, &waiter), "write",
+	    kind, name, err);
+}
+
+int
+bg_session_delete(struct bg_session *ses, const char *kind, const char *name,
+    uint64_t expected_revision, struct bg_error *err)
+{
+	struct bg_session_answer answer = {0};
+	struct waiter waiter = {ses, &answer, NULL, NULL, 0, 0, ""};
+	struct bg_store_change change = {0};
+	int error;
+
+	change.action = BG_STORE_REMOVE;
+	change.kind = kind;
+	change.name = name;
+	change.expected_revision = expected_revision;
+	error = wait_for(&waiter,
+	    bg_store_write(ses->store, &change, on_answer, &waiter), "delete",
+	    kind, name, err);
+	bg_session_answer_free(&answer);
+	return error;
+}
+
+int
+bg_session_each(struct bg_session *ses, const char *kind,
+    void (*fn)(void *arg, const struct bg_store_object *obj), void *arg,
+    struct bg_error *err)
+{
+	struct bg_session_answer answer = {0};
+	struct waiter waiter = {ses, &answer, fn, arg, 0, 0, ""};
+	struct bg_store_query query = {0};
+	int error;
+
+	query.kind = kind;
+	do {
+		waiter.is_done = 0;
+		query.after = waiter.after[0] == '\0' ? NULL : waiter.after;
+		error = wait_for(&waiter,
+		    bg_store_read(ses->store, &query, on_answer, &waiter),
+		    "list", kind, "", err);
+		bg_session_answer_free(&answer);
+	} while (error == 0 && waiter.has_more);
+	return error;
+}
+
+void
+bg_session_sleep(struct bg_session *ses, uint32_t ms)
+{
+	struct timeval tv = {ms / 1000, (suseconds_t)(ms % 1000) * 1000};
+
+	event_base_loopexit(ses->base, &tv);
+	event_base_dispatch(ses->base);
+}
+
+void
+bg_session_answer_free(struct bg_session_answer *answer)
+{
+	json_decref(answer->spec);
+	memset(answer, 0, sizeof(*answer));
+}
--- a/platform/tests/test_change.c
+++ b/store/tests/test_change.c
@@ -5,10 +5,13 @@
 
 #include "burdockgrade/change.h"
 #include "burdockgrade/clock.h"
+#include "burdockgrade/document.h"
+#include "burdockgrade/platform.h"
 
 #include "change/operation.h"
 #include "change/update.h"
 #include "standin.h"
+#include "suite.h"
 
 /* Upper bound of one wait; a lost event fails, not hangs. */
 #define LOOP_MAX_MS 5000
@@ -16,7 +19,7 @@
 #define RACERS 6
 
 static struct standin sti;
-static struct bg_platform_options opts;
+static struct bg_store_place place;
 static struct bg_error err;
 
 static struct bg_contract
@@ -48,12 +51,13 @@
 static void
 setup(void)
 {
-	const struct bg_platform_options init = BG_PLATFORM_OPTIONS_INIT;
+	const struct bg_store_options init = BG_STORE_OPTIONS_INIT;
 
 	standin_start(&sti, "bg-platform", "127.0.0.1:0");
-	opts = init;
-	opts.address = sti.address;
-	opts.timeout_ms = 300;
+	place.open = bg_platform_store_init;
+	place.options = init;
+	place.options.address = sti.address;
+	place.options.timeout_ms = 300;
 }
 
 static void
@@ -69,52 +73,50 @@
 	struct bg_contract ctr = make_contract(name, slots);
 
 	return bg_operate_accept(
-	    out_version, &opts, &ctr, 1, expected_version, "ann", &err);
+	    out_version, &place, &ctr, 1, expected_version, "ann", &err);
 }
 
 static struct bg_head
 load_head(void)
 {
-	struct bg_platform_answer answer;
 	struct bg_head head;
+	uint64_t revision;
+	json_t *doc;
 
-	ck_assert_int_eq(
-	    bg_platform_get_wait(&answer, &opts, BG_KEY_HEAD, &err), 0);
-	ck_assert_int_eq(
-	    bg_head_decode(&head, answer.body, answer.body_bytes, &err), 0);
-	bg_platform_answer_free(&answer);
+	ck_assert_int_eq(bg_read_document(&doc, &revision, &place, &err), 0);
+	ck_assert_int_eq(bg_document_head(&head, doc, &err), 0);
+	json_decref(doc);
 	return head;
 }
 
 static struct bg_history
 load_history(void)
 {
-	struct bg_platform_answer answer;
 	struct bg_history hist;
 
-	ck_assert_int_eq(
-	    bg_platform_get_wait(&answer, &opts, BG_KEY_HISTORY, &err), 0);
-	ck_assert_int_eq(
-	    bg_history_decode(&hist, answer.body, answer.body_bytes), 0);
-	bg_platform_answer_free(&answer);
+	ck_assert_int_eq(bg_read_history(&hist, &place, &err), 0);
 	return hist;
 }
 
+static void
+count_object(void *arg, const struct bg_store_object *obj)
+{
+	size_t *count = arg;
+
+	*count += strncmp(obj->name, "atelier.", 8) == 0;
+}
+
 static size_t
-count_revisions(const char *prefix)
+count_revisions(void)
 {
-	struct bg_platform_answer answer;
-	struct bg_platform_entries list;
-	size_t count;
+	struct bg_session ses;
+	size_t count = 0;
 
-	ck_assert_int_eq(
-	    bg_platform_list_wait(&answer, &opts, prefix, &err), 0);
-	ck_assert_int_eq(
-	    bg_platform_entries_decode(&list, answer.body, answer.body_bytes),
+	ck_assert_int_eq(bg_session_init(&ses, &place, &err), 0);
+	ck_assert_int_eq(bg_session_each(&ses, BG_KIND_CONTRACTS, count_object,
+			     &count, &err),
 	    0);
-	bg_platform_answer_free(&answer);
-	count = list.entry_count;
-	bg_platform_entries_free(&list);
+	bg_session_free(&ses);
 	return count;
 }
 
@@ -307,7 +309,7 @@
 	struct bg_history back;
 	struct bg_head head;
 	uint64_t i;
-	char *json;
+	json_t *json;
 
 	bg_head_init(&head);
 	bg_change_accept(&head, &a, 3, NOW_MS, &err);
@@ -322,12 +324,15 @@
 	ck_assert_uint_eq(hist.entries[0].version, 50);
 	/* The entry fell out at the end; it is not put in again. */
 	ck_assert_int_eq(bg_history_repair(&hist, &head), 0);
-	ck_assert_int_eq(bg_history_encode(&json, &hist), 0);
-	ck_assert_int_eq(bg_history_decode(&back, json, strlen(json)), 0);
+	json = bg_history_encode(&hist);
+	ck_assert_ptr_nonnull(json);
+	ck_assert_int_eq(bg_history_decode(&back, json), 0);
 	ck_assert_uint_eq(back.entry_count, BG_HISTORY_MAX);
 	bg_history_free(&back);
-	free(json);
-	ck_assert_int_eq(bg_history_decode(&back, "{}", 2), BG_EPROTO);
+	json_decref(json);
+	json = json_object();
+	ck_assert_int_eq(bg_history_decode(&back, json), BG_EPROTO);
+	json_decref(json);
 	bg_history_free(&hist);
 	bg_head_free(&head);
 }
@@ -364,10 +369,10 @@
 	snprintf(both[1].dependencies[0], BG_NAME_BYTES, "atelier");
 	both[1].dependency_count = 1;
 	ck_assert_int_eq(
-	    bg_operate_accept(&version, &opts, both, 1, 0, "ann", &err),
+	    bg_operate_accept(&version, &place, both, 1, 0, "ann", &err),
 	    BG_EINVAL);
 	ck_assert_int_eq(
-	    bg_operate_accept(&version, &opts, both, 2, 0, "ann", &err), 0);
+	    bg_operate_accept(&version, &place, both, 2, 0, "ann", &err), 0);
 	ck_assert_uint_eq(version, 1);
 	head = load_head();
 	ck_assert_uint_eq(head.version, 1);
@@ -379,7 +384,7 @@
 	bg_history_free(&hist);
 	/* The same content again is no change. */
 	ck_assert_int_eq(
-	    bg_operate_accept(&version, &opts, both, 2, 0, "ann", &err), 0);
+	    bg_operate_accept(&version, &place, both, 2, 0, "ann", &err), 0);
 	ck_assert_uint_eq(version, 1);
 }
 END_TEST
@@ -393,24 +398,24 @@
 	ck_assert_int_eq(accept_one("atelier", 6, 0, &version), 0);
 	snprintf(ctr.routes[0].prefix, BG_PREFIX_BYTES, "/atelier");
 	ck_assert_int_eq(
-	    bg_operate_accept(&version, &opts, &ctr, 1, 0, "ann", &err),
+	    bg_operate_accept(&version, &place, &ctr, 1, 0, "ann", &err),
 	    BG_EINVAL);
 	ctr = make_contract("catalogue", 6);
 	snprintf(ctr.dependencies[0], BG_NAME_BYTES, "missing");
 	ctr.dependency_count = 1;
 	ck_assert_int_eq(
-	    bg_operate_accept(&version, &opts, &ctr, 1, 0, "ann", &err),
+	    bg_operate_accept(&version, &place, &ctr, 1, 0, "ann", &err),
 	    BG_EINVAL);
 	ctr = make_contract("catalogue", 0);
 	ck_assert_int_eq(
-	    bg_operate_accept(&version, &opts, &ctr, 1, 0, "ann", &err),
+	    bg_operate_accept(&version, &place, &ctr, 1, 0, "ann", &err),
 	    BG_EINVAL);
 }
 END_TEST
 
 /* Guards against withdrawals to the wrong content, and against revisions that
  * pile up or vanish too early. */
-START_TEST(withdraw_and_collection_on_the_platform)
+START_TEST(withdraw_and_collection_on_the_store)
 {
 	struct bg_head head;
 	uint64_t version;
@@ -418,17 +423,18 @@
 
 	ck_assert_int_eq(accept_one("atelier", 1, 0, &version), 0);
 	ck_assert_int_eq(
-	    bg_operate_withdraw(&version, &opts, "atelier", 0, "ann", &err),
+	    bg_operate_withdraw(&version, &place, "atelier", 0, "ann", &err),
 	    BG_ENOTFOUND);
 	for (slots = 2; slots <= 8; slots++)
 		ck_assert_int_eq(accept_one("atelier", slots, 0, &version), 0);
 	ck_assert_uint_eq(version, 8);
-	ck_assert_uint_eq(
-	    count_revisions("config/service/atelier/"), BG_REVISIONS_KEPT);
+	ck_assert_uint_eq(count_revisions(), BG_REVISIONS_KEPT);
 	ck_assert_int_eq(
-	    bg_operate_withdraw(&version, &opts, "atelier", 8, "ann", &err), 0);
+	    bg_operate_withdraw(&version, &place, "atelier", 8, "ann", &err),
+	    0);
 	ck_assert_int_eq(
-	    bg_operate_withdraw(&version, &opts, "atelier", 0, "ann", &err), 0);
+	    bg_operate_withdraw(&version, &place, "atelier", 0, "ann", &err),
+	    0);
 	head = load_head();
 	ck_assert_uint_eq(head.version, 10);
 	ck_assert_uint_eq(head.services[0].rev, 6);
@@ -440,9 +446,10 @@
 	ck_assert_int_eq(head.services[0].is_withdrawn, 0);
 	bg_head_free(&head);
 	/* 4, 5, 6 and 9; the withdrawn 7 and 8 are gone. */
-	ck_assert_uint_eq(count_revisions("config/service/atelier/"), 4);
+	ck_assert_uint_eq(count_revisions(), 4);
 	ck_assert_int_eq(
-	    bg_operate_withdraw(&version, &opts, "atelier", 0, "ann", &err), 0);
+	    bg_operate_withdraw(&version, &place, "atelier", 0, "ann", &err),
+	    0);
 	head = load_head();
 	ck_assert_uint_eq(head.services[0].rev, 6);
 	bg_head_free(&head);
@@ -463,7 +470,7 @@
 		return pid;
 	snprintf(name, sizeof(name), "op%u", slots);
 	_exit(-bg_operate_accept(
-	    &version, &opts, &ctr, 1, expected_version, name, &err));
+	    &version, &place, &ctr, 1, expected_version, name, &err));
 }
 
 static void
@@ -497,7 +504,7 @@
 	int conflicts;
 	int i;
 
-	opts.timeout_ms = 2000;
+	place.options.timeout_ms = 2000;
 	ck_assert_int_eq(accept_one("atelier", 100, 0, &version), 0);
 	for (round = 0; round < 4; round++) {
 		standin_control(&sti, switches[round]);
@@ -525,7 +532,7 @@
 	int conflicts;
 	int i;
 
-	opts.timeout_ms = 5000;
+	place.options.timeout_ms = 5000;
 	ck_assert_int_eq(accept_one("atelier", 100, 0, &version), 0);
 	standin_control(&sti, "{\"write_delay_ms\":800}");
 	for (i = 0; i < RACERS; i++)
@@ -612,7 +619,7 @@
 
 struct async {
 	struct event_base *base;
-	struct bg_platform *platform;
+	struct bg_store *store;
 	int count;
 	int codes[4];
 	uint64_t versions[4];
@@ -660,7 +667,7 @@
 static void
 async_start(struct async *asy)
 {
-	ck_assert_int_eq(bg_change_start(asy->platform, "127.1.0.1:7000",
+	ck_assert_int_eq(bg_change_start(asy->store, "127.1.0.1:7000",
 			     decide_step, on_changed, asy),
 	    0);
 }
@@ -674,7 +681,7 @@
 	uint64_t version;
 
 	asy.base = event_base_new();
-	bg_platform_init(&asy.platform, asy.base, &opts, NULL);
+	bg_platform_store_init(&asy.store, asy.base, &place.options, NULL);
 	async_start(&asy);
 	async_run(&asy, 1);
 	ck_assert_int_eq(asy.codes[0], BG_ENOTFOUND);
@@ -709,7 +716,7 @@
 	ck_assert_uint_eq(head.version, 4);
 	ck_assert_uint_eq(head.services[0].move.step, 3);
 	bg_head_free(&head);
-	bg_platform_free(asy.platform);
+	bg_store_free(asy.store);
 	event_base_free(asy.base);
 }
 END_TEST
@@ -721,10 +728,10 @@
 	struct async asy = {0};
 
 	asy.base = event_base_new();
-	bg_platform_init(&asy.platform, asy.base, &opts, NULL);
+	bg_platform_store_init(&asy.store, asy.base, &place.options, NULL);
 	async_start(&asy);
 	event_base_loop(asy.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
-	bg_platform_free(asy.platform);
+	bg_store_free(asy.store);
 	event_base_loop(asy.base, EVLOOP_NONBLOCK);
 	event_base_free(asy.base);
 	ck_assert_int_eq(asy.count, 0);
@@ -734,11 +741,8 @@
 int
 main(void)
 {
-	Suite *suite = suite_create("change");
 	TCase *pure = tcase_create("pure");
-	TCase *live = tcase_create("platform");
-	SRunner *runner;
-	int failed;
+	TCase *live = tcase_create("store");
 
 	tcase_add_test(pure, update_advances_the_version_by_one);
 	tcase_add_test(pure, withdraw_brings_back_earlier_content);
@@ -748,12 +752,11 @@
 	tcase_add_test(pure, previous_revision_skips_withdrawn_ones);
 	tcase_add_test(pure, history_is_repaired_and_bounded);
 	tcase_add_test(pure, garbage_is_what_no_one_needs);
-	suite_add_tcase(suite, pure);
 	tcase_add_checked_fixture(live, setup, teardown);
 	tcase_set_timeout(live, 60);
 	tcase_add_test(live, accept_stores_head_contract_and_history);
 	tcase_add_test(live, accept_refuses_what_nodes_would_refuse);
-	tcase_add_test(live, withdraw_and_collection_on_the_platform);
+	tcase_add_test(live, withdraw_and_collection_on_the_store);
 	tcase_add_test(live, racing_operators_get_one_winner);
 	tcase_add_test(live, unplanned_racers_get_one_winner);
 	tcase_add_test(live, unrelated_operators_both_succeed);
@@ -761,10 +764,5 @@
 	tcase_add_test(live, outage_is_told_as_such);
 	tcase_add_test(live, asynchronous_steps_are_taken_once);
 	tcase_add_test(live, client_freed_with_a_change_under_way);
-	suite_add_tcase(suite, live);
-	runner = srunner_create(suite);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed == 0 ? 0 : 1;
+	return run_suite("pure", pure) | run_suite_forked("store", live);
 }
--- /dev/null
+++ b/store/tests/test_follow.c
@@ -0,0 +1,227 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "burdockgrade/clock.h"
+#include "burdockgrade/follow.h"
+
+#include "memory_store.h"
+#include "suite.h"
+
+#define KIND "burdock-nodes"
+/* Longer than the pause after a failure. */
+#define RETRY_WAIT_MS 600
+
+static struct event_base *base;
+static struct memory_store mem;
+static struct bg_follow *fol;
+
+/* What the follower handed out. */
+static struct {
+	int begins;
+	int lists;
+	int objects;
+	int deletions;
+	int losses;
+	int returns;
+	uint64_t last_revision;
+	char names[256]; /* of the objects, each followed by a blank */
+} seen;
+
+static void
+on_object(void *arg, const struct bg_store_object *obj)
+{
+	seen.objects++;
+	seen.deletions += obj->is_deleted;
+	seen.last_revision = obj->revision;
+	snprintf(seen.names + strlen(seen.names),
+	    sizeof(seen.names) - strlen(seen.names), "%s ", obj->name);
+}
+
+static void
+on_listed(void *arg)
+{
+	seen.lists++;
+}
+
+static void
+on_begin(void *arg)
+{
+	seen.begins++;
+	seen.names[0] = '\0';
+}
+
+static void
+on_reachable(void *arg, int is_reachable)
+{
+	if (is_reachable)
+		seen.returns++;
+	else
+		seen.losses++;
+}
+
+static void
+setup(void)
+{
+	struct bg_follow_options opts = {0};
+
+	memset(&seen, 0, sizeof(seen));
+	base = event_base_new();
+	memory_store_init(&mem, base);
+	opts.base = base;
+	opts.store = &mem.store;
+	opts.kind = KIND;
+	opts.handler.object = on_object;
+	opts.handler.listed = on_listed;
+	opts.handler.begin = on_begin;
+	opts.handler.reachable = on_reachable;
+	ck_assert_int_eq(bg_follow_init(&fol, &opts), 0);
+}
+
+static void
+teardown(void)
+{
+	bg_follow_free(fol);
+	memory_store_clear(&mem);
+	event_base_free(base);
+}
+
+static void
+run_ms(uint32_t ms)
+{
+	struct timeval tv = {0, (suseconds_t)ms * 1000};
+
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+}
+
+/* Guards against a change between the list and the watch that is missed. */
+START_TEST(changes_after_the_list_are_handed_out)
+{
+	memory_store_set(&mem, KIND, "a", json_integer(1));
+	memory_store_set(&mem, "other", "x", json_integer(1));
+	memory_store_run(&mem);
+	ck_assert_int_eq(seen.lists, 1);
+	ck_assert_int_eq(seen.objects, 1);
+	ck_assert_int_eq(bg_follow_has_listed(fol), 1);
+	memory_store_set(&mem, KIND, "b", json_integer(1));
+	memory_store_run(&mem);
+	memory_store_remove(&mem, KIND, "a");
+	memory_store_run(&mem);
+	ck_assert_str_eq(seen.names, "a b a ");
+	ck_assert_int_eq(seen.deletions, 1);
+	ck_assert_int_eq(seen.lists, 1);
+}
+END_TEST
+
+/* Guards against paying the price of an exact read for each watch, and against
+ * a list that starts from old content. */
+START_TEST(lists_are_exact_and_watches_may_be_stale)
+{
+	memory_store_set(&mem, KIND, "a", json_integer(1));
+	memory_store_run(&mem);
+	memory_store_set(&mem, KIND, "a", json_integer(2));
+	memory_store_run(&mem);
+	ck_assert_int_eq(mem.reads, 1);
+	ck_assert_int_eq(mem.stale_reads, 2);
+	ck_assert_int_eq(mem.writes, 0);
+}
+END_TEST
+
+/* Guards against objects behind the first page that are never seen. */
+START_TEST(pages_make_one_list)
+{
+	memory_store_set(&mem, KIND, "c", json_integer(1));
+	memory_store_set(&mem, KIND, "a", json_integer(1));
+	memory_store_set(&mem, KIND, "b", json_integer(1));
+	mem.page = 2;
+	memory_store_run(&mem);
+	ck_assert_str_eq(seen.names, "a b c ");
+	ck_assert_int_eq(seen.begins, 1);
+	ck_assert_int_eq(seen.lists, 1);
+}
+END_TEST
+
+/* Guards against state that stays wrong because the store dropped the history
+ * in which an object was removed. */
+START_TEST(dropped_history_leads_to_a_new_list)
+{
+	memory_store_set(&mem, KIND, "a", json_integer(1));
+	memory_store_set(&mem, KIND, "b", json_integer(1));
+	memory_store_run(&mem);
+	mem.objects[0].is_deleted = 1;
+	memory_store_forget(&mem);
+	memory_store_run(&mem);
+	ck_assert_int_eq(seen.lists, 2);
+	ck_assert_str_eq(seen.names, "b ");
+	ck_assert_int_eq(seen.losses, 0);
+}
+END_TEST
+
+/* Guards against a follower that gives up, lists again for nothing or floods a
+ * store that is down. */
+START_TEST(outage_is_told_and_survived)
+{
+	int calls;
+
+	memory_store_set(&mem, KIND, "a", json_integer(1));
+	memory_store_run(&mem);
+	mem.fail_code = BG_EUNAVAILABLE;
+	memory_store_set(&mem, "other", "x", json_integer(1));
+	memory_store_run(&mem);
+	ck_assert_int_eq(seen.losses, 1);
+	ck_assert_int_eq(bg_follow_is_reachable(fol), 0);
+	calls = mem.stale_reads;
+	run_ms(RETRY_WAIT_MS);
+	ck_assert_int_ge(mem.stale_reads, calls + 1);
+	ck_assert_int_le(mem.stale_reads, calls + 5);
+	mem.fail_code = 0;
+	memory_store_set(&mem, KIND, "b", json_integer(1));
+	run_ms(RETRY_WAIT_MS);
+	ck_assert_int_eq(seen.returns, 1);
+	ck_assert_str_eq(seen.names, "a b ");
+	ck_assert_int_eq(seen.lists, 1);
+}
+END_TEST
+
+/* Guards against a first list that is not repeated from its first page. */
+START_TEST(failed_list_starts_again)
+{
+	mem.fail_code = BG_EIO;
+	memory_store_set(&mem, KIND, "a", json_integer(1));
+	memory_store_run(&mem);
+	ck_assert_int_eq(bg_follow_has_listed(fol), 0);
+	mem.fail_code = 0;
+	run_ms(RETRY_WAIT_MS);
+	ck_assert_str_eq(seen.names, "a ");
+	ck_assert_int_eq(seen.lists, 1);
+}
+END_TEST
+
+/* Guards against use of released memory when a follower ends while the store
+ * still holds its call. */
+START_TEST(follower_may_end_during_a_call)
+{
+	memory_store_run(&mem);
+	bg_follow_free(fol);
+	fol = NULL;
+	memory_store_set(&mem, KIND, "a", json_integer(1));
+	memory_store_run(&mem);
+	ck_assert_int_eq(seen.objects, 0);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("follow");
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, changes_after_the_list_are_handed_out);
+	tcase_add_test(tc, lists_are_exact_and_watches_may_be_stale);
+	tcase_add_test(tc, pages_make_one_list);
+	tcase_add_test(tc, dropped_history_leads_to_a_new_list);
+	tcase_add_test(tc, outage_is_told_and_survived);
+	tcase_add_test(tc, failed_list_starts_again);
+	tcase_add_test(tc, follower_may_end_during_a_call);
+	return run_suite("follow", tc);
+}
