--- a/mesh/include/burdockgrade/link.h
+++ b/mesh/include/burdockgrade/link.h
@@ -15,8 +15,12 @@
 #include "burdockgrade/error.h"
 #include "burdockgrade/wire_xdr.h"
 
-/** A link is pinged after this much silence. */
-#define BG_LINK_PING_MS 1000
+/** A link is pinged after this much silence while an answer is expected. */
+#define BG_LINK_PING_MS 200
+/** A ping that is not answered within this time makes a link suspect: it is
+ * not used for new calls until bytes come from it. Above the time in which a
+ * lost packet is sent again within a data centre. */
+#define BG_LINK_SUSPECT_MS 150
 /** A link is closed after this much silence while an answer is expected. */
 #define BG_LINK_SILENCE_MS 2500
 /** Largest message: one body of 1 MiB with its headers. */
@@ -33,9 +37,9 @@
 };
 
 #define BG_LINK_OPTIONS_VERSION 1
-#define BG_LINK_OPTIONS_INIT                        \
-	{                                           \
-		BG_LINK_OPTIONS_VERSION, NULL, 1000 \
+#define BG_LINK_OPTIONS_INIT                       \
+	{                                          \
+		BG_LINK_OPTIONS_VERSION, NULL, 500 \
 	}
 
 /**
@@ -86,6 +90,15 @@
 uint64_t bg_link_silence_ms(const struct bg_link *link);
 const char *bg_link_address(const struct bg_link *link);
 int bg_link_is_connected(const struct bg_link *link);
+/** Takes the link for suspect until bytes come from it: a ping of the caller
+ * was not answered. */
+void bg_link_doubt(struct bg_link *link);
+/** 1 while an answer is expected. */
+int bg_link_has_calls(const struct bg_link *link);
+/** 1 while the peer does not answer a ping. */
+int bg_link_is_suspect(const struct bg_link *link);
+/** Milliseconds for which the link has been suspect; 0 if it is not. */
+uint64_t bg_link_suspect_ms(const struct bg_link *link);
 
 /**
  * Handles one call. It answers now or later by bg_rpc_reply.
@@ -128,7 +141,7 @@
 
 /**
  * Links by address: one shared link a peer, opened on demand, replaced after
- * it closed.
+ * it closed or went silent.
  */
 struct bg_link_pool;
 
@@ -136,8 +149,8 @@
     const struct bg_link_options *opts);
 void bg_link_pool_free(struct bg_link_pool *pool);
 /**
- * Finds or opens the link to a peer. The pool owns it; do not keep it beyond
- * this turn of the loop.
+ * Finds or opens the link to a peer. The pool owns it; it may be kept only
+ * while a call of the keeper is pending on it.
  */
 int bg_link_pool_get(struct bg_link **out, struct bg_link_pool *pool,
     const char *address, struct bg_error *err);
--- a/mesh/include/burdockgrade/members.h
+++ b/mesh/include/burdockgrade/members.h
@@ -5,16 +5,26 @@
  * Typed MEMBER items: the nodes and the backend servers beside them.
  */
 
+#include <jansson.h>
 #include <stdint.h>
 
 #include "burdockgrade/contract.h"
 #include "burdockgrade/table.h"
 
 enum bg_member_state {
-	BG_MEMBER_STARTING,
+	BG_MEMBER_STARTING, /**< no backend server is ready yet */
 	BG_MEMBER_READY,
-	BG_MEMBER_DRAINING,
-	BG_MEMBER_LEAVING,
+	BG_MEMBER_DRAINING, /**< the backend server is leaving */
+	BG_MEMBER_LEAVING,  /**< the node itself is stopping */
+};
+
+/** What a node found about the version of the server beside it during a move.
+ */
+enum bg_verdict {
+	BG_VERDICT_NONE, /**< too few calls */
+	BG_VERDICT_GOOD,
+	BG_VERDICT_BAD,
+	BG_VERDICT_IDLE, /**< no call came for a while */
 };
 
 /** A node and its backend server, as the node announces them. */
@@ -23,17 +33,22 @@
 	char data_centre[BG_NAME_BYTES];
 	char region[BG_NAME_BYTES];
 	char service[BG_NAME_BYTES];
+	char server_id[BG_NAME_BYTES]; /**< of this start of the server */
 	char server_version[BG_NAME_BYTES];
-	uint64_t incarnation;
-	uint64_t seq;
+	uint64_t incarnation; /**< of the node's process */
+	uint64_t seq;	      /**< of its announcements */
 	enum bg_member_state state;
 	uint32_t slots;
-	uint32_t connections;
-	uint64_t ready_since_ms; /**< wall clock, for slow start */
-	int is_dead;
-	uint64_t dead_observed_ms; /**< local monotonic clock, not replicated */
+	enum bg_verdict verdict;
+	uint64_t verdict_generation; /**< move that the verdict is about */
 };
 
+/** Encodes what a member announces, without address, incarnation and seq.
+ * @return a new reference, or NULL if out of memory or a name is not UTF-8 */
+json_t *bg_member_to_json(const struct bg_member *member);
+/** Reads what bg_member_to_json wrote. @return 0 or BG_EPROTO */
+int bg_member_from_json(struct bg_member *out, const json_t *json);
+
 /** Encodes a member as an item. @param out value is allocated, free() it */
 int bg_member_encode(struct bg_item *out, const struct bg_member *member);
 /** Decodes an item. @return 0 or BG_EPROTO */
@@ -49,9 +64,8 @@
 
 int bg_roster_init(struct bg_roster *out);
 void bg_roster_free(struct bg_roster *ros);
-/** Rebuilds from a table. @param now_ms monotonic clock */
-int bg_roster_rebuild(
-    struct bg_roster *ros, const struct bg_table *tbl, uint64_t now_ms);
+/** Rebuilds from a table. */
+int bg_roster_rebuild(struct bg_roster *ros, const struct bg_table *tbl);
 /** Members of a service. @return count; *out points to the first */
 size_t bg_roster_service(const struct bg_member **out,
     const struct bg_roster *ros, const char *service);
@@ -59,17 +73,4 @@
 const struct bg_member *bg_roster_find(
     const struct bg_roster *ros, const char *address);
 
-/** Servers marked dead this recently remain candidates of last resort. */
-#define BG_MEMBER_LAST_RESORT_MS 600000
-
-/** 1 if fewer than half of a service's known servers are live; then those that
- * died recently remain candidates, since stale data is better than none.
- * @param members as returned by bg_roster_service */
-int bg_members_below_half(
-    const struct bg_member *members, size_t count, uint64_t now_ms);
-/** 1 if calls may go to a member in state ready.
- * @param below_half result of bg_members_below_half */
-int bg_member_is_candidate(
-    const struct bg_member *member, int below_half, uint64_t now_ms);
-
 #endif
--- a/mesh/include/burdockgrade/table.h
+++ b/mesh/include/burdockgrade/table.h
@@ -16,24 +16,11 @@
 #include "burdockgrade/wire_xdr.h"
 
 enum bg_item_kind {
-	BG_ITEM_HEAD = 1,
-	BG_ITEM_SERVICE = 2,
-	BG_ITEM_MEMBER = 3,
-	BG_ITEM_MARK = 4,
-	BG_ITEM_SUMMARY = 5,
-	BG_ITEM_VIEW = 6,
-	BG_ITEM_ACK = 7,
-	BG_ITEM_STAT = 8,
-	BG_ITEM_DCSTAT = 9,
-	BG_ITEM_GROUP = 10, /**< report of a record group's holder */
-};
-
-/** Who receives an item. */
-enum bg_item_scope {
-	BG_SCOPE_ALL,	    /**< every node */
-	BG_SCOPE_UP,	    /**< from a node towards its relay only */
-	BG_SCOPE_RELAYS,    /**< among relays only */
-	BG_SCOPE_UP_RELAYS, /**< towards the relay, and among relays */
+	/** Major: version; value: the document. It is large, so it is compared
+	 * by its version and left out of the digests. */
+	BG_ITEM_CONFIG = 1,
+	BG_ITEM_MEMBER = 2, /**< key: address; major: incarnation */
+	BG_ITEM_MOVE = 3,   /**< key: service; a move, as the store has it */
 };
 
 struct bg_item {
@@ -50,9 +37,6 @@
 int bg_table_init(struct bg_table **out);
 void bg_table_free(struct bg_table *tbl);
 
-/** Returns the scope of a kind. */
-enum bg_item_scope bg_item_scope(uint32_t kind);
-
 /** Compares (major, minor, value). @return <0, 0 or >0 */
 int bg_item_compare(const struct bg_item *a, const struct bg_item *b);
 
@@ -60,12 +44,10 @@
  * Merges an item; the table copies it.
  *
  * @param out_changed 1 if the item replaced an older one or is new
- * @param origin identifies the link it came from, 0 for this process; items
- *     are not sent back to their origin
  * @return 0, BG_EINVAL or BG_ENOMEM
  */
-int bg_table_merge(int *out_changed, struct bg_table *tbl,
-    const struct bg_item *item, uint64_t origin);
+int bg_table_merge(
+    int *out_changed, struct bg_table *tbl, const struct bg_item *item);
 
 /** Finds an item; valid until the next merge. @return 0 or BG_ENOTFOUND */
 int bg_table_get(struct bg_item *out, const struct bg_table *tbl, uint32_t kind,
@@ -80,14 +62,9 @@
 
 /** Selects items for a peer. */
 struct bg_table_select {
-	uint64_t cursor; /**< changes after this one */
-	uint64_t
-	    not_origin; /**< leave out items that came from here, 0: none */
-	uint32_t scope_mask;  /**< bits 1 << enum bg_item_scope */
-	uint64_t bucket_mask; /**< bit i: bucket i, whatever the cursor; items
-				   of other scopes than ALL, which the digests
-				   do not cover, are all selected; 0: by
-				   cursor */
+	uint64_t cursor;      /**< changes after this one */
+	uint64_t bucket_mask; /**< bit i: bucket i without the configuration,
+				   whatever the cursor; 0: by cursor */
 	size_t max_bytes;     /**< stop above this size; 0: no limit */
 };
 
@@ -100,18 +77,13 @@
 int bg_table_select(struct bg_xitems *out, uint64_t *out_cursor,
     const struct bg_table *tbl, const struct bg_table_select *sel);
 
-/** 1 if a change after the cursor came from this origin. */
-int bg_table_has_origin(
-    const struct bg_table *tbl, uint64_t cursor, uint64_t origin);
-/** 1 if the selection by cursor is not empty. */
-int bg_table_has_news(
-    const struct bg_table *tbl, const struct bg_table_select *sel);
-
 /** Merges a received list. @return number of changed items or a code < 0 */
-int bg_table_merge_list(
-    struct bg_table *tbl, const struct bg_xitems *items, uint64_t origin);
+int bg_table_merge_list(struct bg_table *tbl, const struct bg_xitems *items);
+
+/** Digest over all items. */
+uint64_t bg_table_root(const struct bg_table *tbl);
 
-/** Digests of the key buckets over items of scope ALL. */
+/** Digests of the key buckets, without the configuration. */
 void bg_table_digests(
     uint64_t out[BG_DIGEST_BUCKETS], const struct bg_table *tbl);
 
--- a/mesh/include/burdockgrade/wire_xdr.h
+++ b/mesh/include/burdockgrade/wire_xdr.h
@@ -18,7 +18,7 @@
 #define BG_KEY_BYTES 192
 #define BG_BODY_BYTES 1048576
 #define BG_ITEMS_MAX 8192
-#define BG_HEADERS_MAX 64
+#define BG_HEADERS_MAX 128
 #define BG_DIGEST_BUCKETS 64
 
 typedef char *bg_xname;
@@ -49,17 +49,13 @@
 
 struct bg_xsync_args {
 	bg_xaddress address;
-	u_quad_t incarnation;
-	bg_xname data_centre;
-	u_int role;
-	u_quad_t cursor_incarnation;
-	u_quad_t cursor;
+	u_quad_t root;
+	u_quad_t config_version;
 	struct {
 		u_int digests_len;
 		u_quad_t *digests_val;
 	} digests;
-	u_int want_floor;
-	u_int wait_ms;
+	u_int is_push;
 	u_int raw_bytes;
 	u_quad_t items_digest;
 	struct {
@@ -69,31 +65,12 @@
 };
 typedef struct bg_xsync_args bg_xsync_args;
 
-enum bg_xsync_status {
-	BG_XSYNC_OK = 0,
-	BG_XSYNC_REDIRECT = 1,
-	BG_XSYNC_BUSY = 2,
-	BG_XSYNC_STALE_INCARNATION = 3,
-};
-typedef enum bg_xsync_status bg_xsync_status;
-
 struct bg_xsync_res {
-	bg_xsync_status status;
-	bg_xaddress redirect;
-	u_int retry_ms;
-	u_quad_t known_incarnation;
-	bg_xaddress address;
-	u_quad_t incarnation;
-	u_quad_t cursor;
+	u_quad_t config_version;
 	struct {
 		u_int digests_len;
 		u_quad_t *digests_val;
 	} digests;
-	bg_xaddress lease_holder;
-	u_quad_t lease_term;
-	u_quad_t lease_object_version;
-	u_int lease_remaining_ms;
-	u_quad_t floor_version;
 	u_int raw_bytes;
 	u_quad_t items_digest;
 	struct {
@@ -116,12 +93,29 @@
 };
 typedef enum bg_xoutcome bg_xoutcome;
 
+enum bg_xrefusal {
+	BG_XREFUSAL_NONE = 0,
+	BG_XREFUSAL_BUSY = 1,
+	BG_XREFUSAL_NO_SERVER = 2,
+	BG_XREFUSAL_DRAINING = 3,
+	BG_XREFUSAL_VERSION = 4,
+	BG_XREFUSAL_DEADLINE = 5,
+	BG_XREFUSAL_SHED = 6,
+	BG_XREFUSAL_BUFFERS = 7,
+	BG_XREFUSAL_UNSYNCED = 8,
+	BG_XREFUSAL_DEPTH = 9,
+	BG_XREFUSAL_UNREACHABLE = 10,
+};
+typedef enum bg_xrefusal bg_xrefusal;
+
 struct bg_xcall_args {
 	char *request_id;
 	bg_xname service;
 	bg_xname route;
 	bg_xname server_version;
+	bg_xname caller_service;
 	char *method;
+	char *host;
 	char *path;
 	struct {
 		u_int headers_len;
@@ -132,18 +126,32 @@
 		char *body_val;
 	} body;
 	u_int deadline_ms;
+	u_int target_ms;
+	u_int wait_ms;
 	u_int slow_ms;
-	u_int criticality;
+	u_int usual_us;
+	u_int priority;
+	u_int is_dependency;
 	u_int idempotent;
 	u_int depth;
 	u_int attempt;
-	u_quad_t grant;
 	u_quad_t config_version;
 };
 typedef struct bg_xcall_args bg_xcall_args;
 
+struct bg_xload {
+	u_int running;
+	u_int queued;
+	u_int slots;
+	u_int wait_us;
+	u_int service_us;
+	u_int bad_permille;
+};
+typedef struct bg_xload bg_xload;
+
 struct bg_xcall_res {
 	bg_xoutcome outcome;
+	bg_xrefusal refusal;
 	u_int http_status;
 	struct {
 		u_int headers_len;
@@ -155,12 +163,11 @@
 	} body;
 	char *reason;
 	u_int retry_after_ms;
-	u_int running;
-	u_int queued;
-	u_int slots;
+	bg_xload load;
 	u_int own_time_us;
 	u_int dependency_failed;
 	bg_xname server_version;
+	bg_xname server_id;
 };
 typedef struct bg_xcall_res bg_xcall_res;
 
@@ -169,144 +176,51 @@
 };
 typedef struct bg_xcancel_args bg_xcancel_args;
 
-struct bg_xbegin_args {
-	bg_xname data_centre;
-	u_int group;
-	u_quad_t epoch;
-	bg_xkey key;
-	u_quad_t request_digest;
-	u_int wait_ms;
-};
-typedef struct bg_xbegin_args bg_xbegin_args;
-
-enum bg_xbegin_status {
-	BG_XBEGIN_GRANTED = 0,
-	BG_XBEGIN_DONE = 1,
-	BG_XBEGIN_RUNNING = 2,
-	BG_XBEGIN_UNKNOWN = 3,
-	BG_XBEGIN_NOT_RUN = 4,
-	BG_XBEGIN_MISMATCH = 5,
-};
-typedef enum bg_xbegin_status bg_xbegin_status;
-
-struct bg_xanswer {
-	u_int http_status;
-	struct {
-		u_int headers_len;
-		bg_xheader *headers_val;
-	} headers;
-	struct {
-		u_int body_len;
-		char *body_val;
-	} body;
-};
-typedef struct bg_xanswer bg_xanswer;
-
-struct bg_xbegin_res {
-	bg_xbegin_status status;
-	u_quad_t epoch;
-	u_quad_t grant;
-	u_int retry_after_ms;
-	bg_xanswer *answer;
-};
-typedef struct bg_xbegin_res bg_xbegin_res;
-
-struct bg_xfinish_args {
-	bg_xname data_centre;
-	u_int group;
-	bg_xkey key;
-	u_quad_t grant;
-	bg_xoutcome outcome;
-	bg_xanswer *answer;
-};
-typedef struct bg_xfinish_args bg_xfinish_args;
-
-struct bg_xfinish_res {
-	u_int accepted;
-	u_quad_t epoch;
-};
-typedef struct bg_xfinish_res bg_xfinish_res;
-
-struct bg_xrecord {
-	bg_xkey key;
-	u_quad_t fingerprint;
-	u_quad_t request_digest;
-	u_quad_t grant;
-	u_int state;
-	u_quad_t age_ms;
-	bg_xanswer *answer;
-};
-typedef struct bg_xrecord bg_xrecord;
-
-struct bg_xcopy_args {
-	bg_xname data_centre;
-	u_int group;
-	u_quad_t epoch;
-	bg_xaddress holder;
-	struct {
-		u_int records_len;
-		bg_xrecord *records_val;
-	} records;
-	u_int complete;
-};
-typedef struct bg_xcopy_args bg_xcopy_args;
-
-struct bg_xcopy_res {
-	u_int accepted;
-	u_quad_t epoch;
+struct bg_xstate_res {
+	u_quad_t held_version;
+	u_quad_t refused_version;
+	char *refused_reason;
 };
-typedef struct bg_xcopy_res bg_xcopy_res;
+typedef struct bg_xstate_res bg_xstate_res;
 
 #define BG_MESH 0x2f0b0d67
-#define BG_MESH_V1 1
+#define BG_MESH_V2 2
 
 #if defined(__STDC__) || defined(__cplusplus)
 #define BG_PROC_PING 0
-extern  void * bg_proc_ping_1(void *, CLIENT *);
-extern  void * bg_proc_ping_1_svc(void *, struct svc_req *);
+extern  void * bg_proc_ping_2(void *, CLIENT *);
+extern  void * bg_proc_ping_2_svc(void *, struct svc_req *);
 #define BG_PROC_SYNC 1
-extern  bg_xsync_res * bg_proc_sync_1(bg_xsync_args *, CLIENT *);
-extern  bg_xsync_res * bg_proc_sync_1_svc(bg_xsync_args *, struct svc_req *);
+extern  bg_xsync_res * bg_proc_sync_2(bg_xsync_args *, CLIENT *);
+extern  bg_xsync_res * bg_proc_sync_2_svc(bg_xsync_args *, struct svc_req *);
 #define BG_PROC_CALL 2
-extern  bg_xcall_res * bg_proc_call_1(bg_xcall_args *, CLIENT *);
-extern  bg_xcall_res * bg_proc_call_1_svc(bg_xcall_args *, struct svc_req *);
+extern  bg_xcall_res * bg_proc_call_2(bg_xcall_args *, CLIENT *);
+extern  bg_xcall_res * bg_proc_call_2_svc(bg_xcall_args *, struct svc_req *);
 #define BG_PROC_CANCEL 3
-extern  void * bg_proc_cancel_1(bg_xcancel_args *, CLIENT *);
-extern  void * bg_proc_cancel_1_svc(bg_xcancel_args *, struct svc_req *);
-#define BG_PROC_BEGIN 4
-extern  bg_xbegin_res * bg_proc_begin_1(bg_xbegin_args *, CLIENT *);
-extern  bg_xbegin_res * bg_proc_begin_1_svc(bg_xbegin_args *, struct svc_req *);
-#define BG_PROC_FINISH 5
-extern  bg_xfinish_res * bg_proc_finish_1(bg_xfinish_args *, CLIENT *);
-extern  bg_xfinish_res * bg_proc_finish_1_svc(bg_xfinish_args *, struct svc_req *);
-#define BG_PROC_COPY 6
-extern  bg_xcopy_res * bg_proc_copy_1(bg_xcopy_args *, CLIENT *);
-extern  bg_xcopy_res * bg_proc_copy_1_svc(bg_xcopy_args *, struct svc_req *);
-extern int bg_mesh_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
+extern  void * bg_proc_cancel_2(bg_xcancel_args *, CLIENT *);
+extern  void * bg_proc_cancel_2_svc(bg_xcancel_args *, struct svc_req *);
+#define BG_PROC_STATE 4
+extern  bg_xstate_res * bg_proc_state_2(void *, CLIENT *);
+extern  bg_xstate_res * bg_proc_state_2_svc(void *, struct svc_req *);
+extern int bg_mesh_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
 #define BG_PROC_PING 0
-extern  void * bg_proc_ping_1();
-extern  void * bg_proc_ping_1_svc();
+extern  void * bg_proc_ping_2();
+extern  void * bg_proc_ping_2_svc();
 #define BG_PROC_SYNC 1
-extern  bg_xsync_res * bg_proc_sync_1();
-extern  bg_xsync_res * bg_proc_sync_1_svc();
+extern  bg_xsync_res * bg_proc_sync_2();
+extern  bg_xsync_res * bg_proc_sync_2_svc();
 #define BG_PROC_CALL 2
-extern  bg_xcall_res * bg_proc_call_1();
-extern  bg_xcall_res * bg_proc_call_1_svc();
+extern  bg_xcall_res * bg_proc_call_2();
+extern  bg_xcall_res * bg_proc_call_2_svc();
 #define BG_PROC_CANCEL 3
-extern  void * bg_proc_cancel_1();
-extern  void * bg_proc_cancel_1_svc();
-#define BG_PROC_BEGIN 4
-extern  bg_xbegin_res * bg_proc_begin_1();
-extern  bg_xbegin_res * bg_proc_begin_1_svc();
-#define BG_PROC_FINISH 5
-extern  bg_xfinish_res * bg_proc_finish_1();
-extern  bg_xfinish_res * bg_proc_finish_1_svc();
-#define BG_PROC_COPY 6
-extern  bg_xcopy_res * bg_proc_copy_1();
-extern  bg_xcopy_res * bg_proc_copy_1_svc();
-extern int bg_mesh_1_freeresult ();
+extern  void * bg_proc_cancel_2();
+extern  void * bg_proc_cancel_2_svc();
+#define BG_PROC_STATE 4
+extern  bg_xstate_res * bg_proc_state_2();
+extern  bg_xstate_res * bg_proc_state_2_svc();
+extern int bg_mesh_2_freeresult ();
 #endif /* K&R C */
 
 /* the xdr functions */
@@ -318,22 +232,15 @@
 extern  bool_t xdr_bg_xitem (XDR *, bg_xitem*);
 extern  bool_t xdr_bg_xitems (XDR *, bg_xitems*);
 extern  bool_t xdr_bg_xsync_args (XDR *, bg_xsync_args*);
-extern  bool_t xdr_bg_xsync_status (XDR *, bg_xsync_status*);
 extern  bool_t xdr_bg_xsync_res (XDR *, bg_xsync_res*);
 extern  bool_t xdr_bg_xheader (XDR *, bg_xheader*);
 extern  bool_t xdr_bg_xoutcome (XDR *, bg_xoutcome*);
+extern  bool_t xdr_bg_xrefusal (XDR *, bg_xrefusal*);
 extern  bool_t xdr_bg_xcall_args (XDR *, bg_xcall_args*);
+extern  bool_t xdr_bg_xload (XDR *, bg_xload*);
 extern  bool_t xdr_bg_xcall_res (XDR *, bg_xcall_res*);
 extern  bool_t xdr_bg_xcancel_args (XDR *, bg_xcancel_args*);
-extern  bool_t xdr_bg_xbegin_args (XDR *, bg_xbegin_args*);
-extern  bool_t xdr_bg_xbegin_status (XDR *, bg_xbegin_status*);
-extern  bool_t xdr_bg_xanswer (XDR *, bg_xanswer*);
-extern  bool_t xdr_bg_xbegin_res (XDR *, bg_xbegin_res*);
-extern  bool_t xdr_bg_xfinish_args (XDR *, bg_xfinish_args*);
-extern  bool_t xdr_bg_xfinish_res (XDR *, bg_xfinish_res*);
-extern  bool_t xdr_bg_xrecord (XDR *, bg_xrecord*);
-extern  bool_t xdr_bg_xcopy_args (XDR *, bg_xcopy_args*);
-extern  bool_t xdr_bg_xcopy_res (XDR *, bg_xcopy_res*);
+extern  bool_t xdr_bg_xstate_res (XDR *, bg_xstate_res*);
 
 #else /* K&R C */
 extern bool_t xdr_bg_xname ();
@@ -342,22 +249,15 @@
 extern bool_t xdr_bg_xitem ();
 extern bool_t xdr_bg_xitems ();
 extern bool_t xdr_bg_xsync_args ();
-extern bool_t xdr_bg_xsync_status ();
 extern bool_t xdr_bg_xsync_res ();
 extern bool_t xdr_bg_xheader ();
 extern bool_t xdr_bg_xoutcome ();
+extern bool_t xdr_bg_xrefusal ();
 extern bool_t xdr_bg_xcall_args ();
+extern bool_t xdr_bg_xload ();
 extern bool_t xdr_bg_xcall_res ();
 extern bool_t xdr_bg_xcancel_args ();
-extern bool_t xdr_bg_xbegin_args ();
-extern bool_t xdr_bg_xbegin_status ();
-extern bool_t xdr_bg_xanswer ();
-extern bool_t xdr_bg_xbegin_res ();
-extern bool_t xdr_bg_xfinish_args ();
-extern bool_t xdr_bg_xfinish_res ();
-extern bool_t xdr_bg_xrecord ();
-extern bool_t xdr_bg_xcopy_args ();
-extern bool_t xdr_bg_xcopy_res ();
+extern bool_t xdr_bg_xstate_res ();
 
 #endif /* K&R C */
 
--- a/mesh/src/link/frame.c
+++ b/mesh/src/link/frame.c
@@ -17,16 +17,12 @@
 	"Bytes of SYNC and PING messages sent."),
     BG_COUNTER("burdock_call_sent_bytes_total",
 	"Bytes of CALL and CANCEL messages sent."),
-    BG_COUNTER("burdock_record_sent_bytes_total",
-	"Bytes of BEGIN, FINISH and COPY messages sent."),
 };
 static struct bg_counter received_bytes[] = {
     BG_COUNTER("burdock_control_received_bytes_total",
 	"Bytes of SYNC and PING messages received."),
     BG_COUNTER("burdock_call_received_bytes_total",
 	"Bytes of CALL and CANCEL messages received."),
-    BG_COUNTER("burdock_record_received_bytes_total",
-	"Bytes of BEGIN, FINISH and COPY messages received."),
 };
 
 void
@@ -36,8 +32,6 @@
 
 	if (proc == BG_PROC_CALL || proc == BG_PROC_CANCEL)
 		kind = BG_TRAFFIC_CALL;
-	else if (proc >= BG_PROC_BEGIN)
-		kind = BG_TRAFFIC_RECORD;
 	bg_counter_add(sent ? &sent_bytes[kind] : &received_bytes[kind],
 	    (int64_t)(bytes + MARK_BYTES));
 }
@@ -111,7 +105,7 @@
 	msg.rm_direction = CALL;
 	msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
 	msg.rm_call.cb_prog = BG_MESH;
-	msg.rm_call.cb_vers = BG_MESH_V1;
+	msg.rm_call.cb_vers = BG_MESH_V2;
 	msg.rm_call.cb_proc = proc;
 	error = append(out, &msg, 1, xargs, args);
 	if (error == 0)
--- a/mesh/src/link/frame.h
+++ b/mesh/src/link/frame.h
@@ -31,7 +31,7 @@
 /** Encodes and decodes an empty body. */
 bool_t bg_xdr_empty(XDR *xdrs, void *unused);
 
-enum bg_traffic { BG_TRAFFIC_CONTROL, BG_TRAFFIC_CALL, BG_TRAFFIC_RECORD };
+enum bg_traffic { BG_TRAFFIC_CONTROL, BG_TRAFFIC_CALL };
 
 /** Counts bytes by purpose, for the metrics page. */
 void bg_frame_count(uint32_t proc, int sent, uint64_t bytes);
--- a/mesh/src/link/link.c
+++ b/mesh/src/link/link.c
@@ -18,8 +18,8 @@
 #include "address.h"
 #include "frame.h"
 
-/* Interval of the silence check. */
-#define TICK_MS 250
+/* Interval of the checks while an answer is expected. */
+#define TICK_MS 100
 
 struct pending {
 	struct bg_link *link;
@@ -42,7 +42,8 @@
 	bg_link_close_fn on_close;
 	void *arg;
 	uint64_t last_received_ms;
-	uint64_t last_sent_ping_ms;
+	uint64_t waiting_since_ms; /* an answer is expected since */
+	uint64_t pinged_ms; /* first ping since bytes were received; 0: none */
 	uint64_t opened_ms;
 	uint32_t connect_timeout_ms;
 	uint32_t next_xid;
@@ -167,6 +168,7 @@
 	int error = 0;
 
 	link->last_received_ms = bg_clock_now_ms();
+	link->pinged_ms = 0;
 	link->in_callback++;
 	while (!link->is_closed && error == 0 &&
 	    (found = bg_frame_read(&frame, bufferevent_get_input(bev))) > 0) {
@@ -203,33 +205,56 @@
 	link_close(arg, "connect failed");
 }
 
+static void
+arm_tick(struct bg_link *link)
+{
+	static const struct timeval tick = {0, TICK_MS * 1000};
+
+	if (!link->is_closed && !evtimer_pending(link->tick, NULL))
+		evtimer_add(link->tick, &tick);
+}
+
 static void
 send_ping(struct bg_link *link, uint64_t now_ms)
 {
 	if (bg_link_call(NULL, link, BG_PROC_PING, NULL, NULL, NULL, 0, 0, NULL,
-		NULL) == 0)
-		link->last_sent_ping_ms = now_ms;
+		NULL) == 0 &&
+	    link->pinged_ms == 0)
+		link->pinged_ms = now_ms;
 }
 
 static void
-on_tick(evutil_socket_t fd, short what, void *arg)
+check_silence(struct bg_link *link, uint64_t now_ms)
 {
-	struct bg_link *link = arg;
-	uint64_t now_ms = bg_clock_now_ms();
+	uint64_t since_ms = link->last_received_ms;
+	uint64_t silence_ms;
 
-	if (!link->is_connected) {
-		if (now_ms - link->opened_ms > link->connect_timeout_ms)
-			link_close(link, "connect timeout");
+	if (link->pending == NULL)
 		return;
-	}
-	if (now_ms - link->last_received_ms > BG_LINK_SILENCE_MS &&
-	    link->pending != NULL) {
+	if (since_ms < link->waiting_since_ms)
+		since_ms = link->waiting_since_ms;
+	silence_ms = now_ms - since_ms;
+	if (silence_ms > BG_LINK_SILENCE_MS) {
 		link_close(link, "silent");
 		return;
 	}
-	if (now_ms - link->last_received_ms >= BG_LINK_PING_MS &&
-	    now_ms - link->last_sent_ping_ms >= BG_LINK_PING_MS)
+	if (link->pinged_ms == 0 && silence_ms >= BG_LINK_PING_MS)
 		send_ping(link, now_ms);
+	arm_tick(link);
+}
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct bg_link *link = arg;
+	uint64_t now_ms = bg_clock_now_ms();
+
+	if (link->is_connected)
+		check_silence(link, now_ms);
+	else if (now_ms - link->opened_ms > link->connect_timeout_ms)
+		link_close(link, "connect timeout");
+	else
+		arm_tick(link);
 }
 
 static void
@@ -258,7 +283,6 @@
     const struct bg_link_options *opts, bg_link_close_fn on_close, void *arg,
     struct bg_error *err)
 {
-	static const struct timeval tick = {0, TICK_MS * 1000};
 	struct sockaddr_in sin;
 	struct bg_link *link;
 
@@ -276,13 +300,13 @@
 	link->connect_timeout_ms = opts->connect_timeout_ms;
 	link->opened_ms = bg_clock_now_ms();
 	link->bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-	link->tick = event_new(base, -1, EV_PERSIST, on_tick, link);
+	link->tick = evtimer_new(base, on_tick, link);
 	link->failure = event_new(base, -1, 0, on_failure, link);
 	if (link->bev == NULL || link->tick == NULL || link->failure == NULL) {
 		link_release(link);
 		return BG_ENOMEM;
 	}
-	event_add(link->tick, &tick);
+	arm_tick(link);
 	start_connect(link, &sin, opts->local_ip);
 	*out = link;
 	return 0;
@@ -340,6 +364,8 @@
 		return BG_EUNAVAILABLE;
 	if ((p = calloc(1, sizeof(*p))) == NULL)
 		return BG_ENOMEM;
+	if (link->pending == NULL)
+		link->waiting_since_ms = bg_clock_now_ms();
 	p->link = link;
 	p->xid = link->next_xid++;
 	p->proc = proc;
@@ -357,6 +383,7 @@
 	}
 	if (out_xid != NULL)
 		*out_xid = p->xid;
+	arm_tick(link);
 	return 0;
 }
 
@@ -395,3 +422,36 @@
 {
 	return link->is_connected && !link->is_closed;
 }
+
+uint64_t
+bg_link_suspect_ms(const struct bg_link *link)
+{
+	uint64_t waited_ms;
+
+	if (link->pinged_ms == 0)
+		return 0;
+	waited_ms = bg_clock_now_ms() - link->pinged_ms;
+	return waited_ms > BG_LINK_SUSPECT_MS ? waited_ms - BG_LINK_SUSPECT_MS
+					      : 0;
+}
+
+void
+bg_link_doubt(struct bg_link *link)
+{
+	uint64_t now_ms = bg_clock_now_ms();
+
+	if (!bg_link_is_suspect(link))
+		link->pinged_ms = now_ms - BG_LINK_SUSPECT_MS - 1;
+}
+
+int
+bg_link_has_calls(const struct bg_link *link)
+{
+	return link->pending != NULL;
+}
+
+int
+bg_link_is_suspect(const struct bg_link *link)
+{
+	return bg_link_suspect_ms(link) > 0;
+}
--- a/mesh/src/link/server.c
+++ b/mesh/src/link/server.c
@@ -199,7 +199,7 @@
 	msg.rm_call.cb_verf.oa_base = verf;
 	xdrmem_create(&xdrs, frame->data, frame->data_bytes, XDR_DECODE);
 	if (!xdr_callmsg(&xdrs, &msg) || msg.rm_direction != CALL ||
-	    msg.rm_call.cb_prog != BG_MESH || msg.rm_call.cb_vers != BG_MESH_V1)
+	    msg.rm_call.cb_prog != BG_MESH || msg.rm_call.cb_vers != BG_MESH_V2)
 		goto done;
 	error = 0;
 	/* A duplicated message carries an xid that was seen already. */
--- a/mesh/src/members/members.c
+++ b/mesh/src/members/members.c
@@ -8,18 +8,34 @@
 /* Members for which the roster reserves room at first. */
 #define ROOM_MIN 16
 
+static const char FIELD_DC[] = "dc";
+static const char FIELD_REGION[] = "region";
+static const char FIELD_SERVICE[] = "service";
+static const char FIELD_SERVER[] = "server";
+static const char FIELD_VERSION[] = "version";
+static const char FIELD_STATE[] = "state";
+static const char FIELD_SLOTS[] = "slots";
+static const char FIELD_VERDICT[] = "verdict";
+static const char FIELD_GENERATION[] = "generation";
+
+json_t *
+bg_member_to_json(const struct bg_member *member)
+{
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:I}",
+	    FIELD_DC, member->data_centre, FIELD_REGION, member->region,
+	    FIELD_SERVICE, member->service, FIELD_SERVER, member->server_id,
+	    FIELD_VERSION, member->server_version, FIELD_STATE,
+	    (int)member->state, FIELD_SLOTS, (json_int_t)member->slots,
+	    FIELD_VERDICT, (int)member->verdict, FIELD_GENERATION,
+	    (json_int_t)member->verdict_generation);
+}
+
 int
 bg_member_encode(struct bg_item *out, const struct bg_member *member)
 {
-	json_t *json;
+	json_t *json = bg_member_to_json(member);
 	char *text;
 
-	json = json_pack("{s:s, s:s, s:s, s:s, s:i, s:I, s:I, s:I}", "dc",
-	    member->data_centre, "region", member->region, "service",
-	    member->service, "version", member->server_version, "state",
-	    (int)member->state, "slots", (json_int_t)member->slots, "conns",
-	    (json_int_t)member->connections, "ready",
-	    (json_int_t)member->ready_since_ms);
 	if (json == NULL)
 		return BG_EINVAL;
 	text = json_dumps(json, JSON_COMPACT | JSON_SORT_KEYS);
@@ -30,7 +46,7 @@
 	out->kind = BG_ITEM_MEMBER;
 	out->key = member->address;
 	out->major = member->incarnation;
-	out->minor = 2 * member->seq + (member->is_dead != 0);
+	out->minor = member->seq;
 	out->value = text;
 	out->value_bytes = (uint32_t)strlen(text);
 	return 0;
@@ -45,34 +61,38 @@
 	return 0;
 }
 
-static int
-unpack_member(struct bg_member *out, json_t *json)
+int
+bg_member_from_json(struct bg_member *out, const json_t *json)
 {
 	const char *dc;
 	const char *region;
 	const char *service;
+	const char *id;
 	const char *version;
 	json_int_t slots;
-	json_int_t conns;
-	json_int_t ready;
+	json_int_t generation = 0;
+	int verdict = BG_VERDICT_NONE;
 	int state;
 
-	if (json_unpack(json, "{s:s, s:s, s:s, s:s, s:i, s:I, s:I, s:I}", "dc",
-		&dc, "region", &region, "service", &service, "version",
-		&version, "state", &state, "slots", &slots, "conns", &conns,
-		"ready", &ready) != 0)
+	if (json_unpack((json_t *)json,
+		"{s:s, s:s, s:s, s:s, s:s, s:i, s:I, s?i, s?I}", FIELD_DC, &dc,
+		FIELD_REGION, &region, FIELD_SERVICE, &service, FIELD_SERVER,
+		&id, FIELD_VERSION, &version, FIELD_STATE, &state, FIELD_SLOTS,
+		&slots, FIELD_VERDICT, &verdict, FIELD_GENERATION,
+		&generation) != 0)
 		return BG_EPROTO;
 	if (state < BG_MEMBER_STARTING || state > BG_MEMBER_LEAVING ||
-	    slots < 0 || slots > UINT32_MAX || conns < 0 ||
-	    conns > UINT32_MAX || ready < 0)
+	    slots < 0 || slots > UINT32_MAX || verdict < BG_VERDICT_NONE ||
+	    verdict > BG_VERDICT_IDLE || generation < 0)
 		return BG_EPROTO;
 	out->state = (enum bg_member_state)state;
 	out->slots = (uint32_t)slots;
-	out->connections = (uint32_t)conns;
-	out->ready_since_ms = (uint64_t)ready;
+	out->verdict = (enum bg_verdict)verdict;
+	out->verdict_generation = (uint64_t)generation;
 	if (copy_name(out->data_centre, sizeof(out->data_centre), dc) != 0 ||
 	    copy_name(out->region, sizeof(out->region), region) != 0 ||
-	    copy_name(out->service, sizeof(out->service), service) != 0)
+	    copy_name(out->service, sizeof(out->service), service) != 0 ||
+	    copy_name(out->server_id, sizeof(out->server_id), id) != 0)
 		return BG_EPROTO;
 	return copy_name(
 	    out->server_version, sizeof(out->server_version), version);
@@ -91,11 +111,10 @@
 	json = json_loadb(item->value, item->value_bytes, 0, NULL);
 	if (json == NULL)
 		return BG_EPROTO;
-	error = unpack_member(out, json);
+	error = bg_member_from_json(out, json);
 	json_decref(json);
 	out->incarnation = item->major;
-	out->seq = item->minor / 2;
-	out->is_dead = (int)(item->minor & 1);
+	out->seq = item->minor;
 	return error;
 }
 
@@ -115,20 +134,16 @@
 }
 
 struct rebuild {
-	const struct bg_roster *old;
 	struct bg_member *members;
 	size_t count;
 	size_t room;
-	uint64_t now_ms;
 };
 
 static int
 add_member(void *arg, const struct bg_item *item)
 {
 	struct rebuild *rb = arg;
-	const struct bg_member *old;
 	struct bg_member *grown;
-	struct bg_member *m;
 
 	if (rb->count == rb->room) {
 		rb->room = rb->room == 0 ? ROOM_MIN : 2 * rb->room;
@@ -137,18 +152,9 @@
 			return BG_ENOMEM;
 		rb->members = grown;
 	}
-	m = &rb->members[rb->count];
 	/* An item of another release that does not decode is left out. */
-	if (bg_member_decode(m, item) != 0)
-		return 0;
-	rb->count++;
-	if (!m->is_dead)
-		return 0;
-	m->dead_observed_ms = rb->now_ms;
-	old = bg_roster_find(rb->old, m->address);
-	if (old != NULL && old->is_dead && old->incarnation == m->incarnation &&
-	    old->seq == m->seq)
-		m->dead_observed_ms = old->dead_observed_ms;
+	if (bg_member_decode(&rb->members[rb->count], item) == 0)
+		rb->count++;
 	return 0;
 }
 
@@ -172,10 +178,9 @@
 }
 
 int
-bg_roster_rebuild(
-    struct bg_roster *ros, const struct bg_table *tbl, uint64_t now_ms)
+bg_roster_rebuild(struct bg_roster *ros, const struct bg_table *tbl)
 {
-	struct rebuild rb = {ros, NULL, 0, 0, now_ms};
+	struct rebuild rb = {NULL, 0, 0};
 	uint32_t *by_address = NULL;
 	size_t i;
 	int error;
@@ -250,39 +255,3 @@
 	}
 	return NULL;
 }
-
-static int
-died_recently(const struct bg_member *member, uint64_t now_ms)
-{
-	return now_ms - member->dead_observed_ms < BG_MEMBER_LAST_RESORT_MS;
-}
-
-int
-bg_members_below_half(
-    const struct bg_member *members, size_t count, uint64_t now_ms)
-{
-	size_t live = 0;
-	size_t known = 0;
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		/* Servers that announced their leave are not missed. */
-		if (members[i].state == BG_MEMBER_LEAVING)
-			continue;
-		live += !members[i].is_dead;
-		known +=
-		    !members[i].is_dead || died_recently(&members[i], now_ms);
-	}
-	return 2 * live < known;
-}
-
-int
-bg_member_is_candidate(
-    const struct bg_member *member, int below_half, uint64_t now_ms)
-{
-	if (member->state != BG_MEMBER_READY)
-		return 0;
-	if (!member->is_dead)
-		return 1;
-	return below_half && died_recently(member, now_ms);
-}
--- /dev/null
+++ b/mesh/src/mesh/config.c
@@ -0,0 +1,178 @@
+/* The configuration in force: from the store, or from a peer while the store
+ * cannot be reached. A version never goes back. */
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/log.h"
+
+#include "mesh/internal.h"
+
+/* Versions in quick succession are read together. Short against the time
+ * within which a version has to be in force. */
+#define COALESCE_MS 200
+
+static struct bg_counter refusals = BG_COUNTER(
+    "burdock_mesh_refused_snapshots_total", "Versions that did not validate.");
+static struct bg_counter held_version =
+    BG_GAUGE("burdock_config_version", "Version of the snapshot in force.");
+static struct bg_counter installs =
+    BG_COUNTER("burdock_config_installs_total", "Versions put in force.");
+
+static void
+tell_snapshot(struct bg_mesh *mesh)
+{
+	size_t i;
+
+	for (i = 0; i < mesh->listener_count; i++) {
+		if (mesh->listeners[i].snapshot != NULL)
+			mesh->listeners[i].snapshot(
+			    mesh->listeners[i].arg, mesh->snapshot);
+	}
+}
+
+uint64_t
+bg_mesh_config_version(const struct bg_mesh *mesh)
+{
+	return mesh->snapshot == NULL ? 0 : mesh->snapshot->version;
+}
+
+/* Decodes a document and puts it in force if it is newer. @return 1 if it is
+ * in force now */
+static int
+install(struct bg_mesh *mesh, const json_t *doc, const char *from)
+{
+	struct bg_snapshot *snap;
+	struct bg_error err = {0};
+
+	if (mesh->config->decode(mesh->config, &snap, doc, &err) != 0) {
+		bg_counter_add(&refusals, 1);
+		bg_log_error("config",
+		    "refused from=%s reason=\"%s\" in_force=%" PRIu64, from,
+		    err.message, bg_mesh_config_version(mesh));
+		mesh->refused_version = mesh->config->version == NULL
+		    ? 0
+		    : mesh->config->version(mesh->config, doc);
+		snprintf(mesh->refused_reason, sizeof(mesh->refused_reason),
+		    "%.*s", (int)sizeof(mesh->refused_reason) - 1, err.message);
+		return 0;
+	}
+	if (snap->version <= bg_mesh_config_version(mesh)) {
+		bg_snapshot_release(snap);
+		return 0;
+	}
+	bg_log_info("config",
+	    "in force version=%" PRIu64 " before=%" PRIu64
+	    " from=%s routes=%zu",
+	    snap->version, bg_mesh_config_version(mesh), from,
+	    snap->rule_count);
+	bg_snapshot_release(mesh->snapshot);
+	mesh->snapshot = snap;
+	mesh->installed_ms = bg_clock_now_ms();
+	mesh->refused_reason[0] = '\0';
+	mesh->refused_version = 0;
+	bg_counter_add(&installs, 1);
+	bg_counter_set(&held_version, (int64_t)snap->version);
+	tell_snapshot(mesh);
+	return 1;
+}
+
+/* Keeps the document for peers. */
+static void
+keep_document(struct bg_mesh *mesh, const json_t *doc)
+{
+	struct bg_item item = {0};
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	if (text == NULL) {
+		bg_log_error("config", "not kept for peers reason=memory");
+		return;
+	}
+	item.kind = BG_ITEM_CONFIG;
+	item.key = BG_CONFIG_KEY;
+	item.major = mesh->snapshot->version;
+	item.value = text;
+	item.value_bytes = (uint32_t)strlen(text);
+	if (bg_mesh_merge(mesh, &item) != 0)
+		bg_log_error(
+		    "config", "not kept for peers bytes=%u", item.value_bytes);
+	free(text);
+}
+
+void
+bg_mesh_config_item(struct bg_mesh *mesh, const struct bg_item *item)
+{
+	json_t *doc;
+
+	if (item->major <= bg_mesh_config_version(mesh))
+		return;
+	doc = json_loadb(item->value, item->value_bytes, 0, NULL);
+	if (doc == NULL) {
+		bg_log_error("config", "refused from=peer reason=json");
+		return;
+	}
+	install(mesh, doc, "peer");
+	json_decref(doc);
+}
+
+static void
+on_object(void *arg, const struct bg_store_object *obj)
+{
+	struct bg_mesh *mesh = arg;
+
+	if (strcmp(obj->name, mesh->config->name) != 0)
+		return;
+	if (obj->is_deleted || obj->spec == NULL) {
+		bg_log_warn("config", "object deleted, kept in force");
+		return;
+	}
+	if (install(mesh, obj->spec, "store"))
+		keep_document(mesh, obj->spec);
+}
+
+static void
+on_listed(void *arg)
+{
+}
+
+int
+bg_mesh_config_init(struct bg_mesh *mesh)
+{
+	struct bg_follow_options opts = {0};
+
+	opts.base = mesh->base;
+	opts.store = mesh->store;
+	opts.kind = mesh->config->kind;
+	opts.coalesce_ms = COALESCE_MS;
+	opts.handler.object = on_object;
+	opts.handler.listed = on_listed;
+	opts.handler.arg = mesh;
+	return bg_follow_init(&mesh->config_follow, &opts);
+}
+
+void
+bg_mesh_config_free(struct bg_mesh *mesh)
+{
+	bg_follow_free(mesh->config_follow);
+	bg_snapshot_release(mesh->snapshot);
+}
+
+int
+bg_mesh_is_synced(const struct bg_mesh *mesh)
+{
+	if (mesh->snapshot == NULL)
+		return 0;
+	/* A peer's version may be older than what the process that ran here
+	 * before had in force, so the store goes first if it answers. */
+	return mesh->config_follow == NULL ||
+	    bg_follow_has_listed(mesh->config_follow) ||
+	    !bg_follow_is_reachable(mesh->config_follow);
+}
+
+struct bg_snapshot *
+bg_mesh_snapshot(const struct bg_mesh *mesh)
+{
+	return mesh->snapshot;
+}
--- /dev/null
+++ b/mesh/src/mesh/gossip.c
@@ -0,0 +1,465 @@
+/* Comparison of tables with peers. While the store answers, all nodes hold the
+ * same and a round costs one small exchange. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/log.h"
+
+#include "mesh/codec.h"
+#include "mesh/internal.h"
+
+/* Interval of rounds, and its random part. */
+#define ROUND_MS 1000
+#define ROUND_SPREAD_MS 200
+/* Time allowed for one exchange. */
+#define SYNC_TIMEOUT_MS 1000
+/* Peers that receive a change at once; each passes it on as often. */
+#define PUSH_PEERS 4
+/* One round in this many goes to another data centre: bytes between data
+ * centres cost money. */
+#define FAR_ROUNDS 4
+/* A version that came this lately is not sent to a peer, which gets it from the
+ * store at about the same time. */
+#define CONFIG_SETTLED_MS 500
+/* Largest list of one message. */
+#define LIST_MAX_BYTES (3u << 20)
+
+static struct bg_counter rounds =
+    BG_COUNTER("burdock_gossip_rounds_total", "Comparisons begun with a peer.");
+static struct bg_counter repairs = BG_COUNTER(
+    "burdock_gossip_repairs_total", "Comparisons that found a difference.");
+static struct bg_counter received =
+    BG_COUNTER("burdock_gossip_items_total", "Items that a peer knew first.");
+
+/* One exchange under way. */
+struct exchange {
+	struct bg_gossip *gossip;
+	struct exchange *prev;
+	struct exchange *next;
+	uint64_t bucket_mask; /* 0: the roots are compared */
+	int is_round;	      /* not a push */
+	char peer[BG_ADDRESS_BYTES];
+};
+
+struct bg_gossip {
+	struct bg_mesh *mesh;
+	struct event *timer;
+	struct exchange *exchanges;
+};
+
+static void on_sync(void *arg, int code, void *res);
+
+static int
+is_settled_config(const struct bg_mesh *mesh)
+{
+	return bg_clock_now_ms() - mesh->installed_ms >= CONFIG_SETTLED_MS;
+}
+
+static void
+exchange_free(struct exchange *xch)
+{
+	if (xch->prev != NULL)
+		xch->prev->next = xch->next;
+	else
+		xch->gossip->exchanges = xch->next;
+	if (xch->next != NULL)
+		xch->next->prev = xch->prev;
+	free(xch);
+}
+
+static struct exchange *
+exchange_new(struct bg_gossip *gsp, const char *peer)
+{
+	struct exchange *xch;
+
+	if ((xch = calloc(1, sizeof(*xch))) == NULL)
+		return NULL;
+	xch->gossip = gsp;
+	snprintf(xch->peer, sizeof(xch->peer), "%s", peer);
+	xch->next = gsp->exchanges;
+	if (xch->next != NULL)
+		xch->next->prev = xch;
+	gsp->exchanges = xch;
+	return xch;
+}
+
+static int
+pack_selected(struct bg_packed *out, const struct bg_gossip *gsp,
+    uint64_t bucket_mask, uint64_t cursor)
+{
+	struct bg_table_select sel = {cursor, bucket_mask, LIST_MAX_BYTES};
+	struct bg_xitems items;
+	uint64_t end;
+	int error;
+
+	error = bg_table_select(&items, &end, gsp->mesh->table, &sel);
+	if (error != 0)
+		return error;
+	error = bg_items_pack(out, &items);
+	xdr_free((xdrproc_t)xdr_bg_xitems, (char *)&items);
+	return error;
+}
+
+static int
+pack_config(struct bg_packed *out, const struct bg_gossip *gsp)
+{
+	struct bg_xitem copy = {0};
+	struct bg_xitems list = {{1, &copy}};
+	struct bg_item item;
+
+	memset(out, 0, sizeof(*out));
+	if (bg_table_get(
+		&item, gsp->mesh->table, BG_ITEM_CONFIG, BG_CONFIG_KEY) != 0)
+		return BG_ENOTFOUND;
+	copy.kind = item.kind;
+	copy.key = (char *)item.key;
+	copy.major = item.major;
+	copy.minor = item.minor;
+	copy.value.value_val = (char *)item.value;
+	copy.value.value_len = item.value_bytes;
+	return bg_items_pack(out, &list);
+}
+
+/* Merges what a peer sent. @return number of items that are new here */
+static int
+merge_packed(
+    struct bg_gossip *gsp, const struct bg_packed *packed, const char *peer)
+{
+	struct bg_xitems items;
+	int changed;
+
+	changed = bg_items_unpack(&items, packed);
+	if (changed == 0)
+		changed = bg_table_merge_list(gsp->mesh->table, &items);
+	xdr_free((xdrproc_t)xdr_bg_xitems, (char *)&items);
+	if (changed < 0)
+		bg_log_warn("gossip", "items refused peer=%s code=%s", peer,
+		    bg_error_name(changed));
+	if (changed > 0) {
+		bg_counter_add(&received, changed);
+		bg_mesh_changed(gsp->mesh);
+	}
+	return changed;
+}
+
+static int
+send_sync(
+    struct exchange *xch, struct bg_xsync_args *args, struct bg_packed *packed)
+{
+	struct bg_mesh *mesh = xch->gossip->mesh;
+	struct bg_link *link;
+	int error;
+
+	args->address = mesh->me.address;
+	args->root = bg_table_root(mesh->table);
+	args->config_version = bg_mesh_config_version(mesh);
+	args->items.items_val = packed->data;
+	args->items.items_len = packed->bytes;
+	args->raw_bytes = packed->raw_bytes;
+	args->items_digest = packed->digest;
+	error = bg_link_pool_get(&link, mesh->links, xch->peer, NULL);
+	if (error == 0)
+		error = bg_link_call(NULL, link, BG_PROC_SYNC,
+		    (xdrproc_t)xdr_bg_xsync_args, args,
+		    (xdrproc_t)xdr_bg_xsync_res, sizeof(struct bg_xsync_res),
+		    SYNC_TIMEOUT_MS, on_sync, xch);
+	free(packed->data);
+	return error;
+}
+
+/* Compares the roots; one small message if the tables are equal. */
+static void
+compare_with(struct bg_gossip *gsp, const char *peer)
+{
+	struct bg_xsync_args args = {0};
+	struct bg_packed none = {0};
+	struct exchange *xch = exchange_new(gsp, peer);
+
+	if (xch == NULL)
+		return;
+	xch->is_round = 1;
+	bg_counter_add(&rounds, 1);
+	if (send_sync(xch, &args, &none) != 0)
+		exchange_free(xch);
+}
+
+/* Sends the buckets that differ and asks for the peer's. */
+static void
+send_buckets(struct exchange *xch, uint64_t bucket_mask)
+{
+	struct bg_gossip *gsp = xch->gossip;
+	struct bg_xsync_args args = {0};
+	struct bg_packed packed;
+	uint64_t digests[BG_DIGEST_BUCKETS];
+
+	xch->bucket_mask = bucket_mask;
+	bg_table_digests(digests, gsp->mesh->table);
+	args.digests.digests_len = BG_DIGEST_BUCKETS;
+	args.digests.digests_val = (u_quad_t *)digests;
+	if (pack_selected(&packed, gsp, bucket_mask, 0) != 0 ||
+	    send_sync(xch, &args, &packed) != 0)
+		exchange_free(xch);
+}
+
+static uint64_t
+differing_buckets(const struct bg_gossip *gsp, const u_quad_t *digests)
+{
+	uint64_t own[BG_DIGEST_BUCKETS];
+	uint64_t mask = 0;
+	int i;
+
+	bg_table_digests(own, gsp->mesh->table);
+	for (i = 0; i < BG_DIGEST_BUCKETS; i++) {
+		if (own[i] != digests[i])
+			mask |= 1ULL << i;
+	}
+	return mask;
+}
+
+/* Sends the configuration to a peer that holds an older one. */
+static void
+push_config(struct bg_gossip *gsp, const char *peer)
+{
+	struct bg_xsync_args args = {0};
+	struct bg_packed packed;
+	struct exchange *xch = exchange_new(gsp, peer);
+
+	if (xch == NULL)
+		return;
+	args.is_push = 1;
+	if (pack_config(&packed, gsp) != 0 ||
+	    send_sync(xch, &args, &packed) != 0)
+		exchange_free(xch);
+}
+
+static void
+take_packed(struct bg_packed *out, char *data, u_int bytes, u_int raw_bytes,
+    uint64_t digest)
+{
+	out->data = data;
+	out->bytes = bytes;
+	out->raw_bytes = raw_bytes;
+	out->digest = digest;
+}
+
+static void
+on_sync(void *arg, int code, void *result)
+{
+	struct exchange *xch = arg;
+	struct bg_xsync_res *res = result;
+	struct bg_packed packed;
+	uint64_t mask;
+
+	if (code != 0) {
+		bg_log_debug("gossip", "no answer peer=%s code=%s", xch->peer,
+		    bg_error_name(code));
+		exchange_free(xch);
+		return;
+	}
+	take_packed(&packed, res->items.items_val, res->items.items_len,
+	    res->raw_bytes, res->items_digest);
+	merge_packed(xch->gossip, &packed, xch->peer);
+	if (xch->is_round && is_settled_config(xch->gossip->mesh) &&
+	    res->config_version < bg_mesh_config_version(xch->gossip->mesh))
+		push_config(xch->gossip, xch->peer);
+	if (xch->bucket_mask == 0 &&
+	    res->digests.digests_len == BG_DIGEST_BUCKETS) {
+		mask = differing_buckets(xch->gossip, res->digests.digests_val);
+		if (mask != 0) {
+			bg_counter_add(&repairs, 1);
+			send_buckets(xch, mask);
+			return;
+		}
+	}
+	exchange_free(xch);
+}
+
+/* Picks a member at random, from the own data centre or from another one. */
+static const struct bg_member *
+pick_peer(struct bg_gossip *gsp, int is_far)
+{
+	const struct bg_mesh *mesh = gsp->mesh;
+	const struct bg_roster *ros = &mesh->roster;
+	const struct bg_member *m;
+	size_t first;
+	size_t i;
+
+	if (ros->member_count == 0)
+		return NULL;
+	first = bg_rand_below(&gsp->mesh->rand, ros->member_count);
+	for (i = 0; i < ros->member_count; i++) {
+		m = &ros->members[(first + i) % ros->member_count];
+		if (strcmp(m->address, mesh->me.address) != 0 &&
+		    (strcmp(m->data_centre, mesh->me.data_centre) != 0) ==
+			is_far)
+			return m;
+	}
+	return NULL;
+}
+
+static void
+arm(struct bg_gossip *gsp)
+{
+	uint64_t ms =
+	    ROUND_MS + bg_rand_below(&gsp->mesh->rand, ROUND_SPREAD_MS);
+	struct timeval tv = {
+	    (time_t)(ms / 1000), (suseconds_t)(ms % 1000) * 1000};
+
+	event_add(gsp->timer, &tv);
+}
+
+static void
+on_round(evutil_socket_t fd, short what, void *arg)
+{
+	struct bg_gossip *gsp = arg;
+	const struct bg_member *peer;
+	int is_far = bg_rand_below(&gsp->mesh->rand, FAR_ROUNDS) == 0;
+
+	arm(gsp);
+	peer = pick_peer(gsp, is_far);
+	if (peer == NULL)
+		peer = pick_peer(gsp, !is_far);
+	if (peer != NULL)
+		compare_with(gsp, peer->address);
+}
+
+static void
+push_to(struct bg_gossip *gsp, const char *peer, uint64_t cursor)
+{
+	struct bg_xsync_args args = {0};
+	struct bg_packed packed;
+	struct exchange *xch = exchange_new(gsp, peer);
+
+	if (xch == NULL)
+		return;
+	args.is_push = 1;
+	if (pack_selected(&packed, gsp, 0, cursor) != 0 ||
+	    send_sync(xch, &args, &packed) != 0)
+		exchange_free(xch);
+}
+
+static void
+push_on(struct bg_gossip *gsp, uint64_t cursor, const char *sender)
+{
+	const struct bg_member *peer;
+	int i;
+
+	for (i = 0; i < PUSH_PEERS; i++) {
+		peer = pick_peer(gsp, i == 0);
+		if (peer != NULL && strcmp(peer->address, sender) != 0)
+			push_to(gsp, peer->address, cursor);
+	}
+}
+
+void
+bg_gossip_push(struct bg_gossip *gsp, uint64_t cursor)
+{
+	push_on(gsp, cursor, "");
+}
+
+static void
+set_items(struct bg_xsync_res *res, const struct bg_packed *packed)
+{
+	res->items.items_val = packed->data;
+	res->items.items_len = packed->bytes;
+	res->raw_bytes = packed->raw_bytes;
+	res->items_digest = packed->digest;
+}
+
+/* Answers a comparison of roots or of buckets. A configuration that the caller
+ * lacks goes first; the rest follows with its next round. */
+static void
+fill_answer(struct bg_gossip *gsp, const struct bg_xsync_args *args,
+    struct bg_xsync_res *res, uint64_t *digests)
+{
+	struct bg_packed packed;
+	uint64_t mask;
+
+	res->config_version = bg_mesh_config_version(gsp->mesh);
+	if (args->is_push)
+		return;
+	if (args->config_version < res->config_version &&
+	    is_settled_config(gsp->mesh) && pack_config(&packed, gsp) == 0) {
+		set_items(res, &packed);
+		return;
+	}
+	if (args->root == bg_table_root(gsp->mesh->table))
+		return;
+	if (args->digests.digests_len != BG_DIGEST_BUCKETS) {
+		bg_table_digests(digests, gsp->mesh->table);
+		res->digests.digests_len = BG_DIGEST_BUCKETS;
+		res->digests.digests_val = (u_quad_t *)digests;
+		return;
+	}
+	mask = differing_buckets(gsp, args->digests.digests_val);
+	if (mask != 0 && pack_selected(&packed, gsp, mask, 0) == 0)
+		set_items(res, &packed);
+}
+
+static void
+handle_sync(void *arg, struct bg_rpc *rpc, void *data)
+{
+	struct bg_gossip *gsp = arg;
+	struct bg_xsync_args *args = data;
+	struct bg_xsync_res res = {0};
+	struct bg_packed packed;
+	uint64_t digests[BG_DIGEST_BUCKETS];
+	uint64_t cursor = bg_table_cursor(gsp->mesh->table);
+	int changed;
+
+	/* What is to be answered is what was here before the merge. */
+	fill_answer(gsp, args, &res, digests);
+	take_packed(&packed, args->items.items_val, args->items.items_len,
+	    args->raw_bytes, args->items_digest);
+	changed = merge_packed(gsp, &packed, args->address);
+	/* What the store told, it told all; only without it a change has to be
+	 * passed on. */
+	if (args->is_push && changed > 0 && !bg_mesh_has_store(gsp->mesh))
+		push_on(gsp, cursor, args->address);
+	bg_rpc_reply(rpc, (xdrproc_t)xdr_bg_xsync_res, &res);
+	free(res.items.items_val);
+}
+
+int
+bg_gossip_init(struct bg_gossip **out, struct bg_mesh *mesh)
+{
+	struct bg_rpc_handler handler = {BG_PROC_SYNC,
+	    (xdrproc_t)xdr_bg_xsync_args, sizeof(struct bg_xsync_args),
+	    handle_sync, NULL};
+	struct bg_gossip *gsp;
+
+	if ((gsp = calloc(1, sizeof(*gsp))) == NULL)
+		return BG_ENOMEM;
+	gsp->mesh = mesh;
+	handler.arg = gsp;
+	gsp->timer = evtimer_new(mesh->base, on_round, gsp);
+	if (gsp->timer == NULL ||
+	    bg_link_server_handle(mesh->server, &handler) != 0) {
+		bg_gossip_free(gsp);
+		return BG_ENOMEM;
+	}
+	*out = gsp;
+	return 0;
+}
+
+void
+bg_gossip_start(struct bg_gossip *gsp)
+{
+	arm(gsp);
+}
+
+void
+bg_gossip_free(struct bg_gossip *gsp)
+{
+	struct exchange *xch;
+
+	if (gsp == NULL)
+		return;
+	if (gsp->timer != NULL)
+		event_free(gsp->timer);
+	while ((xch = gsp->exchanges) != NULL)
+		exchange_free(xch);
+	free(gsp);
+}
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -5,152 +5,117 @@
  * The state of the mesh task and the functions its files share.
  */
 
+#include "burdockgrade/clock.h"
 #include "burdockgrade/counter.h"
-#include "burdockgrade/lease.h"
+#include "burdockgrade/follow.h"
 #include "burdockgrade/mesh.h"
 
-#include "mesh/attach.h"
-#include "mesh/children.h"
-#include "mesh/content.h"
-#include "mesh/floor.h"
-#include "mesh/liveness.h"
-#include "mesh/reader.h"
-#include "mesh/uplink.h"
-
 #define BG_MESH_LISTENERS_MAX 8
-#define BG_MESH_PEERS_MAX 16
 
-enum bg_root_kind {
-	BG_ROOT_NONE,	  /**< child of another node, or looking for one */
-	BG_ROOT_LEASED,	  /**< relay */
-	BG_ROOT_UNLEASED, /**< parent without lease, while there is no platform
-			   */
-};
+/** Kind of the objects by which nodes find each other, one for each node. */
+#define BG_KIND_NODES "burdock-nodes"
 
-/** A link to the root of another data centre. */
-struct bg_peer {
-	struct bg_mesh *mesh;
-	struct bg_uplink *uplink;
-	char data_centre[BG_NAME_BYTES]; /**< empty: a seed */
-	char address[BG_ADDRESS_BYTES];	 /**< tried now or next */
-	struct bg_backoff backoff;
-	uint64_t not_before_ms;
-	uint64_t missing_since_ms;
-	size_t next_candidate;
-	int is_used;
-};
+/** Key of the CONFIG item. */
+#define BG_CONFIG_KEY "main"
+
+struct bg_known_node;
+struct bg_gossip;
+struct bg_census;
 
 struct bg_mesh {
 	struct event_base *base;
 	const struct bg_settings *settings;
-	struct bg_platform *platform;
+	struct bg_store *store;
+	struct bg_config_source *config;
 	struct bg_link_server *server;
-	struct event *turn;  /**< handles changes of the table */
-	struct event *flush; /**< sends them */
-	struct event *tick;
+	struct bg_link_pool *links;
+	struct event *turn; /**< handles changes of the table */
 	struct bg_mesh_listener listeners[BG_MESH_LISTENERS_MAX];
 	size_t listener_count;
+	struct bg_rand rand;
+	int is_started;
 
 	struct bg_table *table;
 	struct bg_roster roster;
 	uint64_t processed; /**< cursor up to which listeners were told */
+
+	/* config.c */
+	struct bg_follow *config_follow;
 	struct bg_snapshot *snapshot;
-	struct bg_rand rand;
-	int is_started;
+	uint64_t installed_ms; /**< when it came in force */
+	uint64_t refused_version;
+	char refused_reason[BG_REASON_BYTES]; /**< of the latest document that
+						 did not validate, or empty */
 
+	/* nodes.c */
+	struct bg_follow *nodes_follow;
+	struct bg_known_node *known_nodes; /**< seen in the store */
+	uint32_t listing;		   /**< counts lists of the store */
+
+	/* self.c */
 	struct bg_member me;
-	uint64_t me_cursor; /**< own log behind the last announcement */
-	struct bg_ack ack;
-	uint64_t refused_version; /**< highest that a member below refused */
-	uint64_t ack_seq;
-
-	struct bg_floor floor;
-	struct bg_floor_reads floor_reads;
-	uint64_t floor_call;  /**< call to the parent that asks for a read; 0
-				 while it is made */
-	uint64_t own_read_ms; /**< next own read of the head */
-	struct bg_backoff own_read_backoff;
-	struct bg_reader *reader;
-
-	enum bg_root_kind root;
-	struct bg_root_view view; /**< of the parent, if not root */
-	uint64_t highest_term;
-	uint64_t root_since_ms;
-	struct bg_lease lease;
-	int is_lease_pending;
-	int was_relay;
-	uint64_t platform_ok_ms;
-	int is_platform_down;
-
-	struct bg_attach attach;
-	struct bg_uplink *parent;
-	uint64_t parent_heard_ms;
-	uint64_t parent_incarnation;
-	uint64_t parent_fresh_ms; /**< when the view was last fresh */
-	struct {
-		char address[BG_ADDRESS_BYTES];
-		uint64_t incarnation;
-		uint64_t heard_ms;
-	} lost_parent; /**< marked dead unless it is heard of again */
-	struct bg_children *children;
-	struct bg_liveness liveness;
-	uint64_t next_check_ms;
-	uint64_t last_tick_ms;
-
-	struct bg_peer peers[BG_MESH_PEERS_MAX];
-
-	struct bg_summary summary;
-	uint64_t summary_written_ms;
-	int is_summary_due;
-	int is_confirm_due;
+	struct event *write_timer;
+	uint64_t stored_revision; /**< of the own object; 0: there is none */
+	int is_announced;	  /**< anything was announced so far */
+	int is_write_due;
+	int is_writing;
+	int is_withdrawn;
+	void (*withdraw_done)(void *arg);
+	void *withdraw_arg;
+
+	struct bg_gossip *gossip;
+	struct bg_census *census;
 };
 
 /* mesh.c */
-/** Merges an item of this process and schedules its distribution. */
+/** Merges an item and schedules the handling of changes. */
 int bg_mesh_merge(struct bg_mesh *mesh, const struct bg_item *item);
 /** Schedules the handling of changes. */
 void bg_mesh_changed(struct bg_mesh *mesh);
-
-/* self.c: the node's own entry and confirmation */
-void bg_mesh_announce(struct bg_mesh *mesh);
-void bg_mesh_refute(struct bg_mesh *mesh);
-void bg_mesh_raise_incarnation(struct bg_mesh *mesh, uint64_t known);
-void bg_mesh_confirm(struct bg_mesh *mesh);
-/** Marks a member dead unless it announced itself anew. */
-void bg_mesh_mark_dead(
-    struct bg_mesh *mesh, const char *address, uint64_t incarnation);
-void bg_mesh_forget_dead(struct bg_mesh *mesh, uint64_t now_ms);
-
-/* install.c: snapshot and floor */
-void bg_mesh_install(struct bg_mesh *mesh);
-void bg_mesh_floor_tick(struct bg_mesh *mesh, uint64_t now_ms);
-int bg_mesh_reader_init(struct bg_mesh *mesh);
-/** Takes the floor from a parent's reply. */
-void bg_mesh_floor_reply(struct bg_mesh *mesh, const struct bg_xsync_res *res);
-
-/* role.c: lease and root */
-void bg_mesh_role_init(struct bg_mesh *mesh);
-void bg_mesh_role_tick(struct bg_mesh *mesh, uint64_t now_ms);
-/** This process did not run for a while and could not hear anybody. */
-void bg_mesh_role_resumed(struct bg_mesh *mesh, uint64_t now_ms);
-void bg_mesh_role_free(struct bg_mesh *mesh);
-void bg_mesh_view(struct bg_mesh *mesh, struct bg_root_view *out);
-int bg_mesh_view_is_fresh(struct bg_mesh *mesh);
-
-/** Changes what this node is in its data centre. */
-void bg_mesh_set_root(struct bg_mesh *mesh, enum bg_root_kind kind);
-
-/* parent.c: the link to the parent */
-/** Looks for a parent, and leaves one that has no root. */
-void bg_mesh_parent_tick(struct bg_mesh *mesh, uint64_t now_ms);
-void bg_mesh_close_parent(struct bg_mesh *mesh);
-
-/* peers.c: roots of other data centres */
-void bg_mesh_peers_tick(struct bg_mesh *mesh, uint64_t now_ms);
-void bg_mesh_peers_flush(struct bg_mesh *mesh);
-void bg_mesh_peers_close(struct bg_mesh *mesh);
-
-/* summary.c */
-void bg_mesh_summary_tick(struct bg_mesh *mesh, uint64_t now_ms);
+/** Rebuilds the roster after a member was removed. */
+void bg_mesh_rebuild_roster(struct bg_mesh *mesh);
+
+/* config.c */
+int bg_mesh_config_init(struct bg_mesh *mesh);
+/** Puts a CONFIG item that came from a peer in force if it is newer. */
+void bg_mesh_config_item(struct bg_mesh *mesh, const struct bg_item *item);
+void bg_mesh_config_free(struct bg_mesh *mesh);
+/** Version in force, or 0. */
+uint64_t bg_mesh_config_version(const struct bg_mesh *mesh);
+
+/* nodes.c */
+int bg_mesh_nodes_init(struct bg_mesh *mesh);
+void bg_mesh_nodes_free(struct bg_mesh *mesh);
+/** 1 while the store answers this node. */
+int bg_mesh_has_store(const struct bg_mesh *mesh);
+/** Name of the store's object of a node. */
+void bg_mesh_node_name(
+    char out[BG_ADDRESS_BYTES], const char address[BG_ADDRESS_BYTES]);
+
+/* self.c */
+int bg_mesh_self_init(struct bg_mesh *mesh);
+void bg_mesh_self_free(struct bg_mesh *mesh);
+/** Announces the present state under the next sequence number. */
+void bg_mesh_self_announce(struct bg_mesh *mesh);
+/** The own object as the store has it; revision 0: it has none. */
+void bg_mesh_self_stored(
+    struct bg_mesh *mesh, uint64_t revision, const struct bg_member *member);
+/** Announces again if a peer holds an announcement of an earlier process at
+ * this address that would win over the own one. */
+void bg_mesh_self_refute(struct bg_mesh *mesh);
+/** The store answers (again): writes what it lacks. */
+void bg_mesh_self_write(struct bg_mesh *mesh);
+
+/* gossip.c */
+int bg_gossip_init(struct bg_gossip **out, struct bg_mesh *mesh);
+void bg_gossip_free(struct bg_gossip *gsp);
+void bg_gossip_start(struct bg_gossip *gsp);
+/** Sends the changes behind a cursor to some peers at once. */
+void bg_gossip_push(struct bg_gossip *gsp, uint64_t cursor);
+
+/* census.c */
+int bg_census_init(struct bg_census **out, struct bg_mesh *mesh);
+/** Rounds under way end without their callbacks. */
+void bg_census_free(struct bg_census *cen);
 
 #endif
--- a/mesh/src/table/table.c
+++ b/mesh/src/table/table.c
@@ -16,7 +16,6 @@
 struct entry {
 	char ident[IDENT_BYTES]; /* "KIND/KEY" */
 	struct bg_item item;
-	uint64_t origin;
 	uint64_t log_seq;
 	uint64_t digest;
 	struct entry *prev;
@@ -78,22 +77,6 @@
 	free(tbl);
 }
 
-enum bg_item_scope
-bg_item_scope(uint32_t kind)
-{
-	switch (kind) {
-	case BG_ITEM_ACK:
-	case BG_ITEM_STAT:
-		return BG_SCOPE_UP;
-	case BG_ITEM_DCSTAT:
-		return BG_SCOPE_RELAYS;
-	case BG_ITEM_GROUP:
-		return BG_SCOPE_UP_RELAYS;
-	default:
-		return BG_SCOPE_ALL;
-	}
-}
-
 int
 bg_item_compare(const struct bg_item *a, const struct bg_item *b)
 {
@@ -141,7 +124,7 @@
 static void
 toggle_digest(struct bg_table *tbl, const struct entry *e)
 {
-	if (bg_item_scope(e->item.kind) == BG_SCOPE_ALL)
+	if (e->item.kind != BG_ITEM_CONFIG)
 		tbl->digests[bucket_of(e->ident)] ^= e->digest;
 }
 
@@ -190,9 +173,8 @@
 }
 
 static void
-log_append(struct bg_table *tbl, struct entry *e, uint64_t origin)
+log_append(struct bg_table *tbl, struct entry *e)
 {
-	e->origin = origin;
 	e->log_seq = ++tbl->cursor;
 	DL_APPEND(tbl->log, e);
 }
@@ -207,8 +189,8 @@
 }
 
 int
-bg_table_merge(int *out_changed, struct bg_table *tbl,
-    const struct bg_item *item, uint64_t origin)
+bg_table_merge(
+    int *out_changed, struct bg_table *tbl, const struct bg_item *item)
 {
 	char ident[IDENT_BYTES];
 	char *value;
@@ -246,7 +228,7 @@
 	e->item.minor = item->minor;
 	e->digest = item_digest(ident, &e->item);
 	toggle_digest(tbl, e);
-	log_append(tbl, e, origin);
+	log_append(tbl, e);
 	*out_changed = 1;
 	return 0;
 }
@@ -324,13 +306,9 @@
 static int
 is_selected(const struct bg_table_select *sel, const struct entry *e)
 {
-	enum bg_item_scope scope = bg_item_scope(e->item.kind);
-
-	if ((sel->scope_mask & (1u << scope)) == 0)
-		return 0;
-	if (sel->not_origin != 0 && e->origin == sel->not_origin)
-		return 0;
-	return sel->bucket_mask == 0 || scope != BG_SCOPE_ALL ||
+	if (sel->bucket_mask == 0)
+		return 1;
+	return e->item.kind != BG_ITEM_CONFIG &&
 	    (sel->bucket_mask >> bucket_of(e->ident) & 1) != 0;
 }
 
@@ -400,33 +378,7 @@
 }
 
 int
-bg_table_has_origin(
-    const struct bg_table *tbl, uint64_t cursor, uint64_t origin)
-{
-	const struct entry *e;
-
-	for (e = log_after(tbl, cursor); e != NULL; e = e->next) {
-		if (e->origin == origin)
-			return 1;
-	}
-	return 0;
-}
-
-int
-bg_table_has_news(const struct bg_table *tbl, const struct bg_table_select *sel)
-{
-	const struct entry *e;
-
-	for (e = log_after(tbl, sel->cursor); e != NULL; e = e->next) {
-		if (is_selected(sel, e))
-			return 1;
-	}
-	return 0;
-}
-
-int
-bg_table_merge_list(
-    struct bg_table *tbl, const struct bg_xitems *items, uint64_t origin)
+bg_table_merge_list(struct bg_table *tbl, const struct bg_xitems *items)
 {
 	struct bg_item item;
 	u_int i;
@@ -443,13 +395,19 @@
 		item.minor = x->minor;
 		item.value = x->value.value_val;
 		item.value_bytes = x->value.value_len;
-		if ((error = bg_table_merge(&changed, tbl, &item, origin)) != 0)
+		if ((error = bg_table_merge(&changed, tbl, &item)) != 0)
 			return error;
 		total += changed;
 	}
 	return total;
 }
 
+uint64_t
+bg_table_root(const struct bg_table *tbl)
+{
+	return XXH64(tbl->digests, sizeof(tbl->digests), 0);
+}
+
 void
 bg_table_digests(uint64_t out[BG_DIGEST_BUCKETS], const struct bg_table *tbl)
 {
--- a/mesh/src/wire/wire_xdr.c
+++ b/mesh/src/wire/wire_xdr.c
@@ -69,97 +69,16 @@
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_bg_xaddress (xdrs, &objp->address))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		 if (!xdr_bg_xname (xdrs, &objp->data_centre))
-			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->role))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->cursor_incarnation))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->cursor))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->digests.digests_val, (u_int *) &objp->digests.digests_len, BG_DIGEST_BUCKETS,
-			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->want_floor))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->wait_ms))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->raw_bytes))
-				 return FALSE;
-
-		} else {
-		IXDR_PUT_U_LONG(buf, objp->want_floor);
-		IXDR_PUT_U_LONG(buf, objp->wait_ms);
-		IXDR_PUT_U_LONG(buf, objp->raw_bytes);
-		}
-		 if (!xdr_u_quad_t (xdrs, &objp->items_digest))
-			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, BG_BODY_BYTES))
-			 return FALSE;
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_bg_xaddress (xdrs, &objp->address))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-			 return FALSE;
-		 if (!xdr_bg_xname (xdrs, &objp->data_centre))
-			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->role))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->cursor_incarnation))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->cursor))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->digests.digests_val, (u_int *) &objp->digests.digests_len, BG_DIGEST_BUCKETS,
-			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->want_floor))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->wait_ms))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->raw_bytes))
-				 return FALSE;
-
-		} else {
-		objp->want_floor = IXDR_GET_U_LONG(buf);
-		objp->wait_ms = IXDR_GET_U_LONG(buf);
-		objp->raw_bytes = IXDR_GET_U_LONG(buf);
-		}
-		 if (!xdr_u_quad_t (xdrs, &objp->items_digest))
-			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, BG_BODY_BYTES))
-			 return FALSE;
-	 return TRUE;
-	}
-
 	 if (!xdr_bg_xaddress (xdrs, &objp->address))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_bg_xname (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->role))
+	 if (!xdr_u_quad_t (xdrs, &objp->root))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->cursor_incarnation))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->cursor))
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->digests.digests_val, (u_int *) &objp->digests.digests_len, BG_DIGEST_BUCKETS,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->want_floor))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+	 if (!xdr_u_int (xdrs, &objp->is_push))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->raw_bytes))
 		 return FALSE;
@@ -170,48 +89,16 @@
 	return TRUE;
 }
 
-bool_t
-xdr_bg_xsync_status (XDR *xdrs, bg_xsync_status *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
-}
-
 bool_t
 xdr_bg_xsync_res (XDR *xdrs, bg_xsync_res *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_bg_xsync_status (xdrs, &objp->status))
-		 return FALSE;
-	 if (!xdr_bg_xaddress (xdrs, &objp->redirect))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->retry_ms))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->known_incarnation))
-		 return FALSE;
-	 if (!xdr_bg_xaddress (xdrs, &objp->address))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->incarnation))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->cursor))
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->digests.digests_val, (u_int *) &objp->digests.digests_len, BG_DIGEST_BUCKETS,
 		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
 		 return FALSE;
-	 if (!xdr_bg_xaddress (xdrs, &objp->lease_holder))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->lease_term))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->lease_object_version))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->lease_remaining_ms))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->floor_version))
-		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->raw_bytes))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->items_digest))
@@ -228,7 +115,7 @@
 
 	 if (!xdr_string (xdrs, &objp->name, 256))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->value, 4096))
+	 if (!xdr_string (xdrs, &objp->value, 16384))
 		 return FALSE;
 	return TRUE;
 }
@@ -243,6 +130,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bg_xrefusal (XDR *xdrs, bg_xrefusal *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bg_xcall_args (XDR *xdrs, bg_xcall_args *objp)
 {
@@ -258,22 +155,34 @@
 			 return FALSE;
 		 if (!xdr_bg_xname (xdrs, &objp->server_version))
 			 return FALSE;
+		 if (!xdr_bg_xname (xdrs, &objp->caller_service))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->method, 16))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->path, 4096))
+		 if (!xdr_string (xdrs, &objp->host, 256))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->path, 16384))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->headers.headers_val, (u_int *) &objp->headers.headers_len, BG_HEADERS_MAX,
 			sizeof (bg_xheader), (xdrproc_t) xdr_bg_xheader))
 			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, BG_BODY_BYTES))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->deadline_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->slow_ms))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->criticality))
+			 if (!xdr_u_int (xdrs, &objp->usual_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->is_dependency))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->idempotent))
 				 return FALSE;
@@ -284,14 +193,16 @@
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->deadline_ms);
+		IXDR_PUT_U_LONG(buf, objp->target_ms);
+		IXDR_PUT_U_LONG(buf, objp->wait_ms);
 		IXDR_PUT_U_LONG(buf, objp->slow_ms);
-		IXDR_PUT_U_LONG(buf, objp->criticality);
+		IXDR_PUT_U_LONG(buf, objp->usual_us);
+		IXDR_PUT_U_LONG(buf, objp->priority);
+		IXDR_PUT_U_LONG(buf, objp->is_dependency);
 		IXDR_PUT_U_LONG(buf, objp->idempotent);
 		IXDR_PUT_U_LONG(buf, objp->depth);
 		IXDR_PUT_U_LONG(buf, objp->attempt);
 		}
-		 if (!xdr_u_quad_t (xdrs, &objp->grant))
-			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 			 return FALSE;
 		return TRUE;
@@ -304,22 +215,34 @@
 			 return FALSE;
 		 if (!xdr_bg_xname (xdrs, &objp->server_version))
 			 return FALSE;
+		 if (!xdr_bg_xname (xdrs, &objp->caller_service))
+			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->method, 16))
 			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->path, 4096))
+		 if (!xdr_string (xdrs, &objp->host, 256))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->path, 16384))
 			 return FALSE;
 		 if (!xdr_array (xdrs, (char **)&objp->headers.headers_val, (u_int *) &objp->headers.headers_len, BG_HEADERS_MAX,
 			sizeof (bg_xheader), (xdrproc_t) xdr_bg_xheader))
 			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, BG_BODY_BYTES))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->deadline_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->target_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->slow_ms))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->criticality))
+			 if (!xdr_u_int (xdrs, &objp->usual_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->is_dependency))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->idempotent))
 				 return FALSE;
@@ -330,14 +253,16 @@
 
 		} else {
 		objp->deadline_ms = IXDR_GET_U_LONG(buf);
+		objp->target_ms = IXDR_GET_U_LONG(buf);
+		objp->wait_ms = IXDR_GET_U_LONG(buf);
 		objp->slow_ms = IXDR_GET_U_LONG(buf);
-		objp->criticality = IXDR_GET_U_LONG(buf);
+		objp->usual_us = IXDR_GET_U_LONG(buf);
+		objp->priority = IXDR_GET_U_LONG(buf);
+		objp->is_dependency = IXDR_GET_U_LONG(buf);
 		objp->idempotent = IXDR_GET_U_LONG(buf);
 		objp->depth = IXDR_GET_U_LONG(buf);
 		objp->attempt = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_u_quad_t (xdrs, &objp->grant))
-			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 			 return FALSE;
 	 return TRUE;
@@ -351,9 +276,13 @@
 		 return FALSE;
 	 if (!xdr_bg_xname (xdrs, &objp->server_version))
 		 return FALSE;
+	 if (!xdr_bg_xname (xdrs, &objp->caller_service))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->method, 16))
 		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->path, 4096))
+	 if (!xdr_string (xdrs, &objp->host, 256))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->path, 16384))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->headers.headers_val, (u_int *) &objp->headers.headers_len, BG_HEADERS_MAX,
 		sizeof (bg_xheader), (xdrproc_t) xdr_bg_xheader))
@@ -362,9 +291,17 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->target_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slow_ms))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->criticality))
+	 if (!xdr_u_int (xdrs, &objp->usual_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->is_dependency))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->idempotent))
 		 return FALSE;
@@ -372,281 +309,135 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->attempt))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->grant))
-		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_bg_xcall_res (XDR *xdrs, bg_xcall_res *objp)
+xdr_bg_xload (XDR *xdrs, bg_xload *objp)
 {
 	register int32_t *buf;
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_bg_xoutcome (xdrs, &objp->outcome))
-			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->http_status))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->headers.headers_val, (u_int *) &objp->headers.headers_len, BG_HEADERS_MAX,
-			sizeof (bg_xheader), (xdrproc_t) xdr_bg_xheader))
-			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, BG_BODY_BYTES))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->reason, 128))
-			 return FALSE;
 		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
-				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->queued))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->slots))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->own_time_us))
+			 if (!xdr_u_int (xdrs, &objp->wait_us))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->dependency_failed))
+			 if (!xdr_u_int (xdrs, &objp->service_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->bad_permille))
 				 return FALSE;
-
 		} else {
-		IXDR_PUT_U_LONG(buf, objp->retry_after_ms);
-		IXDR_PUT_U_LONG(buf, objp->running);
-		IXDR_PUT_U_LONG(buf, objp->queued);
-		IXDR_PUT_U_LONG(buf, objp->slots);
-		IXDR_PUT_U_LONG(buf, objp->own_time_us);
-		IXDR_PUT_U_LONG(buf, objp->dependency_failed);
+			IXDR_PUT_U_LONG(buf, objp->running);
+			IXDR_PUT_U_LONG(buf, objp->queued);
+			IXDR_PUT_U_LONG(buf, objp->slots);
+			IXDR_PUT_U_LONG(buf, objp->wait_us);
+			IXDR_PUT_U_LONG(buf, objp->service_us);
+			IXDR_PUT_U_LONG(buf, objp->bad_permille);
 		}
-		 if (!xdr_bg_xname (xdrs, &objp->server_version))
-			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_bg_xoutcome (xdrs, &objp->outcome))
-			 return FALSE;
-		 if (!xdr_u_int (xdrs, &objp->http_status))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->headers.headers_val, (u_int *) &objp->headers.headers_len, BG_HEADERS_MAX,
-			sizeof (bg_xheader), (xdrproc_t) xdr_bg_xheader))
-			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, BG_BODY_BYTES))
-			 return FALSE;
-		 if (!xdr_string (xdrs, &objp->reason, 128))
-			 return FALSE;
 		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
-			 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
-				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->queued))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->slots))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->own_time_us))
+			 if (!xdr_u_int (xdrs, &objp->wait_us))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->dependency_failed))
+			 if (!xdr_u_int (xdrs, &objp->service_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->bad_permille))
 				 return FALSE;
-
 		} else {
-		objp->retry_after_ms = IXDR_GET_U_LONG(buf);
-		objp->running = IXDR_GET_U_LONG(buf);
-		objp->queued = IXDR_GET_U_LONG(buf);
-		objp->slots = IXDR_GET_U_LONG(buf);
-		objp->own_time_us = IXDR_GET_U_LONG(buf);
-		objp->dependency_failed = IXDR_GET_U_LONG(buf);
+			objp->running = IXDR_GET_U_LONG(buf);
+			objp->queued = IXDR_GET_U_LONG(buf);
+			objp->slots = IXDR_GET_U_LONG(buf);
+			objp->wait_us = IXDR_GET_U_LONG(buf);
+			objp->service_us = IXDR_GET_U_LONG(buf);
+			objp->bad_permille = IXDR_GET_U_LONG(buf);
 		}
-		 if (!xdr_bg_xname (xdrs, &objp->server_version))
-			 return FALSE;
 	 return TRUE;
 	}
 
-	 if (!xdr_bg_xoutcome (xdrs, &objp->outcome))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->http_status))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->headers.headers_val, (u_int *) &objp->headers.headers_len, BG_HEADERS_MAX,
-		sizeof (bg_xheader), (xdrproc_t) xdr_bg_xheader))
-		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, BG_BODY_BYTES))
-		 return FALSE;
-	 if (!xdr_string (xdrs, &objp->reason, 128))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
-		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->queued))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slots))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->own_time_us))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->dependency_failed))
+	 if (!xdr_u_int (xdrs, &objp->wait_us))
 		 return FALSE;
-	 if (!xdr_bg_xname (xdrs, &objp->server_version))
+	 if (!xdr_u_int (xdrs, &objp->service_us))
 		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_bg_xcancel_args (XDR *xdrs, bg_xcancel_args *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_int (xdrs, &objp->xid))
+	 if (!xdr_u_int (xdrs, &objp->bad_permille))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_bg_xbegin_args (XDR *xdrs, bg_xbegin_args *objp)
+xdr_bg_xcall_res (XDR *xdrs, bg_xcall_res *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_bg_xname (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->group))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_bg_xkey (xdrs, &objp->key))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->request_digest))
+	 if (!xdr_bg_xoutcome (xdrs, &objp->outcome))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+	 if (!xdr_bg_xrefusal (xdrs, &objp->refusal))
 		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_bg_xbegin_status (XDR *xdrs, bg_xbegin_status *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_enum (xdrs, (enum_t *) objp))
-		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_bg_xanswer (XDR *xdrs, bg_xanswer *objp)
-{
-	register int32_t *buf;
-
 	 if (!xdr_u_int (xdrs, &objp->http_status))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->headers.headers_val, (u_int *) &objp->headers.headers_len, BG_HEADERS_MAX,
 		sizeof (bg_xheader), (xdrproc_t) xdr_bg_xheader))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, 16384))
-		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_bg_xbegin_res (XDR *xdrs, bg_xbegin_res *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_bg_xbegin_status (xdrs, &objp->status))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+	 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, BG_BODY_BYTES))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->grant))
+	 if (!xdr_string (xdrs, &objp->reason, 128))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
 		 return FALSE;
-	 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (bg_xanswer), (xdrproc_t) xdr_bg_xanswer))
+	 if (!xdr_bg_xload (xdrs, &objp->load))
 		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_bg_xfinish_args (XDR *xdrs, bg_xfinish_args *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_bg_xname (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->group))
-		 return FALSE;
-	 if (!xdr_bg_xkey (xdrs, &objp->key))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->grant))
-		 return FALSE;
-	 if (!xdr_bg_xoutcome (xdrs, &objp->outcome))
+	 if (!xdr_u_int (xdrs, &objp->own_time_us))
 		 return FALSE;
-	 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (bg_xanswer), (xdrproc_t) xdr_bg_xanswer))
+	 if (!xdr_u_int (xdrs, &objp->dependency_failed))
 		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_bg_xfinish_res (XDR *xdrs, bg_xfinish_res *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_int (xdrs, &objp->accepted))
+	 if (!xdr_bg_xname (xdrs, &objp->server_version))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+	 if (!xdr_bg_xname (xdrs, &objp->server_id))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_bg_xrecord (XDR *xdrs, bg_xrecord *objp)
+xdr_bg_xcancel_args (XDR *xdrs, bg_xcancel_args *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_bg_xkey (xdrs, &objp->key))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->request_digest))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->grant))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->state))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->age_ms))
-		 return FALSE;
-	 if (!xdr_pointer (xdrs, (char **)&objp->answer, sizeof (bg_xanswer), (xdrproc_t) xdr_bg_xanswer))
+	 if (!xdr_u_int (xdrs, &objp->xid))
 		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_bg_xcopy_args (XDR *xdrs, bg_xcopy_args *objp)
+xdr_bg_xstate_res (XDR *xdrs, bg_xstate_res *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_bg_xname (xdrs, &objp->data_centre))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->group))
-		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
-		 return FALSE;
-	 if (!xdr_bg_xaddress (xdrs, &objp->holder))
-		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, 1024,
-		sizeof (bg_xrecord), (xdrproc_t) xdr_bg_xrecord))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->complete))
+	 if (!xdr_u_quad_t (xdrs, &objp->held_version))
 		 return FALSE;
-	return TRUE;
-}
-
-bool_t
-xdr_bg_xcopy_res (XDR *xdrs, bg_xcopy_res *objp)
-{
-	register int32_t *buf;
-
-	 if (!xdr_u_int (xdrs, &objp->accepted))
+	 if (!xdr_u_quad_t (xdrs, &objp->refused_version))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+	 if (!xdr_string (xdrs, &objp->refused_reason, 128))
 		 return FALSE;
 	return TRUE;
 }
--- /dev/null
+++ b/mesh/tests/test_mesh.c
@@ -0,0 +1,564 @@
+/* Several nodes on one loop, each with a view of one store that a test can
+ * cut. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/clock.h"
+#include "burdockgrade/document.h"
+#include "burdockgrade/mesh.h"
+
+#include "memory_store.h"
+#include "suite.h"
+
+#define NODES 4
+#define CONFIG_KIND "burdock-config"
+#define NODES_KIND "burdock-nodes"
+/* Bound of each wait; far above every interval of the mesh. */
+#define WAIT_MS 20000
+
+/* The store as one node sees it. */
+struct view {
+	struct bg_store store; /* first member: the vtable */
+	int is_cut;
+	int calls;
+};
+
+struct node {
+	struct view view;
+	struct bg_settings settings;
+	struct bg_link_server *server;
+	struct bg_link_pool *links;
+	struct bg_mesh *mesh;
+	uint16_t port;
+	int installs;
+	uint64_t last_version;
+};
+
+static struct event_base *base;
+static struct memory_store mem;
+static struct node nodes[NODES];
+
+static int
+view_read(struct bg_store *store, const struct bg_store_query *query,
+    bg_store_fn fn, void *arg)
+{
+	struct view *view = (struct view *)store;
+
+	view->calls++;
+	if (view->is_cut)
+		return BG_EUNAVAILABLE;
+	return bg_store_read(&mem.store, query, fn, arg);
+}
+
+static int
+view_write(struct bg_store *store, const struct bg_store_change *change,
+    bg_store_fn fn, void *arg)
+{
+	struct view *view = (struct view *)store;
+
+	view->calls++;
+	if (view->is_cut)
+		return BG_EUNAVAILABLE;
+	return bg_store_write(&mem.store, change, fn, arg);
+}
+
+static void
+view_free(struct bg_store *store)
+{
+}
+
+static int
+decode(struct bg_config_source *src, struct bg_snapshot **out,
+    const json_t *doc, struct bg_error *err)
+{
+	struct bg_snapshot_draft draft = {0};
+
+	*out = NULL;
+	if (!json_is_integer(json_object_get(doc, "version")))
+		return bg_error_set(
+		    err, BG_EPROTO, "decode", NULL, "expected a version");
+	if (json_object_get(doc, "broken") != NULL)
+		return bg_error_set(
+		    err, BG_EINVAL, "decode", NULL, "service missing");
+	draft.version =
+	    (uint64_t)json_integer_value(json_object_get(doc, "version"));
+	return bg_snapshot_assemble(out, &draft, err);
+}
+
+static uint64_t
+version_of(struct bg_config_source *src, const json_t *doc)
+{
+	return (uint64_t)json_integer_value(json_object_get(doc, "version"));
+}
+
+static struct bg_config_source source = {
+    CONFIG_KIND, "main", decode, version_of};
+
+static void
+on_snapshot(void *arg, struct bg_snapshot *snap)
+{
+	struct node *node = arg;
+
+	/* A version must not go back in the life of a process. */
+	ck_assert_uint_gt(snap->version, node->last_version);
+	node->last_version = snap->version;
+	node->installs++;
+}
+
+/* Nodes 0 and 1 are in one data centre, 2 and 3 in another. */
+static void
+node_start(size_t i)
+{
+	struct bg_mesh_options opts = BG_MESH_OPTIONS_INIT;
+	struct bg_mesh_listener listener = {on_snapshot, NULL, NULL, &nodes[i]};
+	struct bg_link_options link = BG_LINK_OPTIONS_INIT;
+	struct node *node = &nodes[i];
+	char address[BG_ADDRESS_BYTES];
+
+	snprintf(address, sizeof(address), "127.0.0.1:%u", node->port);
+	ck_assert_int_eq(
+	    bg_link_server_init(&node->server, base, address, NULL), 0);
+	node->port = bg_link_server_port(node->server);
+	bg_settings_init(&node->settings);
+	snprintf(
+	    node->settings.node.data_centre, BG_SETTING_BYTES, "dc%zu", i / 2);
+	snprintf(node->settings.node.advertise, BG_SETTING_BYTES,
+	    "127.0.0.1:%u", node->port);
+	snprintf(node->settings.server.service, BG_SETTING_BYTES, "atelier");
+	ck_assert_int_eq(bg_link_pool_init(&node->links, base, &link), 0);
+	node->view.store.read = view_read;
+	node->view.store.write = view_write;
+	node->view.store.free = view_free;
+	node->view.store.peer = "memory";
+	node->installs = 0;
+	node->last_version = 0;
+	opts.base = base;
+	opts.settings = &node->settings;
+	opts.store = &node->view.store;
+	opts.config = &source;
+	opts.server = node->server;
+	opts.links = node->links;
+	ck_assert_int_eq(bg_mesh_init(&node->mesh, &opts, NULL), 0);
+	bg_mesh_listen(node->mesh, &listener);
+	bg_mesh_start(node->mesh);
+}
+
+/* As a process that was killed: nothing is written. */
+static void
+node_stop(size_t i)
+{
+	struct node *node = &nodes[i];
+
+	if (node->mesh == NULL)
+		return;
+	bg_link_pool_free(node->links);
+	bg_mesh_free(node->mesh);
+	bg_link_server_free(node->server);
+	node->mesh = NULL;
+}
+
+static void
+publish(uint64_t version)
+{
+	memory_store_set(&mem, CONFIG_KIND, "main",
+	    json_pack("{s:I}", "version", (json_int_t)version));
+}
+
+static void
+setup(void)
+{
+	memset(nodes, 0, sizeof(nodes));
+	base = event_base_new();
+	memory_store_init(&mem, base);
+}
+
+static void
+teardown(void)
+{
+	size_t i;
+
+	for (i = 0; i < NODES; i++)
+		node_stop(i);
+	memory_store_clear(&mem);
+	event_base_free(base);
+}
+
+static void
+run_ms(uint32_t ms)
+{
+	struct timeval tv = {ms / 1000, (suseconds_t)(ms % 1000) * 1000};
+
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+}
+
+static uint64_t
+version_at(size_t i)
+{
+	struct bg_snapshot *snap = bg_mesh_snapshot(nodes[i].mesh);
+
+	return snap == NULL ? 0 : snap->version;
+}
+
+static void
+wait_version(size_t i, uint64_t version)
+{
+	uint64_t end_ms = bg_clock_now_ms() + WAIT_MS;
+
+	while (version_at(i) != version && bg_clock_now_ms() < end_ms)
+		run_ms(10);
+	ck_assert_uint_eq(version_at(i), version);
+}
+
+static void
+wait_versions(uint64_t version)
+{
+	size_t i;
+
+	for (i = 0; i < NODES; i++)
+		wait_version(i, version);
+}
+
+static void
+wait_members(size_t i, size_t count)
+{
+	uint64_t end_ms = bg_clock_now_ms() + WAIT_MS;
+
+	while (bg_mesh_roster(nodes[i].mesh)->member_count != count &&
+	    bg_clock_now_ms() < end_ms)
+		run_ms(10);
+	ck_assert_uint_eq(bg_mesh_roster(nodes[i].mesh)->member_count, count);
+}
+
+static void
+announce(size_t i, enum bg_member_state state, const char *id)
+{
+	struct bg_server_notice notice = {state, id, "v1", 6};
+
+	bg_mesh_announce_server(nodes[i].mesh, &notice);
+}
+
+static const struct bg_member *
+member_at(size_t i, size_t of)
+{
+	return bg_roster_find(
+	    bg_mesh_roster(nodes[i].mesh), bg_mesh_address(nodes[of].mesh));
+}
+
+static void
+wait_state(size_t i, size_t of, enum bg_member_state state)
+{
+	uint64_t end_ms = bg_clock_now_ms() + WAIT_MS;
+	const struct bg_member *m;
+
+	while (((m = member_at(i, of)) == NULL || m->state != state) &&
+	    bg_clock_now_ms() < end_ms)
+		run_ms(10);
+	ck_assert_ptr_nonnull(m);
+	ck_assert_int_eq(m->state, state);
+}
+
+static void
+start_all(void)
+{
+	size_t i;
+
+	for (i = 0; i < NODES; i++)
+		node_start(i);
+	for (i = 0; i < NODES; i++)
+		announce(i, BG_MEMBER_READY, "i-1");
+	for (i = 0; i < NODES; i++)
+		wait_members(i, NODES);
+	/* All were written, and read back by all. */
+	run_ms(400);
+}
+
+static void
+cut(size_t i, int is_cut)
+{
+	nodes[i].view.is_cut = is_cut;
+	/* Waiting watches end as they do when a connection is lost. */
+	if (is_cut)
+		memory_store_forget(&mem);
+}
+
+/* Guards against an accepted version that is not in force everywhere (P10). */
+START_TEST(versions_reach_every_node)
+{
+	start_all();
+	publish(1);
+	wait_versions(1);
+	publish(4);
+	wait_versions(4);
+	ck_assert_int_eq(nodes[0].installs, 2);
+}
+END_TEST
+
+/* Guards against a node that returns to an older version when the store, or a
+ * peer, shows it one (P1). */
+START_TEST(older_version_is_ignored)
+{
+	start_all();
+	publish(5);
+	wait_versions(5);
+	publish(3);
+	run_ms(500);
+	wait_versions(5);
+	ck_assert_int_eq(nodes[0].installs, 1);
+}
+END_TEST
+
+/* Guards against a node without store that misses versions and members which
+ * its peers know. */
+START_TEST(peers_tell_a_node_without_store)
+{
+	start_all();
+	publish(1);
+	wait_versions(1);
+	cut(3, 1);
+	publish(2);
+	announce(0, BG_MEMBER_DRAINING, "i-1");
+	wait_version(3, 2);
+	wait_state(3, 0, BG_MEMBER_DRAINING);
+	/* The other way round: what only the cut node knows. */
+	announce(3, BG_MEMBER_DRAINING, "i-1");
+	wait_state(0, 3, BG_MEMBER_DRAINING);
+	cut(3, 0);
+	publish(3);
+	wait_versions(3);
+}
+END_TEST
+
+/* Guards against a version that cannot be served from and is put in force, in
+ * part or as a whole (P2, P3). */
+START_TEST(broken_version_is_refused)
+{
+	start_all();
+	publish(1);
+	wait_versions(1);
+	memory_store_set(&mem, CONFIG_KIND, "main",
+	    json_pack("{s:i, s:b}", "version", 2, "broken", 1));
+	run_ms(500);
+	wait_versions(1);
+	publish(3);
+	wait_versions(3);
+}
+END_TEST
+
+/* Guards against a node that is gone and stays in every list, and one that is
+ * only restarted and vanishes. */
+START_TEST(withdrawn_node_leaves_the_lists)
+{
+	start_all();
+	node_stop(2);
+	run_ms(300);
+	ck_assert_uint_eq(bg_mesh_roster(nodes[0].mesh)->member_count, NODES);
+	node_start(2);
+	announce(2, BG_MEMBER_READY, "i-2");
+	run_ms(500);
+	ck_assert_str_eq(member_at(0, 2)->server_id, "i-2");
+	bg_mesh_withdraw(nodes[3].mesh, NULL, NULL);
+	wait_members(0, NODES - 1);
+	wait_members(2, NODES - 1);
+	ck_assert_ptr_null(member_at(0, 3));
+}
+END_TEST
+
+/* Guards against a list that keeps a node which was removed while the store
+ * dropped the history of it. */
+START_TEST(removal_without_history_is_seen)
+{
+	size_t i;
+
+	start_all();
+	node_stop(3);
+	for (i = 0; i < mem.object_count; i++) {
+		if (strcmp(mem.objects[i].kind, NODES_KIND) == 0 &&
+		    strstr(mem.objects[i].name, "127.0.0.1") != NULL &&
+		    (uint16_t)atoi(strrchr(mem.objects[i].name, '-') + 1) ==
+			nodes[3].port)
+			mem.objects[i].is_deleted = 1;
+	}
+	memory_store_forget(&mem);
+	wait_members(0, NODES - 1);
+	wait_members(2, NODES - 1);
+}
+END_TEST
+
+/* Guards against a node whose announcements lose to those of the process that
+ * ran there before, because the wall clock went back. */
+START_TEST(incarnation_rises_above_the_stored_one)
+{
+	struct memory_object *obj;
+	char name[BG_ADDRESS_BYTES];
+	json_t *spec;
+
+	start_all();
+	node_stop(2);
+	snprintf(name, sizeof(name), "127.0.0.1-%u", nodes[2].port);
+	obj = memory_store_find(&mem, NODES_KIND, name);
+	ck_assert_ptr_nonnull(obj);
+	spec = json_deep_copy(obj->spec);
+	json_object_set_new(spec, "incarnation",
+	    json_integer((json_int_t)bg_clock_wall_ms() + 3600000));
+	memory_store_set(&mem, NODES_KIND, name, spec);
+	run_ms(300);
+	node_start(2);
+	announce(2, BG_MEMBER_READY, "i-9");
+	run_ms(1500);
+	ck_assert_str_eq(member_at(0, 2)->server_id, "i-9");
+}
+END_TEST
+
+/* Guards against an object that is missing in the store for long after the
+ * store came back. */
+START_TEST(announcement_is_stored_after_an_outage)
+{
+	char name[BG_ADDRESS_BYTES];
+
+	start_all();
+	mem.fail_code = BG_EUNAVAILABLE;
+	snprintf(name, sizeof(name), "127.0.0.1-%u", nodes[1].port);
+	memory_store_remove(&mem, NODES_KIND, name);
+	announce(1, BG_MEMBER_DRAINING, "i-1");
+	run_ms(600);
+	mem.fail_code = 0;
+	run_ms(2000);
+	ck_assert_ptr_nonnull(memory_store_find(&mem, NODES_KIND, name));
+	wait_state(0, 1, BG_MEMBER_DRAINING);
+}
+END_TEST
+
+/* Guards against a write whose answer was lost and that is made over and over
+ * or given up. */
+START_TEST(lost_answers_do_not_lose_announcements)
+{
+	int writes;
+
+	start_all();
+	writes = mem.writes;
+	mem.lose_writes = 2;
+	announce(1, BG_MEMBER_DRAINING, "i-1");
+	wait_state(0, 1, BG_MEMBER_DRAINING);
+	run_ms(1500);
+	ck_assert_int_le(mem.writes, writes + 5);
+}
+END_TEST
+
+/* Guards against calls to the store by a fleet in which nothing happens:
+ * each costs money. */
+START_TEST(idle_fleet_makes_few_calls)
+{
+	int calls;
+	int i;
+
+	start_all();
+	publish(1);
+	wait_versions(1);
+	run_ms(1000);
+	for (calls = 0, i = 0; i < NODES; i++)
+		calls += nodes[i].view.calls;
+	run_ms(3000);
+	for (i = 0; i < NODES; i++)
+		calls -= nodes[i].view.calls;
+	/* The memory store holds a watch for as long as nothing happens. */
+	ck_assert_int_eq(calls, 0);
+}
+END_TEST
+
+static struct bg_summary summaries[BG_DATA_CENTRES_MAX];
+static size_t summary_count;
+static int censuses;
+
+static void
+on_census(void *arg, const struct bg_summary *found, size_t count)
+{
+	memcpy(summaries, found, count * sizeof(*found));
+	summary_count = count;
+	censuses++;
+}
+
+static const struct bg_summary *
+census_of(size_t asking, const char *data_centre)
+{
+	uint64_t end_ms = bg_clock_now_ms() + WAIT_MS;
+	int before = censuses;
+	size_t i;
+
+	ck_assert_int_eq(
+	    bg_mesh_census(nodes[asking].mesh, on_census, NULL), 0);
+	while (censuses == before && bg_clock_now_ms() < end_ms)
+		run_ms(10);
+	for (i = 0; i < summary_count; i++) {
+		if (strcmp(summaries[i].data_centre, data_centre) == 0)
+			return &summaries[i];
+	}
+	return NULL;
+}
+
+/* Guards against a status that says done while a node lacks the version. */
+START_TEST(census_tells_the_lowest_version)
+{
+	const struct bg_summary *sum;
+
+	start_all();
+	publish(1);
+	wait_versions(1);
+	cut(2, 1);
+	nodes[2].settings.node.address[0] = '\0';
+	sum = census_of(0, "dc0");
+	ck_assert_ptr_nonnull(sum);
+	ck_assert_uint_eq(sum->member_count, 2);
+	ck_assert_uint_eq(sum->synced_count, 2);
+	ck_assert_uint_eq(sum->confirmed_version, 1);
+	run_ms(600);
+	/* A node that cannot be asked does not count as confirmed. */
+	node_stop(3);
+	sum = census_of(0, "dc1");
+	ck_assert_ptr_nonnull(sum);
+	ck_assert_uint_eq(sum->member_count, 1);
+}
+END_TEST
+
+/* Guards against a refusal that no operator learns of. */
+START_TEST(census_tells_a_refusal)
+{
+	const struct bg_summary *sum;
+
+	start_all();
+	publish(1);
+	wait_versions(1);
+	memory_store_set(&mem, CONFIG_KIND, "main",
+	    json_pack("{s:i, s:b}", "version", 2, "broken", 1));
+	run_ms(1000);
+	sum = census_of(0, "dc1");
+	ck_assert_ptr_nonnull(sum);
+	ck_assert_uint_eq(sum->refused_version, 2);
+	ck_assert_ptr_nonnull(strstr(sum->refused_reason, "missing"));
+	ck_assert_uint_eq(sum->confirmed_version, 1);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("mesh");
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, versions_reach_every_node);
+	tcase_add_test(tc, older_version_is_ignored);
+	tcase_add_test(tc, peers_tell_a_node_without_store);
+	tcase_add_test(tc, broken_version_is_refused);
+	tcase_add_test(tc, withdrawn_node_leaves_the_lists);
+	tcase_add_test(tc, removal_without_history_is_seen);
+	tcase_add_test(tc, incarnation_rises_above_the_stored_one);
+	tcase_add_test(tc, announcement_is_stored_after_an_outage);
+	tcase_add_test(tc, lost_answers_do_not_lose_announcements);
+	tcase_add_test(tc, idle_fleet_makes_few_calls);
+	tcase_add_test(tc, census_tells_the_lowest_version);
+	tcase_add_test(tc, census_tells_a_refusal);
+	return run_suite_forked("mesh", tc);
+}
