--- /dev/null
+++ b/proxy/tests/test_server.c
@@ -0,0 +1,176 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "gatekeeper/server.h"
+#include "suite.h"
+
+#define DRAIN_MS 500
+
+static struct bg_server srv;
+static uint64_t now_ms;
+
+static void
+setup(void)
+{
+	memset(&srv, 0, sizeof(srv));
+	now_ms = 1000;
+}
+
+static struct bg_announcement
+make(const char *id, uint64_t born_ms, uint64_t sequence,
+    enum bg_announced_state state)
+{
+	struct bg_announcement ann;
+
+	memset(&ann, 0, sizeof(ann));
+	snprintf(ann.server_id, sizeof(ann.server_id), "%s", id);
+	snprintf(ann.server_version, sizeof(ann.server_version), "v1");
+	ann.born_ms = born_ms;
+	ann.has_born = 1;
+	ann.sequence = sequence;
+	ann.slots = 6;
+	ann.state = state;
+	return ann;
+}
+
+static enum bg_announce_result
+say(const char *id, uint64_t born_ms, uint64_t sequence,
+    enum bg_announced_state state)
+{
+	struct bg_announcement ann = make(id, born_ms, sequence, state);
+
+	return bg_server_announce(&srv, &ann, now_ms);
+}
+
+static enum bg_announce_result
+say_ready(const char *id, uint64_t born_ms, uint64_t sequence)
+{
+	return say(id, born_ms, sequence, BG_ANNOUNCED_READY);
+}
+
+START_TEST(first_heartbeat_makes_it_ready)
+{
+	ck_assert_int_eq(bg_server_takes_calls(&srv, DRAIN_MS, now_ms), 0);
+	ck_assert_int_eq(say_ready("a", 50, 1), BG_ANNOUNCE_TAKEN);
+	ck_assert_int_eq(bg_server_takes_calls(&srv, DRAIN_MS, now_ms), 1);
+	ck_assert_int_eq(say_ready("a", 50, 2), BG_ANNOUNCE_SAME);
+	ck_assert_uint_eq(srv.slots, 6);
+}
+END_TEST
+
+/* Guards against a late heartbeat that undoes a newer one. */
+START_TEST(overtaken_heartbeat_is_ignored)
+{
+	say_ready("a", 50, 7);
+	ck_assert_int_eq(
+	    say("a", 50, 8, BG_ANNOUNCED_DRAINING), BG_ANNOUNCE_TAKEN);
+	ck_assert_int_eq(say_ready("a", 50, 6), BG_ANNOUNCE_OLD);
+	ck_assert_int_eq(srv.state, BG_SERVER_DRAINING);
+}
+END_TEST
+
+/* Guards against calls for a server that was told to leave and whose next
+ * heartbeat says ready again. */
+START_TEST(leaving_is_final_within_a_lifetime)
+{
+	say_ready("a", 50, 1);
+	say("a", 50, 2, BG_ANNOUNCED_DRAINING);
+	say_ready("a", 50, 3);
+	ck_assert_int_eq(srv.state, BG_SERVER_DRAINING);
+	now_ms += DRAIN_MS;
+	ck_assert_int_eq(bg_server_takes_calls(&srv, DRAIN_MS, now_ms), 0);
+}
+END_TEST
+
+/* Guards against new work long after a server said that it leaves (P8), and
+ * against refusing calls that were under way to it. */
+START_TEST(leaving_server_takes_calls_for_a_moment)
+{
+	say_ready("a", 50, 1);
+	now_ms = 5000;
+	say("a", 50, 2, BG_ANNOUNCED_DRAINING);
+	ck_assert_int_eq(bg_server_takes_calls(&srv, DRAIN_MS, 5499), 1);
+	ck_assert_int_eq(bg_server_takes_calls(&srv, DRAIN_MS, 5500), 0);
+	/* A farewell behind it does not open it again. */
+	now_ms = 6000;
+	say("a", 50, 0, BG_ANNOUNCED_GONE);
+	ck_assert_int_eq(bg_server_takes_calls(&srv, DRAIN_MS, 6000), 0);
+}
+END_TEST
+
+/* A server that never says that it drains says farewell first. */
+START_TEST(farewell_without_a_body_is_taken)
+{
+	struct bg_announcement ann;
+
+	say_ready("a", 50, 1);
+	memset(&ann, 0, sizeof(ann));
+	snprintf(ann.server_id, sizeof(ann.server_id), "a");
+	ann.state = BG_ANNOUNCED_GONE;
+	ck_assert_int_eq(
+	    bg_server_announce(&srv, &ann, now_ms), BG_ANNOUNCE_TAKEN);
+	ck_assert_int_eq(srv.state, BG_SERVER_GONE);
+	ck_assert_int_eq(say_ready("a", 50, 2), BG_ANNOUNCE_OLD);
+}
+END_TEST
+
+/* Guards against a heartbeat that a partition held up and that arrives after
+ * its sender crashed and another server started at the address. */
+START_TEST(earlier_lifetime_is_ignored)
+{
+	say_ready("b", 90, 1);
+	ck_assert_int_eq(say_ready("a", 50, 99), BG_ANNOUNCE_OLD);
+	ck_assert_int_eq(say("a", 50, 100, BG_ANNOUNCED_GONE), BG_ANNOUNCE_OLD);
+	ck_assert_str_eq(srv.id, "b");
+	ck_assert_int_eq(srv.state, BG_SERVER_READY);
+}
+END_TEST
+
+/* Guards against a restarted server under the same id whose counts start anew
+ * and that is taken for an overtaken one. */
+START_TEST(new_lifetime_under_the_same_id_is_taken)
+{
+	say_ready("a", 50, 40);
+	say("a", 50, 0, BG_ANNOUNCED_GONE);
+	ck_assert_int_eq(say_ready("a", 90, 1), BG_ANNOUNCE_TAKEN);
+	ck_assert_int_eq(srv.state, BG_SERVER_READY);
+	ck_assert_uint_eq(srv.leaving_ms, 0);
+	ck_assert_int_eq(say("a", 50, 41, BG_ANNOUNCED_GONE), BG_ANNOUNCE_OLD);
+	ck_assert_int_eq(srv.state, BG_SERVER_READY);
+}
+END_TEST
+
+/* Guards against a lost server that is not used again, and a leaving one that
+ * is used again because it answers. */
+START_TEST(lost_server_returns_with_its_next_word)
+{
+	say_ready("a", 50, 1);
+	bg_server_lose(&srv);
+	ck_assert_int_eq(bg_server_takes_calls(&srv, DRAIN_MS, now_ms), 0);
+	ck_assert_int_eq(say_ready("a", 50, 2), BG_ANNOUNCE_TAKEN);
+	ck_assert_int_eq(bg_server_takes_calls(&srv, DRAIN_MS, now_ms), 1);
+	bg_server_lose(&srv);
+	ck_assert_int_eq(bg_server_regain(&srv), 1);
+	ck_assert_int_eq(bg_server_regain(&srv), 0);
+	say("a", 50, 3, BG_ANNOUNCED_DRAINING);
+	bg_server_lose(&srv);
+	ck_assert_int_eq(srv.state, BG_SERVER_DRAINING);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("server");
+
+	tcase_add_checked_fixture(tc, setup, NULL);
+	tcase_add_test(tc, first_heartbeat_makes_it_ready);
+	tcase_add_test(tc, overtaken_heartbeat_is_ignored);
+	tcase_add_test(tc, leaving_is_final_within_a_lifetime);
+	tcase_add_test(tc, leaving_server_takes_calls_for_a_moment);
+	tcase_add_test(tc, farewell_without_a_body_is_taken);
+	tcase_add_test(tc, earlier_lifetime_is_ignored);
+	tcase_add_test(tc, new_lifetime_under_the_same_id_is_taken);
+	tcase_add_test(tc, lost_server_returns_with_its_next_word);
+	return run_suite("server", tc);
+}
