Judge new versions beside each server; write steps without a holder

Each node tests its own server's answers (Wald's test for failures and for answers several times slower than other versions') and announces the verdict; the step is a pure function of move, verdicts and time, written under condition by one node in turn. No lease, no holder, no counts sent to one. A service that nobody calls is moved (idle verdict).

--- a/moves/src/plan/plan.c
+++ b/moves/src/plan/plan.c
@@ -3,37 +3,23 @@
 
 #include "plan.h"
 
-static const uint32_t SHARES[] = {
-    BG_MOVE_FIRST_SHARE_PERMILLE, 100, 250, 500, 1000};
-
-#define STEP_COUNT (sizeof(SHARES) / sizeof(SHARES[0]))
-/* The plan uses this part of the promised time; the rest is for news, a change
- * of holder and a slow platform. */
-#define PLAN_PERCENT 50
+/* Shares behind the first one. Each step lets the version show how it bears
+ * more calls before it gets the next. */
+static const uint32_t LATER_SHARES[] = {300, 600, 1000};
+
+#define LATER_COUNT (sizeof(LATER_SHARES) / sizeof(LATER_SHARES[0]))
+/* The first step takes this part of the promised time, so that a version that
+ * turns bad a little after its start has time to show it. */
+#define FIRST_PERCENT 35
+/* Each later step; together the steps leave a quarter for a slow store and for
+ * servers that are late. */
+#define LATER_PERCENT 10
 /* Nodes learn of a step within a second; evidence needs some more. */
-#define STEP_MIN_MS 2000
-/* A step ends this much later than planned: the holder looks once a second, and
- * the step before has to be confirmed everywhere. */
-#define STEP_OVERHEAD_MS 1500
+#define STEP_MIN_MS 1500
 #define STEP_MAX_MS 300000
-/* Calls that let the first step end without a full verdict when time presses:
- * a version that fails every other call is found with these. */
-#define PRESSED_CALLS 20
-/* Part of the new version's slots that its share may keep busy. */
-#define CAPACITY_PERCENT 80
-
-uint64_t
-bg_plan_step_ms(const struct bg_move *move)
-{
-	uint64_t promised_ms = move->deadline_ms > move->started_ms
-	    ? move->deadline_ms - move->started_ms
-	    : 0;
-	uint64_t step_ms = promised_ms * PLAN_PERCENT / 100 / STEP_COUNT;
-
-	if (step_ms < STEP_MIN_MS)
-		return STEP_MIN_MS;
-	return step_ms > STEP_MAX_MS ? STEP_MAX_MS : step_ms;
-}
+/* Servers found bad from which the version is bad: one alone may be a fault of
+ * that server. */
+#define BAD_SERVERS 2
 
 static void
 finish(struct bg_move *out, enum bg_move_state state, uint64_t now_ms,
@@ -45,137 +31,125 @@
 	snprintf(out->reason, sizeof(out->reason), "%s", reason);
 }
 
-/* The new version must be able to carry the share that it would get. */
-static int
-has_capacity(const struct bg_plan_input *in, uint32_t share_permille)
+uint64_t
+bg_plan_dwell_ms(const struct bg_move *move, const struct bg_move_terms *terms)
 {
-	uint64_t needed = (uint64_t)in->busy_millislots * share_permille / 1000;
-	uint64_t offered =
-	    (uint64_t)in->slots_new * 1000 * CAPACITY_PERCENT / 100;
-
-	return in->ready_new > 0 && offered >= needed;
-}
+	uint32_t percent = move->step == 0 ? FIRST_PERCENT : LATER_PERCENT;
+	uint64_t ms = (uint64_t)terms->take_over_ms * percent / 100;
 
-/* Time still needed if every step were as short as allowed. */
-static uint64_t
-shortest_rest_ms(const struct bg_move *move)
-{
-	return (STEP_COUNT - move->step) * STEP_MIN_MS;
+	if (ms < STEP_MIN_MS)
+		return STEP_MIN_MS;
+	return ms > STEP_MAX_MS ? STEP_MAX_MS : ms;
 }
 
+/* Time that the rest of the move needs. */
 static uint64_t
-left_ms(const struct bg_move *move, uint64_t now_ms)
-{
-	return move->deadline_ms > now_ms ? move->deadline_ms - now_ms : 0;
-}
-
-static int
-is_pressed(const struct bg_move *move, uint64_t now_ms)
+rest_ms(const struct bg_move *move)
 {
-	return left_ms(move, now_ms) < (STEP_COUNT - move->step) *
-		(bg_plan_step_ms(move) + STEP_OVERHEAD_MS) +
-	    STEP_MIN_MS;
+	return (LATER_COUNT + 1 - move->step) * STEP_MIN_MS;
 }
 
-/* Steps become shorter if the rest of the time asks for it. */
-static uint64_t
-dwell_ms(const struct bg_move *move, uint64_t now_ms)
+int
+bg_plan_is_bad(uint32_t ready_new, uint32_t bad_new)
 {
-	uint64_t step_ms = bg_plan_step_ms(move);
-	uint64_t fair_ms =
-	    left_ms(move, now_ms) / (STEP_COUNT - move->step + 1);
-
-	if (fair_ms >= step_ms + STEP_OVERHEAD_MS)
-		return step_ms;
-	return fair_ms < STEP_MIN_MS + STEP_OVERHEAD_MS
-	    ? STEP_MIN_MS
-	    : fair_ms - STEP_OVERHEAD_MS;
+	if (bad_new == 0)
+		return 0;
+	return bad_new >= BAD_SERVERS || bad_new >= ready_new;
 }
 
-/* The first step ends with a good verdict; without one, only if time presses
- * and enough calls look well, or if nothing is called at all. A service with
+/* The first step ends with a good verdict, or without any call. A service with
  * few calls stays at the first share: its move is late, and rolled back at the
  * promised time, rather than give an unproven version a larger share. */
 static int
-is_step_proven(const struct bg_move *move, const struct bg_plan_input *in)
+may_advance(const struct bg_move *move, const struct bg_move_terms *terms,
+    const struct bg_plan_input *in)
 {
-	if (in->verdict == BG_VERDICT_GOOD || move->step > 0)
-		return 1;
-	if (!is_pressed(move, in->now_ms))
+	if (in->ready_new == 0 || in->bad_new >= in->ready_new)
+		return 0;
+	if (move->step == 0 && in->good_new == 0 &&
+	    in->idle_new < in->ready_new)
 		return 0;
-	return in->new_calls >= PRESSED_CALLS ||
-	    (in->calls_per_s == 0 && in->new_calls == 0);
+	return in->step_age_ms >= bg_plan_dwell_ms(move, terms) ||
+	    (in->step_age_ms >= STEP_MIN_MS && in->left_ms < rest_ms(move));
 }
 
-static int
-advance(struct bg_move *out, const struct bg_move *move,
-    const struct bg_plan_input *in)
+static void
+advance(struct bg_move *out, const struct bg_move *move, uint64_t now_ms)
 {
-	uint64_t age_ms = in->now_ms > move->step_since_ms
-	    ? in->now_ms - move->step_since_ms
-	    : 0;
-
-	if (age_ms < dwell_ms(move, in->now_ms) || !in->is_confirmed ||
-	    in->is_doubtful || !is_step_proven(move, in))
-		return 0;
-	if (move->step + 1 == STEP_COUNT) {
-		finish(out, BG_MOVE_DONE, in->now_ms, "");
-		return 1;
+	if (move->step == LATER_COUNT) {
+		finish(out, BG_MOVE_DONE, now_ms, "");
+		return;
 	}
-	if (!has_capacity(in, SHARES[move->step + 1]))
-		return 0;
 	out->step = move->step + 1;
-	out->share_permille = SHARES[out->step];
-	out->step_since_ms = in->now_ms;
-	return 1;
+	out->share_permille = LATER_SHARES[move->step];
+	out->step_since_ms = now_ms;
 }
 
 static int
 next_in_progress(struct bg_move *out, const struct bg_move *move,
-    const struct bg_plan_input *in)
+    const struct bg_move_terms *terms, const struct bg_plan_input *in)
 {
 	int late;
 
-	if (in->now_ms >= move->deadline_ms) {
-		finish(out, BG_MOVE_ROLLED_BACK, in->now_ms,
+	if (in->left_ms == 0) {
+		finish(out, BG_MOVE_ROLLED_BACK, in->now_wall_ms,
 		    "promised time passed");
 		return 1;
 	}
-	if (advance(out, move, in))
+	if (may_advance(move, terms, in)) {
+		advance(out, move, in->now_wall_ms);
 		return 1;
-	late = move->is_late ||
-	    in->now_ms + shortest_rest_ms(move) > move->deadline_ms;
+	}
+	late = move->is_late || in->left_ms < rest_ms(move);
 	out->is_late = late;
 	return late != move->is_late;
 }
 
 int
-bg_plan_is_watched(
-    const struct bg_move *move, const struct bg_contract *ctr, uint64_t now_ms)
+bg_plan_is_watched(const struct bg_move *move,
+    const struct bg_move_terms *terms, uint64_t age_ms)
 {
 	if (move->state == BG_MOVE_IN_PROGRESS)
 		return 1;
-	return move->state == BG_MOVE_DONE && move->from[0] != '\0' &&
-	    strcmp(move->from, move->to) != 0 &&
-	    now_ms < move->step_since_ms + ctr->soak_ms;
+	return move->state == BG_MOVE_DONE && age_ms < terms->soak_ms;
 }
 
 int
 bg_plan_next(struct bg_move *out, const struct bg_move *move,
-    const struct bg_contract *ctr, const struct bg_plan_input *in)
+    const struct bg_move_terms *terms, const struct bg_plan_input *in)
 {
 	*out = *move;
-	if (!bg_plan_is_watched(move, ctr, in->now_ms))
+	if (!bg_plan_is_watched(move, terms, in->step_age_ms))
 		return 0;
-	if (in->is_marked || in->verdict == BG_VERDICT_BAD) {
+	if (bg_plan_is_bad(in->ready_new, in->bad_new)) {
 		/* After done, only a version that still runs can take over. */
 		if (move->state == BG_MOVE_DONE && in->ready_old == 0)
 			return 0;
-		finish(out, BG_MOVE_ROLLED_BACK, in->now_ms,
+		finish(out, BG_MOVE_ROLLED_BACK, in->now_wall_ms,
 		    in->reason != NULL ? in->reason : "bad");
 		return 1;
 	}
 	if (move->state == BG_MOVE_IN_PROGRESS)
-		return next_in_progress(out, move, in);
+		return next_in_progress(out, move, terms, in);
 	return 0;
 }
+
+void
+bg_plan_begin(struct bg_move *out, const struct bg_move *last, const char *to,
+    uint64_t generation, const struct bg_move_terms *terms,
+    uint64_t now_wall_ms)
+{
+	memset(out, 0, sizeof(*out));
+	if (last != NULL) {
+		bg_move_retire(out, last);
+		snprintf(
+		    out->from, sizeof(out->from), "%s", bg_move_serving(last));
+	}
+	out->generation = generation;
+	snprintf(out->to, sizeof(out->to), "%s", to);
+	out->state = BG_MOVE_IN_PROGRESS;
+	out->share_permille = terms->first_share_permille;
+	out->started_ms = now_wall_ms;
+	out->step_since_ms = now_wall_ms;
+	out->deadline_ms = now_wall_ms + terms->take_over_ms;
+}
--- a/moves/src/plan/plan.h
+++ b/moves/src/plan/plan.h
@@ -3,34 +3,33 @@
 
 /** @file
  * The state machine of a move. Pure: the next state is a function of the state,
- * the verdict and the time, so that a step is never repeated or skipped by
- * another holder.
+ * the verdicts and the time, so that any node computes the same step.
  */
 
 #include <stdint.h>
 
-#include "burdockgrade/contract.h"
-#include "burdockgrade/snapshot.h"
+#include "burdockgrade/moves.h"
 
-#include "verdict/verdict.h"
-
-/** What the holder knows when it decides. */
+/** What a node knows when it decides. */
 struct bg_plan_input {
-	uint64_t now_ms; /**< wall clock */
-	enum bg_verdict verdict;
-	uint64_t new_calls;   /**< calls of the new version so far */
-	uint32_t calls_per_s; /**< of both versions, smoothed */
-	uint32_t ready_old;   /**< ready servers of `from` */
-	uint32_t ready_new;   /**< ready servers of `to` */
-	uint32_t slots_new;
-	uint32_t
-	    busy_millislots; /**< 1,000 is one slot in use, both versions */
-	int is_doubtful;    /**< some evidence speaks against the new version */
-	int is_marked;	    /**< a MARK of this generation exists */
-	int is_confirmed;   /**< the last change is in force where reachable */
-	const char *reason; /**< of the mark or the verdict */
+	uint32_t ready_old;   /**< ready servers of other versions */
+	uint32_t ready_new;   /**< ready servers of `to`, judged or not */
+	uint32_t good_new;    /**< of them, found good */
+	uint32_t bad_new;     /**< of them, found bad */
+	uint32_t idle_new;    /**< of them, without any call */
+	uint64_t step_age_ms; /**< since the present step or state began */
+	uint64_t left_ms;     /**< of the promised time */
+	uint64_t now_wall_ms; /**< written into the next state */
+	const char *reason;   /**< of a bad verdict, or NULL */
 };
 
+/** Time that the present step of a move takes. */
+uint64_t bg_plan_dwell_ms(
+    const struct bg_move *move, const struct bg_move_terms *terms);
+
+/** 1 if the verdicts show that the version is bad, and not one server. */
+int bg_plan_is_bad(uint32_t ready_new, uint32_t bad_new);
+
 /**
  * Computes the next state of a move.
  *
@@ -38,14 +37,16 @@
  * @return 1 if out differs, 0 otherwise
  */
 int bg_plan_next(struct bg_move *out, const struct bg_move *move,
-    const struct bg_contract *ctr, const struct bg_plan_input *in);
+    const struct bg_move_terms *terms, const struct bg_plan_input *in);
 
-/** Length of one step, so that the plan ends before the promised time. */
-uint64_t bg_plan_step_ms(const struct bg_move *move);
+/** First state of a move to a version. */
+void bg_plan_begin(struct bg_move *out, const struct bg_move *last,
+    const char *to, uint64_t generation, const struct bg_move_terms *terms,
+    uint64_t now_wall_ms);
 
-/** 1 while the version is still watched: in progress, or done within the
- * soak. */
-int bg_plan_is_watched(
-    const struct bg_move *move, const struct bg_contract *ctr, uint64_t now_ms);
+/** 1 while the version is still judged: in progress, or done within the soak.
+ * @param age_ms since the state began */
+int bg_plan_is_watched(const struct bg_move *move,
+    const struct bg_move_terms *terms, uint64_t age_ms);
 
 #endif
--- a/moves/src/status/render.c
+++ b/moves/src/status/render.c
@@ -39,20 +39,29 @@
 	fputc('\n', fp);
 }
 
+/* The line of a service. A move that the store keeps apart from the
+ * configuration goes before the one in it. */
 static void
-decide_line(struct bg_status_line *out, const struct bg_service *svc,
-    const struct bg_status_view *view, const struct bg_table *tbl)
+decide_line(struct bg_status_line *out, struct bg_service *scratch,
+    const struct bg_service *svc, const struct bg_status_view *view,
+    const struct bg_moves *mvs)
 {
-	bg_status_line(out, svc, view,
-	    bg_mark_generation(tbl, svc->head.name, svc->head.move.to));
+	const struct bg_move *move = bg_moves_get(mvs, svc->head.name);
+
+	*scratch = *svc;
+	if (move != NULL)
+		scratch->head.move = *move;
+	bg_status_line(
+	    out, scratch, view, bg_moves_bad_generation(mvs, svc->head.name));
 }
 
 int
-bg_status_render(char **out, const struct bg_snapshot *snap,
-    const struct bg_table *tbl, uint64_t now_wall_ms)
+bg_status_render(char **out, const struct bg_status_knowledge *know)
 {
+	const struct bg_snapshot *snap = know->snapshot;
 	struct bg_status_view view;
 	struct bg_status_line line;
+	struct bg_service scratch;
 	size_t out_bytes;
 	size_t i;
 	FILE *fp;
@@ -60,11 +69,13 @@
 	*out = NULL;
 	if ((fp = open_memstream(out, &out_bytes)) == NULL)
 		return BG_ENOMEM;
-	bg_status_view_init(&view, tbl, now_wall_ms);
+	bg_status_view_init(
+	    &view, know->summaries, know->summary_count, know->now_wall_ms);
 	if (snap == NULL)
 		fputs("# not synced: this node knows no version yet\n", fp);
 	for (i = 0; snap != NULL && i < snap->service_count; i++) {
-		decide_line(&line, &snap->services[i], &view, tbl);
+		decide_line(
+		    &line, &scratch, &snap->services[i], &view, know->moves);
 		print_line(fp, &line);
 	}
 	return fclose(fp) == 0 ? 0 : BG_ENOMEM;
@@ -84,29 +95,32 @@
 static json_t *
 summary_json(const struct bg_summary *sum)
 {
-	return json_pack("{s:s,s:i,s:i,s:I,s:I,s:s,s:s,s:I,s:b}", "data_centre",
+	return json_pack("{s:s,s:i,s:i,s:I,s:I,s:s,s:s,s:I}", "data_centre",
 	    sum->data_centre, "members", (int)sum->member_count, "synced",
 	    (int)sum->synced_count, "confirmed",
 	    (json_int_t)sum->confirmed_version, "refused",
 	    (json_int_t)sum->refused_version, "refused_by", sum->refused_by,
 	    "refused_reason", sum->refused_reason, "written_ms",
-	    (json_int_t)sum->written_ms, "leased", sum->is_leased);
+	    (json_int_t)sum->written_ms);
 }
 
 int
-bg_status_render_json(char **out, const struct bg_snapshot *snap,
-    const struct bg_table *tbl, uint64_t now_wall_ms)
+bg_status_render_json(char **out, const struct bg_status_knowledge *know)
 {
+	const struct bg_snapshot *snap = know->snapshot;
 	struct bg_status_view view;
 	struct bg_status_line line;
+	struct bg_service scratch;
 	json_t *services = json_array();
 	json_t *centres = json_array();
 	json_t *root;
 	size_t i;
 
-	bg_status_view_init(&view, tbl, now_wall_ms);
+	bg_status_view_init(
+	    &view, know->summaries, know->summary_count, know->now_wall_ms);
 	for (i = 0; snap != NULL && i < snap->service_count; i++) {
-		decide_line(&line, &snap->services[i], &view, tbl);
+		decide_line(
+		    &line, &scratch, &snap->services[i], &view, know->moves);
 		json_array_append_new(services, line_json(&line));
 	}
 	for (i = 0; i < view.summary_count; i++)
--- a/moves/src/status/status.c
+++ b/moves/src/status/status.c
@@ -4,37 +4,17 @@
 
 #include "status.h"
 
-static int
-collect_summary(void *arg, const struct bg_item *item)
-{
-	struct bg_status_view *view = arg;
-
-	if (view->summary_count < BG_DATA_CENTRES_MAX &&
-	    bg_summary_decode(&view->summaries[view->summary_count], item) == 0)
-		view->summary_count++;
-	return 0;
-}
-
-int
-bg_status_view_init(struct bg_status_view *out, const struct bg_table *tbl,
-    uint64_t now_wall_ms)
+void
+bg_status_view_init(struct bg_status_view *out,
+    const struct bg_summary *summaries, size_t count, uint64_t now_wall_ms)
 {
 	memset(out, 0, sizeof(*out));
 	out->now_ms = now_wall_ms;
-	return bg_table_each(tbl, BG_ITEM_SUMMARY, collect_summary, out);
-}
-
-uint64_t
-bg_mark_generation(
-    const struct bg_table *tbl, const char *service, const char *server_version)
-{
-	char key[BG_KEY_BYTES];
-	struct bg_item item;
-
-	snprintf(key, sizeof(key), "%s/%s", service, server_version);
-	if (bg_table_get(&item, tbl, BG_ITEM_MARK, key) != 0)
-		return 0;
-	return item.major;
+	if (count > BG_DATA_CENTRES_MAX)
+		count = BG_DATA_CENTRES_MAX;
+	if (count > 0)
+		memcpy(out->summaries, summaries, count * sizeof(*summaries));
+	out->summary_count = count;
 }
 
 static uint64_t
@@ -96,7 +76,7 @@
 
 static void
 describe_move(struct bg_status_line *out, const struct bg_move *move,
-    int confirmed, uint64_t mark_generation)
+    int confirmed, uint64_t bad_generation)
 {
 	out->server_version = version_or_dash(move->to);
 	out->serving = version_or_dash(
@@ -117,8 +97,8 @@
 		out->reason = move->reason;
 		return;
 	}
-	/* The mark stops the version at once; the head follows. */
-	if (mark_generation >= move->generation && mark_generation != 0) {
+	/* Nodes stop using the version at once; the head follows. */
+	if (bad_generation >= move->generation && bad_generation != 0) {
 		out->state = "in progress";
 		out->note = "rolling-back";
 	}
@@ -126,7 +106,7 @@
 
 void
 bg_status_line(struct bg_status_line *out, const struct bg_service *svc,
-    const struct bg_status_view *view, uint64_t mark_generation)
+    const struct bg_status_view *view, uint64_t bad_generation)
 {
 	const struct bg_head_service *head = &svc->head;
 	const struct bg_summary *refusal;
@@ -137,7 +117,7 @@
 	out->config_version = head->changed;
 	out->since_ms = head->since_ms;
 	out->age_ms = oldest_ms(view);
-	describe_move(out, &head->move, confirmed, mark_generation);
+	describe_move(out, &head->move, confirmed, bad_generation);
 	if (head->is_withdrawn && confirmed &&
 	    strcmp(out->state, "done") == 0) {
 		out->state = "rolled back";
--- a/moves/src/status/status.h
+++ b/moves/src/status/status.h
@@ -9,13 +9,10 @@
 
 #include "burdockgrade/moves.h"
 
-/** A data centre whose summary is older than this cannot be reached. An
- * unchanged summary is renewed each 5 s. */
+/** A data centre whose summary is older than this cannot be reached. */
 #define BG_STATUS_FRESH_MS 12000
 
-#define BG_DATA_CENTRES_MAX 16
-
-/** The summaries that a node knows. */
+/** The summaries of a census. */
 struct bg_status_view {
 	struct bg_summary summaries[BG_DATA_CENTRES_MAX];
 	size_t summary_count;
@@ -36,19 +33,15 @@
 	const char *reason; /**< of a rollback or refusal, or NULL */
 };
 
-int bg_status_view_init(struct bg_status_view *out, const struct bg_table *tbl,
-    uint64_t now_wall_ms);
+void bg_status_view_init(struct bg_status_view *out,
+    const struct bg_summary *summaries, size_t count, uint64_t now_wall_ms);
 
 /** 1 if every data centre that can be reached holds this version everywhere. */
 int bg_status_is_confirmed(const struct bg_status_view *view, uint64_t version);
 
-/** Decides one line. @param mark_generation of a MARK on the move's version, 0
- * if there is none */
+/** Decides one line. @param bad_generation move whose version this node knows
+ * to be bad, 0 if there is none */
 void bg_status_line(struct bg_status_line *out, const struct bg_service *svc,
-    const struct bg_status_view *view, uint64_t mark_generation);
-
-/** Generation of the MARK on a version, 0 if there is none. */
-uint64_t bg_mark_generation(const struct bg_table *tbl, const char *service,
-    const char *server_version);
+    const struct bg_status_view *view, uint64_t bad_generation);
 
 #endif
--- /dev/null
+++ b/moves/tests/test_judge.c
@@ -0,0 +1,226 @@
+#include <gsl/gsl_randist.h>
+#include <gsl/gsl_rng.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "judge/judge.h"
+#include "suite.h"
+
+#define SEED 7
+#define RUNS 400
+/* Calls that the server beside a node gets during a move. */
+#define CALLS 400
+/* The stated rate of wrong verdicts is 1 in 100; a verdict takes two servers,
+ * so that a version is judged wrongly less often still. */
+#define WRONG_MAX (RUNS / 100)
+/* Bad answers that a version may give until it is stopped. */
+#define BAD_ANSWERS_MAX 50
+#define MAX_ERROR_PERMILLE 10
+
+/* How the answers of a version turn out. */
+struct model {
+	double failed;
+	double slow;
+};
+
+static const struct model SOUND = {0.005, 0.02};
+
+/* What a run came to. */
+struct run {
+	enum bg_verdict verdict;
+	int calls; /* until the verdict */
+	int bad;   /* answers of them that failed or were slow */
+};
+
+static void
+feed(struct run *out, struct bg_judge *jdg, gsl_rng *rng,
+    const struct model *mdl, const char *route, int calls)
+{
+	struct bg_judge_sample sample = {route, 0, 0, 1};
+	int i;
+
+	for (i = 0; i < calls && jdg->verdict != BG_VERDICT_BAD; i++) {
+		sample.is_failed = gsl_rng_uniform(rng) < mdl->failed;
+		sample.is_slow = gsl_rng_uniform(rng) < mdl->slow;
+		out->bad += sample.is_failed || sample.is_slow;
+		out->calls++;
+		out->verdict = bg_judge_count(jdg, &sample, MAX_ERROR_PERMILLE);
+	}
+}
+
+/* Counts the runs that end with a verdict. */
+static int
+count_verdicts(
+    const struct model *mdl, enum bg_verdict wanted, int calls, int *most_bad)
+{
+	gsl_rng *rng = gsl_rng_alloc(gsl_rng_mt19937);
+	struct bg_judge jdg;
+	int count = 0;
+	int i;
+
+	gsl_rng_set(rng, SEED);
+	*most_bad = 0;
+	for (i = 0; i < RUNS; i++) {
+		struct run run = {BG_VERDICT_NONE, 0, 0};
+
+		bg_judge_reset(&jdg, 3);
+		feed(&run, &jdg, rng, mdl, "lookup", calls);
+		count += run.verdict == wanted;
+		if (run.bad > *most_bad)
+			*most_bad = run.bad;
+	}
+	gsl_rng_free(rng);
+	return count;
+}
+
+/* Guards against a good version that is taken back. */
+START_TEST(sound_version_is_found_good)
+{
+	int most_bad;
+
+	ck_assert_int_le(
+	    count_verdicts(&SOUND, BG_VERDICT_BAD, CALLS, &most_bad),
+	    WRONG_MAX);
+	ck_assert_int_ge(
+	    count_verdicts(&SOUND, BG_VERDICT_GOOD, CALLS, &most_bad),
+	    RUNS - WRONG_MAX);
+}
+END_TEST
+
+/* Pattern: a good version on a network that loses answers. */
+START_TEST(version_with_a_few_failures_is_not_bad)
+{
+	static const struct model lossy = {0.03, 0.05};
+	int most_bad;
+
+	ck_assert_int_le(
+	    count_verdicts(&lossy, BG_VERDICT_BAD, CALLS, &most_bad),
+	    WRONG_MAX);
+}
+END_TEST
+
+static const struct model BAD_MODELS[] = {
+    {1.0, 0}, {0.5, 0}, {0.35, 0}, {0.005, 1.0}, {0.005, 0.5}};
+
+/* Guards against a bad version that goes on (P4). */
+START_TEST(bad_version_is_found_soon)
+{
+	int most_bad;
+
+	ck_assert_int_ge(
+	    count_verdicts(&BAD_MODELS[_i], BG_VERDICT_BAD, CALLS, &most_bad),
+	    RUNS - WRONG_MAX);
+	ck_assert_int_le(most_bad, BAD_ANSWERS_MAX);
+}
+END_TEST
+
+/* Pattern: a version that turns bad after a good time. Guards against a
+ * credit of good answers that hides it. */
+START_TEST(late_badness_is_found_soon)
+{
+	static const struct model bad = {0.5, 0};
+	gsl_rng *rng = gsl_rng_alloc(gsl_rng_mt19937);
+	struct run run = {BG_VERDICT_NONE, 0, 0};
+	struct bg_judge jdg;
+
+	gsl_rng_set(rng, SEED);
+	bg_judge_reset(&jdg, 3);
+	feed(&run, &jdg, rng, &SOUND, "lookup", 5000);
+	ck_assert_int_eq(run.verdict, BG_VERDICT_GOOD);
+	run.calls = 0;
+	feed(&run, &jdg, rng, &bad, "lookup", CALLS);
+	ck_assert_int_eq(run.verdict, BG_VERDICT_BAD);
+	ck_assert_int_le(run.calls, 30);
+	gsl_rng_free(rng);
+}
+END_TEST
+
+/* Pattern: bad on one route only. Guards against failures that drown in the
+ * calls of another route. */
+START_TEST(badness_on_one_route_is_found)
+{
+	static const struct model bad = {0.6, 0};
+	gsl_rng *rng = gsl_rng_alloc(gsl_rng_mt19937);
+	struct run run = {BG_VERDICT_NONE, 0, 0};
+	struct bg_judge jdg;
+	int i;
+
+	gsl_rng_set(rng, SEED);
+	bg_judge_reset(&jdg, 3);
+	for (i = 0; i < 60 && run.verdict != BG_VERDICT_BAD; i++) {
+		feed(&run, &jdg, rng, &SOUND, "lookup", 20);
+		feed(&run, &jdg, rng, &bad, "orders", 1);
+	}
+	ck_assert_int_eq(run.verdict, BG_VERDICT_BAD);
+	ck_assert_ptr_nonnull(strstr(jdg.reason, "orders"));
+	gsl_rng_free(rng);
+}
+END_TEST
+
+/* Guards against slow answers of a cold start that count. */
+START_TEST(cold_times_do_not_count)
+{
+	struct bg_judge_sample sample = {"lookup", 0, 1, 0};
+	struct bg_judge jdg;
+	int i;
+
+	bg_judge_reset(&jdg, 3);
+	for (i = 0; i < 500; i++)
+		ck_assert_int_ne(
+		    bg_judge_count(&jdg, &sample, MAX_ERROR_PERMILLE),
+		    BG_VERDICT_BAD);
+}
+END_TEST
+
+/* Guards against "good" on a handful of calls. */
+START_TEST(few_calls_give_no_verdict)
+{
+	struct bg_judge_sample sample = {"lookup", 0, 0, 1};
+	struct bg_judge jdg;
+	int i;
+
+	bg_judge_reset(&jdg, 3);
+	for (i = 0; i < 10; i++)
+		ck_assert_int_eq(
+		    bg_judge_count(&jdg, &sample, MAX_ERROR_PERMILLE),
+		    BG_VERDICT_NONE);
+}
+END_TEST
+
+/* Guards against a bad version that is found good again once it gets fewer
+ * calls. */
+START_TEST(bad_is_final_in_a_generation)
+{
+	struct bg_judge_sample failed = {"lookup", 1, 0, 1};
+	struct bg_judge_sample sound = {"lookup", 0, 0, 1};
+	struct bg_judge jdg;
+	int i;
+
+	bg_judge_reset(&jdg, 3);
+	for (i = 0; i < 20; i++)
+		bg_judge_count(&jdg, &failed, MAX_ERROR_PERMILLE);
+	ck_assert_int_eq(jdg.verdict, BG_VERDICT_BAD);
+	for (i = 0; i < 2000; i++)
+		bg_judge_count(&jdg, &sound, MAX_ERROR_PERMILLE);
+	ck_assert_int_eq(jdg.verdict, BG_VERDICT_BAD);
+	bg_judge_reset(&jdg, 4);
+	ck_assert_int_eq(jdg.verdict, BG_VERDICT_NONE);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("judge");
+
+	tcase_add_test(tc, sound_version_is_found_good);
+	tcase_add_test(tc, version_with_a_few_failures_is_not_bad);
+	tcase_add_loop_test(tc, bad_version_is_found_soon, 0,
+	    (int)(sizeof(BAD_MODELS) / sizeof(BAD_MODELS[0])));
+	tcase_add_test(tc, late_badness_is_found_soon);
+	tcase_add_test(tc, badness_on_one_route_is_found);
+	tcase_add_test(tc, cold_times_do_not_count);
+	tcase_add_test(tc, few_calls_give_no_verdict);
+	tcase_add_test(tc, bad_is_final_in_a_generation);
+	return run_suite("judge", tc);
+}
--- /dev/null
+++ b/moves/tests/test_moves.c
@@ -0,0 +1,443 @@
+/* The moves task of one node, with a mesh and a writer that the test drives. */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/clock.h"
+#include "burdockgrade/moves.h"
+
+#include "suite.h"
+
+#define SERVICE "atelier"
+#define SELF "127.0.0.1:1"
+/* Promised time: short, so that a move ends within a test. */
+#define PROMISED_MS 12000
+#define WAIT_MS 20000
+
+/* A mesh that the test fills. */
+struct bg_mesh {
+	struct bg_roster roster;
+	struct bg_member members[8];
+	struct bg_mesh_listener listener;
+	const char *address;
+	enum bg_verdict verdict;
+	uint64_t verdict_generation;
+};
+
+struct writer {
+	struct bg_move_writer writer; /* first member */
+	struct bg_move last;
+	int writes;
+	int code; /* of the next writes */
+	void (*done)(void *arg, int code);
+	void *done_arg;
+};
+
+static struct event_base *base;
+static struct bg_mesh mesh;
+static struct writer wrt;
+static struct bg_moves *mvs;
+static struct bg_settings settings;
+static struct bg_move_terms terms;
+static int bad_calls;
+static int moves_told;
+static int is_suspended;
+
+int
+bg_mesh_listen(struct bg_mesh *m, const struct bg_mesh_listener *listener)
+{
+	m->listener = *listener;
+	return 0;
+}
+
+const struct bg_roster *
+bg_mesh_roster(const struct bg_mesh *m)
+{
+	return &m->roster;
+}
+
+const char *
+bg_mesh_address(const struct bg_mesh *m)
+{
+	return m->address;
+}
+
+void
+bg_mesh_announce_verdict(
+    struct bg_mesh *m, enum bg_verdict verdict, uint64_t generation)
+{
+	m->verdict = verdict;
+	m->verdict_generation = generation;
+}
+
+size_t
+bg_roster_service(const struct bg_member **out, const struct bg_roster *ros,
+    const char *service)
+{
+	*out = ros->members;
+	return ros->member_count;
+}
+
+const struct bg_member *
+bg_roster_find(const struct bg_roster *ros, const char *address)
+{
+	size_t i;
+
+	for (i = 0; i < ros->member_count; i++) {
+		if (strcmp(ros->members[i].address, address) == 0)
+			return &ros->members[i];
+	}
+	return NULL;
+}
+
+/* As the store does: the answer, then the news of the move. */
+static void
+finish_write(evutil_socket_t fd, short what, void *arg)
+{
+	struct writer *w = arg;
+
+	w->done(w->done_arg, w->code);
+	if (w->code == 0)
+		bg_moves_set(mvs, SERVICE, &w->last, &terms);
+}
+
+static int
+write_move(struct bg_move_writer *writer, const char *service,
+    const struct bg_move *from, const struct bg_move *to,
+    void (*done)(void *arg, int code), void *arg)
+{
+	struct writer *w = (struct writer *)writer;
+
+	w->writes++;
+	w->last = *to;
+	w->done = done;
+	w->done_arg = arg;
+	return event_base_once(base, -1, EV_TIMEOUT, finish_write, w, NULL);
+}
+
+static void
+on_move(void *arg, const char *service, const struct bg_move *move)
+{
+	moves_told++;
+}
+
+static void
+on_bad(void *arg, const char *service, const char *server_version,
+    uint64_t generation)
+{
+	bad_calls++;
+}
+
+static void
+on_suspend(void *arg, int suspended)
+{
+	is_suspended = suspended;
+}
+
+static void
+add_member(const char *address, const char *version)
+{
+	struct bg_member *m = &mesh.members[mesh.roster.member_count++];
+
+	memset(m, 0, sizeof(*m));
+	snprintf(m->address, sizeof(m->address), "%s", address);
+	snprintf(m->service, sizeof(m->service), SERVICE);
+	snprintf(m->server_version, sizeof(m->server_version), "%s", version);
+	m->state = BG_MEMBER_READY;
+}
+
+static void
+setup(void)
+{
+	struct bg_moves_options opts = {0};
+
+	memset(&mesh, 0, sizeof(mesh));
+	memset(&wrt, 0, sizeof(wrt));
+	memset(&terms, 0, sizeof(terms));
+	bad_calls = moves_told = is_suspended = 0;
+	base = event_base_new();
+	mesh.roster.members = mesh.members;
+	mesh.address = SELF;
+	wrt.writer.write = write_move;
+	terms.take_over_ms = PROMISED_MS;
+	terms.first_share_permille = 100;
+	terms.max_error_permille = 10;
+	opts.version = BG_MOVES_OPTIONS_VERSION;
+	opts.base = base;
+	opts.settings = &settings;
+	opts.mesh = &mesh;
+	opts.writer = &wrt.writer;
+	opts.on_move = on_move;
+	opts.on_bad = on_bad;
+	opts.on_suspend = on_suspend;
+	ck_assert_int_eq(bg_moves_init(&mvs, &opts, NULL), 0);
+}
+
+static void
+teardown(void)
+{
+	bg_moves_free(mvs);
+	event_base_free(base);
+}
+
+static void
+begin_move(uint64_t generation)
+{
+	struct bg_move move;
+
+	memset(&move, 0, sizeof(move));
+	move.generation = generation;
+	move.state = BG_MOVE_IN_PROGRESS;
+	move.share_permille = 100;
+	snprintf(move.to, sizeof(move.to), "v2");
+	bg_moves_set(mvs, SERVICE, &move, &terms);
+}
+
+/* Answers of the server beside this node. */
+static void
+observe(int count, int failed)
+{
+	struct bg_observer *obs = bg_moves_observer(mvs);
+	struct bg_observation seen;
+
+	memset(&seen, 0, sizeof(seen));
+	seen.service = SERVICE;
+	seen.route = "lookup";
+	seen.server_version = "v2";
+	for (; count > 0; count--) {
+		seen.is_failed = failed-- > 0;
+		obs->observe(obs, &seen);
+	}
+}
+
+static void
+run_until(enum bg_move_state state)
+{
+	uint64_t end_ms = bg_clock_now_ms() + WAIT_MS;
+	struct timeval step = {0, 20000};
+
+	while (bg_moves_get(mvs, SERVICE)->state != state &&
+	    bg_clock_now_ms() < end_ms) {
+		event_base_loopexit(base, &step);
+		event_base_dispatch(base);
+	}
+	ck_assert_int_eq(bg_moves_get(mvs, SERVICE)->state, state);
+}
+
+static void
+run_ms(uint32_t ms)
+{
+	struct timeval tv = {ms / 1000, (suseconds_t)(ms % 1000) * 1000};
+
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+}
+
+static void
+set_verdicts(enum bg_verdict verdict, uint64_t generation)
+{
+	size_t i;
+
+	for (i = 0; i < mesh.roster.member_count; i++) {
+		mesh.members[i].verdict = verdict;
+		mesh.members[i].verdict_generation = generation;
+	}
+}
+
+/* Guards against a good version that is not done in time although no node
+ * holds the move. */
+START_TEST(good_version_is_moved_without_a_holder)
+{
+	add_member(SELF, "v2");
+	add_member("127.0.0.2:1", "v2");
+	begin_move(5);
+	set_verdicts(BG_VERDICT_GOOD, 5);
+	run_until(BG_MOVE_DONE);
+	ck_assert_uint_eq(wrt.last.share_permille, 1000);
+	ck_assert_int_eq(bad_calls, 0);
+}
+END_TEST
+
+/* Guards against a bad version that is used until the store can be told (P4).
+ */
+START_TEST(bad_version_is_stopped_even_without_the_store)
+{
+	add_member(SELF, "v2");
+	add_member("127.0.0.2:1", "v2");
+	wrt.code = BG_EUNAVAILABLE;
+	begin_move(5);
+	set_verdicts(BG_VERDICT_BAD, 5);
+	run_ms(600);
+	ck_assert_int_eq(bad_calls, 1);
+	ck_assert_uint_eq(bg_moves_bad_generation(mvs, SERVICE), 5);
+	ck_assert_int_eq(
+	    bg_moves_get(mvs, SERVICE)->state, BG_MOVE_IN_PROGRESS);
+	wrt.code = 0;
+	run_until(BG_MOVE_ROLLED_BACK);
+}
+END_TEST
+
+/* Guards against a server that goes on failing calls until others have agreed
+ * that its version is bad. */
+START_TEST(node_stops_its_own_bad_server_at_once)
+{
+	add_member(SELF, "v2");
+	add_member("127.0.0.2:1", "v2");
+	begin_move(5);
+	observe(12, 12);
+	ck_assert_int_eq(mesh.verdict, BG_VERDICT_BAD);
+	ck_assert_uint_eq(mesh.verdict_generation, 5);
+	ck_assert_int_eq(is_suspended, 1);
+	/* The next order begins anew. */
+	begin_move(9);
+	observe(1, 0);
+	ck_assert_int_eq(is_suspended, 0);
+}
+END_TEST
+
+/* Guards against calls of a version that is not being moved, or of another
+ * service, that judge it. */
+START_TEST(only_the_new_version_is_judged)
+{
+	struct bg_observer *obs = bg_moves_observer(mvs);
+	struct bg_observation seen;
+	int i;
+
+	add_member(SELF, "v1");
+	begin_move(5);
+	memset(&seen, 0, sizeof(seen));
+	seen.service = SERVICE;
+	seen.route = "lookup";
+	seen.server_version = "v1";
+	seen.is_failed = 1;
+	for (i = 0; i < 50; i++)
+		obs->observe(obs, &seen);
+	ck_assert_int_eq(mesh.verdict, BG_VERDICT_NONE);
+	ck_assert_int_eq(is_suspended, 0);
+}
+END_TEST
+
+/* Guards against a fault of a dependency that is held against a version. */
+START_TEST(dependency_faults_do_not_count)
+{
+	struct bg_observer *obs = bg_moves_observer(mvs);
+	struct bg_observation seen;
+	int i;
+
+	add_member(SELF, "v2");
+	begin_move(5);
+	memset(&seen, 0, sizeof(seen));
+	seen.service = SERVICE;
+	seen.route = "lookup";
+	seen.server_version = "v2";
+	seen.is_failed = 1;
+	seen.is_dependency_fault = 1;
+	for (i = 0; i < 50; i++)
+		obs->observe(obs, &seen);
+	ck_assert_int_ne(mesh.verdict, BG_VERDICT_BAD);
+}
+END_TEST
+
+/* Guards against all nodes writing the same step at the same moment: one
+ * writes, the next one only if it does not. */
+START_TEST(nodes_write_in_turn)
+{
+	char address[BG_ADDRESS_BYTES];
+	int first = 0;
+	int i;
+
+	for (i = 1; i <= 6; i++) {
+		snprintf(address, sizeof(address), "127.0.0.%d:1", i);
+		add_member(address, "v2");
+	}
+	/* Each node in turn takes the place of this one. */
+	for (i = 0; i < 6; i++) {
+		mesh.address = mesh.members[i].address;
+		wrt.writes = 0;
+		wrt.code = BG_ECONFLICT;
+		begin_move(5 + (uint64_t)i);
+		set_verdicts(BG_VERDICT_BAD, 5 + (uint64_t)i);
+		run_ms(350);
+		first += wrt.writes > 0;
+	}
+	ck_assert_int_eq(first, 1);
+}
+END_TEST
+
+/* Guards against a fleet whose writer died before it wrote. */
+START_TEST(others_write_if_the_first_does_not)
+{
+	char address[BG_ADDRESS_BYTES];
+	int i;
+
+	for (i = 1; i <= 4; i++) {
+		snprintf(address, sizeof(address), "127.0.0.%d:1", i);
+		add_member(address, "v2");
+	}
+	for (i = 0; i < 4; i++) {
+		mesh.address = mesh.members[i].address;
+		wrt.writes = 0;
+		begin_move(5 + (uint64_t)i);
+		set_verdicts(BG_VERDICT_BAD, 5 + (uint64_t)i);
+		run_until(BG_MOVE_ROLLED_BACK);
+		ck_assert_int_eq(wrt.writes, 1);
+	}
+}
+END_TEST
+
+/* Guards against a service without callers that is never moved. */
+START_TEST(idle_server_is_told)
+{
+	add_member(SELF, "v2");
+	begin_move(5);
+	run_ms(PROMISED_MS / 2);
+	ck_assert_int_eq(mesh.verdict, BG_VERDICT_IDLE);
+	ck_assert_uint_eq(mesh.verdict_generation, 5);
+}
+END_TEST
+
+/* Guards against servers of a new version that wait for an operator although
+ * the contract says that a move begins by itself. */
+START_TEST(move_begins_by_itself_where_allowed)
+{
+	struct bg_move done;
+
+	terms.is_auto_start = 1;
+	add_member(SELF, "v1");
+	memset(&done, 0, sizeof(done));
+	done.generation = 4;
+	done.state = BG_MOVE_DONE;
+	done.share_permille = 1000;
+	snprintf(done.to, sizeof(done.to), "v1");
+	bg_moves_set(mvs, SERVICE, &done, &terms);
+	run_ms(500);
+	ck_assert_int_eq(wrt.writes, 0);
+	add_member("127.0.0.2:1", "v2");
+	mesh.members[1].incarnation = 9;
+	mesh.listener.roster(mesh.listener.arg, &mesh.roster);
+	run_until(BG_MOVE_IN_PROGRESS);
+	ck_assert_str_eq(wrt.last.to, "v2");
+	ck_assert_str_eq(wrt.last.from, "v1");
+	ck_assert_uint_eq(wrt.last.generation, 5);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("moves");
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 40);
+	tcase_add_test(tc, good_version_is_moved_without_a_holder);
+	tcase_add_test(tc, bad_version_is_stopped_even_without_the_store);
+	tcase_add_test(tc, node_stops_its_own_bad_server_at_once);
+	tcase_add_test(tc, only_the_new_version_is_judged);
+	tcase_add_test(tc, dependency_faults_do_not_count);
+	tcase_add_test(tc, nodes_write_in_turn);
+	tcase_add_test(tc, others_write_if_the_first_does_not);
+	tcase_add_test(tc, idle_server_is_told);
+	tcase_add_test(tc, move_begins_by_itself_where_allowed);
+	return run_suite_forked("moves", tc);
+}
