Run on the users' platform through an adapter

platform/ translates: settings file, store dialect, heartbeats, readiness, configuration, rollouts, header names. It decides nothing. deploy/system.toml has one role beside each server.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-IN_FORCE = re.compile(r"^(\S+Z) \S+ INFO mesh in force version=(\d+)", re.M)
+IN_FORCE = re.compile(r"^(\S+Z) \S+ INFO config in force version=(\d+)", re.M)
 STATUS = re.compile(r"^(done|in progress|rolled back) (\S+) version=(\S+) "
                     r"config=(\d+) ", re.M)
 CLOCK_TICKS_S = os.sysconf("SC_CLK_TCK")
--- a/cli/src/changes.c
+++ b/cli/src/changes.c
@@ -80,7 +80,7 @@
  * operation checks again against the head that it updates. */
 static int
 accept_files(uint64_t *out_version, const struct change_options *opts,
-    const struct bg_platform_options *plt, const struct bg_cli_files *files,
+    const struct bg_store_place *plt, const struct bg_cli_files *files,
     char **report, struct bg_error *err)
 {
 	struct bg_cli_state state;
@@ -111,7 +111,7 @@
 bg_cli_accept(struct bg_cli *cli, int argc, char **argv)
 {
 	struct change_options opts = {*cli, 0, 0};
-	struct bg_platform_options plt;
+	struct bg_store_place plt;
 	struct bg_error err = {0};
 	struct bg_cli_files files;
 	uint64_t version = 0;
@@ -135,7 +135,7 @@
 bg_cli_withdraw(struct bg_cli *cli, int argc, char **argv)
 {
 	struct change_options opts = {*cli, 0, 0};
-	struct bg_platform_options plt;
+	struct bg_store_place plt;
 	struct bg_error err = {0};
 	uint64_t version = 0;
 	int code;
@@ -152,7 +152,7 @@
 /* The time that the service's questionnaire promises. */
 static int
 promised_time(uint32_t *out_ms, const char *service,
-    const struct bg_platform_options *plt, struct bg_error *err)
+    const struct bg_store_place *plt, struct bg_error *err)
 {
 	const struct bg_contract *ctr;
 	struct bg_cli_state state;
@@ -173,7 +173,7 @@
 bg_cli_move(struct bg_cli *cli, int argc, char **argv)
 {
 	struct change_options opts = {*cli, 0, 0};
-	struct bg_platform_options plt;
+	struct bg_store_place plt;
 	struct bg_error err = {0};
 	uint32_t take_over_ms;
 	uint64_t version = 0;
--- a/cli/src/output.c
+++ b/cli/src/output.c
@@ -28,13 +28,14 @@
 }
 
 int
-bg_cli_platform(struct bg_platform_options *out, struct bg_cli *cli)
+bg_cli_platform(struct bg_store_place *out, struct bg_cli *cli)
 {
-	const struct bg_platform_options init = BG_PLATFORM_OPTIONS_INIT;
+	const struct bg_store_options init = BG_STORE_OPTIONS_INIT;
 	struct bg_error err;
 
-	*out = init;
-	out->address = cli->platform;
+	out->open = bg_platform_store_init;
+	out->options = init;
+	out->options.address = cli->platform;
 	if (cli->platform != NULL)
 		return 0;
 	bg_error_set(&err, BG_EINVAL, cli->command->name, NULL,
--- a/cli/src/report.c
+++ b/cli/src/report.c
@@ -86,24 +86,6 @@
 	return merge_nodes(got, err);
 }
 
-static int
-read_history(struct bg_history *out, const struct bg_platform_options *plt,
-    struct bg_error *err)
-{
-	struct bg_platform_answer answer = {0};
-	int error;
-
-	error = bg_platform_get_wait(&answer, plt, BG_KEY_HISTORY, err);
-	if (error == 0 &&
-	    (error = bg_history_decode(out, answer.body, answer.body_bytes)) !=
-		0)
-		bg_error_set(err, error, "history", plt->address,
-		    BG_KEY_HISTORY ": not a history");
-	bg_platform_answer_free(&answer);
-	/* Nothing was accepted yet. */
-	return error == BG_ENOTFOUND ? 0 : error;
-}
-
 static int
 write_file(const char *path, const char *text, struct bg_error *err)
 {
@@ -189,7 +171,7 @@
 	    {NULL, 0, NULL, 0, NULL, 0},
 	};
 	struct report_options opts = {*cli, NULL};
-	struct bg_platform_options plt;
+	struct bg_store_place plt;
 	struct gathered got = {0};
 	struct bg_error err = {0};
 	int code;
@@ -199,7 +181,7 @@
 		return code;
 	if (bg_cli_nodes_parse(&got.nodes, opts.cli.node, &err) != 0 ||
 	    bg_cli_state_read(&got.state, &plt, &err) != 0 ||
-	    read_history(&got.history, &plt, &err) != 0 ||
+	    bg_read_history(&got.history, &plt, &err) != 0 ||
 	    read_nodes(&got, &err) != 0)
 		code = bg_cli_fail(&opts.cli, &err, NULL);
 	else
--- a/cli/src/state.c
+++ b/cli/src/state.c
@@ -1,87 +1,32 @@
-#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "burdockgrade/change.h"
+#include "burdockgrade/document.h"
 
 #include "state.h"
 
-/* A revision that disappears between the reads of head and contract belongs to
- * a head that was replaced; the new one is read then. */
-#define READS_MAX 3
-#define KEY_BYTES 192
-
-static int
-read_head(struct bg_head *out, const struct bg_platform_options *opts,
-    struct bg_error *err)
-{
-	struct bg_platform_answer answer = {0};
-	int error;
-
-	bg_head_init(out);
-	error = bg_platform_get_wait(&answer, opts, BG_KEY_HEAD, err);
-	if (error == 0)
-		error =
-		    bg_head_decode(out, answer.body, answer.body_bytes, err);
-	bg_platform_answer_free(&answer);
-	/* Nothing was accepted yet. */
-	return error == BG_ENOTFOUND ? 0 : error;
-}
-
-static int
-read_contract(struct bg_contract *out, const struct bg_head_service *svc,
-    const struct bg_platform_options *opts, struct bg_error *err)
-{
-	struct bg_platform_answer answer = {0};
-	char key[KEY_BYTES];
-	int error;
-
-	snprintf(key, sizeof(key), BG_KEY_SERVICE "%s/%" PRIu64, svc->name,
-	    svc->rev);
-	error = bg_platform_get_wait(&answer, opts, key, err);
-	if (error == 0)
-		error = bg_contract_decode(
-		    out, answer.body, answer.body_bytes, err);
-	bg_platform_answer_free(&answer);
-	return error;
-}
-
-static int
-read_once(struct bg_cli_state *out, const struct bg_platform_options *opts,
+int
+bg_cli_state_read(struct bg_cli_state *out, const struct bg_store_place *place,
     struct bg_error *err)
 {
-	size_t i;
+	uint64_t revision;
+	json_t *document;
 	int error;
 
 	memset(out, 0, sizeof(*out));
-	if ((error = read_head(&out->head, opts, err)) != 0)
+	if ((error = bg_read_document(&document, &revision, place, err)) != 0)
 		return error;
-	out->contracts =
-	    calloc(out->head.service_count + 1, sizeof(*out->contracts));
-	if (out->contracts == NULL)
-		return bg_error_set(
-		    err, BG_ENOMEM, "read", NULL, "out of memory");
-	for (i = 0; error == 0 && i < out->head.service_count; i++)
-		error = read_contract(
-		    &out->contracts[i], &out->head.services[i], opts, err);
-	return error;
-}
-
-int
-bg_cli_state_read(struct bg_cli_state *out,
-    const struct bg_platform_options *opts, struct bg_error *err)
-{
-	int error = 0;
-	int i;
-
-	for (i = 0; i < READS_MAX; i++) {
-		if ((error = read_once(out, opts, err)) == 0)
-			return 0;
+	/* Nothing was accepted yet. */
+	if (document == NULL)
+		return 0;
+	if ((error = bg_document_head(&out->head, document, err)) == 0)
+		error = bg_document_contracts(
+		    &out->contracts, document, &out->head, err);
+	json_decref(document);
+	if (error != 0)
 		bg_cli_state_free(out);
-		if (error != BG_ENOTFOUND)
-			return error;
-	}
 	return error;
 }
 
--- /dev/null
+++ b/daemon/src/contracts.c
@@ -0,0 +1,122 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "burdockgrade/change.h"
+#include "burdockgrade/clock.h"
+#include "burdockgrade/document.h"
+
+#include "contracts.h"
+
+static int
+decode(struct bg_config_source *src, struct bg_snapshot **out,
+    const json_t *doc, struct bg_error *err)
+{
+	return bg_document_snapshot(out, doc, err);
+}
+
+static uint64_t
+version(struct bg_config_source *src, const json_t *doc)
+{
+	struct bg_head head;
+	uint64_t number;
+
+	if (bg_document_head(&head, doc, NULL) != 0)
+		return 0;
+	number = head.version;
+	bg_head_free(&head);
+	return number;
+}
+
+static struct bg_config_source source = {
+    BG_KIND_CONFIG, BG_NAME_DOCUMENT, decode, version};
+
+struct bg_config_source *
+bg_contracts_source(void)
+{
+	return &source;
+}
+
+/* A step that is being written. */
+struct step {
+	char service[BG_NAME_BYTES];
+	struct bg_move from;
+	struct bg_move to;
+	void (*done)(void *arg, int code);
+	void *arg;
+};
+
+/* The head must still be in the state that the decision started from. */
+static int
+apply(void *arg, struct bg_head *head, struct bg_error *err)
+{
+	const struct step *step = arg;
+	const struct bg_head_service *svc = bg_head_find(head, step->service);
+
+	if (svc == NULL || svc->move.generation != step->from.generation ||
+	    svc->move.state != step->from.state ||
+	    svc->move.step != step->from.step)
+		return bg_error_set(err, BG_ECONFLICT, "move", NULL,
+		    "the move went on meanwhile");
+	return bg_change_move_state(
+	    head, step->service, &step->to, bg_clock_wall_ms(), err);
+}
+
+static void
+on_done(void *arg, int code, uint64_t version_number)
+{
+	struct step step = *(struct step *)arg;
+
+	free(arg);
+	step.done(step.arg, code);
+}
+
+static int
+write_step(struct bg_move_writer *writer, const char *service,
+    const struct bg_move *from, const struct bg_move *to,
+    void (*done)(void *arg, int code), void *arg)
+{
+	struct bg_contracts_writer *wtr = (struct bg_contracts_writer *)writer;
+	struct step *step = calloc(1, sizeof(*step));
+	int error;
+
+	if (step == NULL)
+		return BG_ENOMEM;
+	snprintf(step->service, sizeof(step->service), "%s", service);
+	step->from = *from;
+	step->to = *to;
+	step->done = done;
+	step->arg = arg;
+	error = bg_change_start(wtr->store, wtr->name, apply, on_done, step);
+	if (error != 0)
+		free(step);
+	return error;
+}
+
+void
+bg_contracts_writer_init(
+    struct bg_contracts_writer *out, struct bg_store *store, const char *name)
+{
+	out->writer.write = write_step;
+	out->store = store;
+	out->name = name;
+}
+
+void
+bg_contracts_tell_moves(struct bg_moves *mvs, const struct bg_snapshot *snap)
+{
+	const struct bg_service *svc;
+	struct bg_move_terms terms;
+	size_t i;
+
+	for (i = 0; i < snap->service_count; i++) {
+		svc = &snap->services[i];
+		memset(&terms, 0, sizeof(terms));
+		terms.take_over_ms = svc->contract.take_over_ms;
+		terms.soak_ms = svc->contract.soak_ms;
+		terms.first_share_permille = BG_MOVE_FIRST_SHARE_PERMILLE;
+		terms.max_error_permille = svc->contract.max_error_permille;
+		terms.is_auto_start = svc->contract.move_auto_start;
+		bg_moves_set(mvs, svc->head.name, &svc->head.move, &terms);
+	}
+}
--- a/daemon/src/main.c
+++ b/daemon/src/main.c
@@ -21,8 +21,16 @@
 	int is_check;
 };
 
+/** Settings of a node, and those of the platform if it runs there. */
+struct loaded {
+	struct bg_settings settings;
+	struct bg_platform_settings platform;
+	int is_on_platform;
+};
+
 static const struct argp_option OPTIONS[] = {
-    {"config", 'c', "FILE", 0, "Settings file (TOML); required", 0},
+    {"config", 'c', "FILE", 0,
+	"Settings file (TOML); without it the platform's own is read", 0},
     {"check-settings", OPTION_CHECK, NULL, 0,
 	"Check the settings file and exit", 0},
     {NULL, 0, NULL, 0, NULL, 0},
@@ -44,7 +52,7 @@
 		argp_error(state, "unexpected argument: %s", value);
 		return EINVAL;
 	case ARGP_KEY_END:
-		if (args->config == NULL)
+		if (args->config == NULL && bg_platform_settings_path() == NULL)
 			argp_error(state, "--config FILE is required");
 		return 0;
 	default:
@@ -58,13 +66,19 @@
     NULL, NULL, NULL};
 
 static int
-load(struct bg_settings *out, const char *path)
+load(struct loaded *out, const char *path)
 {
 	struct bg_error err = {0};
 	char *report = NULL;
 	int error;
 
-	error = bg_settings_load_report(out, &report, path, &err);
+	out->is_on_platform = path == NULL;
+	if (out->is_on_platform)
+		error = bg_platform_settings_load(&out->settings,
+		    &out->platform, &report, bg_platform_settings_path(), &err);
+	else
+		error = bg_settings_load_report(
+		    &out->settings, &report, path, &err);
 	if (error != 0)
 		fprintf(stderr, "%s\n", report != NULL ? report : err.message);
 	free(report);
@@ -72,13 +86,16 @@
 }
 
 static int
-run(const struct bg_settings *settings)
+run(const struct loaded *set)
 {
 	static struct bg_node node;
+	struct bg_node_options opts = {0};
 	struct bg_error err = {0};
 	int error;
 
-	if ((error = bg_node_init(&node, settings, &err)) != 0) {
+	opts.settings = &set->settings;
+	opts.platform = set->is_on_platform ? &set->platform : NULL;
+	if ((error = bg_node_init(&node, &opts, &err)) != 0) {
 		bg_log_error("node", "not started step=%s peer=%s reason=%s",
 		    err.step, err.peer, err.message);
 		return error;
@@ -92,20 +109,22 @@
 main(int argc, char **argv)
 {
 	struct arguments args = {0};
-	static struct bg_settings settings;
+	static struct loaded set;
 	int error;
 
 	argp_err_exit_status = EXIT_USAGE;
 	argp_parse(&PARSER, argc, argv, 0, NULL, &args);
-	if (load(&settings, args.config) != 0)
+	if (load(&set, args.config) != 0)
 		return EXIT_USAGE;
 	if (args.is_check) {
-		printf("%s: settings are valid\n", args.config);
+		printf("%s: settings are valid\n",
+		    args.config != NULL ? args.config
+					: bg_platform_settings_path());
 		return EXIT_OK;
 	}
-	if (bg_log_init(settings.log.level, settings.node.address) != 0)
+	if (bg_log_init(set.settings.log.level, set.settings.node.address) != 0)
 		return EXIT_USAGE;
-	error = run(&settings);
+	error = run(&set);
 	bg_log_free();
 	return error == 0 ? EXIT_OK : EXIT_FAILED;
 }
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -8,46 +8,29 @@
 #include "node.h"
 #include "pages.h"
 
-/* Interval at which a node that is about to exit looks for calls in flight. */
-#define EXIT_TICK_MS 50
+static const int STOP_SIGNALS[BG_STOP_SIGNALS] = {SIGTERM, SIGINT};
 
-static const int STOP_SIGNALS[] = {SIGTERM, SIGINT};
-
-/* Calls that came on open connections while the records were handed over are
- * finished as well; the exit would cut them off. */
 static void
-on_exit_tick(evutil_socket_t fd, short what, void *arg)
+on_withdrawn(void *arg)
 {
 	struct bg_node *node = arg;
 
-	if (!bg_proxy_is_idle(node->proxy) &&
-	    bg_clock_now_ms() < node->exit_by_ms)
-		return;
 	bg_log_info("node", "stopped");
 	event_base_loopbreak(node->base);
 }
 
+/* A node whose server has left does not come back at this address. */
 static void
-on_records_drained(void *arg)
-{
-	static const struct timeval tick = {0, EXIT_TICK_MS * 1000};
-	struct bg_node *node = arg;
-
-	node->exit_by_ms = bg_clock_now_ms() + node->settings.limits.drain_ms;
-	event_add(node->exit_timer, &tick);
-}
-
-static void
-on_proxy_drained(void *arg)
+on_drained(void *arg)
 {
 	struct bg_node *node = arg;
 
-	bg_records_drain(node->records, node->settings.limits.drain_ms,
-	    on_records_drained, node);
+	if (bg_proxy_server_has_left(node->proxy))
+		bg_mesh_withdraw(node->mesh, on_withdrawn, node);
+	else
+		on_withdrawn(node);
 }
 
-/* A graceful stop: calls in flight finish first, then the records of this
- * node are handed over. */
 static void
 on_stop(evutil_socket_t signo, short what, void *arg)
 {
@@ -57,61 +40,53 @@
 		return;
 	node->is_stopping = 1;
 	bg_log_info("node", "stopping signal=%d", (int)signo);
-	bg_proxy_drain(node->proxy, on_proxy_drained, node);
+	bg_proxy_drain(node->proxy, on_drained, node);
 }
 
-/* A MARK item stops its version at this node at once. */
+/* What the settings describe is fixed for the life of a process; a node is
+ * restarted to take others. */
 static void
-on_item(void *arg, const struct bg_item *item)
+on_reload(evutil_socket_t signo, short what, void *arg)
 {
-	struct bg_node *node = arg;
-	char service[BG_NAME_BYTES];
-	const char *slash;
-
-	if (item->kind != BG_ITEM_MARK ||
-	    (slash = strchr(item->key, '/')) == NULL)
-		return;
-	snprintf(service, sizeof(service), "%.*s", (int)(slash - item->key),
-	    item->key);
-	bg_proxy_ban(node->proxy, service, slash + 1, item->major);
+	bg_log_info("node", "reload signal=%d settings kept", (int)signo);
 }
 
 static int
 init_signals(struct bg_node *node)
 {
-	size_t i;
+	int i;
 
 	/* A peer that closed its connection must not end the process. */
 	signal(SIGPIPE, SIG_IGN);
-	for (i = 0; i < sizeof(STOP_SIGNALS) / sizeof(STOP_SIGNALS[0]); i++) {
+	for (i = 0; i < BG_STOP_SIGNALS; i++) {
 		node->stop_signals[i] =
 		    evsignal_new(node->base, STOP_SIGNALS[i], on_stop, node);
 		if (node->stop_signals[i] == NULL ||
 		    event_add(node->stop_signals[i], NULL) != 0)
 			return BG_ENOMEM;
 	}
-	node->exit_timer =
-	    event_new(node->base, -1, EV_PERSIST, on_exit_tick, node);
-	return node->exit_timer == NULL ? BG_ENOMEM : 0;
+	node->reload_signal = evsignal_new(node->base, SIGHUP, on_reload, node);
+	return node->reload_signal == NULL ||
+		event_add(node->reload_signal, NULL) != 0
+	    ? BG_ENOMEM
+	    : 0;
 }
 
 static int
-init_platform(struct bg_node *node, struct bg_error *err)
+init_store(struct bg_node *node, struct bg_error *err)
 {
-	struct bg_platform_options opts = BG_PLATFORM_OPTIONS_INIT;
+	struct bg_store_options opts = BG_STORE_OPTIONS_INIT;
 
 	opts.address = node->settings.platform.address;
 	opts.local_ip = node->settings.node.address;
 	opts.timeout_ms = node->settings.platform.timeout_ms;
-	if (opts.address[0] == '\0')
-		return 0;
-	return bg_platform_init(&node->platform, node->base, &opts, err);
+	return bg_platform_store_init(&node->store, node->base, &opts, err);
 }
 
 static int
-init_mesh(struct bg_node *node, struct bg_error *err)
+init_links(struct bg_node *node, struct bg_error *err)
 {
-	struct bg_mesh_options opts = BG_MESH_OPTIONS_INIT;
+	struct bg_link_options opts = BG_LINK_OPTIONS_INIT;
 	char address[BG_SETTING_BYTES + 8];
 	int error;
 
@@ -120,42 +95,96 @@
 	error = bg_link_server_init(&node->server, node->base, address, err);
 	if (error != 0)
 		return error;
+	opts.local_ip = node->settings.node.address;
+	return bg_link_pool_init(&node->links, node->base, &opts);
+}
+
+static int
+init_mesh(struct bg_node *node, struct bg_error *err)
+{
+	struct bg_mesh_options opts = BG_MESH_OPTIONS_INIT;
+
 	opts.base = node->base;
 	opts.settings = &node->settings;
-	opts.platform = node->platform;
+	opts.store = node->store;
+	opts.config = node->is_on_platform ? bg_platform_config_source()
+					   : bg_contracts_source();
 	opts.server = node->server;
+	opts.links = node->links;
 	return bg_mesh_init(&node->mesh, &opts, err);
 }
 
+static void
+on_move(void *arg, const char *service, const struct bg_move *move)
+{
+	struct bg_node *node = arg;
+
+	bg_proxy_set_move(node->proxy, service, move);
+}
+
+static void
+on_bad_version(void *arg, const char *service, const char *server_version,
+    uint64_t generation)
+{
+	struct bg_node *node = arg;
+
+	bg_proxy_ban(node->proxy, service, server_version, generation);
+}
+
+static void
+on_suspend(void *arg, int is_suspended)
+{
+	struct bg_node *node = arg;
+
+	bg_proxy_suspend(node->proxy, is_suspended);
+}
+
+/* Moves of a configuration from questionnaires are part of it. */
+static void
+on_snapshot(void *arg, struct bg_snapshot *snap)
+{
+	struct bg_node *node = arg;
+
+	bg_contracts_tell_moves(node->moves, snap);
+}
+
 static int
-init_records(struct bg_node *node, struct bg_error *err)
+init_rollouts(struct bg_node *node)
 {
-	struct bg_records_options opts = BG_RECORDS_OPTIONS_INIT;
+	struct bg_platform_rollouts_options opts = {
+	    node->base, &node->settings, node->store, node->mesh, NULL};
 
-	opts.base = node->base;
-	opts.settings = &node->settings;
-	opts.mesh = node->mesh;
-	opts.platform = node->platform;
-	opts.server = node->server;
-	return bg_records_init(&node->records, &opts, err);
+	if (!node->is_on_platform) {
+		bg_contracts_writer_init(
+		    &node->contracts, node->store, bg_mesh_address(node->mesh));
+		return 0;
+	}
+	return bg_platform_rollouts_init(&node->rollouts, &opts);
 }
 
 static int
 init_moves(struct bg_node *node, struct bg_error *err)
 {
-	struct bg_moves_options opts = BG_MOVES_OPTIONS_INIT;
+	struct bg_moves_options opts = {0};
 
+	opts.version = BG_MOVES_OPTIONS_VERSION;
 	opts.base = node->base;
 	opts.settings = &node->settings;
 	opts.mesh = node->mesh;
-	opts.platform = node->platform;
+	opts.writer = node->rollouts != NULL
+	    ? bg_platform_rollouts_writer(node->rollouts)
+	    : &node->contracts.writer;
+	opts.on_move = on_move;
+	opts.on_bad = on_bad_version;
+	opts.on_suspend = on_suspend;
+	opts.arg = node;
 	return bg_moves_init(&node->moves, &opts, err);
 }
 
 static int
 init_proxy(struct bg_node *node, struct bg_error *err)
 {
-	struct bg_mesh_listener listener = {NULL, NULL, on_item, NULL, node};
+	struct bg_mesh_listener listener = {on_snapshot, NULL, NULL, node};
 	struct bg_proxy_options opts = BG_PROXY_OPTIONS_INIT;
 	int error;
 
@@ -163,31 +192,65 @@
 	opts.settings = &node->settings;
 	opts.mesh = node->mesh;
 	opts.server = node->server;
-	opts.records = node->records;
+	opts.links = node->links;
 	opts.observer = bg_moves_observer(node->moves);
 	if ((error = bg_proxy_init(&node->proxy, &opts, err)) != 0)
 		return error;
-	if ((error = bg_pages_init(node)) != 0)
-		return error;
+	if (node->rollouts != NULL)
+		return bg_platform_rollouts_start(node->rollouts, node->moves);
 	return bg_mesh_listen(node->mesh, &listener);
 }
 
+static int
+take_announcement(void *arg, const struct bg_announcement *ann)
+{
+	struct bg_node *node = arg;
+
+	return bg_proxy_announce(node->proxy, ann);
+}
+
+static int
+is_ready(void *arg)
+{
+	struct bg_node *node = arg;
+
+	return !node->is_stopping && bg_proxy_is_ready(node->proxy);
+}
+
+static int
+init_platform(struct bg_node *node, struct bg_error *err)
+{
+	struct bg_platform_handler handler = {
+	    take_announcement, is_ready, node};
+
+	if (!node->is_on_platform)
+		return bg_pages_init(node);
+	return bg_platform_node_init(&node->platform, node->base,
+	    &node->platform_settings, &handler, err);
+}
+
 int
-bg_node_init(struct bg_node *out, const struct bg_settings *settings,
+bg_node_init(struct bg_node *out, const struct bg_node_options *opts,
     struct bg_error *err)
 {
 	int error;
 
 	memset(out, 0, sizeof(*out));
-	out->settings = *settings;
+	out->settings = *opts->settings;
+	if (opts->platform != NULL) {
+		out->platform_settings = *opts->platform;
+		out->is_on_platform = 1;
+	}
 	if ((out->base = event_base_new()) == NULL)
 		return bg_error_set(err, BG_ENOMEM, "start", NULL, "no loop");
 	if ((error = init_signals(out)) != 0 ||
-	    (error = init_platform(out, err)) != 0 ||
+	    (error = init_store(out, err)) != 0 ||
+	    (error = init_links(out, err)) != 0 ||
 	    (error = init_mesh(out, err)) != 0 ||
-	    (error = init_records(out, err)) != 0 ||
+	    (error = init_rollouts(out)) != 0 ||
 	    (error = init_moves(out, err)) != 0 ||
-	    (error = init_proxy(out, err)) != 0)
+	    (error = init_proxy(out, err)) != 0 ||
+	    (error = init_platform(out, err)) != 0)
 		bg_node_free(out);
 	return error;
 }
@@ -202,21 +265,23 @@
 void
 bg_node_free(struct bg_node *node)
 {
-	size_t i;
+	int i;
 
-	/* Pending callbacks of the platform point into the tasks. */
-	bg_platform_free(node->platform);
+	/* Pending callbacks end first, while the tasks they belong to live. */
+	bg_store_free(node->store);
+	bg_link_pool_free(node->links);
+	bg_platform_node_free(node->platform);
 	bg_proxy_free(node->proxy);
+	bg_platform_rollouts_free(node->rollouts);
 	bg_moves_free(node->moves);
-	bg_records_free(node->records);
 	bg_mesh_free(node->mesh);
 	bg_link_server_free(node->server);
-	for (i = 0; i < sizeof(STOP_SIGNALS) / sizeof(STOP_SIGNALS[0]); i++) {
+	for (i = 0; i < BG_STOP_SIGNALS; i++) {
 		if (node->stop_signals[i] != NULL)
 			event_free(node->stop_signals[i]);
 	}
-	if (node->exit_timer != NULL)
-		event_free(node->exit_timer);
+	if (node->reload_signal != NULL)
+		event_free(node->reload_signal);
 	if (node->base != NULL)
 		event_base_free(node->base);
 	memset(node, 0, sizeof(*node));
--- a/daemon/src/node.h
+++ b/daemon/src/node.h
@@ -2,7 +2,7 @@
 #define BG_DAEMON_NODE_H
 
 /** @file
- * The tasks of one node and their wiring.
+ * The node: all tasks of the process on one event loop.
  */
 
 #include <event2/event.h>
@@ -12,27 +12,44 @@
 #include "burdockgrade/moves.h"
 #include "burdockgrade/platform.h"
 #include "burdockgrade/proxy.h"
-#include "burdockgrade/record.h"
 #include "burdockgrade/settings.h"
 
+#include "contracts.h"
+
+/** SIGTERM and SIGINT. */
+#define BG_STOP_SIGNALS 2
+
 struct bg_node {
 	struct event_base *base;
 	struct bg_settings settings;
-	struct bg_platform *platform; /**< NULL without platform.address */
+	struct bg_platform_settings platform_settings;
+	int is_on_platform;
+	struct bg_store *store;
 	struct bg_link_server *server;
+	struct bg_link_pool *links;
 	struct bg_mesh *mesh;
-	struct bg_records *records;
 	struct bg_moves *moves;
 	struct bg_proxy *proxy;
-	struct event *stop_signals[2];
-	struct event *exit_timer;
-	uint64_t exit_by_ms; /**< monotonic; 0: not about to exit */
+	struct bg_platform_rollouts
+	    *rollouts; /**< NULL outside of the platform */
+	struct bg_contracts_writer contracts;
+	struct bg_platform_node *platform;
+	struct event *stop_signals[BG_STOP_SIGNALS];
+	struct event *reload_signal;
 	int is_stopping;
 };
 
-int bg_node_init(struct bg_node *out, const struct bg_settings *settings,
+struct bg_node_options {
+	const struct bg_settings *settings;
+	/** NULL: the node is not on the users' platform */
+	const struct bg_platform_settings *platform;
+	const char *settings_path;
+};
+
+/** Builds all tasks. The struct must not move afterwards. */
+int bg_node_init(struct bg_node *out, const struct bg_node_options *opts,
     struct bg_error *err);
-/** Runs until a stop is complete. @return 0 or BG_EIO */
+/** Runs until a stop signal was handled. @return 0 or BG_EIO */
 int bg_node_run(struct bg_node *node);
 void bg_node_free(struct bg_node *node);
 
--- a/daemon/src/pages.c
+++ b/daemon/src/pages.c
@@ -10,67 +10,103 @@
 #define HTTP_ERROR 500
 #define HTTP_UNAVAILABLE 503
 
-static int
-page_metrics(void *arg, char **out, const char **content_type)
+static const char TEXT[] = "text/plain; charset=utf-8";
+static const char JSON[] = "application/json";
+
+static void
+reply_rendered(
+    struct bg_page *page, int error, const char *content_type, char *text)
 {
+	bg_page_reply(
+	    page, error == 0 ? HTTP_OK : HTTP_ERROR, content_type, text);
+}
+
+static void
+page_metrics(void *arg, struct bg_page *page)
+{
+	char *text = NULL;
 	size_t bytes;
+	int error = bg_counter_render(&text, &bytes);
 
-	*content_type = "text/plain; version=0.0.4";
-	return bg_counter_render(out, &bytes) == 0 ? HTTP_OK : HTTP_ERROR;
+	reply_rendered(page, error, "text/plain; version=0.0.4", text);
 }
 
-static int
-page_health(void *arg, char **out, const char **content_type)
+static void
+page_health(void *arg, struct bg_page *page)
 {
 	const struct bg_node *node = arg;
 	int is_good = !node->is_stopping && bg_mesh_is_synced(node->mesh);
 
-	*content_type = "text/plain";
-	*out = strdup(is_good ? "ok\n" : "not ready\n");
-	return is_good ? HTTP_OK : HTTP_UNAVAILABLE;
+	bg_page_reply(page, is_good ? HTTP_OK : HTTP_UNAVAILABLE, TEXT,
+	    strdup(is_good ? "ok\n" : "not ready\n"));
 }
 
-/* A node shows what it holds only once it knows the floor. */
-static struct bg_snapshot *
-shown_snapshot(const struct bg_node *node)
+/* A status page that waits for the census. */
+struct status_page {
+	struct bg_node *node;
+	struct bg_page *page;
+	int is_json;
+};
+
+static void
+on_census(void *arg, const struct bg_summary *summaries, size_t count)
 {
-	return bg_mesh_is_synced(node->mesh) ? bg_mesh_snapshot(node->mesh)
-					     : NULL;
+	struct status_page *sts = arg;
+	struct bg_node *node = sts->node;
+	struct bg_status_knowledge know = {0};
+	char *text = NULL;
+	int error;
+
+	/* A node shows what it holds only once that is not older than what the
+	 * store holds. */
+	if (bg_mesh_is_synced(node->mesh))
+		know.snapshot = bg_mesh_snapshot(node->mesh);
+	know.moves = node->moves;
+	know.summaries = summaries;
+	know.summary_count = count;
+	know.now_wall_ms = bg_clock_wall_ms();
+	error = sts->is_json ? bg_status_render_json(&text, &know)
+			     : bg_status_render(&text, &know);
+	reply_rendered(sts->page, error, sts->is_json ? JSON : TEXT, text);
+	free(sts);
 }
 
-static int
-page_status(void *arg, char **out, const char **content_type)
+static void
+start_status(struct bg_node *node, struct bg_page *page, int is_json)
 {
-	const struct bg_node *node = arg;
-
-	*content_type = "text/plain; charset=utf-8";
-	return bg_status_render(out, shown_snapshot(node),
-		   bg_mesh_table(node->mesh), bg_clock_wall_ms()) == 0
-	    ? HTTP_OK
-	    : HTTP_ERROR;
+	struct status_page *sts = calloc(1, sizeof(*sts));
+
+	if (sts != NULL) {
+		sts->node = node;
+		sts->page = page;
+		sts->is_json = is_json;
+	}
+	if (sts == NULL || bg_mesh_census(node->mesh, on_census, sts) != 0) {
+		free(sts);
+		bg_page_reply(page, HTTP_ERROR, TEXT, NULL);
+	}
 }
 
-static int
-page_status_json(void *arg, char **out, const char **content_type)
+static void
+page_status(void *arg, struct bg_page *page)
 {
-	const struct bg_node *node = arg;
+	start_status(arg, page, 0);
+}
 
-	*content_type = "application/json";
-	return bg_status_render_json(out, shown_snapshot(node),
-		   bg_mesh_table(node->mesh), bg_clock_wall_ms()) == 0
-	    ? HTTP_OK
-	    : HTTP_ERROR;
+static void
+page_status_json(void *arg, struct bg_page *page)
+{
+	start_status(arg, page, 1);
 }
 
-static int
-page_burn(void *arg, char **out, const char **content_type)
+static void
+page_burn(void *arg, struct bg_page *page)
 {
 	const struct bg_node *node = arg;
+	char *text = NULL;
+	int error = bg_moves_burn_json(&text, node->moves, bg_clock_wall_ms());
 
-	*content_type = "application/json";
-	return bg_moves_burn_json(out, node->moves, bg_clock_wall_ms()) == 0
-	    ? HTTP_OK
-	    : HTTP_ERROR;
+	reply_rendered(page, error, JSON, text);
 }
 
 int
--- a/standins/common/serve.c
+++ b/standins/common/serve.c
@@ -49,14 +49,49 @@
 	errno = 0;
 }
 
+static evhtp_res
+on_connection_fini(evhtp_connection_t *conn, void *arg)
+{
+	struct serve *srv = arg;
+	struct serve_connection **at = &srv->connections;
+	struct serve_connection *scn;
+
+	while (*at != NULL && (*at)->conn != conn)
+		at = &(*at)->next;
+	if ((scn = *at) != NULL) {
+		*at = scn->next;
+		free(scn);
+	}
+	return EVHTP_RES_OK;
+}
+
 static evhtp_res
 on_accepted(evhtp_connection_t *conn, void *arg)
 {
+	struct serve *srv = arg;
+	struct serve_connection *scn = calloc(1, sizeof(*scn));
+
 	evhtp_connection_set_hook(conn, evhtp_hook_on_event,
 	    (evhtp_hook)(void *)on_connection_event, NULL);
+	if (scn == NULL)
+		return EVHTP_RES_OK;
+	scn->conn = conn;
+	scn->next = srv->connections;
+	srv->connections = scn;
+	evhtp_connection_set_hook(conn, evhtp_hook_on_connection_fini,
+	    (evhtp_hook)(void *)on_connection_fini, srv);
 	return EVHTP_RES_OK;
 }
 
+void
+serve_mute_open(struct serve *srv)
+{
+	struct serve_connection *scn;
+
+	for (scn = srv->connections; scn != NULL; scn = scn->next)
+		bufferevent_disable(scn->conn->bev, EV_READ | EV_WRITE);
+}
+
 int
 serve_split_address(
     char ip[SERVE_IP_BYTES], uint16_t *port, const char *address)
@@ -95,7 +130,7 @@
 		return -1;
 	evhtp_enable_flag(srv->htp, EVHTP_FLAG_ENABLE_NODELAY);
 	evhtp_set_gencb(srv->htp, fn, arg);
-	evhtp_set_post_accept_cb(srv->htp, on_accepted, NULL);
+	evhtp_set_post_accept_cb(srv->htp, on_accepted, srv);
 	if (evhtp_bind_socket(srv->htp, ip, port, BACKLOG) != 0) {
 		fprintf(stderr, "listen: %s: %s\n", address, strerror(errno));
 		return -1;
--- a/standins/common/serve.h
+++ b/standins/common/serve.h
@@ -12,11 +12,18 @@
 
 #define SERVE_IP_BYTES 48
 
+/** An open connection. */
+struct serve_connection {
+	evhtp_connection_t *conn;
+	struct serve_connection *next;
+};
+
 struct serve {
 	struct event_base *base;
 	evhtp_t *htp;
 	struct event *sigterm;
 	struct event *sigint;
+	struct serve_connection *connections;
 	uint16_t port;
 };
 
@@ -31,6 +38,10 @@
 int serve_listen(
     struct serve *srv, const char *address, evhtp_callback_cb fn, void *arg);
 
+/** The connections that are open now are not read or written any more, and
+ * stay open; new ones are served. */
+void serve_mute_open(struct serve *srv);
+
 /** Splits "ip:port". @return 0 or -1 */
 int serve_split_address(
     char ip[SERVE_IP_BYTES], uint16_t *port, const char *address);
--- a/standins/platform/control.c
+++ b/standins/platform/control.c
@@ -66,9 +66,28 @@
 		return set_number(&plt->writes.limit, value);
 	if (strcmp(name, "cut") == 0)
 		return set_cuts(plt, value);
+	if (strcmp(name, "drop_history") == 0 && json_is_true(value)) {
+		platform_drop_history(plt);
+		return 0;
+	}
+	if (strcmp(name, "mute_open_connections") == 0 && json_is_true(value)) {
+		plt->is_mute_due = 1;
+		return 0;
+	}
 	return -1;
 }
 
+/* The answer to the command itself leaves first. */
+static const struct timeval mute_delay = {0, 20000};
+
+static void
+mute(evutil_socket_t fd, short what, void *arg)
+{
+	struct platform *plt = arg;
+
+	serve_mute_open(&plt->serve);
+}
+
 void
 platform_control(struct platform *plt, evhtp_request_t *req)
 {
@@ -91,14 +110,19 @@
 	json_decref(body);
 	platform_review_watches(plt);
 	serve_reply_json(req, EVHTP_RES_OK, json_object());
+	if (plt->is_mute_due)
+		event_base_once(
+		    plt->serve.base, -1, EV_TIMEOUT, mute, plt, &mute_delay);
+	plt->is_mute_due = 0;
 }
 
 void
 platform_stats(struct platform *plt, evhtp_request_t *req)
 {
 	serve_reply_json(req, EVHTP_RES_OK,
-	    json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "reads",
-		(json_int_t)plt->reads.total, "writes",
+	    json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "reads",
+		(json_int_t)plt->reads.total, "stale_reads",
+		(json_int_t)plt->stale_reads, "writes",
 		(json_int_t)plt->writes.total, "watches",
 		(json_int_t)plt->watch_count, "rejected",
 		(json_int_t)plt->reads.rejected +
--- a/standins/platform/platform.h
+++ b/standins/platform/platform.h
@@ -32,7 +32,9 @@
 	uint32_t write_delay_ms;  /**< the same for writes, in addition */
 	uint32_t answer_delay_ms; /**< after it was executed */
 	uint32_t lose_next_write_answers;
+	int is_mute_due; /**< open connections go silent after this answer */
 	uint64_t lost_answers;
+	uint64_t stale_reads;
 	char cuts[CUTS_MAX][PREFIX_BYTES];
 	size_t cut_count;
 };
@@ -45,6 +47,8 @@
 
 /** 1 if calls from this address are swallowed. */
 int platform_is_cut(const struct platform *plt, const char *ip);
+/** Cuts all watches and refuses those that begin before now. */
+void platform_drop_history(struct platform *plt);
 /** Answers or forgets the waiting watches after a switch changed. */
 void platform_review_watches(struct platform *plt);
 
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -16,6 +16,6 @@
     -j "$(nproc)" --enable=warning,performance,portability \
     --library=tools/cppcheck.cfg \
     --suppress=missingInclude --suppress=normalCheckLevelMaxBranches \
-    -I core/include -I config/include -I platform/include -I mesh/include \
-    -I proxy/include -I record/include -I moves/include $sources
+    -I core/include -I config/include -I store/include -I mesh/include \
+    -I proxy/include -I moves/include -I platform/include $sources
 echo "lint: clean"
