Take a farewell that names no service

Cause: a server that leaves without draining first sends a farewell with no body. The gatekeeper compared its missing service with its own and refused it, so the server repeated it until it exited and calls went on to it until then. Before: test_server lacked the case; the new test fails without the change, as the service does not match.

--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -255,7 +255,7 @@
 	enum bg_announce_result result;
 
 	if (gk->backend == NULL ||
-	    strcmp(ann->service, gk->settings->server.service) != 0)
+	    !bg_announcement_is_of(ann, gk->settings->server.service))
 		return BG_ANNOUNCE_REFUSED;
 	result = bg_server_announce(&gk->server, ann, bg_clock_now_ms());
 	if (result != BG_ANNOUNCE_TAKEN)
--- a/proxy/src/gatekeeper/server.c
+++ b/proxy/src/gatekeeper/server.c
@@ -57,6 +57,14 @@
 	srv->slots = ann->slots;
 }
 
+int
+bg_announcement_is_of(const struct bg_announcement *ann, const char *service)
+{
+	if (ann->state == BG_ANNOUNCED_GONE && ann->service[0] == '\0')
+		return 1;
+	return strcmp(ann->service, service) == 0;
+}
+
 enum bg_announce_result
 bg_server_announce(
     struct bg_server *srv, const struct bg_announcement *ann, uint64_t now_ms)
--- a/proxy/src/gatekeeper/server.h
+++ b/proxy/src/gatekeeper/server.h
@@ -37,6 +37,10 @@
 	BG_ANNOUNCE_REFUSED, /**< another writer's, or not readable */
 };
 
+/** 1 if the announcement comes from a server of the service. A farewell may
+ * leave its service out: its id names the server. */
+int bg_announcement_is_of(
+    const struct bg_announcement *ann, const char *service);
 /** Takes a heartbeat or a farewell. @param now_ms monotonic clock */
 enum bg_announce_result bg_server_announce(
     struct bg_server *srv, const struct bg_announcement *ann, uint64_t now_ms);
--- a/proxy/tests/test_server.c
+++ b/proxy/tests/test_server.c
@@ -114,6 +114,23 @@
 }
 END_TEST
 
+/* Guards against a server that leaves without having said that it drains: its
+ * farewell has no body, was refused for the missing service and repeated
+ * without end, while calls went on to the server. */
+START_TEST(farewell_may_leave_its_service_out)
+{
+	struct bg_announcement ann = make("a", 50, 1, BG_ANNOUNCED_GONE);
+
+	ck_assert_int_eq(bg_announcement_is_of(&ann, "tents"), 1);
+	snprintf(ann.service, sizeof(ann.service), "nets");
+	ck_assert_int_eq(bg_announcement_is_of(&ann, "tents"), 0);
+	ck_assert_int_eq(bg_announcement_is_of(&ann, "nets"), 1);
+	ann.state = BG_ANNOUNCED_READY;
+	ann.service[0] = '\0';
+	ck_assert_int_eq(bg_announcement_is_of(&ann, "tents"), 0);
+}
+END_TEST
+
 /* Guards against a heartbeat that a partition held up and that arrives after
  * its sender crashed and another server started at the address. */
 START_TEST(earlier_lifetime_is_ignored)
@@ -169,6 +186,7 @@
 	tcase_add_test(tc, leaving_is_final_within_a_lifetime);
 	tcase_add_test(tc, leaving_server_takes_calls_for_a_moment);
 	tcase_add_test(tc, farewell_without_a_body_is_taken);
+	tcase_add_test(tc, farewell_may_leave_its_service_out);
 	tcase_add_test(tc, earlier_lifetime_is_ignored);
 	tcase_add_test(tc, new_lifetime_under_the_same_id_is_taken);
 	tcase_add_test(tc, lost_server_returns_with_its_next_word);
