Refuse calls at a leaving node that would outlast the stop

Callers went on coming (under half of the data centre's nodes were ready), so the calls in flight never fell to 0.

The new test fails without it.

--- a/proxy/src/drain/drain.c
+++ b/proxy/src/drain/drain.c
@@ -34,3 +34,12 @@
 		return 0;
 	}
 }
+
+int
+bg_drain_has_time(
+    const struct bg_drain *drn, uint32_t deadline_ms, uint64_t now_ms)
+{
+	if (drn->state < BG_DRAIN_LEAVING)
+		return 1;
+	return now_ms + deadline_ms <= drn->began_ms + drn->bound_ms;
+}
--- a/proxy/src/drain/drain.h
+++ b/proxy/src/drain/drain.h
@@ -36,5 +36,13 @@
  * @return 1 if the state changed
  */
 int bg_drain_step(struct bg_drain *drn, uint32_t in_flight, uint64_t now_ms);
+/**
+ * 1 if a call that is taken now ends before the stop does. Callers that still
+ * come to a leaving node would be cut off at the bound otherwise.
+ *
+ * @param deadline_ms left to the call
+ */
+int bg_drain_has_time(
+    const struct bg_drain *drn, uint32_t deadline_ms, uint64_t now_ms);
 
 #endif
--- a/proxy/tests/test_drain.c
+++ b/proxy/tests/test_drain.c
@@ -48,6 +48,20 @@
 }
 END_TEST
 
+/* Guards against callers that keep coming to a leaving node: the wait for the
+ * calls in flight never ends, and the bound cuts the last ones off (bench:
+ * LOST, trouble-3 seed 1058774679237). */
+START_TEST(leaving_node_takes_only_calls_that_end_before_it_does)
+{
+	ck_assert(bg_drain_has_time(&drn, 40000, 1000));
+	ck_assert(bg_drain_step(&drn, 5, 3000));
+	ck_assert(bg_drain_has_time(&drn, 28000, 3000));
+	ck_assert(!bg_drain_has_time(&drn, 28001, 3000));
+	ck_assert(bg_drain_has_time(&drn, 1500, 29500));
+	ck_assert(!bg_drain_has_time(&drn, 1500, 29501));
+}
+END_TEST
+
 START_TEST(bound_below_the_announcement_counts)
 {
 	memset(&drn, 0, sizeof(drn));
@@ -73,6 +87,8 @@
 	tcase_add_test(tc, serves_until_callers_have_noticed);
 	tcase_add_test(tc, waits_for_calls_in_flight);
 	tcase_add_test(tc, bound_ends_the_wait);
+	tcase_add_test(tc,
+	    leaving_node_takes_only_calls_that_end_before_it_does);
 	tcase_add_test(tc, bound_below_the_announcement_counts);
 	tcase_add_test(tc, second_begin_does_not_restart);
 	return run_suite("drain", tc);
