Keep the limit of a server that sheds whatever its load

A call that is shed while at most a third of the slots is taken now shows that load is not the reason.

The test that the limit is cut shed an idle server; it now sheds one whose slots are taken, with the same bounds. New test: shedding without load.

--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -9,9 +9,13 @@
 #define CUT 0.8
 /* One overload shows on many answers at once; it counts once. */
 #define CUT_INTERVAL_US 100000
-/* The limit stays above this part of the slots: a server that sheds whatever
- * its load is not helped by fewer calls. */
+/* The limit stays above this part of the slots. */
 #define LIMIT_MIN_SHARE 0.5
+/* A server that sheds calls while at most this part of its slots is taken does
+ * so whatever its load: for this long, fewer calls do not help it. The part is
+ * below that of the lowest limit. */
+#define IDLE_SHARE 0.34
+#define IDLE_SHED_US 2000000
 #define AVERAGE_WEIGHT 0.1
 /* Time of a call before one was measured. */
 #define SERVICE_DEFAULT_US 50000.0
@@ -43,6 +47,7 @@
 	lim->limit = lim->slots;
 	lim->service_us = 0;
 	lim->bad_share = 0;
+	lim->idle_shed_us = 0;
 	memset(lim->routes, 0, sizeof(lim->routes));
 }
 
@@ -172,7 +177,7 @@
 {
 	entry->is_running = 1;
 	entry->started_us = now_us;
-	lim->running++;
+	entry->started_running = ++lim->running;
 }
 
 enum bg_limiter_verdict
@@ -239,11 +244,16 @@
 	lim->bad_us = now_us;
 }
 
+static int
+is_within(uint64_t then_us, uint64_t span_us, uint64_t now_us)
+{
+	return then_us != 0 && now_us - then_us < span_us;
+}
+
 static void
 cut(struct bg_limiter *lim, uint64_t now_us)
 {
-	if (lim->last_cut_us != 0 &&
-	    now_us - lim->last_cut_us < CUT_INTERVAL_US)
+	if (is_within(lim->last_cut_us, CUT_INTERVAL_US, now_us))
 		return;
 	lim->last_cut_us = now_us;
 	lim->limit *= CUT;
@@ -251,6 +261,24 @@
 		lim->limit = lim->slots * LIMIT_MIN_SHARE;
 }
 
+/* Finds out whether the server's load is the reason. */
+static void
+count_shed(
+    struct bg_limiter *lim, const struct bg_limiter_entry *e, uint64_t now_us)
+{
+	uint32_t running = lim->running + 1;
+
+	if (running < e->started_running)
+		running = e->started_running;
+	count_answer(lim, now_us, 1);
+	if (running <= lim->slots * IDLE_SHARE) {
+		lim->idle_shed_us = now_us;
+		lim->limit = lim->slots;
+	}
+	if (!is_within(lim->idle_shed_us, IDLE_SHED_US, now_us))
+		cut(lim, now_us);
+}
+
 static void
 grow(struct bg_limiter *lim)
 {
@@ -281,8 +309,7 @@
 		count_answer(lim, now_us, 1);
 		break;
 	case BG_LIMITER_SHED:
-		count_answer(lim, now_us, 1);
-		cut(lim, now_us);
+		count_shed(lim, entry, now_us);
 		break;
 	case BG_LIMITER_IGNORED:
 		break;
--- a/proxy/src/limiter/limiter.h
+++ b/proxy/src/limiter/limiter.h
@@ -28,6 +28,7 @@
 	uint64_t target_us; /**< an answer by then is worth most; 0: none */
 	uint64_t latest_start_us; /**< a later start is of no use */
 	uint64_t started_us;
+	uint32_t started_running; /**< calls that ran then, with this one */
 	int is_queued;
 	int is_running;
 };
@@ -47,6 +48,8 @@
 	double bad_share;     /**< of recent answers, decays with time */
 	uint64_t bad_us;      /**< when bad_share was last brought up to date */
 	uint64_t last_cut_us; /**< last decrease of the limit */
+	uint64_t idle_shed_us; /**< last call that the server shed though
+				    it had slots free; 0: never */
 	struct bg_limiter_route routes[BG_LIMITER_ROUTES];
 	struct bg_limiter_entry *head; /**< in order of arrival */
 	struct bg_limiter_entry *tail;
--- a/proxy/tests/test_limiter.c
+++ b/proxy/tests/test_limiter.c
@@ -218,16 +218,30 @@
 }
 END_TEST
 
+/* Takes the slots that the limit allows; the server sheds these calls. */
+static void
+shed_all_that_run(void)
+{
+	int running = 0;
+	int i;
+
+	while (running < SLOTS && enter(running + 1) == BG_LIMITER_RUN)
+		running++;
+	if (running < SLOTS)
+		leave_as(running + 1, 0, BG_LIMITER_IGNORED);
+	now_us += 200000;
+	for (i = 1; i <= running; i++)
+		leave_as(i, 0, BG_LIMITER_SHED);
+}
+
 /* Guards against a server that sheds and is sent as much as before, and one
  * that recovered and gets less for good. */
 START_TEST(shedding_cuts_the_limit_and_success_restores_it)
 {
 	int i;
 
-	for (i = 0; i < 20; i++) {
-		enter(1);
-		leave_as(1, 200000, BG_LIMITER_SHED);
-	}
+	for (i = 0; i < 20; i++)
+		shed_all_that_run();
 	ck_assert_double_eq(lim.limit, SLOTS / 2.0);
 	for (i = 0; i < 50; i++) {
 		enter(1);
@@ -237,6 +251,25 @@
 }
 END_TEST
 
+/* Guards against servers that shed a share of their calls whatever their load
+ * while demand is high: half of their slots stayed free, and calls that would
+ * have run were refused for want of a slot (bench: srv_grey, shed all). */
+START_TEST(shedding_without_load_leaves_the_limit)
+{
+	int i;
+
+	for (i = 0; i < 20; i++) {
+		enter(1);
+		leave_as(1, 200000, BG_LIMITER_SHED);
+		shed_all_that_run();
+	}
+	ck_assert_double_eq(lim.limit, SLOTS);
+	now_us += 3000000;
+	shed_all_that_run();
+	ck_assert_double_lt(lim.limit, SLOTS);
+}
+END_TEST
+
 /* Guards against one moment of overload that counts many times. */
 START_TEST(simultaneous_signs_cut_once)
 {
@@ -342,6 +375,7 @@
 	tcase_add_test(tc, call_that_cannot_start_in_time_is_refused);
 	tcase_add_test(tc, canceled_call_gives_its_place_back);
 	tcase_add_test(tc, shedding_cuts_the_limit_and_success_restores_it);
+	tcase_add_test(tc, shedding_without_load_leaves_the_limit);
 	tcase_add_test(tc, simultaneous_signs_cut_once);
 	tcase_add_test(tc, routes_are_timed_apart);
 	tcase_add_test(tc, failures_show_and_fade);
