Serve new calls before returning ones while a queue stands

A caller that returns names a shorter deadline than is usual on its route; from this its age is told (call/patience). While a queue has stood for 2 s, the limiter counts the target of such a call from its first try. In bursts it does not: these callers are refused for good next time.

--- a/mesh/include/burdockgrade/wire_xdr.h
+++ b/mesh/include/burdockgrade/wire_xdr.h
@@ -127,6 +127,7 @@
 	} body;
 	u_int deadline_ms;
 	u_int target_ms;
+	u_int age_ms;
 	u_int wait_ms;
 	u_int slow_ms;
 	u_int usual_us;
--- a/mesh/src/wire/wire_xdr.c
+++ b/mesh/src/wire/wire_xdr.c
@@ -168,12 +168,14 @@
 			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, BG_BODY_BYTES))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->deadline_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->target_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->wait_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->slow_ms))
@@ -194,6 +196,7 @@
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->deadline_ms);
 		IXDR_PUT_U_LONG(buf, objp->target_ms);
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
 		IXDR_PUT_U_LONG(buf, objp->wait_ms);
 		IXDR_PUT_U_LONG(buf, objp->slow_ms);
 		IXDR_PUT_U_LONG(buf, objp->usual_us);
@@ -228,12 +231,14 @@
 			 return FALSE;
 		 if (!xdr_bytes (xdrs, (char **)&objp->body.body_val, (u_int *) &objp->body.body_len, BG_BODY_BYTES))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 10 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 11 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->deadline_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->target_ms))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->wait_ms))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->slow_ms))
@@ -254,6 +259,7 @@
 		} else {
 		objp->deadline_ms = IXDR_GET_U_LONG(buf);
 		objp->target_ms = IXDR_GET_U_LONG(buf);
+		objp->age_ms = IXDR_GET_U_LONG(buf);
 		objp->wait_ms = IXDR_GET_U_LONG(buf);
 		objp->slow_ms = IXDR_GET_U_LONG(buf);
 		objp->usual_us = IXDR_GET_U_LONG(buf);
@@ -293,6 +299,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->target_ms))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->wait_ms))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->slow_ms))
--- a/mesh/src/wire/wire_xdr.x
+++ b/mesh/src/wire/wire_xdr.x
@@ -95,6 +95,7 @@
 	opaque body<BG_BODY_BYTES>;
 	unsigned int deadline_ms;
 	unsigned int target_ms;	/* an answer within it is worth most; 0: none */
+	unsigned int age_ms;	/* since the caller first sent the request */
 	unsigned int wait_ms;	/* longest wait for a slot */
 	unsigned int slow_ms;	/* own time from which an answer counts as slow */
 	unsigned int usual_us;	/* average time at other versions; 0: unknown */
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -189,6 +189,8 @@
 	    call->rule->timeout_ms, call->caller_deadline_ms);
 
 	call->deadline_us = call->began_us + (uint64_t)ms * 1000;
+	call->args.age_ms = bg_patience_request(&call->proxy->patience,
+	    call->rule->name, call->caller_deadline_ms, bg_clock_now_ms());
 	if (call->rule->target_ms != 0)
 		call->target_us =
 		    call->began_us + (uint64_t)call->rule->target_ms * 1000;
@@ -330,7 +332,7 @@
 	bg_log_info("call",
 	    "sent request=%s route=%s service=%s config=%llu to=%s server=%s "
 	    "version=%s pick=%u value=%.3f wait_us=%llu service_us=%u load=%u "
-	    "load_age_ms=%llu wait_allowed_ms=%u left_ms=%u",
+	    "load_age_ms=%llu wait_allowed_ms=%u left_ms=%u age_ms=%u",
 	    call->args.request_id, call->rule->name, call->service,
 	    (unsigned long long)call->snapshot->version, pick->member->address,
 	    pick->member->server_id, call->picked_version, call->picks,
@@ -338,7 +340,7 @@
 	    bg_endpoint_load(pick->endpoint, bg_clock_now_ms()),
 	    (unsigned long long)(bg_clock_now_ms() -
 		pick->endpoint->reported_ms),
-	    call->args.wait_ms, call->args.deadline_ms);
+	    call->args.wait_ms, call->args.deadline_ms, call->args.age_ms);
 	arm_deadline(call);
 	/* Only a move makes the version matter; without one a server that was
 	 * just replaced may have another than this node knows. */
--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -515,6 +515,7 @@
 	if (args->target_ms != 0)
 		call->entry.target_us =
 		    now_us + (uint64_t)args->target_ms * 1000;
+	call->entry.age_us = (uint64_t)args->age_ms * 1000;
 	call->entry.priority = args->priority;
 	call->entry.is_dependency = args->is_dependency != 0;
 	call->entry.route = args->route;
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -19,6 +19,9 @@
 #define AVERAGE_WEIGHT 0.1
 /* Time of a call before one was measured. */
 #define SERVICE_DEFAULT_US 50000.0
+/* A queue that did not empty for this long stands: longer than the bursts that
+ * callers' deadlines allow to wait out. */
+#define STANDING_US 2000000
 /* A finding about failures loses half of its weight in this time, so that a
  * server that gets no calls is tried again. */
 #define BAD_HALF_LIFE_US 2000000.0
@@ -57,6 +60,12 @@
 	return lim->limit < 1 ? 1 : (uint32_t)lim->limit;
 }
 
+static int
+is_within(uint64_t then_us, uint64_t span_us, uint64_t now_us)
+{
+	return then_us != 0 && now_us - then_us < span_us;
+}
+
 static const struct bg_limiter_route *
 find_route(const struct bg_limiter *lim, const char *route)
 {
@@ -97,12 +106,22 @@
 	return wait_behind_us(lim, lim->queued);
 }
 
+static int
+has_standing_queue(const struct bg_limiter *lim, uint64_t now_us)
+{
+	return lim->queued_since_us != 0 &&
+	    !is_within(lim->queued_since_us, STANDING_US, now_us);
+}
+
 static int
 is_on_time(const struct bg_limiter *lim, const struct bg_limiter_entry *e,
     uint64_t now_us)
 {
+	uint64_t age_us = has_standing_queue(lim, now_us) ? e->age_us : 0;
+
 	return e->target_us == 0 ||
-	    now_us + bg_limiter_service_us(lim, e->route) <= e->target_us;
+	    now_us + age_us + bg_limiter_service_us(lim, e->route) <=
+	    e->target_us;
 }
 
 /* 1 if a goes before b. Equal entries go in order of arrival. */
@@ -155,11 +174,13 @@
 		lim->tail = entry->prev;
 	entry->prev = entry->next = NULL;
 	entry->is_queued = 0;
-	lim->queued--;
+	if (--lim->queued == 0)
+		lim->queued_since_us = 0;
 }
 
 static void
-link_entry(struct bg_limiter *lim, struct bg_limiter_entry *entry)
+link_entry(
+    struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
 	entry->next = NULL;
 	entry->prev = lim->tail;
@@ -169,7 +190,8 @@
 		lim->head = entry;
 	lim->tail = entry;
 	entry->is_queued = 1;
-	lim->queued++;
+	if (lim->queued++ == 0)
+		lim->queued_since_us = now_us;
 }
 
 static void
@@ -193,7 +215,7 @@
 	wait_us = wait_behind_us(lim, count_ahead(lim, entry, now_us));
 	if (now_us + wait_us > entry->latest_start_us)
 		return BG_LIMITER_BUSY;
-	link_entry(lim, entry);
+	link_entry(lim, entry, now_us);
 	return BG_LIMITER_QUEUED;
 }
 
@@ -244,12 +266,6 @@
 	lim->bad_us = now_us;
 }
 
-static int
-is_within(uint64_t then_us, uint64_t span_us, uint64_t now_us)
-{
-	return then_us != 0 && now_us - then_us < span_us;
-}
-
 static void
 cut(struct bg_limiter *lim, uint64_t now_us)
 {
--- a/proxy/src/limiter/limiter.h
+++ b/proxy/src/limiter/limiter.h
@@ -9,6 +9,12 @@
  * taken until they are answered; then the order is by priority. Within a
  * priority, calls that can still be answered within their target go before
  * those that cannot, and the earliest target goes first.
+ *
+ * Callers that were refused come back. In a burst they are served like new
+ * ones, since they will be refused for good next time. While a queue stands,
+ * demand is above what the server completes: whoever is served, as many are
+ * refused, so that calls go first which can still be answered in time of their
+ * first try.
  */
 
 #include <stdint.h>
@@ -26,6 +32,7 @@
 	uint32_t priority;  /**< 0 is served first */
 	int is_dependency;  /**< a running request waits for it */
 	uint64_t target_us; /**< an answer by then is worth most; 0: none */
+	uint64_t age_us;    /**< since the caller first sent the request */
 	uint64_t latest_start_us; /**< a later start is of no use */
 	uint64_t started_us;
 	uint32_t started_running; /**< calls that ran then, with this one */
@@ -43,9 +50,10 @@
 	uint32_t slots;
 	uint32_t running;
 	uint32_t queued;
-	double limit;	      /**< calls that may run, up to slots */
-	double service_us;    /**< average time of a call; 0: unknown */
-	double bad_share;     /**< of recent answers, decays with time */
+	uint64_t queued_since_us; /**< calls wait since then; 0: none waits */
+	double limit;		  /**< calls that may run, up to slots */
+	double service_us;	  /**< average time of a call; 0: unknown */
+	double bad_share;	  /**< of recent answers, decays with time */
 	uint64_t bad_us;      /**< when bad_share was last brought up to date */
 	uint64_t last_cut_us; /**< last decrease of the limit */
 	uint64_t idle_shed_us; /**< last call that the server shed though
--- a/proxy/src/proxy_internal.h
+++ b/proxy/src/proxy_internal.h
@@ -7,6 +7,7 @@
 
 #include "burdockgrade/proxy.h"
 
+#include "call/patience.h"
 #include "drain/drain.h"
 #include "gatekeeper/gatekeeper.h"
 #include "limiter/buffers.h"
@@ -28,6 +29,7 @@
 	struct bg_split split;
 	struct bg_versions versions;
 	struct bg_retry_budget retry;
+	struct bg_patience patience;
 	struct bg_drain drain;
 	struct bg_buffers buffers;
 	struct event *drain_timer;
--- a/proxy/tests/test_limiter.c
+++ b/proxy/tests/test_limiter.c
@@ -360,6 +360,41 @@
 }
 END_TEST
 
+/* Callers that were refused come back while the demand stays: entry 1 waits
+ * first and returned, entry 2 is new. */
+static void
+wait_two(uint64_t standing_us)
+{
+	learn(100000);
+	fill();
+	enter_with(10, 1, LONG_US, 0);
+	now_us += standing_us;
+	enter_with(11, 1, LONG_US, 400000);
+	entries[11].age_us = 500000;
+	enter_with(12, 1, LONG_US, 400000);
+	bg_limiter_leave(&lim, &entries[10], now_us, BG_LIMITER_IGNORED);
+	bg_limiter_leave(&lim, &entries[1], now_us, BG_LIMITER_IGNORED);
+}
+
+/* Guards against demand above capacity in which returning calls, too late for
+ * the target of their first try, take the slots of new ones (bench: Bélanger
+ * trouble-1, where a third of the answers of the catalogue was late). */
+START_TEST(standing_queue_serves_new_calls_first)
+{
+	wait_two(3000000);
+	ck_assert_int_eq(next(), 12);
+}
+END_TEST
+
+/* Guards against a burst in which returning calls are refused for good though
+ * new ones can still come back (bench: Bélanger scale-1). */
+START_TEST(burst_serves_returning_calls_in_turn)
+{
+	wait_two(500000);
+	ck_assert_int_eq(next(), 11);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -382,5 +417,7 @@
 	tcase_add_test(tc, replaced_server_starts_anew);
 	tcase_add_test(tc, slots_follow_the_server);
 	tcase_add_test(tc, buffers_keep_room_for_answers);
+	tcase_add_test(tc, standing_queue_serves_new_calls_first);
+	tcase_add_test(tc, burst_serves_returning_calls_in_turn);
 	return run_suite("limiter", tc);
 }
