--- a/core/include/burdockgrade/log.h
+++ b/core/include/burdockgrade/log.h
@@ -2,9 +2,14 @@
 #define BURDOCKGRADE_LOG_H
 
 /** @file
- * Structured logs by log4c: one category a part, `key=value` fields.
+ * Structured logs by log4c on standard output: one category a part,
+ * `key=value` fields. Logging never waits for the reader: lines that it is too
+ * slow for are dropped and counted, those about failures last. A line that
+ * repeats the one before it is folded into a count.
  */
 
+struct event_base;
+
 enum bg_log_level {
 	BG_LOG_ERROR,
 	BG_LOG_WARN,
@@ -13,7 +18,7 @@
 };
 
 /**
- * Opens the log on standard error.
+ * Opens the log.
  *
  * @param level "error", "warn", "info" or "debug"
  * @param name identifies the process in each line; copied
@@ -21,6 +26,16 @@
  */
 int bg_log_init(const char *level, const char *name);
 void bg_log_free(void);
+/**
+ * Writes lines together from a loop; without one each is written at once.
+ *
+ * @return 0 or BG_ENOMEM
+ */
+int bg_log_attach(struct event_base *base);
+/** Writes what is queued and leaves the loop. */
+void bg_log_detach(void);
+/** Writes to another descriptor than standard output; it stays the caller's. */
+void bg_log_set_descriptor(int fd);
 
 /**
  * Writes one line.
--- a/core/src/log.c
+++ b/core/src/log.c
@@ -1,14 +1,25 @@
+#include <event2/event.h>
 #include <log4c.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
+#include <xxhash.h>
 
 #include "burdockgrade/clock.h"
+#include "burdockgrade/counter.h"
 #include "burdockgrade/error.h"
 #include "burdockgrade/log.h"
 
+#include "log_queue.h"
+
 #define LINE_BYTES 768
 #define NAME_BYTES 64
+/* Lines are written together after this time; those about failures at once,
+ * since the process may end. */
+#define FLUSH_MS 20
+/* A reader that does not keep up is tried again after this time. */
+#define FULL_MS 100
 
 static const struct {
 	const char *name;
@@ -20,30 +31,114 @@
     {"debug", LOG4C_PRIORITY_DEBUG},
 };
 
-static char process_name[NAME_BYTES];
-static int threshold = LOG4C_PRIORITY_INFO;
-
-static const char *
-format_line(const log4c_layout_t *layout, const log4c_logging_event_t *ev)
+static struct bg_counter lines =
+    BG_COUNTER("burdock_log_lines_total", "Log lines.");
+static struct bg_counter dropped = BG_COUNTER("burdock_log_dropped_total",
+    "Log lines that their reader was too slow for, or above the rate.");
+static struct bg_counter folded = BG_COUNTER(
+    "burdock_log_folded_total", "Log lines that repeated the one before.");
+
+static struct {
+	char process_name[NAME_BYTES];
+	int threshold;
+	int fd;
+	struct bg_log_queue queue;
+	struct event *timer; /* NULL: lines are written at once */
+	uint64_t last_hash;  /* of the last line's part and message */
+	uint32_t repeats;    /* of that line, not yet told */
+	char last_part[NAME_BYTES];
+} state = {.threshold = LOG4C_PRIORITY_INFO, .fd = STDOUT_FILENO};
+
+static void
+queue_line(int priority, const char *part, const char *message)
 {
-	static char line[LINE_BYTES];
+	char line[LINE_BYTES];
 	char when[BG_RFC3339_BYTES];
 	uint64_t wall_ms = bg_clock_wall_ms();
+	int bytes;
 
 	bg_clock_format(when, wall_ms);
-	snprintf(line, sizeof(line), "%.19s.%03uZ %s %s %s %s\n", when,
-	    (unsigned)(wall_ms % 1000), process_name,
-	    log4c_priority_to_string(ev->evt_priority), ev->evt_category,
-	    ev->evt_msg);
-	return line;
+	bytes = snprintf(line, sizeof(line), "%.19s.%03uZ %s %s %s %s", when,
+	    (unsigned)(wall_ms % 1000), state.process_name,
+	    log4c_priority_to_string(priority), part, message);
+	if (bytes > LINE_BYTES - 2)
+		bytes = LINE_BYTES - 2;
+	line[bytes++] = '\n';
+	bg_counter_add(&lines, 1);
+	if (bg_log_queue_push(&state.queue, line, (size_t)bytes,
+		priority <= LOG4C_PRIORITY_WARN, bg_clock_now_ms()) != 0)
+		bg_counter_add(&dropped, 1);
+}
+
+static void
+tell_repeats(void)
+{
+	char message[NAME_BYTES];
+
+	if (state.repeats == 0)
+		return;
+	snprintf(message, sizeof(message), "repeated count=%u", state.repeats);
+	state.repeats = 0;
+	queue_line(LOG4C_PRIORITY_INFO, state.last_part, message);
+}
+
+static void
+arm(uint32_t ms)
+{
+	struct timeval tv = {0, (suseconds_t)ms * 1000};
+
+	if (!event_pending(state.timer, EV_TIMEOUT, NULL))
+		event_add(state.timer, &tv);
+}
+
+static void
+flush(void)
+{
+	uint64_t lost;
+	char message[NAME_BYTES];
+
+	if (bg_log_queue_flush(&state.queue, state.fd) > 0) {
+		if (state.timer != NULL)
+			arm(FULL_MS);
+		return;
+	}
+	if ((lost = bg_log_queue_take_dropped(&state.queue)) == 0)
+		return;
+	snprintf(message, sizeof(message), "dropped lines=%llu",
+	    (unsigned long long)lost);
+	queue_line(LOG4C_PRIORITY_WARN, "log", message);
+	bg_log_queue_flush(&state.queue, state.fd);
 }
 
-static const log4c_layout_type_t layout_type = {"burdockgrade", format_line};
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	tell_repeats();
+	flush();
+}
 
+/* Called by log4c with a rendered message. */
 static int
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *ev)
 {
-	return fputs(ev->evt_rendered_msg, stderr) < 0;
+	uint64_t hash = XXH64(ev->evt_msg, strlen(ev->evt_msg),
+	    XXH64(ev->evt_category, strlen(ev->evt_category), 0));
+
+	if (hash == state.last_hash) {
+		state.repeats++;
+		bg_counter_add(&folded, 1);
+	} else {
+		tell_repeats();
+		queue_line(ev->evt_priority, ev->evt_category, ev->evt_msg);
+		state.last_hash = hash;
+		snprintf(state.last_part, sizeof(state.last_part), "%s",
+		    ev->evt_category);
+	}
+	if (state.timer == NULL || ev->evt_priority <= LOG4C_PRIORITY_WARN)
+		flush();
+	else
+		arm(FLUSH_MS);
+	return 0;
 }
 
 /* log4c's own type "stream" puts its name before each line. */
@@ -68,26 +163,45 @@
 bg_log_init(const char *level, const char *name)
 {
 	log4c_appender_t *appender;
-	log4c_layout_t *layout;
 	int error;
 
-	if ((error = find_priority(&threshold, level)) != 0)
+	if ((error = find_priority(&state.threshold, level)) != 0)
 		return error;
-	snprintf(process_name, sizeof(process_name), "%s", name);
+	snprintf(state.process_name, sizeof(state.process_name), "%s", name);
 	log4c_init();
-	log4c_layout_type_set(&layout_type);
-	layout = log4c_layout_get("burdockgrade");
-	log4c_layout_set_type(layout, &layout_type);
 	log4c_appender_type_set(&appender_type);
 	appender = log4c_appender_get("burdockgrade");
 	log4c_appender_set_type(appender, &appender_type);
-	log4c_appender_set_layout(appender, layout);
 	return 0;
 }
 
+int
+bg_log_attach(struct event_base *base)
+{
+	state.timer = evtimer_new(base, on_timer, NULL);
+	return state.timer == NULL ? BG_ENOMEM : 0;
+}
+
+void
+bg_log_detach(void)
+{
+	if (state.timer != NULL)
+		event_free(state.timer);
+	state.timer = NULL;
+	tell_repeats();
+	flush();
+}
+
+void
+bg_log_set_descriptor(int fd)
+{
+	state.fd = fd;
+}
+
 void
 bg_log_free(void)
 {
+	bg_log_detach();
 	log4c_fini();
 }
 
@@ -98,10 +212,10 @@
 	va_list ap;
 	int priority = LEVELS[level].priority;
 
-	if (priority > threshold || process_name[0] == '\0')
+	if (priority > state.threshold || state.process_name[0] == '\0')
 		return;
 	category = log4c_category_get(part);
-	log4c_category_set_priority(category, threshold);
+	log4c_category_set_priority(category, state.threshold);
 	log4c_category_set_additivity(category, 0);
 	log4c_category_set_appender(
 	    category, log4c_appender_get("burdockgrade"));
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -243,7 +243,8 @@
 	}
 	if ((out->base = event_base_new()) == NULL)
 		return bg_error_set(err, BG_ENOMEM, "start", NULL, "no loop");
-	if ((error = init_signals(out)) != 0 ||
+	if ((error = bg_log_attach(out->base)) != 0 ||
+	    (error = init_signals(out)) != 0 ||
 	    (error = init_store(out, err)) != 0 ||
 	    (error = init_links(out, err)) != 0 ||
 	    (error = init_mesh(out, err)) != 0 ||
@@ -282,6 +283,7 @@
 	}
 	if (node->reload_signal != NULL)
 		event_free(node->reload_signal);
+	bg_log_detach();
 	if (node->base != NULL)
 		event_base_free(node->base);
 	memset(node, 0, sizeof(*node));
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -70,16 +70,18 @@
 	bg_call_fn fn = call->fn;
 	void *arg = call->arg;
 	uint64_t took_us = bg_clock_now_us() - call->began_us;
+	int is_failed =
+	    ans->outcome != BG_XOUTCOME_DONE || ans->http_status >= 500;
 
 	bg_metrics_call(ans->outcome, took_us);
-	bg_log_info("call",
+	/* Refusals and failures are kept before successes. */
+	bg_log(is_failed ? BG_LOG_WARN : BG_LOG_INFO, "call",
 	    "ended request=%s status=%u outcome=%d took_us=%llu picks=%u "
 	    "sent=%u reason=\"%s\"",
 	    call->args.request_id, ans->http_status, (int)ans->outcome,
 	    (unsigned long long)took_us, call->picks, call->sent,
 	    ans->reason == NULL ? "" : ans->reason);
-	leave(
-	    call, ans->outcome != BG_XOUTCOME_DONE || ans->http_status >= 500);
+	leave(call, is_failed);
 	fn(arg, ans);
 	call_free(call);
 }
@@ -310,6 +312,15 @@
 	return (uint32_t)((call->target_us - now_us) / 1000);
 }
 
+/* Age of what is known of the server's load; -1: nothing is known. */
+static long long
+load_age_ms(const struct bg_endpoint *ep)
+{
+	if (ep->reported_ms == 0)
+		return -1;
+	return (long long)(bg_clock_now_ms() - ep->reported_ms);
+}
+
 /* Sends the call to the gatekeeper of the chosen server. */
 static void
 step_send(struct bg_call *call, const struct bg_pick *pick)
@@ -332,15 +343,14 @@
 	bg_log_info("call",
 	    "sent request=%s route=%s service=%s config=%llu to=%s server=%s "
 	    "version=%s pick=%u value=%.3f wait_us=%llu service_us=%u load=%u "
-	    "load_age_ms=%llu wait_allowed_ms=%u left_ms=%u age_ms=%u",
+	    "load_age_ms=%lld wait_allowed_ms=%u left_ms=%u age_ms=%u",
 	    call->args.request_id, call->rule->name, call->service,
 	    (unsigned long long)call->snapshot->version, pick->member->address,
 	    pick->member->server_id, call->picked_version, call->picks,
 	    pick->value, (unsigned long long)pick->wait_us, pick->service_us,
 	    bg_endpoint_load(pick->endpoint, bg_clock_now_ms()),
-	    (unsigned long long)(bg_clock_now_ms() -
-		pick->endpoint->reported_ms),
-	    call->args.wait_ms, call->args.deadline_ms, call->args.age_ms);
+	    load_age_ms(pick->endpoint), call->args.wait_ms,
+	    call->args.deadline_ms, call->args.age_ms);
 	arm_deadline(call);
 	/* Only a move makes the version matter; without one a server that was
 	 * just replaced may have another than this node knows. */
--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -125,13 +125,14 @@
 	res.refusal = call->refusal;
 	res.reason = (char *)bg_refusal_text(call->refusal);
 	bg_metrics_refused(call->refusal);
-	bg_log_info("gatekeeper",
+	bg_log_warn("gatekeeper",
 	    "refused request=%s reason=%s running=%u queued=%u slots=%u "
-	    "wait_allowed_ms=%u server=%s state=%d",
+	    "wait_allowed_ms=%u server=%s state=%d attempt=%u",
 	    call->args->request_id, bg_refusal_name(call->refusal),
 	    call->gatekeeper->limiter.running, call->gatekeeper->limiter.queued,
 	    call->gatekeeper->limiter.slots, call->args->wait_ms,
-	    call->gatekeeper->server.id, (int)call->gatekeeper->server.state);
+	    call->gatekeeper->server.id, (int)call->gatekeeper->server.state,
+	    call->args->attempt);
 	deliver(call, &res);
 }
 
@@ -186,7 +187,10 @@
 	bg_limiter_leave(&gk->limiter, &call->entry, now_us, vdt->sample);
 	res->own_time_us = own_us > UINT32_MAX ? UINT32_MAX : (uint32_t)own_us;
 	res->dependency_failed = (u_int)call->dependency.has_failed;
-	bg_log_info("gatekeeper",
+	bg_log(res->outcome == BG_XOUTCOME_DONE && res->http_status < 500
+		? BG_LOG_INFO
+		: BG_LOG_WARN,
+	    "gatekeeper",
 	    "ended request=%s server=%s version=%s status=%u outcome=%d "
 	    "took_us=%u attempt=%u",
 	    call->args->request_id, gk->server.id, gk->server.version,
--- a/proxy/tests/test_drain.c
+++ b/proxy/tests/test_drain.c
@@ -87,8 +87,8 @@
 	tcase_add_test(tc, serves_until_callers_have_noticed);
 	tcase_add_test(tc, waits_for_calls_in_flight);
 	tcase_add_test(tc, bound_ends_the_wait);
-	tcase_add_test(tc,
-	    leaving_node_takes_only_calls_that_end_before_it_does);
+	tcase_add_test(
+	    tc, leaving_node_takes_only_calls_that_end_before_it_does);
 	tcase_add_test(tc, bound_below_the_announcement_counts);
 	tcase_add_test(tc, second_begin_does_not_restart);
 	return run_suite("drain", tc);
