--- a/cli/src/cli.h
+++ b/cli/src/cli.h
@@ -62,6 +62,7 @@
 int bg_cli_watch(struct bg_cli *cli, int argc, char **argv);
 int bg_cli_history(struct bg_cli *cli, int argc, char **argv);
 int bg_cli_report(struct bg_cli *cli, int argc, char **argv);
+int bg_cli_explain(struct bg_cli *cli, int argc, char **argv);
 
 /**
  * Parses the options of a subcommand. Bad usage ends the process with
--- a/cli/src/main.c
+++ b/cli/src/main.c
@@ -34,6 +34,11 @@
 	"nodes given by --node (separated by commas). If a node does not "
 	"answer, the report names it and the exit code is 1.",
 	1, 1, bg_cli_report},
+    {"explain", "ID FILE...",
+	"Explain a request from the logs of nodes\n\nPrints the lines of the "
+	"request with this id in the order of their causes. Without any, says "
+	"what the logs cover; the exit code is 1.",
+	2, BG_CLI_ARGS_MAX, bg_cli_explain},
     {NULL, NULL, NULL, 0, 0, NULL},
 };
 
