Refuse at once what a standing queue keeps overtaking

Now a late call is refused at once while a queue stands, and a gatekeeper that refused a place in its queue is not asked again for the same call.

--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -406,6 +406,16 @@
 	    res->refusal != BG_XREFUSAL_SHED;
 }
 
+/* 1 if the gatekeeper would answer the same again. One that was only asked for
+ * a free slot may still have room in its queue. A link that failed is replaced;
+ * its peer may be sound. */
+static int
+is_settled(const struct bg_call *call, const struct bg_xcall_res *res)
+{
+	return res->refusal != BG_XREFUSAL_BUSY ||
+	    call->args.wait_ms > FREE_WAIT_MS;
+}
+
 /* Goes on with another server, or waits for a link to one.
  * @return -1 if there is none */
 static int
@@ -486,8 +496,7 @@
 		return;
 	}
 	if (is_gate_refusal(code, res)) {
-		/* A link that failed is replaced; its peer may be sound. */
-		if (code == 0 && res->refusal != BG_XREFUSAL_BUSY)
+		if (code == 0 && is_settled(call, res))
 			bg_call_avoid(call, address);
 		if (ask_next(call, code, res) != 0)
 			conclude(call, code, res);
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -161,6 +161,25 @@
 	return n;
 }
 
+/* While a queue stands, on-time calls keep overtaking a late one. */
+static int
+is_overtaken(const struct bg_limiter *lim, const struct bg_limiter_entry *e,
+    uint64_t now_us)
+{
+	return has_standing_queue(lim, now_us) && !e->is_dependency &&
+	    !is_on_time(lim, e, now_us);
+}
+
+static int
+is_hopeless(const struct bg_limiter *lim, const struct bg_limiter_entry *e,
+    uint64_t now_us)
+{
+	uint64_t wait_us = wait_behind_us(lim, count_ahead(lim, e, now_us));
+
+	return now_us + wait_us > e->latest_start_us ||
+	    is_overtaken(lim, e, now_us);
+}
+
 static void
 unlink_entry(struct bg_limiter *lim, struct bg_limiter_entry *entry)
 {
@@ -206,14 +225,11 @@
 bg_limiter_enter(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	uint64_t wait_us;
-
 	if (lim->running < allowed(lim)) {
 		start(lim, entry, now_us);
 		return BG_LIMITER_RUN;
 	}
-	wait_us = wait_behind_us(lim, count_ahead(lim, entry, now_us));
-	if (now_us + wait_us > entry->latest_start_us)
+	if (is_hopeless(lim, entry, now_us))
 		return BG_LIMITER_BUSY;
 	link_entry(lim, entry, now_us);
 	return BG_LIMITER_QUEUED;
@@ -353,11 +369,9 @@
 bg_limiter_hopeless(const struct bg_limiter *lim, uint64_t now_us)
 {
 	struct bg_limiter_entry *e;
-	uint64_t wait_us;
 
 	for (e = lim->head; e != NULL; e = e->next) {
-		wait_us = wait_behind_us(lim, count_ahead(lim, e, now_us));
-		if (now_us + wait_us > e->latest_start_us)
+		if (is_hopeless(lim, e, now_us))
 			return e;
 	}
 	return NULL;
--- a/proxy/tests/test_limiter.c
+++ b/proxy/tests/test_limiter.c
@@ -386,6 +386,22 @@
 }
 END_TEST
 
+/* Guards against a late call that waits in a standing queue, is overtaken by
+ * every new one and refused in the end (found by `explain` in Bélanger
+ * trouble-1: 319 ms in one queue). */
+START_TEST(standing_queue_refuses_late_calls_at_once)
+{
+	learn(100000);
+	fill();
+	enter_with(10, 1, LONG_US, 0);
+	ck_assert_int_eq(enter_with(11, 1, LONG_US, 50000), BG_LIMITER_QUEUED);
+	now_us += 3000000;
+	ck_assert_ptr_eq(bg_limiter_hopeless(&lim, now_us), &entries[11]);
+	ck_assert_int_eq(enter_with(12, 1, LONG_US, 50000), BG_LIMITER_BUSY);
+	ck_assert_int_eq(enter_with(13, 1, LONG_US, 400000), BG_LIMITER_QUEUED);
+}
+END_TEST
+
 /* Guards against a burst in which returning calls are refused for good though
  * new ones can still come back (bench: Bélanger scale-1). */
 START_TEST(burst_serves_returning_calls_in_turn)
@@ -418,6 +434,7 @@
 	tcase_add_test(tc, slots_follow_the_server);
 	tcase_add_test(tc, buffers_keep_room_for_answers);
 	tcase_add_test(tc, standing_queue_serves_new_calls_first);
+	tcase_add_test(tc, standing_queue_refuses_late_calls_at_once);
 	tcase_add_test(tc, burst_serves_returning_calls_in_turn);
 	return run_suite("limiter", tc);
 }
