--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -416,10 +416,12 @@
 	    call->args.wait_ms > FREE_WAIT_MS;
 }
 
-/* Goes on with another server, or waits for a link to one.
+/* Goes on with another server, or waits for a link to one if the last attempt
+ * lost its own: a link that is replaced is soon there, one that a partition cut
+ * is not.
  * @return -1 if there is none */
 static int
-pick_again(struct bg_call *call)
+pick_again(struct bg_call *call, int code)
 {
 	struct bg_pick pick;
 
@@ -428,6 +430,8 @@
 		step_send(call, &pick);
 		return 0;
 	case BG_EUNAVAILABLE:
+		if (code == 0)
+			return -1;
 		wait_for_link(call);
 		return 0;
 	default:
@@ -445,7 +449,7 @@
 	if (call->picks >= BG_CALL_PICKS_MAX ||
 	    bg_call_left_us(call) < BG_DEADLINE_MIN_MS * 1000)
 		return -1;
-	return pick_again(call);
+	return pick_again(call, code);
 }
 
 /* Sends the call to another server after one failed or shed it. */
@@ -471,7 +475,7 @@
 		return -1;
 	}
 	bg_metrics_retry();
-	return pick_again(call);
+	return pick_again(call, code);
 }
 
 static int
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -161,23 +161,19 @@
 	return n;
 }
 
-/* While a queue stands, on-time calls keep overtaking a late one. */
-static int
-is_overtaken(const struct bg_limiter *lim, const struct bg_limiter_entry *e,
-    uint64_t now_us)
-{
-	return has_standing_queue(lim, now_us) && !e->is_dependency &&
-	    !is_on_time(lim, e, now_us);
-}
-
+/* 1 if a call is not worth its wait. While a queue stands, on-time calls keep
+ * overtaking one that would start late. */
 static int
 is_hopeless(const struct bg_limiter *lim, const struct bg_limiter_entry *e,
     uint64_t now_us)
 {
-	uint64_t wait_us = wait_behind_us(lim, count_ahead(lim, e, now_us));
+	uint64_t start_us =
+	    now_us + wait_behind_us(lim, count_ahead(lim, e, now_us));
 
-	return now_us + wait_us > e->latest_start_us ||
-	    is_overtaken(lim, e, now_us);
+	if (start_us > e->latest_start_us)
+		return 1;
+	return has_standing_queue(lim, now_us) && !e->is_dependency &&
+	    !is_on_time(lim, e, start_us);
 }
 
 static void
