--- a/mesh/src/mesh/nodes.c
+++ b/mesh/src/mesh/nodes.c
@@ -9,9 +9,10 @@
 
 #include "mesh/internal.h"
 
-/* Announcements in quick succession, as after a mass restart, are read
- * together. */
-#define COALESCE_MS 100
+/* Announcements in quick succession are read together: peers pass each one on
+ * at once, and the store is there for nodes that no peer knows yet. Every watch
+ * that ends costs a call of every node. */
+#define COALESCE_MS 800
 
 /* A node that the store has, or had in its last list. */
 struct bg_known_node {
--- a/moves/src/burn/burn.c
+++ b/moves/src/burn/burn.c
@@ -25,11 +25,16 @@
 	uint32_t bad;
 };
 
+#define HOUR_MINUTES 60
+#define HOURS (BG_BURN_MINUTES / HOUR_MINUTES)
+
+/* A ring by minute modulo BG_BURN_MINUTES. Most series have calls in few hours,
+ * so an hour is allocated with its first call. */
 struct series {
 	char service[BG_NAME_BYTES];
 	char route[BG_NAME_BYTES];
 	char server_version[BG_NAME_BYTES];
-	struct minute *minutes; /* ring by minute modulo BG_BURN_MINUTES */
+	struct minute *hours[HOURS]; /* HOUR_MINUTES each, or NULL */
 };
 
 struct bg_burn {
@@ -44,6 +49,16 @@
 	return *out == NULL ? BG_ENOMEM : 0;
 }
 
+static void
+series_free(struct series *srs)
+{
+	size_t h;
+
+	for (h = 0; h < HOURS; h++)
+		free(srs->hours[h]);
+	free(srs);
+}
+
 void
 bg_burn_free(struct bg_burn *brn)
 {
@@ -51,10 +66,8 @@
 
 	if (brn == NULL)
 		return;
-	for (i = 0; i < brn->series_count; i++) {
-		free(brn->series[i]->minutes);
-		free(brn->series[i]);
-	}
+	for (i = 0; i < brn->series_count; i++)
+		series_free(brn->series[i]);
 	free(brn->series);
 	free(brn);
 }
@@ -83,11 +96,6 @@
 	brn->series = grown;
 	if ((srs = calloc(1, sizeof(*srs))) == NULL)
 		return NULL;
-	srs->minutes = calloc(BG_BURN_MINUTES, sizeof(*srs->minutes));
-	if (srs->minutes == NULL) {
-		free(srs);
-		return NULL;
-	}
 	snprintf(srs->service, sizeof(srs->service), "%s", service);
 	snprintf(srs->route, sizeof(srs->route), "%s", route);
 	snprintf(srs->server_version, sizeof(srs->server_version), "%s",
@@ -116,13 +124,34 @@
 	return add_series(brn, service, route, server_version);
 }
 
+/* @param m minute modulo BG_BURN_MINUTES @return NULL without calls in it */
+static const struct minute *
+find_minute(const struct series *srs, size_t m)
+{
+	const struct minute *hour = srs->hours[m / HOUR_MINUTES];
+
+	return hour == NULL ? NULL : &hour[m % HOUR_MINUTES];
+}
+
+/* @return NULL if out of memory */
+static struct minute *
+get_minute(struct series *srs, uint64_t minute)
+{
+	size_t m = minute % BG_BURN_MINUTES;
+	struct minute **hour = &srs->hours[m / HOUR_MINUTES];
+
+	if (*hour == NULL)
+		*hour = calloc(HOUR_MINUTES, sizeof(**hour));
+	return *hour == NULL ? NULL : &(*hour)[m % HOUR_MINUTES];
+}
+
 static void
 add_minute(struct series *srs, uint64_t minute, uint32_t calls, uint32_t bad)
 {
-	struct minute *slot = &srs->minutes[minute % BG_BURN_MINUTES];
+	struct minute *slot = get_minute(srs, minute);
 
 	/* A later minute takes over the slot; an earlier one is too old. */
-	if (minute < slot->minute)
+	if (slot == NULL || minute < slot->minute)
 		return;
 	if (minute > slot->minute) {
 		slot->minute = minute;
@@ -159,8 +188,8 @@
 		if (!is_series(brn->series[i], service, route, server_version))
 			continue;
 		for (m = 0; m < BG_BURN_MINUTES; m++) {
-			slot = &brn->series[i]->minutes[m];
-			if (slot->minute < from_minute ||
+			slot = find_minute(brn->series[i], m);
+			if (slot == NULL || slot->minute < from_minute ||
 			    slot->minute > to_minute)
 				continue;
 			out->calls += slot->calls;
@@ -177,8 +206,8 @@
 	size_t m;
 
 	for (m = 0; m < BG_BURN_MINUTES; m++) {
-		slot = &srs->minutes[m];
-		if (slot->calls == 0)
+		slot = find_minute(srs, m);
+		if (slot == NULL || slot->calls == 0)
 			continue;
 		json_array_append_new(minutes,
 		    json_pack("[I,I,I]", (json_int_t)slot->minute,
--- a/store/src/follow/follow.c
+++ b/store/src/follow/follow.c
@@ -11,9 +11,10 @@
 #define WATCH_MS 2000
 /* Wait while the store does not answer: its return shows soon. */
 #define PROBE_MS 300
-/* Pause after a failure, and its random part, so that the nodes of a fleet do
- * not all call at the same moment. */
+/* Pause after a failure, which doubles with each further one, and its random
+ * part, so that the nodes of a fleet do not all call at the same moment. */
 #define RETRY_MS 150
+#define RETRY_MAX_MS 300
 #define RETRY_SPREAD_MS 250
 
 struct bg_follow {
@@ -28,6 +29,7 @@
 	int is_listed;	 /* the next call is a watch */
 	int is_complete; /* listed at least once */
 	int is_reachable;
+	uint32_t retry_ms; /* pause after the next failure */
 	int in_call; /* the store holds a callback of this follower */
 	int is_freed;
 	char after[BG_STORE_NAME_BYTES]; /* last name of a list's page */
@@ -52,9 +54,12 @@
 }
 
 static uint32_t
-retry_ms(struct bg_follow *fol)
+next_retry_ms(struct bg_follow *fol)
 {
-	return RETRY_MS + (uint32_t)bg_rand_below(&fol->rand, RETRY_SPREAD_MS);
+	uint32_t ms = fol->retry_ms;
+
+	fol->retry_ms = ms * 2 > RETRY_MAX_MS ? RETRY_MAX_MS : ms * 2;
+	return ms + (uint32_t)bg_rand_below(&fol->rand, RETRY_SPREAD_MS);
 }
 
 static void
@@ -93,7 +98,7 @@
 	fol->in_call = error == 0;
 	if (error != 0 && error != BG_ECANCELED) {
 		set_reachable(fol, 0, error);
-		wait_ms(fol, retry_ms(fol));
+		wait_ms(fol, next_retry_ms(fol));
 	}
 }
 
@@ -164,6 +169,7 @@
 	switch (answer->code) {
 	case 0:
 		set_reachable(fol, 1, 0);
+		fol->retry_ms = RETRY_MS;
 		if (fol->is_listed)
 			take_events(fol, answer);
 		else
@@ -181,7 +187,7 @@
 		set_reachable(fol, 0, answer->code);
 		if (!fol->is_listed)
 			start_list(fol);
-		wait_ms(fol, retry_ms(fol));
+		wait_ms(fol, next_retry_ms(fol));
 		break;
 	}
 }
@@ -199,6 +205,7 @@
 	fol->coalesce_ms = opts->coalesce_ms;
 	fol->handler = opts->handler;
 	fol->is_reachable = 1;
+	fol->retry_ms = RETRY_MS;
 	bg_rand_init(&fol->rand, 0);
 	if ((fol->timer = evtimer_new(opts->base, on_timer, fol)) == NULL) {
 		free(fol);
--- a/store/tests/test_follow.c
+++ b/store/tests/test_follow.c
@@ -183,6 +183,24 @@
 }
 END_TEST
 
+/* Guards against an outage that lasts and in which refused calls, which are
+ * priced like others, cost more than the service before it. */
+START_TEST(lasting_outage_is_probed_slowly)
+{
+	int calls;
+
+	memory_store_set(&mem, KIND, "a", json_integer(1));
+	memory_store_run(&mem);
+	mem.fail_code = BG_EUNAVAILABLE;
+	memory_store_set(&mem, "other", "x", json_integer(1));
+	run_ms(RETRY_WAIT_MS);
+	calls = mem.stale_reads;
+	run_ms(1500);
+	ck_assert_int_ge(mem.stale_reads, calls + 2);
+	ck_assert_int_le(mem.stale_reads, calls + 5);
+}
+END_TEST
+
 /* Guards against a first list that is not repeated from its first page. */
 START_TEST(failed_list_starts_again)
 {
@@ -221,6 +239,7 @@
 	tcase_add_test(tc, pages_make_one_list);
 	tcase_add_test(tc, dropped_history_leads_to_a_new_list);
 	tcase_add_test(tc, outage_is_told_and_survived);
+	tcase_add_test(tc, lasting_outage_is_probed_slowly);
 	tcase_add_test(tc, failed_list_starts_again);
 	tcase_add_test(tc, follower_may_end_during_a_call);
 	return run_suite("follow", tc);
