Ask a gatekeeper for a queue place once, and none without a chance

It is asked once, and a call that was refused is concluded when no server is left that could serve it in its time.

--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -287,6 +287,13 @@
 	step_result(call, code, res);
 }
 
+/* 1 if a place in the queue is asked for, not just a free slot. */
+static int
+wants_queue(const struct bg_call *call, const struct bg_pick *pick)
+{
+	return pick->wait_us != 0 || call->picks >= QUEUE_FROM_PICK;
+}
+
 /* Longest useful wait for a slot at the chosen server. */
 static uint32_t
 allowed_wait_ms(const struct bg_call *call, const struct bg_pick *pick)
@@ -294,7 +301,7 @@
 	double reserve_us = (double)pick->service_us * RUN_RESERVE;
 	double left_us = (double)bg_call_left_us(call) - reserve_us;
 
-	if (pick->wait_us == 0 && call->picks < QUEUE_FROM_PICK)
+	if (!wants_queue(call, pick))
 		return FREE_WAIT_MS;
 	return left_us <= 0 ? 0 : (uint32_t)(left_us / 1000);
 }
@@ -331,6 +338,7 @@
 	call->endpoint = pick->endpoint;
 	snprintf(call->picked_version, sizeof(call->picked_version), "%s",
 	    pick->member->server_version);
+	call->is_queue_asked = wants_queue(call, pick);
 	call->args.wait_ms = allowed_wait_ms(call, pick);
 	call->args.attempt = ++call->picks;
 	call->args.deadline_ms =
@@ -412,8 +420,7 @@
 static int
 is_settled(const struct bg_call *call, const struct bg_xcall_res *res)
 {
-	return res->refusal != BG_XREFUSAL_BUSY ||
-	    call->args.wait_ms > FREE_WAIT_MS;
+	return res->refusal != BG_XREFUSAL_BUSY || call->is_queue_asked;
 }
 
 /* Goes on with another server, or waits for a link to one if the last attempt
@@ -427,6 +434,9 @@
 
 	switch (bg_call_pick_server(&pick, call)) {
 	case 0:
+		/* No server is left that could serve the call in its time. */
+		if (pick.wait_us != 0 && allowed_wait_ms(call, &pick) == 0)
+			return -1;
 		step_send(call, &pick);
 		return 0;
 	case BG_EUNAVAILABLE:
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -41,6 +41,7 @@
 	uint64_t busy_wait_us; /**< shortest wait that a busy gatekeeper told */
 	uint32_t caller_deadline_ms;
 	int is_started;
+	int is_queue_asked;	/**< of the attempt: not just a free slot */
 	uint64_t wait_began_us; /**< for a link; 0: it does not wait */
 	int is_dependency;
 	char picked_version[BG_NAME_BYTES];
