End a stop only when the answers are written

A request counts until its answer is written, and the loop runs 50 ms on for the answers to peers. A stopped node takes no call.

--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -10,13 +10,17 @@
 
 static const int STOP_SIGNALS[BG_STOP_SIGNALS] = {SIGTERM, SIGINT};
 
+/* Answers to callers and peers that are still in a buffer get this time. */
+#define FLUSH_MS 50
+
 static void
 on_withdrawn(void *arg)
 {
+	static const struct timeval flush = {0, FLUSH_MS * 1000};
 	struct bg_node *node = arg;
 
 	bg_log_info("node", "stopped");
-	event_base_loopbreak(node->base);
+	event_base_loopexit(node->base, &flush);
 }
 
 /* A node whose server has left does not come back at this address. */
--- a/proxy/src/drain/drain.c
+++ b/proxy/src/drain/drain.c
@@ -41,5 +41,7 @@
 {
 	if (drn->state < BG_DRAIN_LEAVING)
 		return 1;
+	if (drn->state == BG_DRAIN_DONE)
+		return 0;
 	return now_ms + deadline_ms <= drn->began_ms + drn->bound_ms;
 }
--- a/proxy/src/ingress/ingress.c
+++ b/proxy/src/ingress/ingress.c
@@ -153,12 +153,13 @@
 	send_answer(p, ans, is_leaving(ing));
 }
 
-/* The request ended: answered and read, or its caller disconnected. */
+/* The request ended: its answer is written, or its caller disconnected. */
 static void
 on_fini(void *arg)
 {
 	struct pending *p = arg;
 
+	p->ingress->proxy->requests_open--;
 	bg_buffers_remove(&p->ingress->proxy->buffers, p->buffered_bytes);
 	if (p->call != NULL)
 		bg_call_cancel(p->call);
@@ -418,6 +419,7 @@
 		return;
 	}
 	p->ingress = ing;
+	ing->proxy->requests_open++;
 	p->request = req;
 	choose_request_id(ing, req, p->request_id);
 	bg_guard_busy(grd, on_fini, p);
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -161,7 +161,7 @@
 static uint32_t
 in_flight(const struct bg_proxy *prx)
 {
-	return prx->calls_in_flight + bg_gatekeeper_in_flight(prx->gatekeeper);
+	return prx->requests_open + bg_gatekeeper_in_flight(prx->gatekeeper);
 }
 
 int
