Keep a farewell that is a node's first word of its server

The node was restarted, heard the farewell of its server first, which carries no time of birth, and took a heartbeat that was under way for a new start: a call reached the server 2.35 s after the acknowledgement. A farewell without a birth now counts as said by a server born before it; a heartbeat opens the server again only if it was born later. The new test fails without the change.

--- a/proxy/include/burdockgrade/announce.h
+++ b/proxy/include/burdockgrade/announce.h
@@ -23,7 +23,8 @@
 	enum bg_announced_state state;
 	uint32_t slots;
 	uint32_t warmup_left_ms; /**< how much longer it is slow */
-	uint64_t born_ms;	 /**< wall clock of its start */
+	uint64_t born_ms;	 /**< wall clock of its start, or of now if the
+				      farewell lacks it */
 	uint64_t sequence;	 /**< rises within a start */
 	int has_born;		 /**< a farewell may lack it */
 };
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -252,12 +252,15 @@
     struct bg_gatekeeper *gk, const struct bg_announcement *ann)
 {
 	struct bg_server before = gk->server;
+	struct bg_announcement known = *ann;
 	enum bg_announce_result result;
 
 	if (gk->backend == NULL ||
 	    !bg_announcement_is_of(ann, gk->settings->server.service))
 		return BG_ANNOUNCE_REFUSED;
-	result = bg_server_announce(&gk->server, ann, bg_clock_now_ms());
+	if (!known.has_born)
+		known.born_ms = bg_clock_wall_ms();
+	result = bg_server_announce(&gk->server, &known, bg_clock_now_ms());
 	if (result != BG_ANNOUNCE_TAKEN)
 		return result;
 	bg_log_info("gatekeeper",
--- a/proxy/src/gatekeeper/server.c
+++ b/proxy/src/gatekeeper/server.c
@@ -25,7 +25,8 @@
 static int
 is_new_lifetime(const struct bg_server *srv, const struct bg_announcement *ann)
 {
-	return srv->id[0] == '\0' || ann->born_ms > srv->born_ms;
+	return srv->id[0] == '\0' ||
+	    (ann->has_born && ann->born_ms > srv->born_ms);
 }
 
 /* A farewell has no sequence and may lack the time of birth. */
@@ -49,8 +50,12 @@
 take(struct bg_server *srv, const struct bg_announcement *ann)
 {
 	snprintf(srv->id, sizeof(srv->id), "%s", ann->server_id);
-	if (ann->state == BG_ANNOUNCED_GONE)
+	if (ann->state == BG_ANNOUNCED_GONE) {
+		/* A later lifetime starts after the farewell. */
+		if (srv->born_ms == 0)
+			srv->born_ms = ann->born_ms;
 		return;
+	}
 	snprintf(srv->version, sizeof(srv->version), "%s", ann->server_version);
 	srv->born_ms = ann->born_ms;
 	srv->sequence = ann->sequence;
--- a/proxy/tests/test_server.c
+++ b/proxy/tests/test_server.c
@@ -114,6 +114,27 @@
 }
 END_TEST
 
+/* Guards against a node that was restarted, hears the farewell first and takes
+ * a heartbeat that was under way for a new start of the server (bench: DRAIN,
+ * Bélanger trouble-2 seed 396914109657). */
+START_TEST(farewell_as_the_first_word_is_final)
+{
+	struct bg_announcement ann = make("a", 9000, 0, BG_ANNOUNCED_GONE);
+
+	ann.has_born = 0;
+	ck_assert_int_eq(
+	    bg_server_announce(&srv, &ann, now_ms), BG_ANNOUNCE_TAKEN);
+	ck_assert_int_eq(say_ready("a", 50, 7), BG_ANNOUNCE_OLD);
+	ck_assert_int_eq(srv.state, BG_SERVER_GONE);
+	ck_assert_int_eq(say_ready("a", 9500, 1), BG_ANNOUNCE_TAKEN);
+	ck_assert_int_eq(srv.state, BG_SERVER_READY);
+	snprintf(ann.server_id, sizeof(ann.server_id), "b");
+	ann.born_ms = 9900;
+	ck_assert_int_eq(
+	    bg_server_announce(&srv, &ann, now_ms), BG_ANNOUNCE_OLD);
+}
+END_TEST
+
 /* Guards against a server that leaves without having said that it drains: its
  * farewell has no body, was refused for the missing service and repeated
  * without end, while calls went on to the server. */
@@ -186,6 +207,7 @@
 	tcase_add_test(tc, leaving_is_final_within_a_lifetime);
 	tcase_add_test(tc, leaving_server_takes_calls_for_a_moment);
 	tcase_add_test(tc, farewell_without_a_body_is_taken);
+	tcase_add_test(tc, farewell_as_the_first_word_is_final);
 	tcase_add_test(tc, farewell_may_leave_its_service_out);
 	tcase_add_test(tc, earlier_lifetime_is_ignored);
 	tcase_add_test(tc, new_lifetime_under_the_same_id_is_taken);
