Read and build contracts and heads as JSON values without a text between

document.c and revisions.c turned contracts and heads into text and parsed it again, each with its own copy of the steps, though bg_contract_to_json() and bg_contract_from_json() were there. These are public now, heads have the same pair, and the text forms are built on them.

--- a/config/include/burdockgrade/contract.h
+++ b/config/include/burdockgrade/contract.h
@@ -5,6 +5,7 @@
  * The service contract: what the system generates from a questionnaire.
  */
 
+#include <jansson.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -63,9 +64,15 @@
 	uint32_t slo_window_days;
 };
 
-/** Encodes as JSON with sorted keys. @param out free() it */
+/** @return NULL if a string is not UTF-8 or memory is exhausted */
+json_t *bg_contract_to_json(const struct bg_contract *ctr);
+/** Reads JSON strictly. @param value may be NULL, which is refused
+ * @return 0 or BG_EPROTO with the reason in err */
+int bg_contract_from_json(
+    struct bg_contract *out, const json_t *value, struct bg_error *err);
+/** Encodes as text with sorted keys. @param out free() it */
 int bg_contract_encode(char **out, const struct bg_contract *ctr);
-/** Decodes JSON strictly. @return 0 or BG_EPROTO with the reason in err */
+/** The same from text. @return 0 or BG_EPROTO with the reason in err */
 int bg_contract_decode(struct bg_contract *out, const char *json,
     size_t json_bytes, struct bg_error *err);
 /** xxh64 (seed 0) of the encoded form, as in the head. @return 0, BG_EINVAL if
--- a/config/include/burdockgrade/snapshot.h
+++ b/config/include/burdockgrade/snapshot.h
@@ -6,6 +6,7 @@
  * serves from: complete, validated and immutable.
  */
 
+#include <jansson.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -80,7 +81,15 @@
 /** Adds a service or returns the one present. @return NULL if out of memory */
 struct bg_head_service *bg_head_add(struct bg_head *head, const char *service);
 void bg_head_remove(struct bg_head *head, const char *service);
-/** Encodes as JSON. @param out free() it */
+/** With a check of its content. @return NULL if a string is not UTF-8 or memory
+ * is exhausted */
+json_t *bg_head_to_json(const struct bg_head *head);
+/** Reads JSON strictly. @param value may be NULL, which is refused
+ * @param out empty after an error
+ * @return 0, BG_EPROTO with the reason in err, or BG_ENOMEM */
+int bg_head_from_json(
+    struct bg_head *out, const json_t *value, struct bg_error *err);
+/** Encodes as text. @param out free() it */
 int bg_head_encode(char **out, const struct bg_head *head);
 int bg_head_decode(struct bg_head *out, const char *json, size_t json_bytes,
     struct bg_error *err);
--- a/config/src/contract.c
+++ b/config/src/contract.c
@@ -175,6 +175,7 @@
     struct bg_contract *out, const json_t *value, struct bg_error *err)
 {
 	struct bg_json_reader rdr;
+	int error;
 
 	memset(out, 0, sizeof(*out));
 	bg_json_open(&rdr, value, "contract", err);
@@ -189,7 +190,9 @@
 	bg_json_u32(&rdr, "max_error_permille", &out->max_error_permille);
 	bg_json_u32(&rdr, "slo_permyriad", &out->slo_permyriad);
 	bg_json_u32(&rdr, "slo_window_days", &out->slo_window_days);
-	return bg_json_close(&rdr);
+	if ((error = bg_json_close(&rdr)) != 0)
+		memset(out, 0, sizeof(*out));
+	return error;
 }
 
 int
@@ -203,8 +206,6 @@
 	if (value == NULL)
 		return BG_EPROTO;
 	error = bg_contract_from_json(out, value, err);
-	if (error != 0)
-		memset(out, 0, sizeof(*out));
 	json_decref(value);
 	return error;
 }
--- a/config/src/document.c
+++ b/config/src/document.c
@@ -6,30 +6,6 @@
 static const char FIELD_HEAD[] = "head";
 static const char FIELD_CONTRACTS[] = "contracts";
 
-static json_t *
-head_json(const struct bg_head *head)
-{
-	json_t *value = NULL;
-	char *text;
-
-	if (bg_head_encode(&text, head) == 0)
-		value = json_loads(text, 0, NULL);
-	free(text);
-	return value;
-}
-
-static json_t *
-contract_json(const struct bg_contract *contract)
-{
-	json_t *value = NULL;
-	char *text;
-
-	if (bg_contract_encode(&text, contract) == 0)
-		value = json_loads(text, 0, NULL);
-	free(text);
-	return value;
-}
-
 json_t *
 bg_document_build(
     const struct bg_head *head, const struct bg_contract *contracts)
@@ -39,13 +15,13 @@
 
 	for (i = 0; i < head->service_count; i++) {
 		if (json_object_set_new(table, head->services[i].name,
-			contract_json(&contracts[i])) != 0) {
+			bg_contract_to_json(&contracts[i])) != 0) {
 			json_decref(table);
 			return NULL;
 		}
 	}
-	return json_pack(
-	    "{s:o, s:o}", FIELD_HEAD, head_json(head), FIELD_CONTRACTS, table);
+	return json_pack("{s:o, s:o}", FIELD_HEAD, bg_head_to_json(head),
+	    FIELD_CONTRACTS, table);
 }
 
 json_t *
@@ -53,40 +29,28 @@
 {
 	json_t *contracts = json_object_get(doc, FIELD_CONTRACTS);
 
-	return json_pack("{s:o, s:O}", FIELD_HEAD, head_json(head),
+	return json_pack("{s:o, s:O}", FIELD_HEAD, bg_head_to_json(head),
 	    FIELD_CONTRACTS, contracts);
 }
 
 int
 bg_document_head(struct bg_head *out, const json_t *doc, struct bg_error *err)
 {
-	json_t *head = json_object_get(doc, FIELD_HEAD);
-	char *text = head == NULL ? NULL : json_dumps(head, JSON_COMPACT);
-	int error;
+	const json_t *head = json_object_get(doc, FIELD_HEAD);
 
-	bg_head_init(out);
-	if (text == NULL)
-		return bg_error_set(err, BG_EPROTO, "decode", NULL,
-		    "document: expected a head");
-	error = bg_head_decode(out, text, strlen(text), err);
-	free(text);
-	return error;
+	return bg_head_from_json(out, head, err);
 }
 
 static int
 read_contract(struct bg_contract *out, const json_t *contracts,
     const char *service, struct bg_error *err)
 {
-	json_t *value = json_object_get(contracts, service);
-	char *text = value == NULL ? NULL : json_dumps(value, JSON_COMPACT);
-	int error;
+	const json_t *value = json_object_get(contracts, service);
 
-	if (text == NULL)
+	if (value == NULL)
 		return bg_error_set(err, BG_EPROTO, "decode", NULL,
 		    "document: service %s: expected a contract", service);
-	error = bg_contract_decode(out, text, strlen(text), err);
-	free(text);
-	return error;
+	return bg_contract_from_json(out, value, err);
 }
 
 int
--- a/config/src/head_json.c
+++ b/config/src/head_json.c
@@ -113,21 +113,29 @@
 	return value;
 }
 
+json_t *
+bg_head_to_json(const struct bg_head *head)
+{
+	json_t *value = json_pack("{s:s, s:s, s:o}", "writer", head->writer,
+	    "nonce", head->nonce, "services", services_json(head));
+
+	if (value != NULL &&
+	    (bg_json_set_u64(value, "version", head->version) != 0 ||
+		bg_json_seal(value) != 0)) {
+		json_decref(value);
+		return NULL;
+	}
+	return value;
+}
+
 int
 bg_head_encode(char **out, const struct bg_head *head)
 {
-	json_t *value;
+	json_t *value = bg_head_to_json(head);
 
 	*out = NULL;
-	value = json_pack("{s:s, s:s, s:o}", "writer", head->writer, "nonce",
-	    head->nonce, "services", services_json(head));
 	if (value == NULL)
 		return BG_EINVAL;
-	if (bg_json_set_u64(value, "version", head->version) != 0 ||
-	    bg_json_seal(value) != 0) {
-		json_decref(value);
-		return BG_EINVAL;
-	}
 	*out = bg_json_text(value);
 	json_decref(value);
 	return *out == NULL ? BG_ENOMEM : 0;
@@ -154,30 +162,54 @@
 	return 0;
 }
 
-int
-bg_head_decode(struct bg_head *out, const char *json, size_t json_bytes,
-    struct bg_error *err)
+static int
+read_head(struct bg_head *out, json_t *value, struct bg_error *err)
 {
 	struct bg_json_reader rdr;
 	const json_t *services;
-	json_t *value;
 	int error;
 
-	bg_head_init(out);
-	if ((value = bg_json_parse(json, json_bytes, "head", err)) == NULL)
-		return BG_EPROTO;
 	if ((error = bg_json_unseal(value, "head", err)) != 0)
-		goto done;
+		return error;
 	bg_json_open(&rdr, value, "head", err);
 	bg_json_u64(&rdr, "version", &out->version);
 	bg_json_string(&rdr, "writer", out->writer, sizeof(out->writer));
 	bg_json_string(&rdr, "nonce", out->nonce, sizeof(out->nonce));
 	services = bg_json_object(&rdr, "services");
-	if ((error = bg_json_close(&rdr)) == 0)
-		error = read_services(out, services, err);
-done:
-	if (error != 0)
+	if ((error = bg_json_close(&rdr)) != 0)
+		return error;
+	return read_services(out, services, err);
+}
+
+int
+bg_head_from_json(
+    struct bg_head *out, const json_t *value, struct bg_error *err)
+{
+	/* The check is taken off the copy. */
+	json_t *copy = json_copy((json_t *)value);
+	int error;
+
+	bg_head_init(out);
+	if (copy == NULL)
+		return bg_error_set(
+		    err, BG_EPROTO, "decode", NULL, "head: expected an object");
+	if ((error = read_head(out, copy, err)) != 0)
 		bg_head_free(out);
+	json_decref(copy);
+	return error;
+}
+
+int
+bg_head_decode(struct bg_head *out, const char *json, size_t json_bytes,
+    struct bg_error *err)
+{
+	json_t *value = bg_json_parse(json, json_bytes, "head", err);
+	int error;
+
+	bg_head_init(out);
+	if (value == NULL)
+		return BG_EPROTO;
+	error = bg_head_from_json(out, value, err);
 	json_decref(value);
 	return error;
 }
--- a/store/src/change/revisions.c
+++ b/store/src/change/revisions.c
@@ -130,25 +130,13 @@
 	return error;
 }
 
-static json_t *
-contract_spec(const struct bg_contract *ctr)
-{
-	json_t *spec = NULL;
-	char *text;
-
-	if (bg_contract_encode(&text, ctr) == 0)
-		spec = json_loads(text, 0, NULL);
-	free(text);
-	return spec;
-}
-
 int
 bg_revision_store(uint64_t *out, struct bg_operation *op,
     const struct bg_contract *ctr, struct bg_error *err)
 {
 	const struct bg_head_service *svc = bg_head_find(&op->base, ctr->name);
 	struct bg_revision *revs = NULL;
-	json_t *spec = contract_spec(ctr);
+	json_t *spec = bg_contract_to_json(ctr);
 	size_t count;
 	int error = BG_EINVAL;
 
@@ -171,20 +159,15 @@
 {
 	struct bg_session_answer answer;
 	char name[BG_STORE_NAME_BYTES];
-	char *text = NULL;
 	int error;
 
 	revision_name(name, service, rev);
 	error = bg_operation_get(&answer, op, BG_KIND_CONTRACTS, name, err);
-	if (error == 0 &&
-	    (text = json_dumps(answer.spec, JSON_COMPACT)) == NULL)
-		error = BG_EPROTO;
 	if (error == 0)
-		error = bg_contract_decode(out, text, strlen(text), err);
+		error = bg_contract_from_json(out, answer.spec, err);
 	if (error == 0 && strcmp(out->name, service) != 0)
 		error = bg_error_set(err, BG_EPROTO, "read", op->session.peer,
 		    "%s: holds another service", name);
-	free(text);
 	bg_session_answer_free(&answer);
 	return error;
 }
