--- a/mesh/include/burdockgrade/table.h
+++ b/mesh/include/burdockgrade/table.h
@@ -77,6 +77,8 @@
 int bg_table_select(struct bg_xitems *out, uint64_t *out_cursor,
     const struct bg_table *tbl, const struct bg_table_select *sel);
 
+/** Shows a received item; the strings stay with it. */
+void bg_item_view(struct bg_item *out, const struct bg_xitem *x);
 /** Merges a received list. @return number of changed items or a code < 0 */
 int bg_table_merge_list(struct bg_table *tbl, const struct bg_xitems *items);
 
--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -70,12 +70,7 @@
 {
 	struct bg_item item;
 
-	item.kind = x->kind;
-	item.key = x->key;
-	item.major = x->major;
-	item.minor = x->minor;
-	item.value = x->value.value_val;
-	item.value_bytes = x->value.value_len;
+	bg_item_view(&item, x);
 	if (item.kind == BG_ITEM_CONFIG)
 		bg_mesh_config_item(mesh, &item);
 	tell_item(mesh, &item);
--- a/mesh/src/table/table.c
+++ b/mesh/src/table/table.c
@@ -377,6 +377,17 @@
 	return 0;
 }
 
+void
+bg_item_view(struct bg_item *out, const struct bg_xitem *x)
+{
+	out->kind = x->kind;
+	out->key = x->key;
+	out->major = x->major;
+	out->minor = x->minor;
+	out->value = x->value.value_val;
+	out->value_bytes = x->value.value_len;
+}
+
 int
 bg_table_merge_list(struct bg_table *tbl, const struct bg_xitems *items)
 {
@@ -387,14 +398,7 @@
 	int error;
 
 	for (i = 0; i < items->items.items_len; i++) {
-		const struct bg_xitem *x = &items->items.items_val[i];
-
-		item.kind = x->kind;
-		item.key = x->key;
-		item.major = x->major;
-		item.minor = x->minor;
-		item.value = x->value.value_val;
-		item.value_bytes = x->value.value_len;
+		bg_item_view(&item, &items->items.items_val[i]);
 		if ((error = bg_table_merge(&changed, tbl, &item)) != 0)
 			return error;
 		total += changed;
