--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -54,11 +54,10 @@
 	free(call);
 }
 
-/* Takes the call out of the count of calls in flight. */
+/* The running request that made the call waits for it no more. */
 static void
-leave(struct bg_call *call, int is_failed)
+end_dependency(struct bg_call *call, int is_failed)
 {
-	call->proxy->calls_in_flight--;
 	if (call->is_dependency)
 		bg_gatekeeper_dependency_end(
 		    call->proxy->gatekeeper, call->args.request_id, is_failed);
@@ -81,7 +80,7 @@
 	    call->args.request_id, ans->http_status, (int)ans->outcome,
 	    (unsigned long long)took_us, call->picks, call->sent,
 	    ans->reason == NULL ? "" : ans->reason);
-	leave(call, is_failed);
+	end_dependency(call, is_failed);
 	fn(arg, ans);
 	call_free(call);
 }
@@ -591,7 +590,6 @@
 	if (call->next != NULL)
 		call->next->prev = call;
 	prx->calls = call;
-	prx->calls_in_flight++;
 	if (call->is_dependency)
 		bg_gatekeeper_dependency_begin(
 		    prx->gatekeeper, call->args.request_id);
@@ -609,7 +607,7 @@
 		bg_endpoint_canceled(call->endpoint);
 	abandon_attempt(call);
 	bg_metrics_canceled();
-	leave(call, 1);
+	end_dependency(call, 1);
 	call_free(call);
 }
 
--- a/proxy/src/proxy_internal.h
+++ b/proxy/src/proxy_internal.h
@@ -36,7 +36,6 @@
 	void (*drain_done)(void *arg);
 	void *drain_arg;
 	struct bg_call *calls;
-	uint32_t calls_in_flight;
 	uint32_t requests_open; /**< at the ingress, not yet written out */
 };
 
