--- a/core/src/log.c
+++ b/core/src/log.c
@@ -205,6 +205,16 @@
 	log4c_fini();
 }
 
+/* The threshold is checked before log4c is asked. */
+static void
+configure(log4c_category_t *category)
+{
+	log4c_category_set_priority(category, LOG4C_PRIORITY_TRACE);
+	log4c_category_set_additivity(category, 0);
+	log4c_category_set_appender(
+	    category, log4c_appender_get("burdockgrade"));
+}
+
 void
 bg_log(enum bg_log_level level, const char *part, const char *fmt, ...)
 {
@@ -215,10 +225,8 @@
 	if (priority > state.threshold || state.process_name[0] == '\0')
 		return;
 	category = log4c_category_get(part);
-	log4c_category_set_priority(category, state.threshold);
-	log4c_category_set_additivity(category, 0);
-	log4c_category_set_appender(
-	    category, log4c_appender_get("burdockgrade"));
+	if (log4c_category_get_appender(category) == NULL)
+		configure(category);
 	va_start(ap, fmt);
 	log4c_category_vlog(category, priority, fmt, ap);
 	va_end(ap);
