--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -378,8 +378,9 @@
     def set_delays(self):
         self.proxy_rules(self.delay_rules())
 
-    def cut(self, dc, other=None):
-        """Cuts a data centre off from another, or from everything else."""
+    def cut_rules(self, dc, other=None):
+        """Rules that cut a data centre off from another, or from everything
+        else."""
         rules = []
         for b in self.data_centres:
             if b is dc or (other is not None and b is not other):
@@ -391,7 +392,10 @@
         if other is None:
             rules.append({"source": dc.prefix, "target": self.platform_ip,
                           "partition": True})
-        self.proxy_rules(rules + self.delay_rules())
+        return rules
+
+    def cut(self, dc, other=None):
+        self.proxy_rules(self.cut_rules(dc, other) + self.delay_rules())
 
     def platform_control(self, **switches):
         http("POST", self.platform_direct, "/control",
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -136,13 +136,9 @@
 
     def cut_off(self, span_s):
         a = self.rng.choice(self.cluster.data_centres)
-        others = [b.prefix for b in self.cluster.data_centres if b is not a]
-        rules = []
-        for prefix in others + [self.cluster.platform_ip]:
-            rules.append({"source": a.prefix, "target": prefix,
-                          "partition": True})
-            rules.append({"source": prefix, "target": a.prefix,
-                          "partition": True})
+        rules = self.cluster.cut_rules(a)
+        rules.append({"source": self.cluster.platform_ip, "target": a.prefix,
+                      "partition": True})
         return self.network("cut off %s" % a.name, rules, span_s)
 
     def silence(self, span_s):
