--- a/config/src/questionnaire.c
+++ b/config/src/questionnaire.c
@@ -287,10 +287,7 @@
 	memset(out, 0, sizeof(*out));
 	snprintf(out->path, sizeof(out->path), "%s", path);
 	read_answers(out, doc);
-	error = bg_toml_finish(doc, err);
-	if (error != 0 && bg_toml_report(out_report, doc) != 0)
-		error = bg_error_set(err, BG_ENOMEM, "questionnaire", NULL,
-		    "%s: out of memory", path);
+	error = bg_toml_finish_report(out_report, doc, err);
 	/* Both checks have the same limits; this one guards the other. */
 	if (error == 0)
 		error = bg_contract_validate(&out->contract, err);
--- a/core/include/burdockgrade/toml.h
+++ b/core/include/burdockgrade/toml.h
@@ -130,6 +130,10 @@
 /** The complete text of the problems. @param out free() it
  * @return 0 or BG_ENOMEM */
 int bg_toml_report(char **out, const struct bg_toml *doc);
+/** bg_toml_finish(), and the report if there are problems.
+ * @param out_report free() it; NULL without problems */
+int bg_toml_finish_report(
+    char **out_report, struct bg_toml *doc, struct bg_error *err);
 
 #ifdef __cplusplus
 }
--- a/core/src/settings.c
+++ b/core/src/settings.c
@@ -360,10 +360,7 @@
 		return bg_error_set(
 		    err, error, "settings", NULL, "%s: out of memory", path);
 	read_settings(out, doc);
-	error = bg_toml_finish(doc, err);
-	if (error != 0 && bg_toml_report(out_report, doc) != 0)
-		error = bg_error_set(err, BG_ENOMEM, "settings", NULL,
-		    "%s: out of memory", path);
+	error = bg_toml_finish_report(out_report, doc, err);
 	bg_toml_free(doc);
 	return error;
 }
--- a/core/src/toml.cpp
+++ b/core/src/toml.cpp
@@ -754,3 +754,16 @@
 	}
 	return *out == nullptr ? BG_ENOMEM : 0;
 }
+
+extern "C" int
+bg_toml_finish_report(
+    char **out_report, struct bg_toml *doc, struct bg_error *err)
+{
+	int error = bg_toml_finish(doc, err);
+
+	*out_report = nullptr;
+	if (error != 0 && bg_toml_report(out_report, doc) != 0)
+		error = bg_error_set(err, BG_ENOMEM, "toml", nullptr,
+		    "%s: out of memory", doc->name.c_str());
+	return error;
+}
