Serve the queue of a gatekeeper in one pass, without calls that would be late

Cause: each call that was queued made the limiter compare every entry with every other one, with a search of the route's name in each comparison. With some dozens of calls queued, a node spent milliseconds on each arrival; at 0.2 of a core that made every call late.

Change: the queue is a module of its own (limiter/queue.c), kept in order of priority and target; one pass gives the place of each entry. A call with a target is queued only while it is expected to be on time with half a service time to spare (where the target is tight: half of what running leaves); before, it waited until its deadline and half of the answers were late.

--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -78,7 +78,7 @@
 		    entry->started_us - call->admitted_us);
 		bg_gate_send(call, 0);
 	}
-	bg_metrics_set_gatekeeper(gk->limiter.running, gk->limiter.queued,
+	bg_metrics_set_gatekeeper(gk->limiter.running, gk->limiter.queue.length,
 	    (uint32_t)gk->limiter.limit);
 }
 
@@ -88,7 +88,7 @@
 	const struct bg_limiter *lim = &call->gatekeeper->limiter;
 
 	out->running = lim->running;
-	out->queued = lim->queued;
+	out->queued = lim->queue.length;
 	out->slots = lim->slots;
 	out->wait_us = (u_int)bg_limiter_wait_us(lim);
 	out->service_us = (u_int)bg_limiter_service_us(lim, call->args->route);
@@ -131,7 +131,8 @@
 	    "refused request=%s reason=%s running=%u queued=%u slots=%u "
 	    "wait_allowed_ms=%u server=%s state=%d attempt=%u",
 	    call->args->request_id, bg_refusal_name(call->refusal),
-	    call->gatekeeper->limiter.running, call->gatekeeper->limiter.queued,
+	    call->gatekeeper->limiter.running,
+	    call->gatekeeper->limiter.queue.length,
 	    call->gatekeeper->limiter.slots, call->args->wait_ms,
 	    call->gatekeeper->server.id, (int)call->gatekeeper->server.state,
 	    call->args->attempt);
@@ -490,7 +491,9 @@
 	if (call->entry.is_queued) {
 		bg_limiter_release(&gk->limiter, &call->entry,
 		    bg_clock_now_us(), BG_LIMITER_IGNORED);
-		call->refusal = BG_XREFUSAL_DEADLINE;
+		call->refusal = bg_clock_now_us() < call->entry.latest_start_us
+		    ? BG_XREFUSAL_BUSY
+		    : BG_XREFUSAL_DEADLINE;
 		deliver_refusal(call);
 		return;
 	}
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -112,14 +112,14 @@
 		bg_gate_send(call, 0);
 		break;
 	case BG_LIMITER_QUEUED:
-		bg_gate_set_timer(call, call->entry.latest_start_us);
+		bg_gate_set_timer(call, bg_queue_latest_start_us(&call->entry));
 		refuse_infeasible(gk);
 		break;
 	case BG_LIMITER_REJECTED:
 		bg_gate_refuse(call, BG_XREFUSAL_BUSY);
 		break;
 	}
-	bg_metrics_set_gatekeeper(gk->limiter.running, gk->limiter.queued,
+	bg_metrics_set_gatekeeper(gk->limiter.running, gk->limiter.queue.length,
 	    (uint32_t)gk->limiter.limit);
 }
 
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -22,9 +22,6 @@
 #define EWMA_WEIGHT 0.1
 /* Assumed service time until one was measured. */
 #define DEFAULT_SERVICE_US 50000.0
-/* A queue that has not emptied for this long is a standing queue. Bursts that
- * calls can wait out within their deadlines are shorter. */
-#define STANDING_QUEUE_US 2000000
 /* Half-life of the failure ratio. It decays, so that a server that gets no
  * calls because of its failures is tried again. */
 #define FAILURE_HALF_LIFE_US 2000000.0
@@ -89,130 +86,22 @@
 	return (uint64_t)(r == NULL ? lim->service_us : r->service_us);
 }
 
-static double
-expected_service_us(const struct bg_limiter *lim)
-{
-	return lim->service_us == 0 ? DEFAULT_SERVICE_US : lim->service_us;
-}
-
+/* Expected time between two starts while all slots are taken. */
 static uint64_t
-expected_wait_us(const struct bg_limiter *lim, uint32_t preceding)
+start_interval_us(const struct bg_limiter *lim)
 {
-	if (lim->running < running_limit(lim))
-		return 0;
-	return (uint64_t)(expected_service_us(lim) * (preceding + 1) /
-	    running_limit(lim));
+	double service_us =
+	    lim->service_us == 0 ? DEFAULT_SERVICE_US : lim->service_us;
+
+	return (uint64_t)(service_us / running_limit(lim));
 }
 
 uint64_t
 bg_limiter_wait_us(const struct bg_limiter *lim)
 {
-	return expected_wait_us(lim, lim->queued);
-}
-
-static int
-has_standing_queue(const struct bg_limiter *lim, uint64_t now_us)
-{
-	return lim->queued_since_us != 0 &&
-	    !is_within(lim->queued_since_us, STANDING_QUEUE_US, now_us);
-}
-
-static int
-meets_target(const struct bg_limiter *lim, const struct bg_limiter_entry *e,
-    uint64_t now_us)
-{
-	uint64_t age_us = has_standing_queue(lim, now_us) ? e->age_us : 0;
-
-	return e->target_us == 0 ||
-	    now_us + age_us + bg_limiter_service_us(lim, e->route) <=
-	    e->target_us;
-}
-
-/* 1 if a is served before b. The caller keeps equal entries in order of
- * arrival. */
-static int
-precedes(const struct bg_limiter *lim, const struct bg_limiter_entry *a,
-    const struct bg_limiter_entry *b, uint64_t now_us)
-{
-	int a_meets;
-	int b_meets;
-
-	if (a->is_dependency != b->is_dependency)
-		return a->is_dependency;
-	if (a->priority != b->priority)
-		return a->priority < b->priority;
-	a_meets = meets_target(lim, a, now_us);
-	b_meets = meets_target(lim, b, now_us);
-	if (a_meets != b_meets)
-		return a_meets;
-	return a_meets && a->target_us < b->target_us;
-}
-
-static uint32_t
-count_preceding(const struct bg_limiter *lim,
-    const struct bg_limiter_entry *entry, uint64_t now_us)
-{
-	const struct bg_limiter_entry *e;
-	int is_past_entry = 0;
-	uint32_t n = 0;
-
-	for (e = lim->head; e != NULL; e = e->next) {
-		if (e == entry)
-			is_past_entry = 1;
-		else if (precedes(lim, e, entry, now_us) ||
-		    (!is_past_entry && !precedes(lim, entry, e, now_us)))
-			n++;
-	}
-	return n;
-}
-
-/* 1 if the call is not expected to start in time. In a standing queue, a call
- * that would miss its target is refused too, since new calls that meet theirs
- * would keep overtaking it. */
-static int
-is_infeasible(const struct bg_limiter *lim, const struct bg_limiter_entry *e,
-    uint64_t now_us)
-{
-	uint64_t start_us =
-	    now_us + expected_wait_us(lim, count_preceding(lim, e, now_us));
-
-	if (start_us > e->latest_start_us)
-		return 1;
-	return has_standing_queue(lim, now_us) && !e->is_dependency &&
-	    !meets_target(lim, e, start_us);
-}
-
-static void
-unlink_entry(struct bg_limiter *lim, struct bg_limiter_entry *entry)
-{
-	if (entry->prev != NULL)
-		entry->prev->next = entry->next;
-	else
-		lim->head = entry->next;
-	if (entry->next != NULL)
-		entry->next->prev = entry->prev;
-	else
-		lim->tail = entry->prev;
-	entry->prev = entry->next = NULL;
-	entry->is_queued = 0;
-	if (--lim->queued == 0)
-		lim->queued_since_us = 0;
-}
-
-static void
-link_entry(
-    struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
-{
-	entry->next = NULL;
-	entry->prev = lim->tail;
-	if (entry->prev != NULL)
-		entry->prev->next = entry;
-	else
-		lim->head = entry;
-	lim->tail = entry;
-	entry->is_queued = 1;
-	if (lim->queued++ == 0)
-		lim->queued_since_us = now_us;
+	if (lim->running < running_limit(lim))
+		return 0;
+	return start_interval_us(lim) * (lim->queue.length + 1);
 }
 
 static void
@@ -232,10 +121,13 @@
 		start_entry(lim, entry, now_us);
 		return BG_LIMITER_STARTED;
 	}
-	if (is_infeasible(lim, entry, now_us))
-		return BG_LIMITER_REJECTED;
-	link_entry(lim, entry, now_us);
-	return BG_LIMITER_QUEUED;
+	entry->service_us = bg_limiter_service_us(lim, entry->route);
+	bg_queue_insert(&lim->queue, entry, now_us);
+	if (!bg_queue_is_infeasible(
+		&lim->queue, entry, start_interval_us(lim), now_us))
+		return BG_LIMITER_QUEUED;
+	bg_queue_remove(&lim->queue, entry);
+	return BG_LIMITER_REJECTED;
 }
 
 static void
@@ -328,7 +220,7 @@
     uint64_t now_us, enum bg_limiter_sample sample)
 {
 	if (entry->is_queued) {
-		unlink_entry(lim, entry);
+		bg_queue_remove(&lim->queue, entry);
 		return;
 	}
 	if (!entry->is_running)
@@ -356,28 +248,19 @@
 struct bg_limiter_entry *
 bg_limiter_start_next(struct bg_limiter *lim, uint64_t now_us)
 {
-	struct bg_limiter_entry *best = lim->head;
-	struct bg_limiter_entry *e;
+	struct bg_limiter_entry *entry;
 
-	if (best == NULL || lim->running >= running_limit(lim))
+	if (lim->queue.length == 0 || lim->running >= running_limit(lim))
 		return NULL;
-	for (e = best->next; e != NULL; e = e->next) {
-		if (precedes(lim, e, best, now_us))
-			best = e;
-	}
-	unlink_entry(lim, best);
-	start_entry(lim, best, now_us);
-	return best;
+	entry = bg_queue_next(&lim->queue, now_us);
+	bg_queue_remove(&lim->queue, entry);
+	start_entry(lim, entry, now_us);
+	return entry;
 }
 
 struct bg_limiter_entry *
 bg_limiter_find_infeasible(const struct bg_limiter *lim, uint64_t now_us)
 {
-	struct bg_limiter_entry *e;
-
-	for (e = lim->head; e != NULL; e = e->next) {
-		if (is_infeasible(lim, e, now_us))
-			return e;
-	}
-	return NULL;
+	return bg_queue_find_infeasible(
+	    &lim->queue, start_interval_us(lim), now_us);
 }
--- a/proxy/src/limiter/limiter.h
+++ b/proxy/src/limiter/limiter.h
@@ -4,45 +4,17 @@
 /** @file
  * Concurrency limiter of the gatekeeper: the slots of one backend server and
  * the queue of calls that wait for a slot. No I/O; the caller passes the time.
- *
- * Dependency calls of running requests are served first, because their parents
- * hold slots until they are answered. The remaining calls are ordered by
- * priority. Within a priority, calls that can still meet their target time
- * precede those that cannot, and among the former the earliest target comes
- * first.
- *
- * Callers retry after a refusal. In a short burst, retried calls are ordered
- * like new ones, because their next refusal will be final. A standing queue
- * means that demand exceeds the throughput of the server, and the number of
- * refused calls does not depend on which ones are served. The target of a call
- * then counts from its first attempt, so that calls which can still meet it go
- * first.
  */
 
 #include <stdint.h>
 
 #include "burdockgrade/contract.h"
 
+#include "queue.h"
+
 /** Routes whose service times are tracked separately. */
 #define BG_LIMITER_ROUTES 16
 
-/** A call at the limiter; embedded in the owner's struct. */
-struct bg_limiter_entry {
-	struct bg_limiter_entry *prev;
-	struct bg_limiter_entry *next;
-	const char *route;
-	uint32_t priority;	  /**< 0 is served first */
-	int is_dependency;	  /**< a running request waits for this call */
-	uint64_t target_us;	  /**< time by which a response has full value;
-				       0: none */
-	uint64_t age_us;	  /**< since the caller's first attempt */
-	uint64_t latest_start_us; /**< a later start is useless */
-	uint64_t started_us;
-	uint32_t running_at_start; /**< running calls, including this one */
-	int is_queued;
-	int is_running;
-};
-
 /** Average service time of the calls of one route. */
 struct bg_limiter_route {
 	char name[BG_NAME_BYTES];
@@ -52,8 +24,7 @@
 struct bg_limiter {
 	uint32_t slots;
 	uint32_t running;
-	uint32_t queued;
-	uint64_t queued_since_us;  /**< queue not empty since; 0: it is empty */
+	struct bg_queue queue;
 	double limit;		   /**< adaptive limit of running calls, at most
 					slots */
 	double service_us;	   /**< average over all routes; 0: unknown */
@@ -65,8 +36,6 @@
 	uint64_t low_load_shed_us; /**< last call that the server shed with
 					most of its slots free; 0: never */
 	struct bg_limiter_route routes[BG_LIMITER_ROUTES];
-	struct bg_limiter_entry *head; /**< queue in order of arrival */
-	struct bg_limiter_entry *tail;
 };
 
 enum bg_limiter_admission {
