--- a/proxy/tests/test_intake.c
+++ b/proxy/tests/test_intake.c
@@ -43,18 +43,18 @@
 static int
 receive_all(uint64_t until_us, double link_share)
 {
-	struct bg_intake_entry *flight[ENTRIES];
+	struct bg_intake_entry *flight[ENTRIES]; /* a ring */
 	struct bg_intake_entry *e;
+	unsigned int first = 0;
+	unsigned int end = 0;
 	int complete = 0;
-	int count = 0;
 
 	while (now_us < until_us) {
 		while ((e = bg_intake_grant(&intake, now_us)) != NULL)
-			flight[count++] = e;
-		if (count == 0)
+			flight[end++ % ENTRIES] = e;
+		if (first == end)
 			break;
-		e = flight[0];
-		memmove(flight, flight + 1, (size_t)--count * sizeof(*flight));
+		e = flight[first++ % ENTRIES];
 		now_us += (uint64_t)(e->granted_bytes /
 		    (LINK_BYTES_PER_US * link_share));
 		bg_intake_receive(&intake, e, e->granted_bytes, now_us);
