--- a/proxy/src/intake/intake.c
+++ b/proxy/src/intake/intake.c
@@ -36,11 +36,11 @@
 		link_mbps = DEFAULT_LINK_MBPS;
 	out->max_bytes_per_us = link_mbps / 8.0;
 	out->bytes_per_us = out->max_bytes_per_us * INITIAL_RATE_SHARE;
-	out->window_bytes = clamp_u32(
-	    out->max_bytes_per_us * WINDOW_US, 2 * PIECE_MIN_BYTES, UINT32_MAX);
 	/* Two pieces in flight keep the link busy while a grant travels. */
-	out->piece_bytes =
-	    clamp_u32(out->window_bytes / 2, PIECE_MIN_BYTES, PIECE_MAX_BYTES);
+	out->piece_bytes = clamp_u32(out->max_bytes_per_us * WINDOW_US / 2,
+	    PIECE_MIN_BYTES, PIECE_MAX_BYTES);
+	out->window_bytes = clamp_u32(out->max_bytes_per_us * WINDOW_US,
+	    2 * out->piece_bytes, UINT32_MAX);
 }
 
 static uint32_t
