Count the calls of repeated requests and resends against the retry budget

Nodes counted their own repeats only. Besides, a gatekeeper sent a call a second time to its own server when half of the time left had passed, however short that was.

Change: a call carries the mark of a repeat. A call that a server makes inherits it with the share of the running requests that carry it, since it does not say which request it belongs to; it uses the budget of its service without asking. A request whose own call failed is not repeated: on the platform calls have ids of their own, so a failed call now counts for every request that was running at the server. A resend asks the budget, and waits for four times the usual service time at least.

--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -199,6 +199,15 @@
 		    call->start_us + (uint64_t)call->rule->target_ms * 1000;
 }
 
+/* 1 if a call of the backend server is made by a request that is a repeat, by
+ * chance, since it does not say which request it belongs to. */
+static int
+inherits_repeat(struct bg_proxy *prx)
+{
+	return bg_rand_below(&prx->router.rand, 1000) <
+	    bg_gatekeeper_repeat_permille(prx->gatekeeper);
+}
+
 /* Finds the rule of the call. The call holds the snapshot until it ends. */
 static void
 step_route(struct bg_call *call)
@@ -238,6 +247,11 @@
 		return;
 	}
 	bg_retry_count_call(&prx->retry, call->service, bg_clock_now_ms());
+	if (call->is_dependency && inherits_repeat(prx)) {
+		call->args.is_repeat = 1;
+		bg_retry_count_repeat(
+		    &prx->retry, call->service, bg_clock_now_ms());
+	}
 	step_pick(call);
 }
 
@@ -480,6 +494,7 @@
 	rc.sent = call->sent;
 	rc.attempts = call->rule->attempts;
 	rc.is_idempotent = call->rule->is_idempotent;
+	rc.is_dependency_failure = code == 0 && res->dependency_failed != 0;
 	if (!bg_retry_is_permitted(&rc) ||
 	    bg_call_left_us(call) < BG_DEADLINE_MIN_MS * 1000 ||
 	    bg_call_pick_server(&pick, call) == BG_ENOTFOUND)
@@ -522,6 +537,7 @@
 		return;
 	}
 	call->sent++;
+	call->args.is_repeat = 1;
 	call->may_have_run |= code != 0 || res->outcome != BG_XOUTCOME_NOT_RUN;
 	if (code == 0)
 		bg_call_avoid(call, address);
--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -26,6 +26,9 @@
 /* A response is slow if it takes this many times as long as usual. Healthy
  * servers differ in speed by less than this factor. */
 #define SLOW_FACTOR 4
+/* A connection that was idle is given up as dead only after this many times the
+ * usual service time. */
+#define SILENT_FACTOR 4
 /* Maximum number of headers that the gatekeeper adds to a request. */
 #define ADDED_HEADERS 4
 
@@ -165,6 +168,15 @@
 	return args->slow_ms != 0 && own_us / 1000 >= args->slow_ms;
 }
 
+/* 1 if a call that the backend server made for this request failed, or may have
+ * been made for it. */
+static int
+has_failed_dependency(const struct bg_gate_call *call)
+{
+	return call->dependency.has_failed ||
+	    call->gatekeeper->dependency_failed_us >= call->entry.started_us;
+}
+
 static void
 report_observation(
     struct bg_gate_call *call, const struct assessment *asmt, uint32_t own_us)
@@ -182,7 +194,7 @@
 	obs.is_failed = asmt->is_failed;
 	obs.is_slow = is_slow(args, own_us);
 	obs.is_dependency_fault =
-	    call->dependency.has_failed && (obs.is_failed || obs.is_slow);
+	    has_failed_dependency(call) && (obs.is_failed || obs.is_slow);
 	obs.is_cold = bg_clock_now_ms() < gk->warmup_end_ms;
 	obs.own_time_us = own_us;
 	gk->observer->observe(gk->observer, &obs);
@@ -201,7 +213,7 @@
 	bg_metrics_observe_backend_time(now_us - call->entry.started_us);
 	bg_limiter_release(&gk->limiter, &call->entry, now_us, asmt->sample);
 	res->own_time_us = own_us > UINT32_MAX ? UINT32_MAX : (uint32_t)own_us;
-	res->dependency_failed = (u_int)call->dependency.has_failed;
+	res->dependency_failed = (u_int)has_failed_dependency(call);
 	bg_log(res->outcome == BG_XOUTCOME_DONE && res->http_status < 500
 		? BG_LOG_INFO
 		: BG_LOG_WARN,
@@ -227,7 +239,7 @@
 	    http_status != STATUS_TIMEOUT, BG_LIMITER_FAILED};
 	struct bg_xcall_res res;
 
-	if (call->dependency.has_failed)
+	if (has_failed_dependency(call))
 		asmt.sample = BG_LIMITER_IGNORED;
 	memset(&res, 0, sizeof(res));
 	res.outcome = BG_XOUTCOME_UNKNOWN;
@@ -301,7 +313,7 @@
 	res.headers.headers_val = rsp->headers;
 	res.body.body_len = rsp->body_bytes;
 	res.body.body_val = rsp->body;
-	if (rsp->http_status >= 500 && !call->dependency.has_failed)
+	if (rsp->http_status >= 500 && !has_failed_dependency(call))
 		asmt.sample = BG_LIMITER_FAILED;
 	finish(call, &res, &asmt);
 }
@@ -326,6 +338,16 @@
 		mark_server_lost(gk, "connection refused");
 }
 
+/* 1 if the call may be sent to the server a second time, which uses the retry
+ * budget. */
+static int
+may_resend(const struct bg_gate_call *call)
+{
+	return call->args->idempotent && !call->is_resent &&
+	    bg_retry_take(call->gatekeeper->retry, call->args->service,
+		bg_clock_now_ms());
+}
+
 static void
 on_exchange_done(void *arg, const struct bg_exchange_result *rsp)
 {
@@ -340,8 +362,7 @@
 	}
 	/* The reused connection may have been dead before the call was sent, so
 	 * an idempotent call is sent again on a new one. */
-	if (rsp->is_reused && !call->is_resent && call->args->idempotent &&
-	    !rsp->has_received) {
+	if (rsp->is_reused && !rsp->has_received && may_resend(call)) {
 		bg_backend_close_idle(gk->backend);
 		bg_gate_send(call, 1);
 		return;
@@ -419,14 +440,19 @@
 
 /* Time at which to give up on the connection. A connection that was idle may be
  * dead, so an idempotent call reserves half of its remaining time for a new
- * one. */
+ * one. A response that takes longer than usual must not look like a dead
+ * connection. */
 static uint64_t
 connection_timeout_us(const struct bg_gate_call *call)
 {
 	uint64_t now_us = bg_clock_now_us();
+	uint64_t half_us = (call->deadline_us - now_us) / 2;
+	uint64_t usual_us = bg_limiter_service_us(
+	    &call->gatekeeper->limiter, call->args->route);
 
-	if (call->args->idempotent && bg_exchange_is_silent(call->exchange))
-		return now_us + (call->deadline_us - now_us) / 2;
+	if (call->args->idempotent && bg_exchange_is_silent(call->exchange) &&
+	    half_us > usual_us * SILENT_FACTOR)
+		return now_us + half_us;
 	return call->deadline_us;
 }
 
@@ -512,7 +538,7 @@
 		return;
 	}
 	if (bg_clock_now_us() < call->deadline_us) {
-		if (bg_exchange_is_silent(call->exchange))
+		if (bg_exchange_is_silent(call->exchange) && may_resend(call))
 			resend_on_new_connection(call);
 		else
 			bg_gate_set_timer(call, call->deadline_us);
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -226,6 +226,24 @@
 	if (call != NULL)
 		bg_dependency_end(
 		    &call->dependency, bg_clock_now_us(), is_failed);
+	else if (is_failed)
+		gk->dependency_failed_us = bg_clock_now_us();
+}
+
+uint32_t
+bg_gatekeeper_repeat_permille(const struct bg_gatekeeper *gk)
+{
+	const struct bg_gate_call *call;
+	uint32_t repeats = 0;
+	uint32_t running = 0;
+
+	for (call = gk->calls; call != NULL; call = call->next) {
+		if (!call->entry.is_running)
+			continue;
+		running++;
+		repeats += call->args->is_repeat != 0;
+	}
+	return running == 0 ? 0 : repeats * 1000 / running;
 }
 
 /* Refuses the calls that are still queued when the grace period ends. */
@@ -423,6 +441,7 @@
 	gk->mesh = opts->mesh;
 	gk->observer = opts->observer;
 	gk->buffers = opts->buffers;
+	gk->retry = opts->retry;
 	bg_limiter_init(&gk->limiter, opts->settings->server.slots);
 	bg_intake_init(&gk->intake, opts->settings->limits.link_mbps);
 	gk->drain_timer = evtimer_new(opts->base, on_drain_timer, gk);
--- a/proxy/src/gatekeeper/gatekeeper.h
+++ b/proxy/src/gatekeeper/gatekeeper.h
@@ -17,6 +17,7 @@
 #include "burdockgrade/settings.h"
 
 #include "../limiter/buffers.h"
+#include "../retry/retry.h"
 #include "server.h"
 
 struct bg_gatekeeper;
@@ -29,8 +30,9 @@
 	/** Receives the calls of other nodes; the CALL handler is added to
 	 * it. */
 	struct bg_link_server *link_server;
-	struct bg_observer *observer; /**< may be NULL */
-	struct bg_buffers *buffers;   /**< shared with the ingress */
+	struct bg_observer *observer;  /**< may be NULL */
+	struct bg_buffers *buffers;    /**< shared with the ingress */
+	struct bg_retry_budget *retry; /**< of this node */
 };
 
 /** @return 0, BG_ENOMEM, BG_EINVAL if the address of the backend server is not
@@ -65,9 +67,13 @@
 /** Records the end of a dependency call. Calls may overlap; each begin needs
  * one end, in any order.
  * @param is_failed 1 if the call failed. If the request then fails or is slow,
- *     this does not count against the backend server or its version. */
+ *     this does not count against the backend server or its version. If no
+ *     request with this id is running, it may have been made by any that is. */
 void bg_gatekeeper_dependency_end(
     struct bg_gatekeeper *gk, const char *request_id, int is_failed);
+/** Share of the running requests that are repeats, in permille. A call that the
+ * backend server makes does not say which of them makes it. */
+uint32_t bg_gatekeeper_repeat_permille(const struct bg_gatekeeper *gk);
 
 /** Applies an announcement that the backend server made or that a successful
  * probe stands for. */
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -48,6 +48,7 @@
 	gk_opts.link_server = opts->server;
 	gk_opts.observer = opts->observer;
 	gk_opts.buffers = &prx->buffers;
+	gk_opts.retry = &prx->retry;
 	return bg_gatekeeper_init(&prx->gatekeeper, &gk_opts, err);
 }
 
--- a/proxy/src/retry/retry.c
+++ b/proxy/src/retry/retry.c
@@ -84,6 +84,16 @@
 		svc->calls[svc->bucket % BG_RETRY_BUCKETS]++;
 }
 
+void
+bg_retry_count_repeat(
+    struct bg_retry_budget *bud, const char *service, uint64_t now_ms)
+{
+	struct bg_retry_service *svc = find(bud, service, now_ms);
+
+	if (svc != NULL)
+		svc->retries[svc->bucket % BG_RETRY_BUCKETS]++;
+}
+
 int
 bg_retry_take(struct bg_retry_budget *bud, const char *service, uint64_t now_ms)
 {
@@ -114,6 +124,8 @@
 		return 0;
 	if (rc->outcome == BG_XOUTCOME_NOT_RUN)
 		return 1;
-	return rc->is_idempotent &&
+	/* Another server would make the same calls again, and each of them uses
+	 * the budget of its service. */
+	return rc->is_idempotent && !rc->is_dependency_failure &&
 	    (rc->outcome == BG_XOUTCOME_UNKNOWN || rc->http_status >= 500);
 }
--- a/proxy/src/retry/retry.h
+++ b/proxy/src/retry/retry.h
@@ -40,6 +40,10 @@
 /** Counts a call, which adds to the budget of its service. */
 void bg_retry_count_call(
     struct bg_retry_budget *bud, const char *service, uint64_t now_ms);
+/** Counts a call that is made because another call was repeated. It is made in
+ * any case, and uses the budget all the same. */
+void bg_retry_count_repeat(
+    struct bg_retry_budget *bud, const char *service, uint64_t now_ms);
 /** Takes one retry from the budget. @return 1, or 0 if the budget is spent */
 int bg_retry_take(
     struct bg_retry_budget *bud, const char *service, uint64_t now_ms);
@@ -51,6 +55,8 @@
 	uint32_t sent;	      /**< backend servers the call was sent to */
 	uint32_t attempts;    /**< backend servers it may be sent to */
 	int is_idempotent;
+	int is_dependency_failure; /**< a call that the backend server made
+					failed */
 };
 
 /** 1 if the call may be sent to another server. */
