Recognize the calls of a server by their ids, not by the address of its VM

Cause: on the platform requesters connect from the VM's own address, so every call counted as one that the backend server made for a running request.

Change: a call belongs to the running request whose id it carries or extends by a dot and a suffix; a call with a depth is one as well. Its repeat mark is now that of its request, no longer drawn by share. Late uploads are received after those that can be on time and are refused while these use the link. The wait that a caller allows is one for a slot; the transfer of a body comes on top, and a call whose body has arrived may wait as long as it can still be answered.

--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -199,15 +199,6 @@
 		    call->start_us + (uint64_t)call->rule->target_ms * 1000;
 }
 
-/* 1 if a call of the backend server is made by a request that is a repeat, by
- * chance, since it does not say which request it belongs to. */
-static int
-inherits_repeat(struct bg_proxy *prx)
-{
-	return bg_rand_below(&prx->router.rand, 1000) <
-	    bg_gatekeeper_repeat_permille(prx->gatekeeper);
-}
-
 /* Finds the rule of the call. The call holds the snapshot until it ends. */
 static void
 step_route(struct bg_call *call)
@@ -247,11 +238,9 @@
 		return;
 	}
 	bg_retry_count_call(&prx->retry, call->service, bg_clock_now_ms());
-	if (call->is_dependency && inherits_repeat(prx)) {
-		call->args.is_repeat = 1;
+	if (call->args.is_repeat)
 		bg_retry_count_repeat(
 		    &prx->retry, call->service, bg_clock_now_ms());
-	}
 	step_pick(call);
 }
 
@@ -608,6 +597,7 @@
 	call->start_us = bg_clock_now_us();
 	call->caller_deadline_ms = opts->deadline_ms;
 	call->is_dependency = opts->is_dependency;
+	call->args.is_repeat = opts->is_repeat != 0;
 	call->next = prx->calls;
 	if (call->next != NULL)
 		call->next->prev = call;
--- a/proxy/src/call/call.h
+++ b/proxy/src/call/call.h
@@ -31,6 +31,7 @@
 struct bg_call_options {
 	uint32_t deadline_ms; /**< time the caller has left; 0: not given */
 	int is_dependency;    /**< sent by the backend server on this VM */
+	int is_repeat;	      /**< made by a request that was repeated */
 };
 
 /**
--- a/proxy/src/gatekeeper/body.c
+++ b/proxy/src/gatekeeper/body.c
@@ -12,6 +12,10 @@
  * available to other bodies. */
 #define PIECE_TIMEOUT_US 300000
 
+/* A body may take this many times what it takes on an idle link, where only
+ * that and no wait is allowed. */
+#define TRANSFER_RESERVE 2
+
 static struct bg_gate_call *
 call_of(struct bg_intake_entry *entry)
 {
@@ -54,6 +58,38 @@
 	return BG_XREFUSAL_NONE;
 }
 
+static uint64_t
+min_u64(uint64_t a, uint64_t b)
+{
+	return a < b ? a : b;
+}
+
+/* Describes the body to the intake. The wait that the caller allows is one for
+ * a slot; the transfer of the body comes on top of it. A call that misses its
+ * target is not kept waiting for the link, since bodies that can be on time
+ * would keep overtaking it. */
+static void
+fill_intake(struct bg_gate_call *call, uint64_t now_us)
+{
+	struct bg_gatekeeper *gk = call->gatekeeper;
+	struct bg_intake_entry *body = &call->intake;
+	uint64_t link_us = TRANSFER_RESERVE *
+	    bg_intake_transfer_us(&gk->intake, call->args->body_bytes);
+	uint64_t useful_us;
+
+	call->entry.latest_start_us =
+	    min_u64(call->entry.latest_start_us + link_us, call->deadline_us);
+	useful_us =
+	    bg_limiter_useful_start_us(&gk->limiter, &call->entry, now_us);
+	body->priority = call->entry.priority;
+	body->target_us = call->entry.target_us;
+	body->body_bytes = call->args->body_bytes;
+	body->is_late = body->target_us != 0 &&
+	    now_us + link_us + call->entry.service_us > body->target_us;
+	body->latest_us =
+	    body->is_late ? min_u64(useful_us, now_us + link_us) : useful_us;
+}
+
 void
 bg_gate_body_begin(struct bg_gate_call *call)
 {
@@ -61,11 +97,7 @@
 	uint64_t now_us = bg_clock_now_us();
 	enum bg_xrefusal why;
 
-	call->intake.priority = call->entry.priority;
-	call->intake.target_us = call->entry.target_us;
-	call->intake.body_bytes = call->args->body_bytes;
-	call->intake.latest_us =
-	    bg_limiter_useful_start_us(&gk->limiter, &call->entry, now_us);
+	fill_intake(call, now_us);
 	if ((why = find_refusal(call, now_us)) != BG_XREFUSAL_NONE) {
 		bg_gate_refuse(call, why);
 		return;
@@ -171,6 +203,22 @@
 	    args->piece.piece_len, bg_clock_now_us());
 }
 
+/* Admits a call whose body is complete. The body has used its part of the link,
+ * so the call may now wait for a slot as long as it can still be answered. */
+static void
+finish_receipt(struct bg_gate_call *call)
+{
+	struct bg_gatekeeper *gk = call->gatekeeper;
+	struct bg_limiter_entry *entry = &call->entry;
+
+	bg_intake_remove(&gk->intake, &call->intake);
+	entry->latest_start_us =
+	    call->deadline_us - min_u64(entry->service_us, call->deadline_us);
+	if (entry->target_us < bg_clock_now_us() + entry->service_us)
+		entry->target_us = call->deadline_us;
+	bg_gate_admit(call);
+}
+
 void
 bg_gate_body_handle(void *arg, struct bg_rpc *rpc, void *data)
 {
@@ -186,10 +234,9 @@
 	call->rpc = rpc;
 	bg_rpc_on_cancel(rpc, bg_gate_on_rpc_cancel, call);
 	append_piece(call, args);
-	if (call->owned_args->body.body_len == call->intake.body_bytes) {
-		bg_intake_remove(&gk->intake, &call->intake);
-		bg_gate_admit(call);
-	} else
+	if (call->owned_args->body.body_len == call->intake.body_bytes)
+		finish_receipt(call);
+	else
 		bg_gate_set_timer(call, call->deadline_us);
 	bg_gate_body_pump(gk);
 }
--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -168,15 +168,6 @@
 	return args->slow_ms != 0 && own_us / 1000 >= args->slow_ms;
 }
 
-/* 1 if a call that the backend server made for this request failed, or may have
- * been made for it. */
-static int
-has_failed_dependency(const struct bg_gate_call *call)
-{
-	return call->dependency.has_failed ||
-	    call->gatekeeper->dependency_failed_us >= call->entry.started_us;
-}
-
 static void
 report_observation(
     struct bg_gate_call *call, const struct assessment *asmt, uint32_t own_us)
@@ -194,7 +185,7 @@
 	obs.is_failed = asmt->is_failed;
 	obs.is_slow = is_slow(args, own_us);
 	obs.is_dependency_fault =
-	    has_failed_dependency(call) && (obs.is_failed || obs.is_slow);
+	    call->dependency.has_failed && (obs.is_failed || obs.is_slow);
 	obs.is_cold = bg_clock_now_ms() < gk->warmup_end_ms;
 	obs.own_time_us = own_us;
 	gk->observer->observe(gk->observer, &obs);
@@ -213,7 +204,7 @@
 	bg_metrics_observe_backend_time(now_us - call->entry.started_us);
 	bg_limiter_release(&gk->limiter, &call->entry, now_us, asmt->sample);
 	res->own_time_us = own_us > UINT32_MAX ? UINT32_MAX : (uint32_t)own_us;
-	res->dependency_failed = (u_int)has_failed_dependency(call);
+	res->dependency_failed = (u_int)call->dependency.has_failed;
 	bg_log(res->outcome == BG_XOUTCOME_DONE && res->http_status < 500
 		? BG_LOG_INFO
 		: BG_LOG_WARN,
@@ -239,7 +230,7 @@
 	    http_status != STATUS_TIMEOUT, BG_LIMITER_FAILED};
 	struct bg_xcall_res res;
 
-	if (has_failed_dependency(call))
+	if (call->dependency.has_failed)
 		asmt.sample = BG_LIMITER_IGNORED;
 	memset(&res, 0, sizeof(res));
 	res.outcome = BG_XOUTCOME_UNKNOWN;
@@ -313,7 +304,7 @@
 	res.headers.headers_val = rsp->headers;
 	res.body.body_len = rsp->body_bytes;
 	res.body.body_val = rsp->body;
-	if (rsp->http_status >= 500 && !has_failed_dependency(call))
+	if (rsp->http_status >= 500 && !call->dependency.has_failed)
 		asmt.sample = BG_LIMITER_FAILED;
 	finish(call, &res, &asmt);
 }
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -58,10 +58,8 @@
 	uint64_t warmup_end_ms;	   /* the server is slow until then */
 	struct bg_buffers *buffers;
 	struct bg_retry_budget *retry;
-	uint64_t dependency_failed_us; /* last failure of a call that could not
-					  be attributed to a request; 0: none */
-	int is_suspended;	       /* the server's version was judged bad */
-	int is_draining;	       /* the node is stopping */
+	int is_suspended; /* the server's version was judged bad */
+	int is_draining;  /* the node is stopping */
 };
 
 /** @return 0 or BG_ENOMEM */
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -195,23 +195,46 @@
 	begin(call);
 }
 
+/* 1 if the call with this id is made by the request, by the convention that the
+ * id of a call is that of its request, or extends it by a suffix. */
+static int
+is_made_by(const char *call_id, const char *request_id)
+{
+	size_t bytes = strlen(request_id);
+
+	return strncmp(call_id, request_id, bytes) == 0 &&
+	    (call_id[bytes] == '\0' || call_id[bytes] == '.');
+}
+
 static struct bg_gate_call *
-find_running(struct bg_gatekeeper *gk, const char *request_id)
+find_parent(const struct bg_gatekeeper *gk, const char *request_id)
 {
 	struct bg_gate_call *call;
 
 	for (call = gk->calls; call != NULL; call = call->next) {
 		if (call->entry.is_running &&
-		    strcmp(call->args->request_id, request_id) == 0)
+		    is_made_by(request_id, call->args->request_id))
 			return call;
 	}
 	return NULL;
 }
 
+int
+bg_gatekeeper_find_parent(struct bg_gate_parent *out,
+    const struct bg_gatekeeper *gk, const char *request_id)
+{
+	const struct bg_gate_call *call = find_parent(gk, request_id);
+
+	if (call == NULL)
+		return 0;
+	out->is_repeat = call->args->is_repeat != 0;
+	return 1;
+}
+
 void
 bg_gatekeeper_dependency_begin(struct bg_gatekeeper *gk, const char *request_id)
 {
-	struct bg_gate_call *call = find_running(gk, request_id);
+	struct bg_gate_call *call = find_parent(gk, request_id);
 
 	if (call != NULL)
 		bg_dependency_begin(&call->dependency, bg_clock_now_us());
@@ -221,29 +244,11 @@
 bg_gatekeeper_dependency_end(
     struct bg_gatekeeper *gk, const char *request_id, int is_failed)
 {
-	struct bg_gate_call *call = find_running(gk, request_id);
+	struct bg_gate_call *call = find_parent(gk, request_id);
 
 	if (call != NULL)
 		bg_dependency_end(
 		    &call->dependency, bg_clock_now_us(), is_failed);
-	else if (is_failed)
-		gk->dependency_failed_us = bg_clock_now_us();
-}
-
-uint32_t
-bg_gatekeeper_repeat_permille(const struct bg_gatekeeper *gk)
-{
-	const struct bg_gate_call *call;
-	uint32_t repeats = 0;
-	uint32_t running = 0;
-
-	for (call = gk->calls; call != NULL; call = call->next) {
-		if (!call->entry.is_running)
-			continue;
-		running++;
-		repeats += call->args->is_repeat != 0;
-	}
-	return running == 0 ? 0 : repeats * 1000 / running;
 }
 
 /* Refuses the calls that are still queued when the grace period ends. */
--- a/proxy/src/gatekeeper/gatekeeper.h
+++ b/proxy/src/gatekeeper/gatekeeper.h
@@ -58,22 +58,34 @@
  * queued one leaves the queue. The callback is not called. */
 void bg_gatekeeper_cancel(struct bg_gate_call *call);
 
-/** Records that the backend server, while running the request with this id, has
- * made a call to another service. The time during which at least one such call
- * is in flight does not count as the server's own time. Ignored if no call with
- * this id is running. */
+/** A request that the backend server is running and that made a call of its
+ * own.
+ */
+struct bg_gate_parent {
+	int is_repeat; /**< another backend server received it before */
+};
+
+/**
+ * Finds the request that made a call: the running one with the same id, or with
+ * an id that the call's id extends by a dot and a suffix.
+ *
+ * @return 1, or 0 if there is none
+ */
+int bg_gatekeeper_find_parent(struct bg_gate_parent *out,
+    const struct bg_gatekeeper *gk, const char *request_id);
+/** Records that the backend server, while running a request, has made a call to
+ * another service. The time during which at least one such call is in flight
+ * does not count as the server's own time. Ignored for a call without a parent.
+ *
+ * @param request_id of the call */
 void bg_gatekeeper_dependency_begin(
     struct bg_gatekeeper *gk, const char *request_id);
 /** Records the end of a dependency call. Calls may overlap; each begin needs
  * one end, in any order.
  * @param is_failed 1 if the call failed. If the request then fails or is slow,
- *     this does not count against the backend server or its version. If no
- *     request with this id is running, it may have been made by any that is. */
+ *     this does not count against the backend server or its version. */
 void bg_gatekeeper_dependency_end(
     struct bg_gatekeeper *gk, const char *request_id, int is_failed);
-/** Share of the running requests that are repeats, in permille. A call that the
- * backend server makes does not say which of them makes it. */
-uint32_t bg_gatekeeper_repeat_permille(const struct bg_gatekeeper *gk);
 
 /** Applies an announcement that the backend server made or that a successful
  * probe stands for. */
--- a/proxy/src/ingress/ingress.c
+++ b/proxy/src/ingress/ingress.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <ctype.h>
 #include <evhtp/evhtp.h>
 #include <stdio.h>
@@ -286,24 +285,19 @@
 	return 0;
 }
 
-/* 1 if the backend server on this VM made the call while running another one.
- * This is assumed of a call with a depth and, if the backend server announces
- * itself, of a call from the VM's own address. */
-static int
-is_dependency(const struct pending_request *p, const struct bg_xcall_args *args)
+/* Recognizes a call that the backend server on this VM makes while it runs
+ * another one. */
+static void
+fill_origin(struct bg_call_options *out, const struct pending_request *p,
+    const struct bg_xcall_args *args)
 {
-	const struct bg_settings *set = p->ingress->proxy->settings;
-	const struct sockaddr_in *sin =
-	    (const struct sockaddr_in *)p->request->conn->saddr;
-	char ip[INET_ADDRSTRLEN] = "";
-
-	if (args->depth > 0)
-		return 1;
-	if (!set->server.sends_heartbeats || sin == NULL ||
-	    sin->sin_family != AF_INET)
-		return 0;
-	inet_ntop(AF_INET, &sin->sin_addr, ip, sizeof(ip));
-	return strcmp(ip, set->node.address) == 0;
+	struct bg_gate_parent parent = {0};
+
+	out->is_dependency =
+	    bg_gatekeeper_find_parent(
+		&parent, p->ingress->proxy->gatekeeper, args->request_id) ||
+	    args->depth > 0;
+	out->is_repeat = parent.is_repeat;
 }
 
 static void
@@ -324,7 +318,7 @@
 	opts.deadline_ms = bg_header_u32(
 	    evhtp_header_find(req->headers_in, header_names(ing)->deadline_ms),
 	    0);
-	opts.is_dependency = is_dependency(p, &args);
+	fill_origin(&opts, p, &args);
 	if (bg_call_start(
 		&p->call, ing->proxy, &args, &opts, on_call_done, p) != 0)
 		send_error(p, 503, bg_refusal_text(BG_XREFUSAL_BUFFERS),
--- a/proxy/src/intake/intake.c
+++ b/proxy/src/intake/intake.c
@@ -59,6 +59,8 @@
 static int
 is_before(const struct bg_intake_entry *a, const struct bg_intake_entry *b)
 {
+	if (a->is_late != b->is_late)
+		return b->is_late;
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
 	return a->target_us < b->target_us;
@@ -205,6 +207,12 @@
 		measure_rate(itk, now_us);
 }
 
+uint64_t
+bg_intake_transfer_us(const struct bg_intake *itk, uint32_t bytes)
+{
+	return transfer_us(itk, bytes);
+}
+
 uint64_t
 bg_intake_flight_us(const struct bg_intake *itk)
 {
--- a/proxy/src/intake/intake.h
+++ b/proxy/src/intake/intake.h
@@ -10,8 +10,8 @@
  * Callers therefore send a body in pieces, each of which the gatekeeper asks
  * for. The bytes in flight are bounded by a window, so that a small message
  * waits for a window at most. Bodies are received in the order of priority and
- * target, and one that would arrive too late is refused before it is sent. No
- * I/O; the caller passes the time.
+ * target, those that miss their target last, and one that would arrive too late
+ * is refused before it is sent. No I/O; the caller passes the time.
  */
 
 #include <stdint.h>
@@ -20,6 +20,7 @@
 struct bg_intake_entry {
 	struct bg_intake_entry *prev;
 	struct bg_intake_entry *next;
+	int is_late;	    /**< misses its target; received after all others */
 	uint32_t priority;  /**< 0 is received first */
 	uint64_t target_us; /**< the earliest is received first; 0: none */
 	uint64_t latest_us; /**< a later arrival of the body is useless */
@@ -30,7 +31,7 @@
 };
 
 struct bg_intake {
-	struct bg_intake_entry *head; /**< by priority, then target */
+	struct bg_intake_entry *head; /**< by is_late, priority, target */
 	struct bg_intake_entry *tail;
 	uint32_t window_bytes;	  /**< limit of the bytes in flight */
 	uint32_t piece_bytes;	  /**< largest piece */
@@ -63,6 +64,8 @@
  * because more urgent ones came. @return NULL if there is none */
 struct bg_intake_entry *bg_intake_find_infeasible(
     const struct bg_intake *itk, uint64_t now_us);
+/** Expected time in which a body arrives on an idle link, in microseconds. */
+uint64_t bg_intake_transfer_us(const struct bg_intake *itk, uint32_t bytes);
 /** Expected time until the bytes in flight have arrived, in microseconds. */
 uint64_t bg_intake_flight_us(const struct bg_intake *itk);
 /** Expected time until all listed bodies have arrived, in microseconds. */
--- a/proxy/src/limiter/queue.c
+++ b/proxy/src/limiter/queue.c
@@ -6,7 +6,7 @@
 /* Multiple of its expected service time that a call with a target keeps for
  * running. Service times vary: with the mean alone, about four calls in ten
  * would be late. */
-#define SERVICE_RESERVE 1.5
+#define SERVICE_RESERVE 2.0
 
 static int
 is_standing(const struct bg_queue *q, uint64_t now_us)
--- a/proxy/tests/test_intake.c
+++ b/proxy/tests/test_intake.c
@@ -111,6 +111,20 @@
 }
 END_TEST
 
+/* Pattern: more uploads than the link carries. Guards against retried uploads
+ * that are late already and take the link from those that can be on time. */
+START_TEST(late_body_is_received_last)
+{
+	add(0, 1, 1, 10000000);
+	bg_intake_remove(&intake, &entries[0]);
+	entries[0].is_late = 1;
+	ck_assert(bg_intake_add(&intake, &entries[0], now_us));
+	add(1, 2, 1000000, 10000000);
+	ck_assert_ptr_eq(bg_intake_grant(&intake, now_us), &entries[1]);
+	ck_assert_ptr_eq(bg_intake_grant(&intake, now_us), &entries[0]);
+}
+END_TEST
+
 /* Guards against a body that is still received after more urgent ones have
  * taken its time, and against giving up one that has begun to arrive. */
 START_TEST(displaced_body_is_refused_before_it_begins)
@@ -178,6 +192,7 @@
 	tcase_add_test(tc, bytes_in_flight_are_bounded);
 	tcase_add_test(tc, body_that_comes_too_late_is_refused);
 	tcase_add_test(tc, urgent_body_is_received_first);
+	tcase_add_test(tc, late_body_is_received_last);
 	tcase_add_test(tc, displaced_body_is_refused_before_it_begins);
 	tcase_add_test(tc, removed_body_frees_its_window);
 	tcase_add_test(tc, rate_follows_what_arrives);
