--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -6,11 +6,11 @@
 import ctypes
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
 import time
-import tomllib
 
 from http1 import read_message, request, response
 
@@ -133,8 +133,9 @@
                 bootstrap="true" if self.is_first_start else "false",
                 **self.ports))
         self.is_first_start = False
-        with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
-            run = tomllib.load(f)["roles"]["node"]["run"].split(" ")
+        with open(os.path.join(ROOT, "deploy", "system.toml"),
+                  encoding="utf-8") as f:
+            run = re.search(r'^run = "(.*)"$', f.read(), re.M)[1].split(" ")
         with open(self.settings + ".log", "ab") as log:
             self.process = subprocess.Popen(
                 run, cwd=ROOT, stdout=log, stderr=log,
