--- /dev/null
+++ b/bench/managed.py
@@ -0,0 +1,231 @@
+"""A small fleet that the users' platform manages: nodes as processes on
+loopback addresses, backend servers that send heartbeats, and bg-platform as the
+store. Unlike cluster.py, it starts nodes with the platform's settings file."""
+
+import json
+import os
+import shutil
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from cluster import CHILDREN, bin_path, http, wait_for
+
+HOST = "mesh.example"
+PREFIX = "/orders/"
+PORTS = ("inbound", "outbound", "readiness", "control", "server")
+DRAIN_S = 2.0
+
+SETTINGS = """NodeName = "{name}"
+Ip = "{ip}"
+Zone = "dc-a"
+Region = "region"
+PortRange = [{inbound},{inbound}]
+Seeds = []
+HeartbeatS = 1.5
+Thresholds = ["DrainS=2","GraceS=6","RetryBudget=0.2","RetryWindowS=10",\
+"BudgetSlack=60","CanaryShare=0.1"]
+AppAddr = "{ip}:{server}"
+Service = "{service}"
+[Bind]
+Inbound = "{ip}:{inbound}"
+Outbound = "{ip}:{outbound}"
+Readiness = "{ip}:{readiness}"
+ControlPlane = "{ip}:{control}"
+[Limits]
+CpuShare = 1.0
+MemoryMb = 260
+MaxFds = 4100
+LinkMbps = 1000.0
+[Platform]
+Address = "{store}"
+form = "objects"
+"""
+
+
+def configuration(version, service, services):
+    """The platform's configuration with one route, to a service."""
+    return {
+        "Version": "r%d" % version,
+        "Routes": {"orders": {
+            "Host": HOST, "PathPrefix": PREFIX, "Kind": "non_idempotent",
+            "TimeoutS": 1, "TargetLatencyS": 0.4, "Priority": 1,
+            "Service": service, "Attempts": 2}},
+        "Services": {s: {"HealthPath": "/healthz", "MaxConns": 120,
+                         "Protocol": "h1", "Tls": False} for s in services},
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576,
+                   "HeaderTimeoutS": 3, "IdleTimeoutS": 15}}
+
+
+class Server(ThreadingHTTPServer):
+    """A backend server. `runs` has the monotonic time of each request."""
+
+    daemon_threads = True
+    allow_reuse_address = True
+
+    def __init__(self, node, server_id):
+        super().__init__((node.ip, node.ports["server"]), Handler)
+        self.node = node
+        self.id = server_id
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.runs = []
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def ping(self, state):
+        """Returns a heartbeat; deliver() sends it, now or later."""
+        self.sequence += 1
+        return ("heartbeat", {
+            "Service": self.node.service, "Zone": "dc-a", "Version": "v1",
+            "Address": "%s:%d" % (self.node.ip, self.node.ports["server"]),
+            "Capacity": 6, "State": state, "WarmupLeftS": 0,
+            "Sequence": self.sequence, "born": self.born})
+
+    def deliver(self, message):
+        """Returns the status of the node's answer, or 0."""
+        call, body = message
+        status, _, _ = http(
+            "POST", "%s:%d" % (self.node.ip, self.node.ports["control"]),
+            "/api/rpc?call=instances.%s&of=%s" % (call, self.id),
+            json.dumps(body).encode(), timeout_s=1.0,
+            headers={"Content-Type": "application/json"})
+        return status
+
+    def deregister(self):
+        return self.deliver(("deregister", {"born": self.born}))
+
+    def stop(self):
+        self.shutdown()
+        self.server_close()
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def answer(self):
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        if self.path != "/healthz":
+            self.server.runs.append(time.monotonic())
+        body = self.server.id.encode()
+        self.send_response(200)
+        self.send_header("X-Request-Id", self.headers.get("X-Request-Id", ""))
+        self.send_header("X-Instance-Id", self.server.id)
+        self.send_header("X-Response-Signature", "s")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    do_GET = do_POST = answer
+
+    def log_message(self, *args):
+        pass
+
+
+class Node:
+    def __init__(self, fleet, index, service):
+        self.fleet = fleet
+        self.name = "node-%d" % index
+        self.ip = "%s.%d" % (fleet.net, index + 1)
+        self.service = service
+        self.ports = fleet.ports
+        self.child = None
+        self.log_path = os.path.join(fleet.dir, self.name + ".log")
+
+    def start(self):
+        settings = os.path.join(self.fleet.dir, self.name + ".toml")
+        with open(settings, "w", encoding="ascii") as out:
+            out.write(SETTINGS.format(
+                name=self.name, ip=self.ip, service=self.service,
+                store=self.fleet.store, **self.ports))
+        with open(self.log_path, "ab") as log:
+            self.child = subprocess.Popen(
+                [bin_path("burdockgraded")], stdout=log, stderr=log,
+                stdin=subprocess.DEVNULL,
+                env=dict(os.environ, BURDOCKGRADE_BOOT=settings))
+        CHILDREN.append(self.child)
+
+    def kill(self):
+        self.child.kill()
+        self.child.wait()
+
+    def is_ready(self):
+        status, _, _ = http("GET", "%s:%d" % (self.ip, self.ports["readiness"]),
+                            "/api/ready")
+        return status == 200
+
+    def wait_ready(self):
+        wait_for("ready " + self.name, self.is_ready)
+
+    def has_logged(self, text):
+        with open(self.log_path, encoding="utf-8") as log:
+            return text in log.read()
+
+    def order(self):
+        """Sends an order. Returns (status, id of the server that ran it)."""
+        self.fleet.request_count += 1
+        status, headers, _ = http(
+            "POST", "%s:%d" % (self.ip, self.ports["outbound"]), PREFIX + "1",
+            b"x", headers={
+                "Host": HOST, "X-Deadline-Ms": "1000",
+                "X-Request-Id": "request-%d" % self.fleet.request_count})
+        return status, headers.get("X-Instance-Id")
+
+
+class Fleet:
+    """Nodes 0, 1, ... with one of the services each; none is started."""
+
+    def __init__(self, services):
+        self.dir = tempfile.mkdtemp(prefix="bg-managed-")
+        self.net = "127.%d.%d" % (64 + os.getpid() % 180,
+                                  1 + os.getpid() // 180 % 250)
+        self.request_count = 0
+        self.ports = {name: self.free_port() for name in PORTS}
+        self.nodes = [Node(self, i, s) for i, s in enumerate(services)]
+        self.start_store()
+
+    def free_port(self):
+        with socket.socket() as sock:
+            sock.bind((self.net + ".1", 0))
+            return sock.getsockname()[1]
+
+    def start_store(self):
+        log_path = os.path.join(self.dir, "store.log")
+        with open(log_path, "wb") as log:
+            self.store_child = subprocess.Popen(
+                [bin_path("bg-platform"), "--listen", "%s.200:0" % self.net],
+                stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        CHILDREN.append(self.store_child)
+
+        def address():
+            with open(log_path, encoding="utf-8") as out:
+                words = out.readline().split()
+            return words[1] if len(words) == 2 else None
+        self.store = wait_for("store", address)
+
+    def control(self, **switches):
+        status, _, text = http("POST", self.store, "/control",
+                               json.dumps(switches).encode())
+        assert status == 200, text
+
+    def accept(self, version, service):
+        """Writes a configuration; the answer acknowledges it."""
+        spec = configuration(version, service,
+                             sorted({n.service for n in self.nodes}))
+        body = json.dumps({"Metadata": {"Name": "main"},
+                           "Spec": spec}).encode()
+        status, _, text = http("PUT", self.store, "/api/objects/config/main",
+                               body)
+        if status == 404:
+            status, _, text = http("POST", self.store, "/api/objects/config",
+                                   body)
+        assert status == 200, text
+
+    def stop(self):
+        for child in [n.child for n in self.nodes] + [self.store_child]:
+            if child is not None and child.poll() is None:
+                child.kill()
+                child.wait()
+        shutil.rmtree(self.dir, ignore_errors=True)
--- a/mesh/include/burdockgrade/members.h
+++ b/mesh/include/burdockgrade/members.h
@@ -32,7 +32,12 @@
 	char data_centre[BG_NAME_BYTES];
 	char region[BG_NAME_BYTES];
 	char service[BG_NAME_BYTES];
-	char server_id[BG_NAME_BYTES]; /**< changes with each server start */
+	char server_id[BG_NAME_BYTES]; /**< identifies a server, mostly one
+					  start of it */
+	uint64_t server_started_ms;    /**< start of the server as it reports
+					  it; 0: unknown */
+	int server_has_left;	       /**< the server reported that it is
+					  leaving; final for this start */
 	char server_version[BG_NAME_BYTES];
 	uint64_t incarnation; /**< rises with each start of the node */
 	uint64_t seq;	      /**< rises with each announcement */
--- a/mesh/include/burdockgrade/mesh.h
+++ b/mesh/include/burdockgrade/mesh.h
@@ -51,6 +51,15 @@
 	/** An item of the table was added or replaced, whatever its source. It
 	 * is valid during the call. */
 	void (*item)(void *arg, const struct bg_item *item);
+	/**
+	 * The last announcement that an earlier process made at this node's
+	 * address is known, as far as the store and a peer can tell. Runs at
+	 * least once after bg_mesh_start, unless neither can be reached, and
+	 * again if a newer one is found later.
+	 *
+	 * @param earlier NULL if there is none
+	 */
+	void (*recovered)(void *arg, const struct bg_member *earlier);
 	void *arg;
 };
 
@@ -106,7 +115,8 @@
 	enum bg_member_state state;
 	const char *server_id;
 	const char *server_version;
-	uint32_t slots; /**< concurrent calls */
+	uint32_t slots;		    /**< concurrent calls */
+	uint64_t server_started_ms; /**< start of the server; 0: unknown */
 };
 
 /** Announces the backend server if its state differs from the last
--- a/mesh/src/members/members.c
+++ b/mesh/src/members/members.c
@@ -12,6 +12,8 @@
 static const char FIELD_REGION[] = "region";
 static const char FIELD_SERVICE[] = "service";
 static const char FIELD_SERVER[] = "server";
+static const char FIELD_STARTED[] = "started";
+static const char FIELD_LEFT[] = "left";
 static const char FIELD_VERSION[] = "version";
 static const char FIELD_STATE[] = "state";
 static const char FIELD_SLOTS[] = "slots";
@@ -21,13 +23,15 @@
 json_t *
 bg_member_to_json(const struct bg_member *member)
 {
-	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:i, s:I}",
+	return json_pack("{s:s, s:s, s:s, s:s, s:I, s:i, s:s, s:i, s:I, s:i, "
+			 "s:I}",
 	    FIELD_DC, member->data_centre, FIELD_REGION, member->region,
 	    FIELD_SERVICE, member->service, FIELD_SERVER, member->server_id,
-	    FIELD_VERSION, member->server_version, FIELD_STATE,
-	    (int)member->state, FIELD_SLOTS, (json_int_t)member->slots,
-	    FIELD_VERDICT, (int)member->verdict, FIELD_GENERATION,
-	    (json_int_t)member->verdict_generation);
+	    FIELD_STARTED, (json_int_t)member->server_started_ms, FIELD_LEFT,
+	    member->server_has_left, FIELD_VERSION, member->server_version,
+	    FIELD_STATE, (int)member->state, FIELD_SLOTS,
+	    (json_int_t)member->slots, FIELD_VERDICT, (int)member->verdict,
+	    FIELD_GENERATION, (json_int_t)member->verdict_generation);
 }
 
 int
@@ -70,21 +74,26 @@
 	const char *id;
 	const char *version;
 	json_int_t slots;
+	json_int_t started_ms = 0;
 	json_int_t generation = 0;
 	int verdict = BG_VERDICT_NONE;
+	int has_left = 0;
 	int state;
 
 	if (json_unpack((json_t *)json,
-		"{s:s, s:s, s:s, s:s, s:s, s:i, s:I, s?i, s?I}", FIELD_DC, &dc,
-		FIELD_REGION, &region, FIELD_SERVICE, &service, FIELD_SERVER,
-		&id, FIELD_VERSION, &version, FIELD_STATE, &state, FIELD_SLOTS,
-		&slots, FIELD_VERDICT, &verdict, FIELD_GENERATION,
+		"{s:s, s:s, s:s, s:s, s?I, s?i, s:s, s:i, s:I, s?i, s?I}",
+		FIELD_DC, &dc, FIELD_REGION, &region, FIELD_SERVICE, &service,
+		FIELD_SERVER, &id, FIELD_STARTED, &started_ms, FIELD_LEFT,
+		&has_left, FIELD_VERSION, &version, FIELD_STATE, &state,
+		FIELD_SLOTS, &slots, FIELD_VERDICT, &verdict, FIELD_GENERATION,
 		&generation) != 0)
 		return BG_EPROTO;
 	if (state < BG_MEMBER_STARTING || state > BG_MEMBER_LEAVING ||
 	    slots < 0 || slots > UINT32_MAX || verdict < BG_VERDICT_NONE ||
-	    verdict > BG_VERDICT_IDLE || generation < 0)
+	    verdict > BG_VERDICT_IDLE || generation < 0 || started_ms < 0)
 		return BG_EPROTO;
+	out->server_started_ms = (uint64_t)started_ms;
+	out->server_has_left = has_left != 0;
 	out->state = (enum bg_member_state)state;
 	out->slots = (uint32_t)slots;
 	out->verdict = (enum bg_verdict)verdict;
--- a/mesh/src/mesh/gossip.c
+++ b/mesh/src/mesh/gossip.c
@@ -188,6 +188,18 @@
 		exchange_free(xch);
 }
 
+/* Ends an exchange. A round that has compared the whole tables is reported. */
+static void
+exchange_end(struct exchange *xch, int is_complete)
+{
+	struct bg_mesh *mesh = xch->gossip->mesh;
+	int is_round = xch->is_round;
+
+	exchange_free(xch);
+	if (is_round && is_complete)
+		bg_mesh_recovery_handle_comparison(mesh);
+}
+
 /* Sends the differing buckets and requests those of the peer. */
 static void
 send_buckets(struct exchange *xch, uint64_t bucket_mask)
@@ -254,6 +266,7 @@
 	struct bg_xsync_res *res = result;
 	struct bg_packed packed;
 	uint64_t mask;
+	int merged;
 
 	if (code != 0) {
 		bg_log_debug("gossip", "exchange failed peer=%s code=%s",
@@ -263,7 +276,7 @@
 	}
 	set_packed(&packed, res->items.items_val, res->items.items_len,
 	    res->raw_bytes, res->items_digest);
-	merge_packed(xch->gossip, &packed, xch->peer);
+	merged = merge_packed(xch->gossip, &packed, xch->peer);
 	if (xch->is_round && is_config_settled(xch->gossip->mesh) &&
 	    res->config_version < bg_mesh_config_version(xch->gossip->mesh))
 		push_config(xch->gossip, xch->peer);
@@ -276,7 +289,9 @@
 			return;
 		}
 	}
-	exchange_free(xch);
+	/* A reply to root digests with items has the configuration only. */
+	exchange_end(
+	    xch, merged >= 0 && (xch->bucket_mask != 0 || packed.bytes == 0));
 }
 
 /* Picks a random member, from this node's data centre or from another one. */
@@ -313,15 +328,13 @@
 	event_add(gsp->timer, &tv);
 }
 
-static void
-on_round(evutil_socket_t fd, short what, void *arg)
+void
+bg_gossip_compare(struct bg_gossip *gsp)
 {
-	struct bg_gossip *gsp = arg;
 	const struct bg_member *peer;
 	int is_remote =
 	    bg_rand_below(&gsp->mesh->rand, REMOTE_ROUND_INTERVAL) == 0;
 
-	schedule_round(gsp);
 	peer = pick_peer(gsp, is_remote);
 	if (peer == NULL)
 		peer = pick_peer(gsp, !is_remote);
@@ -329,6 +342,15 @@
 		start_round(gsp, peer->address);
 }
 
+static void
+on_round(evutil_socket_t fd, short what, void *arg)
+{
+	struct bg_gossip *gsp = arg;
+
+	schedule_round(gsp);
+	bg_gossip_compare(gsp);
+}
+
 static void
 push_to(struct bg_gossip *gsp, const char *peer, uint64_t cursor)
 {
@@ -403,6 +425,17 @@
 		set_items(res, &packed);
 }
 
+/* 1 if this node holds all items of the caller after the merge: the tables are
+ * equal, or the caller sent its items of the differing buckets. */
+static int
+is_whole_comparison(
+    const struct bg_gossip *gsp, const struct bg_xsync_args *args)
+{
+	return !args->is_push &&
+	    (args->digests.digests_len == BG_DIGEST_BUCKETS ||
+		args->root == bg_table_root_digest(gsp->mesh->table));
+}
+
 static void
 handle_sync(void *arg, struct bg_rpc *rpc, void *data)
 {
@@ -412,6 +445,7 @@
 	struct bg_packed packed;
 	uint64_t digests[BG_DIGEST_BUCKETS];
 	uint64_t cursor = bg_table_cursor(gsp->mesh->table);
+	int is_comparison = is_whole_comparison(gsp, args);
 	int changed;
 
 	/* The response is built before the merge, so that it does not return
@@ -420,6 +454,8 @@
 	set_packed(&packed, args->items.items_val, args->items.items_len,
 	    args->raw_bytes, args->items_digest);
 	changed = merge_packed(gsp, &packed, args->address);
+	if (changed >= 0 && is_comparison)
+		bg_mesh_recovery_handle_comparison(gsp->mesh);
 	/* With a reachable store, every node reads the change from the store,
 	 * so it is forwarded only while the store is unreachable. */
 	if (args->is_push && changed > 0 &&
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -63,6 +63,16 @@
 	void (*withdraw_done)(void *arg);
 	void *withdraw_arg;
 
+	/* recovery.c */
+	struct event *recovery_timer;
+	struct bg_member earlier; /**< last announcement of an earlier
+				       process at this address */
+	int has_earlier;
+	int has_compared;	       /**< the table with that of a peer */
+	int is_recovered;	       /**< listeners were notified */
+	uint64_t recovery_deadline_ms; /**< end of the wait for a peer; 0: it
+					    has not begun */
+
 	struct bg_gossip *gossip;
 	struct bg_state_poll *state_poll;
 };
@@ -114,11 +124,27 @@
 /** Writes or removes this node's object in the store if that is due. */
 void bg_mesh_self_update_store(struct bg_mesh *mesh);
 
+/* recovery.c */
+/** @return 0 or BG_ENOMEM */
+int bg_mesh_recovery_init(struct bg_mesh *mesh);
+void bg_mesh_recovery_free(struct bg_mesh *mesh);
+/** Handles an announcement for this node's address from the store or a peer. */
+void bg_mesh_recovery_handle_member(
+    struct bg_mesh *mesh, const struct bg_member *member);
+/** Handles the announcement for this node's address in the table. */
+void bg_mesh_recovery_handle_table(struct bg_mesh *mesh);
+/** The table was compared with that of a peer, in both directions. */
+void bg_mesh_recovery_handle_comparison(struct bg_mesh *mesh);
+/** The nodes were listed, or the store became reachable or unreachable. */
+void bg_mesh_recovery_handle_store(struct bg_mesh *mesh);
+
 /* gossip.c */
 /** @return 0 or BG_ENOMEM */
 int bg_gossip_init(struct bg_gossip **out, struct bg_mesh *mesh);
 void bg_gossip_free(struct bg_gossip *gsp);
 void bg_gossip_start(struct bg_gossip *gsp);
+/** Compares the table with a random peer now. */
+void bg_gossip_compare(struct bg_gossip *gsp);
 /** Pushes the changes after a cursor to some peers immediately. */
 void bg_gossip_push(struct bg_gossip *gsp, uint64_t cursor);
 
--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -97,6 +97,7 @@
 		has_member_items |=
 		    items.items.items_val[i].kind == BG_ITEM_MEMBER;
 	if (has_member_items) {
+		bg_mesh_recovery_handle_table(mesh);
 		bg_mesh_self_refute(mesh);
 		bg_mesh_rebuild_roster(mesh);
 	}
@@ -124,7 +125,7 @@
 	bg_roster_init(&mesh->roster);
 	mesh->change_event = event_new(opts->base, -1, 0, on_change, mesh);
 	if (mesh->change_event == NULL || bg_table_init(&mesh->table) != 0 ||
-	    bg_mesh_self_init(mesh) != 0 ||
+	    bg_mesh_self_init(mesh) != 0 || bg_mesh_recovery_init(mesh) != 0 ||
 	    bg_gossip_init(&mesh->gossip, mesh) != 0 ||
 	    bg_state_poll_init(&mesh->state_poll, mesh) != 0) {
 		bg_mesh_free(mesh);
@@ -144,6 +145,7 @@
 	bg_gossip_free(mesh->gossip);
 	bg_mesh_nodes_free(mesh);
 	bg_mesh_config_free(mesh);
+	bg_mesh_recovery_free(mesh);
 	bg_mesh_self_free(mesh);
 	bg_roster_free(&mesh->roster);
 	bg_table_free(mesh->table);
@@ -172,6 +174,7 @@
 	    (bg_mesh_config_init(mesh) != 0 || bg_mesh_nodes_init(mesh) != 0))
 		bg_log_error("mesh", "store not watched reason=memory");
 	bg_gossip_start(mesh->gossip);
+	bg_mesh_recovery_handle_store(mesh);
 	/* A node with a backend server announces itself when the state of the
 	 * server is known. */
 	if (mesh->settings->server.address[0] == '\0')
--- a/mesh/src/mesh/nodes.c
+++ b/mesh/src/mesh/nodes.c
@@ -185,6 +185,7 @@
 			remove_known_node(mesh, node);
 	}
 	bg_mesh_self_update_store(mesh);
+	bg_mesh_recovery_handle_store(mesh);
 }
 
 static void
@@ -192,6 +193,7 @@
 {
 	if (is_reachable)
 		bg_mesh_self_update_store(arg);
+	bg_mesh_recovery_handle_store(arg);
 }
 
 int
--- a/mesh/src/mesh/self.c
+++ b/mesh/src/mesh/self.c
@@ -228,6 +228,8 @@
 	if (revision != 0 && revision < mesh->stored_revision)
 		return;
 	mesh->stored_revision = revision;
+	if (member != NULL)
+		bg_mesh_recovery_handle_member(mesh, member);
 	if (revision == 0) {
 		/* Peers that processed the removal accept only a newer
 		 * announcement. */
@@ -248,28 +250,47 @@
 		raise_incarnation(mesh, item.major);
 }
 
-void
-bg_mesh_announce_server(
-    struct bg_mesh *mesh, const struct bg_server_announcement *ann)
+static int
+is_announced_lifetime(
+    const struct bg_member *self, const struct bg_server_announcement *ann)
 {
-	struct bg_member *self = &mesh->self;
+	return strcmp(self->server_id, ann->server_id) == 0 &&
+	    self->server_started_ms == ann->server_started_ms;
+}
 
-	if (self->state == BG_MEMBER_LEAVING ||
-	    (self->state == ann->state && self->slots == ann->slots &&
-		strcmp(self->server_id, ann->server_id) == 0 &&
-		strcmp(self->server_version, ann->server_version) == 0))
-		return;
+static void
+set_server(struct bg_member *self, const struct bg_server_announcement *ann)
+{
 	/* A verdict holds for the server that was judged, not for the one that
 	 * replaced it. Readers ignore verdict_generation without a verdict, so
 	 * it is kept. */
 	if (strcmp(self->server_id, ann->server_id) != 0)
 		self->verdict = BG_VERDICT_NONE;
-	self->state = ann->state;
+	if (!is_announced_lifetime(self, ann))
+		self->server_has_left = 0;
+	if (ann->state == BG_MEMBER_DRAINING)
+		self->server_has_left = 1;
 	self->slots = ann->slots;
+	self->server_started_ms = ann->server_started_ms;
 	snprintf(
 	    self->server_id, sizeof(self->server_id), "%s", ann->server_id);
 	snprintf(self->server_version, sizeof(self->server_version), "%s",
 	    ann->server_version);
+}
+
+void
+bg_mesh_announce_server(
+    struct bg_mesh *mesh, const struct bg_server_announcement *ann)
+{
+	struct bg_member *self = &mesh->self;
+
+	if (self->state == BG_MEMBER_LEAVING ||
+	    (self->state == ann->state && self->slots == ann->slots &&
+		is_announced_lifetime(self, ann) &&
+		strcmp(self->server_version, ann->server_version) == 0))
+		return;
+	set_server(self, ann);
+	self->state = ann->state;
 	bg_mesh_self_announce(mesh);
 }
 
--- a/mesh/tests/test_mesh.c
+++ b/mesh/tests/test_mesh.c
@@ -15,6 +15,8 @@
 #define NODES 4
 #define CONFIG_KIND "burdock-config"
 #define NODES_KIND "burdock-nodes"
+/* Start of the backend servers, wall clock. */
+#define STARTED_MS 1700000000000
 /* Time limit of each wait; far above every interval of the mesh. */
 #define WAIT_MS 20000
 
@@ -34,11 +36,15 @@
 	uint16_t port;
 	int installs;
 	uint64_t last_version;
+	int recoveries;
+	struct bg_member earlier; /* of the last recovery; empty if none */
 };
 
 static struct event_base *base;
 static struct memory_store mem;
 static struct node nodes[NODES];
+/* Nodes have backend servers: they announce nothing before announce(). */
+static int has_servers;
 
 static int
 view_read(struct bg_store *store, const struct bg_store_query *query,
@@ -107,12 +113,24 @@
 	node->installs++;
 }
 
+static void
+on_recovered(void *arg, const struct bg_member *earlier)
+{
+	struct node *node = arg;
+
+	node->recoveries++;
+	memset(&node->earlier, 0, sizeof(node->earlier));
+	if (earlier != NULL)
+		node->earlier = *earlier;
+}
+
 /* Nodes 0 and 1 are in one data centre, 2 and 3 in another. */
 static void
 node_start(size_t i)
 {
 	struct bg_mesh_options opts = BG_MESH_OPTIONS_INIT;
-	struct bg_mesh_listener listener = {on_snapshot, NULL, NULL, &nodes[i]};
+	struct bg_mesh_listener listener = {
+	    on_snapshot, NULL, NULL, on_recovered, &nodes[i]};
 	struct bg_link_options link = BG_LINK_OPTIONS_INIT;
 	struct node *node = &nodes[i];
 	char address[BG_ADDRESS_BYTES];
@@ -127,6 +145,9 @@
 	snprintf(node->settings.node.advertise, BG_SETTING_BYTES,
 	    "127.0.0.1:%u", node->port);
 	snprintf(node->settings.server.service, BG_SETTING_BYTES, "atelier");
+	if (has_servers)
+		snprintf(node->settings.server.address, BG_SETTING_BYTES,
+		    "127.0.0.1:1");
 	ck_assert_int_eq(bg_link_pool_init(&node->links, base, &link), 0);
 	node->view.store.read = view_read;
 	node->view.store.write = view_write;
@@ -134,6 +155,7 @@
 	node->view.store.peer = "memory";
 	node->installs = 0;
 	node->last_version = 0;
+	node->recoveries = 0;
 	opts.base = base;
 	opts.settings = &node->settings;
 	opts.store = &node->view.store;
@@ -170,6 +192,7 @@
 setup(void)
 {
 	memset(nodes, 0, sizeof(nodes));
+	has_servers = 0;
 	base = event_base_new();
 	memory_store_init(&mem, base);
 }
@@ -235,7 +258,7 @@
 static void
 announce(size_t i, enum bg_member_state state, const char *id)
 {
-	struct bg_server_announcement ann = {state, id, "v1", 6};
+	struct bg_server_announcement ann = {state, id, "v1", 6, STARTED_MS};
 
 	bg_mesh_announce_server(nodes[i].mesh, &ann);
 }
@@ -471,6 +494,100 @@
 static size_t summary_count;
 static int polls;
 
+static void
+wait_recovery(size_t i)
+{
+	uint64_t end_ms = bg_clock_now_ms() + WAIT_MS;
+
+	while (nodes[i].recoveries == 0 && bg_clock_now_ms() < end_ms)
+		run_ms(10);
+	ck_assert_int_ge(nodes[i].recoveries, 1);
+}
+
+static void
+assert_recovered_left(size_t i)
+{
+	wait_recovery(i);
+	ck_assert_str_eq(nodes[i].earlier.server_id, "i-1");
+	ck_assert_uint_eq(nodes[i].earlier.server_started_ms, STARTED_MS);
+	ck_assert_int_eq(nodes[i].earlier.server_has_left, 1);
+}
+
+/* Guards against a node that does not know after its restart that its server
+ * has left, and uses it again (review/1: DRAIN). */
+START_TEST(restarted_node_recovers_that_its_server_left)
+{
+	has_servers = 1;
+	start_all();
+	ck_assert_int_eq(nodes[1].earlier.server_id[0], '\0');
+	announce(1, BG_MEMBER_DRAINING, "i-1");
+	run_ms(400);
+	node_stop(1);
+	node_start(1);
+	assert_recovered_left(1);
+	/* The second restart has only what the first one left behind. */
+	node_stop(1);
+	node_start(1);
+	assert_recovered_left(1);
+}
+END_TEST
+
+/* Guards against the same fault if the node stops, since the state of the node
+ * then replaces that of its server. */
+START_TEST(leaving_node_keeps_that_its_server_left)
+{
+	has_servers = 1;
+	start_all();
+	announce(1, BG_MEMBER_DRAINING, "i-1");
+	bg_mesh_announce_leave(nodes[1].mesh);
+	run_ms(400);
+	node_stop(1);
+	node_start(1);
+	assert_recovered_left(1);
+}
+END_TEST
+
+/* Guards against the same fault if the store has an older announcement, since
+ * the node could not write to it. */
+START_TEST(restarted_node_recovers_from_a_peer_what_the_store_lacks)
+{
+	has_servers = 1;
+	start_all();
+	nodes[1].view.is_disconnected = 1;
+	announce(1, BG_MEMBER_DRAINING, "i-1");
+	run_ms(200);
+	node_stop(1);
+	nodes[1].view.is_disconnected = 0;
+	node_start(1);
+	assert_recovered_left(1);
+}
+END_TEST
+
+/* Guards against the same fault if the store cannot be reached after the
+ * restart, and against a server that is then not used until it can. */
+START_TEST(restarted_node_recovers_from_a_peer_without_the_store)
+{
+	has_servers = 1;
+	start_all();
+	announce(1, BG_MEMBER_DRAINING, "i-1");
+	run_ms(400);
+	node_stop(1);
+	nodes[1].view.is_disconnected = 1;
+	node_start(1);
+	assert_recovered_left(1);
+}
+END_TEST
+
+/* Guards against a node alone in the store that waits for peers. */
+START_TEST(node_without_peers_recovers)
+{
+	has_servers = 1;
+	node_start(0);
+	wait_recovery(0);
+	ck_assert_int_eq(nodes[0].earlier.server_id[0], '\0');
+}
+END_TEST
+
 static void
 on_poll(void *arg, const struct bg_state_summary *found, size_t count)
 {
@@ -561,6 +678,13 @@
 	tcase_add_test(tc, incarnation_rises_above_the_stored_one);
 	tcase_add_test(tc, lost_responses_do_not_lose_announcements);
 	tcase_add_test(tc, idle_cluster_makes_no_store_calls);
+	tcase_add_test(tc, restarted_node_recovers_that_its_server_left);
+	tcase_add_test(tc, leaving_node_keeps_that_its_server_left);
+	tcase_add_test(
+	    tc, restarted_node_recovers_from_a_peer_what_the_store_lacks);
+	tcase_add_test(
+	    tc, restarted_node_recovers_from_a_peer_without_the_store);
+	tcase_add_test(tc, node_without_peers_recovers);
 	tcase_add_test(tc, poll_reports_the_lowest_version);
 	tcase_add_test(tc, poll_reports_a_refused_version);
 	failed = run_suite_forked("mesh", tc);
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -58,6 +58,11 @@
 	uint64_t warmup_end_ms;	   /* the server is slow until then */
 	struct bg_buffers *buffers;
 	struct bg_retry_budget *retry;
+	struct bg_announcement
+	    held;	  /* last one that came before is_recovered */
+	uint64_t held_ms; /* monotonic time at which it came */
+	int has_held;
+	int is_recovered; /* what an earlier process announced is known */
 	int is_suspended; /* the server's version was judged bad */
 	int is_draining;  /* the node is stopping */
 };
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -18,6 +18,9 @@
 #define SPARE_CONNECTIONS 2
 /* A server that sent bytes of a response within this time is alive. */
 #define RECENT_RESPONSE_MS 1000
+/* An announcement that was held for longer is dropped; the server repeats it.
+ */
+#define HELD_MAX_MS 2000
 /* Assumed warm-up time of a probed backend server, in which its slow responses
  * do not count against its version. */
 #define PROBED_WARMUP_MS 10000
@@ -55,7 +58,7 @@
 bg_gate_publish(struct bg_gatekeeper *gk)
 {
 	struct bg_server_announcement ann = {member_state(gk), gk->server.id,
-	    gk->server.version, gk->server.slots};
+	    gk->server.version, gk->server.slots, gk->server.started_ms};
 
 	if (!gk->is_draining)
 		bg_mesh_announce_server(gk->mesh, &ann);
@@ -269,6 +272,64 @@
 	}
 }
 
+/* 1 if a server that reports to be ready may be one that left while an earlier
+ * process ran. What that process announced has to be known first. */
+static int
+must_hold(const struct bg_gatekeeper *gk, const struct bg_announcement *ann)
+{
+	return !gk->is_recovered && gk->settings->server.sends_heartbeats &&
+	    ann->state == BG_ANNOUNCED_READY;
+}
+
+static void
+hold(struct bg_gatekeeper *gk, const struct bg_announcement *ann)
+{
+	if (!gk->has_held)
+		bg_log_info("gatekeeper", "server held id=%s born=%llu",
+		    ann->server_id, (unsigned long long)ann->started_ms);
+	gk->held = *ann;
+	gk->held_ms = bg_clock_now_ms();
+	gk->has_held = 1;
+}
+
+static void
+release_held(struct bg_gatekeeper *gk)
+{
+	int is_recent = bg_clock_now_ms() - gk->held_ms < HELD_MAX_MS;
+
+	if (gk->has_held && is_recent)
+		bg_gatekeeper_announce(gk, &gk->held);
+	gk->has_held = 0;
+}
+
+static void
+restore_server(struct bg_gatekeeper *gk, const struct bg_server_record *record)
+{
+	enum bg_server_state before = gk->server.state;
+
+	if (!bg_server_restore(&gk->server, record, bg_clock_now_ms()))
+		return;
+	bg_log_info("gatekeeper",
+	    "server restored id=%s state=%d before=%d born=%llu", gk->server.id,
+	    (int)gk->server.state, (int)before,
+	    (unsigned long long)gk->server.started_ms);
+	/* Other nodes know the state that the earlier process announced. */
+	if (before != BG_SERVER_UNKNOWN)
+		bg_gate_publish(gk);
+}
+
+void
+bg_gatekeeper_restore(
+    struct bg_gatekeeper *gk, const struct bg_server_record *record)
+{
+	gk->is_recovered = 1;
+	if (!gk->settings->server.sends_heartbeats)
+		return;
+	if (record != NULL)
+		restore_server(gk, record);
+	release_held(gk);
+}
+
 static void
 start_drain_timer(struct bg_gatekeeper *gk)
 {
@@ -299,6 +360,10 @@
 		return BG_ANNOUNCE_REJECTED;
 	if (!copy.has_started_ms)
 		copy.started_ms = bg_clock_wall_ms();
+	if (must_hold(gk, &copy)) {
+		hold(gk, &copy);
+		return BG_ANNOUNCE_UNCHANGED;
+	}
 	result = bg_server_update(&gk->server, &copy, bg_clock_now_ms());
 	if (result != BG_ANNOUNCE_CHANGED)
 		return result;
@@ -309,7 +374,8 @@
 	    (int)previous.state, gk->server.slots,
 	    (unsigned long long)gk->server.started_ms,
 	    (unsigned long long)gk->server.sequence);
-	if (strcmp(previous.id, gk->server.id) != 0 ||
+	if (previous.state == BG_SERVER_UNKNOWN ||
+	    strcmp(previous.id, gk->server.id) != 0 ||
 	    previous.started_ms != gk->server.started_ms)
 		reset_for_new_server(gk, ann);
 	bg_limiter_set_slots(&gk->limiter, gk->server.slots);
--- a/proxy/src/gatekeeper/gatekeeper.h
+++ b/proxy/src/gatekeeper/gatekeeper.h
@@ -91,6 +91,15 @@
  * probe stands for. */
 enum bg_announce_result bg_gatekeeper_announce(
     struct bg_gatekeeper *gk, const struct bg_announcement *ann);
+/**
+ * Applies what an earlier process of this node announced of the server. Until
+ * then, a server that sends heartbeats is not taken for ready. May be called
+ * again with a newer record.
+ *
+ * @param record NULL if there is none
+ */
+void bg_gatekeeper_restore(
+    struct bg_gatekeeper *gk, const struct bg_server_record *record);
 /** 1 if the backend server announced that it is draining, or deregistered. A
  * server that is lost without such an announcement is not leaving. */
 int bg_gatekeeper_server_is_leaving(const struct bg_gatekeeper *gk);
--- a/proxy/src/gatekeeper/server.c
+++ b/proxy/src/gatekeeper/server.c
@@ -87,6 +87,7 @@
 			state = srv->state;
 	} else if (is_new_lifetime(srv, ann)) {
 		srv->leaving_since_ms = 0;
+		srv->is_drained = 0;
 	} else
 		return BG_ANNOUNCE_STALE;
 	store_announcement(srv, ann);
@@ -101,6 +102,45 @@
 	    : BG_ANNOUNCE_CHANGED;
 }
 
+static int
+is_recorded_lifetime(
+    const struct bg_server *srv, const struct bg_server_record *record)
+{
+	return strcmp(srv->id, record->id) == 0 &&
+	    srv->started_ms == record->started_ms;
+}
+
+static void
+set_left(struct bg_server *srv, uint64_t now_ms)
+{
+	srv->state = BG_SERVER_GONE;
+	srv->leaving_since_ms = now_ms;
+	srv->is_drained = 1;
+}
+
+int
+bg_server_restore(struct bg_server *srv, const struct bg_server_record *record,
+    uint64_t now_ms)
+{
+	if (record->started_ms == 0)
+		return 0;
+	if (is_recorded_lifetime(srv, record)) {
+		if (!record->has_left || is_leaving(srv->state))
+			return 0;
+		set_left(srv, now_ms);
+		return 1;
+	}
+	if (srv->id[0] != '\0' && srv->started_ms >= record->started_ms)
+		return 0;
+	memset(srv, 0, sizeof(*srv));
+	snprintf(srv->id, sizeof(srv->id), "%s", record->id);
+	snprintf(srv->version, sizeof(srv->version), "%s", record->version);
+	srv->started_ms = record->started_ms;
+	if (record->has_left)
+		set_left(srv, now_ms);
+	return 1;
+}
+
 void
 bg_server_mark_lost(struct bg_server *srv)
 {
@@ -123,6 +163,6 @@
 {
 	if (srv->state == BG_SERVER_READY)
 		return 1;
-	return is_leaving(srv->state) &&
+	return is_leaving(srv->state) && !srv->is_drained &&
 	    now_ms - srv->leaving_since_ms < drain_ms;
 }
--- a/proxy/src/gatekeeper/server.h
+++ b/proxy/src/gatekeeper/server.h
@@ -32,6 +32,15 @@
 	uint64_t last_announced_ms; /**< monotonic clock */
 	uint64_t leaving_since_ms;  /**< monotonic time at which it began to
 				 leave  (draining or gone); 0: it has not */
+	int is_drained;		    /**< it left before this process started */
+};
+
+/** What an earlier process of this node has announced of the server. */
+struct bg_server_record {
+	const char *id;
+	const char *version;
+	uint64_t started_ms; /**< 0: unknown; the record is not used then */
+	int has_left;
 };
 
 enum bg_announce_result {
@@ -53,6 +62,16 @@
  */
 enum bg_announce_result bg_server_update(
     struct bg_server *srv, const struct bg_announcement *ann, uint64_t now_ms);
+/**
+ * Applies the record of an earlier process, before or after announcements of
+ * the server were applied. A server that has left stays so, and announcements
+ * of lifetimes before the recorded one are stale.
+ *
+ * @param now_ms monotonic clock
+ * @return 1 if the server changed
+ */
+int bg_server_restore(struct bg_server *srv,
+    const struct bg_server_record *record, uint64_t now_ms);
 /** Marks a ready server as lost, since none or another one responds at its
  * address. */
 void bg_server_mark_lost(struct bg_server *srv);
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -36,6 +36,23 @@
 	bg_retry_set_nodes(&prx->retry, (uint32_t)ros->member_count);
 }
 
+static void
+on_recovered(void *arg, const struct bg_member *earlier)
+{
+	struct bg_proxy *prx = arg;
+	struct bg_server_record record;
+
+	if (earlier == NULL) {
+		bg_gatekeeper_restore(prx->gatekeeper, NULL);
+		return;
+	}
+	record.id = earlier->server_id;
+	record.version = earlier->server_version;
+	record.started_ms = earlier->server_started_ms;
+	record.has_left = earlier->server_has_left;
+	bg_gatekeeper_restore(prx->gatekeeper, &record);
+}
+
 static int
 init_gatekeeper(struct bg_proxy *prx, const struct bg_proxy_options *opts,
     struct bg_error *err)
@@ -56,7 +73,8 @@
 bg_proxy_init(struct bg_proxy **out, const struct bg_proxy_options *opts,
     struct bg_error *err)
 {
-	struct bg_mesh_listener listener = {on_snapshot, on_roster, NULL, NULL};
+	struct bg_mesh_listener listener = {
+	    on_snapshot, on_roster, NULL, on_recovered, NULL};
 	struct bg_proxy *prx;
 	int error;
 
--- a/proxy/tests/test_server.c
+++ b/proxy/tests/test_server.c
@@ -201,6 +201,68 @@
 }
 END_TEST
 
+static int
+restore(const char *id, uint64_t started_ms, int has_left)
+{
+	struct bg_server_record record = {id, "v1", started_ms, has_left};
+
+	return bg_server_restore(&srv, &record, now_ms);
+}
+
+/* Guards against a server that has left and is used again after a restart of
+ * its node, because a delayed heartbeat is the first message of the new process
+ * (review/1: DRAIN). */
+START_TEST(server_that_left_is_not_ready_after_a_restart)
+{
+	ck_assert_int_eq(restore("a", 50, 1), 1);
+	ck_assert_int_eq(announce_ready("a", 50, 7), BG_ANNOUNCE_STALE);
+	ck_assert_int_eq(announce_ready("b", 40, 9), BG_ANNOUNCE_STALE);
+	ck_assert_int_eq(bg_server_accepts_calls(&srv, DRAIN_MS, now_ms), 0);
+	ck_assert_uint_ne(srv.leaving_since_ms, 0);
+}
+END_TEST
+
+/* Guards against the same fault if the record is found after the heartbeat. */
+START_TEST(record_that_is_found_late_stops_calls)
+{
+	announce_ready("a", 50, 7);
+	ck_assert_int_eq(restore("a", 50, 1), 1);
+	ck_assert_int_eq(bg_server_accepts_calls(&srv, DRAIN_MS, now_ms), 0);
+	ck_assert_int_eq(announce_ready("a", 50, 8), BG_ANNOUNCE_STALE);
+	ck_assert_int_eq(restore("a", 50, 1), 0);
+}
+END_TEST
+
+/* Guards against a server that is shut out after a restart of its node: one
+ * that goes on, and one that starts anew under the same or another id. */
+START_TEST(record_does_not_shut_out_a_server)
+{
+	restore("a", 50, 0);
+	ck_assert_int_eq(announce_ready("a", 50, 7), BG_ANNOUNCE_CHANGED);
+	ck_assert_int_eq(bg_server_accepts_calls(&srv, DRAIN_MS, now_ms), 1);
+	ck_assert_int_eq(restore("a", 50, 0), 0);
+	ck_assert_int_eq(restore("z", 40, 1), 0);
+	ck_assert_int_eq(bg_server_accepts_calls(&srv, DRAIN_MS, now_ms), 1);
+	memset(&srv, 0, sizeof(srv));
+	restore("a", 50, 1);
+	ck_assert_int_eq(announce_ready("a", 60, 1), BG_ANNOUNCE_CHANGED);
+	ck_assert_int_eq(bg_server_accepts_calls(&srv, DRAIN_MS, now_ms), 1);
+	memset(&srv, 0, sizeof(srv));
+	restore("a", 50, 1);
+	ck_assert_int_eq(announce_ready("b", 60, 1), BG_ANNOUNCE_CHANGED);
+	ck_assert_int_eq(bg_server_accepts_calls(&srv, DRAIN_MS, now_ms), 1);
+}
+END_TEST
+
+/* Guards against a server of an older release, whose record has no start time,
+ * that is shut out by it. */
+START_TEST(record_without_start_time_is_ignored)
+{
+	ck_assert_int_eq(restore("a", 0, 1), 0);
+	ck_assert_int_eq(announce_ready("a", 50, 7), BG_ANNOUNCE_CHANGED);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -217,5 +279,9 @@
 	tcase_add_test(tc, earlier_lifetime_is_ignored);
 	tcase_add_test(tc, new_lifetime_under_the_same_id_is_accepted);
 	tcase_add_test(tc, lost_server_recovers_with_next_heartbeat);
+	tcase_add_test(tc, server_that_left_is_not_ready_after_a_restart);
+	tcase_add_test(tc, record_that_is_found_late_stops_calls);
+	tcase_add_test(tc, record_does_not_shut_out_a_server);
+	tcase_add_test(tc, record_without_start_time_is_ignored);
 	return run_suite("server", tc);
 }
