--- a/mesh/include/burdockgrade/mesh.h
+++ b/mesh/include/burdockgrade/mesh.h
@@ -120,7 +120,7 @@
 };
 
 /** Announces the backend server if its state differs from the last
- * announcement. Ignored after bg_mesh_announce_leave. */
+ * announcement. After bg_mesh_announce_leave, only that it leaves. */
 void bg_mesh_announce_server(
     struct bg_mesh *mesh, const struct bg_server_announcement *ann);
 /** Announces the verdict on the server's version during a move.
--- a/mesh/src/mesh/self.c
+++ b/mesh/src/mesh/self.c
@@ -283,11 +283,18 @@
     struct bg_mesh *mesh, const struct bg_server_announcement *ann)
 {
 	struct bg_member *self = &mesh->self;
+	int is_same = is_announced_lifetime(self, ann);
 
-	if (self->state == BG_MEMBER_LEAVING ||
-	    (self->state == ann->state && self->slots == ann->slots &&
-		is_announced_lifetime(self, ann) &&
-		strcmp(self->server_version, ann->server_version) == 0))
+	if (self->state == BG_MEMBER_LEAVING) {
+		if (ann->state != BG_MEMBER_DRAINING ||
+		    (is_same && self->server_has_left))
+			return;
+		set_server(self, ann);
+		bg_mesh_self_announce(mesh);
+		return;
+	}
+	if (self->state == ann->state && self->slots == ann->slots && is_same &&
+	    strcmp(self->server_version, ann->server_version) == 0)
 		return;
 	set_server(self, ann);
 	self->state = ann->state;
--- a/mesh/tests/test_mesh.c
+++ b/mesh/tests/test_mesh.c
@@ -547,6 +547,21 @@
 }
 END_TEST
 
+/* Guards against the same fault if the server leaves while the node stops. */
+START_TEST(server_that_leaves_while_its_node_stops_is_announced)
+{
+	has_servers = 1;
+	start_all();
+	bg_mesh_announce_leave(nodes[1].mesh);
+	announce(1, BG_MEMBER_DRAINING, "i-1");
+	wait_state(0, 1, BG_MEMBER_LEAVING);
+	run_ms(400);
+	node_stop(1);
+	node_start(1);
+	assert_recovered_left(1);
+}
+END_TEST
+
 /* Guards against the same fault if the store has an older announcement, since
  * the node could not write to it. */
 START_TEST(restarted_node_recovers_from_a_peer_what_the_store_lacks)
@@ -680,6 +695,8 @@
 	tcase_add_test(tc, idle_cluster_makes_no_store_calls);
 	tcase_add_test(tc, restarted_node_recovers_that_its_server_left);
 	tcase_add_test(tc, leaving_node_keeps_that_its_server_left);
+	tcase_add_test(
+	    tc, server_that_leaves_while_its_node_stops_is_announced);
 	tcase_add_test(
 	    tc, restarted_node_recovers_from_a_peer_what_the_store_lacks);
 	tcase_add_test(
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -60,7 +60,7 @@
 	struct bg_server_announcement ann = {member_state(gk), gk->server.id,
 	    gk->server.version, gk->server.slots, gk->server.started_ms};
 
-	if (!gk->is_draining)
+	if (!gk->is_draining || ann.state == BG_MEMBER_DRAINING)
 		bg_mesh_announce_server(gk->mesh, &ann);
 }
 
--- a/proxy/src/gatekeeper/gatekeeper.h
+++ b/proxy/src/gatekeeper/gatekeeper.h
@@ -107,8 +107,8 @@
  * accepts them again (0). Queued and running calls are not affected. */
 void bg_gatekeeper_set_suspended(struct bg_gatekeeper *gk, int is_suspended);
 /** Refuses new calls from now on, because the node is stopping. Queued and
- * running calls are not affected. The state of the backend server is no longer
- * announced to the mesh. */
+ * running calls are not affected. Of the backend server, only that it leaves is
+ * still announced to the mesh. */
 void bg_gatekeeper_drain(struct bg_gatekeeper *gk);
 /** Applies the connection and slot limits of a new snapshot. */
 void bg_gatekeeper_apply_snapshot(
