--- a/proxy/src/gatekeeper/server.c
+++ b/proxy/src/gatekeeper/server.c
@@ -53,9 +53,10 @@
 {
 	snprintf(srv->id, sizeof(srv->id), "%s", ann->server_id);
 	if (ann->state == BG_ANNOUNCED_GONE) {
-		/* Without an earlier announcement, only lifetimes that start
+		/* Without a start time, which is the current time then, and
+		 * without an earlier announcement, only lifetimes that start
 		 * after the deregistration are accepted. */
-		if (srv->started_ms == 0)
+		if (ann->has_started_ms || srv->started_ms == 0)
 			srv->started_ms = ann->started_ms;
 		return;
 	}
--- a/proxy/tests/prop_proxy.cpp
+++ b/proxy/tests/prop_proxy.cpp
@@ -8,6 +8,7 @@
 
 extern "C" {
 #include "drain/drain.h"
+#include "gatekeeper/server.h"
 #include "limiter/limiter.h"
 #include "retry/retry.h"
 #include "share/share.h"
@@ -216,6 +217,80 @@
 	}
 }
 
+struct lifetime {
+	const char *id;
+	uint64_t started_ms;
+	uint64_t sequence;
+	bool has_left; /* reported and acknowledged */
+};
+
+static struct bg_announcement
+make_announcement(
+    struct lifetime &life, enum bg_announced_state state, bool is_late)
+{
+	struct bg_announcement ann;
+
+	memset(&ann, 0, sizeof(ann));
+	snprintf(ann.server_id, sizeof(ann.server_id), "%s", life.id);
+	ann.started_ms = life.started_ms;
+	ann.has_started_ms = 1;
+	ann.sequence = is_late ? 1 : ++life.sequence;
+	ann.slots = 6;
+	ann.state = state;
+	return ann;
+}
+
+/* For any order of heartbeats and deregistrations of three lifetimes of a
+ * server, some of them late, and of restarts of the node, which keep what was
+ * announced: a lifetime that has left is not used, and the newest one that has
+ * not left is used once it reports to be ready. */
+static void
+lifetime_that_left_is_not_used(
+    const std::vector<std::pair<uint8_t, uint8_t>> &events)
+{
+	struct lifetime lives[] = {
+	    {"a", 50, 0, false}, {"a", 60, 0, false}, {"b", 70, 0, false}};
+	uint64_t newest_ms = 0;
+	struct bg_server srv;
+
+	memset(&srv, 0, sizeof(srv));
+	for (const auto &ev : events) {
+		struct lifetime &life = lives[ev.second % 3];
+		bool is_late = ev.second >= 128;
+		int kind = ev.first % 5;
+
+		if (kind == 4) {
+			struct bg_server before = srv;
+			struct bg_server_record record = {before.id,
+			    before.version, before.started_ms,
+			    before.leaving_since_ms != 0};
+
+			memset(&srv, 0, sizeof(srv));
+			bg_server_restore(&srv, &record, 1000);
+			RC_ASSERT(srv.state != BG_SERVER_READY);
+			continue;
+		}
+		enum bg_announced_state state = kind == 3 ? BG_ANNOUNCED_GONE
+		    : kind == 2 ? BG_ANNOUNCED_DRAINING
+				: BG_ANNOUNCED_READY;
+		struct bg_announcement ann =
+		    make_announcement(life, state, is_late);
+
+		bg_server_update(&srv, &ann, 1000);
+		if (state != BG_ANNOUNCED_READY && !is_late)
+			life.has_left = true;
+		if (life.started_ms > newest_ms)
+			newest_ms = life.started_ms;
+		for (const auto &l : lives) {
+			if (l.has_left && l.started_ms == srv.started_ms)
+				RC_ASSERT(srv.state != BG_SERVER_READY);
+		}
+		if (state == BG_ANNOUNCED_READY && !is_late && !life.has_left &&
+		    life.started_ms == newest_ms)
+			RC_ASSERT(srv.state == BG_SERVER_READY);
+	}
+}
+
 int
 main()
 {
@@ -226,5 +301,7 @@
 	ok &= rc::check("split follows weights", split_follows_weights);
 	ok &= rc::check("retry window holds", retry_window_holds);
 	ok &= rc::check("drain order holds", drain_order_holds);
+	ok &= rc::check(
+	    "lifetime that left is not used", lifetime_that_left_is_not_used);
 	return ok ? 0 : 1;
 }
