--- a/bench/test_managed.py
+++ b/bench/test_managed.py
@@ -56,6 +56,15 @@
         self.assertEqual(self.server.deliver(late), 200)
         self.assert_unused(acked)
 
+    def test_leaving_that_nothing_else_knows(self):
+        """Guards against the acknowledgement of a leaving that ends with the
+        process that gave it."""
+        self.sender.kill()
+        self.fleet.control(outage="silent")
+        self.assertNotEqual(self.server.deregister(), 200)
+        self.fleet.control(outage=False)
+        wait_for("acknowledged", lambda: self.server.deregister() == 200)
+
     def test_new_server_after_a_restart(self):
         """Guards against a new server that is shut out because another one left
         before the restart."""
--- a/core/include/burdockgrade/web.h
+++ b/core/include/burdockgrade/web.h
@@ -23,6 +23,7 @@
 	const char *query;  /**< without '?'; empty if there is none */
 	const char *body;   /**< not NUL-terminated; may be NULL if empty */
 	size_t body_bytes;
+	struct bg_web_pending *pending; /**< for bg_web_defer */
 };
 
 struct bg_web_response {
@@ -31,10 +32,21 @@
 	char *body; /**< malloc'ed string, freed by the server; may be NULL */
 };
 
-/** Handles a request and fills its response. */
+/** Handles a request and fills its response, unless it calls bg_web_defer. */
 typedef void (*bg_web_fn)(
     void *arg, const struct bg_web_request *req, struct bg_web_response *out);
 
+/** A request that is answered after its handler has returned. */
+struct bg_web_exchange;
+
+/** Takes over the request that a handler was called for.
+ * @return to be passed to bg_web_complete once, or NULL if out of memory */
+struct bg_web_exchange *bg_web_defer(const struct bg_web_request *req);
+/** Sends the response, unless the client has gone or the server was freed, and
+ * frees the exchange. The body stays with the caller. */
+void bg_web_complete(
+    struct bg_web_exchange *xch, const struct bg_web_response *res);
+
 /**
  * Listens on an address. One handler receives the requests of all paths.
  *
--- a/core/src/web.c
+++ b/core/src/web.c
@@ -14,8 +14,23 @@
 #define IDLE_TIMEOUT_S 60
 #define STATUS_INTERNAL_ERROR 500
 
+struct bg_web_exchange {
+	struct bg_web *web; /* NULL once it was freed */
+	struct bg_web_exchange *prev;
+	struct bg_web_exchange *next;
+	struct evhttp_request *req;
+};
+
+/* A request whose handler runs. */
+struct bg_web_pending {
+	struct bg_web *web;
+	struct evhttp_request *req;
+	int is_deferred;
+};
+
 struct bg_web {
 	struct evhttp *http;
+	struct bg_web_exchange *exchanges;
 	bg_web_fn fn;
 	void *arg;
 };
@@ -54,6 +69,47 @@
 		evbuffer_free(body);
 }
 
+static void
+exchange_unlink(struct bg_web_exchange *xch)
+{
+	if (xch->prev != NULL)
+		xch->prev->next = xch->next;
+	else
+		xch->web->exchanges = xch->next;
+	if (xch->next != NULL)
+		xch->next->prev = xch->prev;
+	xch->web = NULL;
+}
+
+/* evhttp keeps a request whose client has gone until it is answered. */
+struct bg_web_exchange *
+bg_web_defer(const struct bg_web_request *req)
+{
+	struct bg_web_pending *pending = req->pending;
+	struct bg_web_exchange *xch;
+
+	if ((xch = calloc(1, sizeof(*xch))) == NULL)
+		return NULL;
+	xch->web = pending->web;
+	xch->req = pending->req;
+	xch->next = xch->web->exchanges;
+	if (xch->next != NULL)
+		xch->next->prev = xch;
+	xch->web->exchanges = xch;
+	pending->is_deferred = 1;
+	return xch;
+}
+
+void
+bg_web_complete(struct bg_web_exchange *xch, const struct bg_web_response *res)
+{
+	if (xch->web != NULL) {
+		exchange_unlink(xch);
+		send_response(xch->req, res);
+	}
+	free(xch);
+}
+
 static void
 on_request(struct evhttp_request *req, void *arg)
 {
@@ -61,8 +117,10 @@
 	struct evbuffer *in = evhttp_request_get_input_buffer(req);
 	struct bg_web_response res = {STATUS_INTERNAL_ERROR, NULL, NULL};
 	struct bg_web *web = arg;
+	struct bg_web_pending pending = {web, req, 0};
 	struct bg_web_request web_req;
 
+	web_req.pending = &pending;
 	web_req.method = method_name(req);
 	web_req.path = evhttp_uri_get_path(uri);
 	web_req.query = evhttp_uri_get_query(uri);
@@ -71,7 +129,8 @@
 	web_req.body_bytes = evbuffer_get_length(in);
 	web_req.body = (const char *)evbuffer_pullup(in, -1);
 	web->fn(web->arg, &web_req, &res);
-	send_response(req, &res);
+	if (!pending.is_deferred)
+		send_response(req, &res);
 	free(res.body);
 }
 
@@ -125,8 +184,16 @@
 void
 bg_web_free(struct bg_web *web)
 {
+	struct bg_web_exchange *xch;
+
 	if (web == NULL)
 		return;
+	while ((xch = web->exchanges) != NULL) {
+		exchange_unlink(xch);
+		/* evhttp frees those whose clients have not gone. */
+		if (evhttp_request_get_connection(xch->req) == NULL)
+			evhttp_request_free(xch->req);
+	}
 	evhttp_free(web->http);
 	free(web);
 }
--- a/core/tests/test_web.c
+++ b/core/tests/test_web.c
@@ -38,6 +38,10 @@
 	char type[64];
 } last_response;
 
+/* The handler defers its response. */
+static int is_deferring;
+static struct bg_web_exchange *deferred;
+
 static void
 handle_request(
     void *arg, const struct bg_web_request *req, struct bg_web_response *out)
@@ -51,6 +55,10 @@
 	last_request.body_bytes = req->body_bytes;
 	snprintf(last_request.body, sizeof(last_request.body), "%.*s",
 	    (int)req->body_bytes, req->body == NULL ? "" : req->body);
+	if (is_deferring) {
+		deferred = bg_web_defer(req);
+		return;
+	}
 	out->status = strcmp(req->path, "/missing") == 0 ? 404 : 200;
 	out->content_type = "application/json";
 	out->body = strdup("{}");
@@ -79,6 +87,8 @@
 
 	memset(&last_request, 0, sizeof(last_request));
 	memset(&last_response, 0, sizeof(last_response));
+	is_deferring = 0;
+	deferred = NULL;
 	base = event_base_new();
 	port = free_port();
 	snprintf(address, sizeof(address), "127.0.0.1:%u", port);
@@ -211,6 +221,100 @@
 }
 END_TEST
 
+static void
+run_until_deferred(void)
+{
+	uint64_t deadline_ms = bg_clock_now_ms() + TIMEOUT_MS;
+	struct timeval poll_interval = {0, 5000};
+
+	while (deferred == NULL && bg_clock_now_ms() < deadline_ms) {
+		event_base_loopexit(base, &poll_interval);
+		event_base_dispatch(base);
+	}
+	ck_assert_ptr_nonnull(deferred);
+}
+
+static struct evhttp_connection *
+start_request(void)
+{
+	struct evhttp_connection *conn =
+	    evhttp_connection_base_new(base, NULL, "127.0.0.1", port);
+	struct evhttp_request *req = evhttp_request_new(on_response, NULL);
+
+	is_deferring = 1;
+	ck_assert_int_eq(
+	    evhttp_make_request(conn, req, EVHTTP_REQ_GET, "/"), 0);
+	run_until_deferred();
+	return conn;
+}
+
+static void
+complete(void)
+{
+	struct bg_web_response res = {202, "text/plain", NULL};
+	char body[] = "later";
+
+	res.body = body;
+	bg_web_complete(deferred, &res);
+}
+
+static void
+run_ms(uint32_t ms)
+{
+	struct timeval tv = {0, (suseconds_t)ms * 1000};
+
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+}
+
+/* Guards against a response that is sent before the handler has one. */
+START_TEST(deferred_response_is_sent_later)
+{
+	struct evhttp_connection *conn = start_request();
+
+	run_ms(50);
+	ck_assert_int_eq(last_response.count, 0);
+	complete();
+	run_ms(50);
+	ck_assert_int_eq(last_response.count, 1);
+	ck_assert_int_eq(last_response.status, 202);
+	ck_assert_str_eq(last_response.body, "later");
+	evhttp_connection_free(conn);
+}
+END_TEST
+
+/* Guards against a use after free if the client does not wait. */
+START_TEST(client_may_leave_before_a_deferred_response)
+{
+	evhttp_connection_free(start_request());
+	run_ms(50);
+	complete();
+	run_ms(50);
+}
+END_TEST
+
+/* Guards against a use after free, and a leak, if the server does not wait. */
+START_TEST(server_may_be_freed_before_a_deferred_response)
+{
+	struct evhttp_connection *conn = start_request();
+
+	bg_web_free(web);
+	web = NULL;
+	complete();
+	evhttp_connection_free(conn);
+}
+END_TEST
+
+START_TEST(client_and_server_may_leave_before_a_deferred_response)
+{
+	evhttp_connection_free(start_request());
+	run_ms(50);
+	bg_web_free(web);
+	web = NULL;
+	complete();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -222,5 +326,10 @@
 	tcase_add_test(tc, large_bodies_are_rejected);
 	tcase_add_test(tc, invalid_addresses_are_rejected);
 	tcase_add_test(tc, query_values_are_not_truncated);
+	tcase_add_test(tc, deferred_response_is_sent_later);
+	tcase_add_test(tc, client_may_leave_before_a_deferred_response);
+	tcase_add_test(tc, server_may_be_freed_before_a_deferred_response);
+	tcase_add_test(
+	    tc, client_and_server_may_leave_before_a_deferred_response);
 	return run_suite("web", tc);
 }
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -209,12 +209,13 @@
 	return bg_mesh_add_listener(node->mesh, &listener);
 }
 
-static int
-on_announcement(void *arg, const struct bg_announcement *ann)
+static void
+on_announcement(void *arg, const struct bg_announcement *ann,
+    void (*fn)(void *fn_arg, int code), void *fn_arg)
 {
 	struct bg_node *node = arg;
 
-	return bg_proxy_announce(node->proxy, ann);
+	bg_proxy_announce(node->proxy, ann, fn, fn_arg);
 }
 
 static int
--- a/mesh/include/burdockgrade/mesh.h
+++ b/mesh/include/burdockgrade/mesh.h
@@ -123,6 +123,18 @@
  * announcement. After bg_mesh_announce_leave, only that it leaves. */
 void bg_mesh_announce_server(
     struct bg_mesh *mesh, const struct bg_server_announcement *ann);
+/** @param code 0, BG_ETIMEOUT, BG_ENOMEM, or BG_ECANCELED if the mesh is freed
+ */
+typedef void (*bg_mesh_durable_fn)(void *arg, int code);
+/**
+ * Waits until the last announcement outlives this process: until the store has
+ * it or, while the store cannot be reached, a peer.
+ *
+ * @param fn runs once, within 800 ms; within this function if that is so
+ * already
+ */
+void bg_mesh_when_durable(
+    struct bg_mesh *mesh, bg_mesh_durable_fn fn, void *arg);
 /** Announces the verdict on the server's version during a move.
  * @param generation generation of the move */
 void bg_mesh_announce_verdict(
--- a/mesh/src/mesh/gossip.c
+++ b/mesh/src/mesh/gossip.c
@@ -40,6 +40,8 @@
 	struct exchange *prev;
 	struct exchange *next;
 	uint64_t bucket_mask; /* buckets sent; 0: root digests or a push */
+	uint64_t own_seq;     /* last announcement of this node that the peer
+				 has after it; 0: none */
 	int is_round;	      /* a periodic comparison, not a push */
 	char peer[BG_ADDRESS_BYTES];
 };
@@ -183,20 +185,29 @@
 	if (xch == NULL)
 		return;
 	xch->is_round = 1;
+	xch->own_seq = gsp->mesh->self.seq;
 	bg_counter_add(&rounds, 1);
 	if (send_sync(xch, &args, &none) != 0)
 		exchange_free(xch);
 }
 
-/* Ends an exchange. A round that has compared the whole tables is reported. */
+/* Ends an exchange that a peer has answered.
+ * @param is_complete 1 if all that was to be exchanged has been */
 static void
 exchange_end(struct exchange *xch, int is_complete)
 {
 	struct bg_mesh *mesh = xch->gossip->mesh;
+	uint64_t own_seq = xch->own_seq;
 	int is_round = xch->is_round;
 
 	exchange_free(xch);
-	if (is_round && is_complete)
+	if (!is_complete)
+		return;
+	if (own_seq > mesh->copied_seq) {
+		mesh->copied_seq = own_seq;
+		bg_mesh_durable_update(mesh);
+	}
+	if (is_round)
 		bg_mesh_recovery_handle_comparison(mesh);
 }
 
@@ -290,8 +301,9 @@
 		}
 	}
 	/* A reply to root digests with items has the configuration only. */
-	exchange_end(
-	    xch, merged >= 0 && (xch->bucket_mask != 0 || packed.bytes == 0));
+	exchange_end(xch,
+	    merged >= 0 &&
+		(!xch->is_round || xch->bucket_mask != 0 || packed.bytes == 0));
 }
 
 /* Picks a random member, from this node's data centre or from another one. */
@@ -352,7 +364,8 @@
 }
 
 static void
-push_to(struct bg_gossip *gsp, const char *peer, uint64_t cursor)
+push_to(
+    struct bg_gossip *gsp, const char *peer, uint64_t cursor, uint64_t own_seq)
 {
 	struct bg_xsync_args args = {0};
 	struct bg_packed packed;
@@ -361,13 +374,15 @@
 	if (xch == NULL)
 		return;
 	args.is_push = 1;
+	xch->own_seq = own_seq;
 	if (pack_selected(&packed, gsp, 0, cursor) != 0 ||
 	    send_sync(xch, &args, &packed) != 0)
 		exchange_free(xch);
 }
 
 static void
-push_to_peers(struct bg_gossip *gsp, uint64_t cursor, const char *sender)
+push_to_peers(struct bg_gossip *gsp, uint64_t cursor, uint64_t own_seq,
+    const char *sender)
 {
 	const struct bg_member *peer;
 	int i;
@@ -375,14 +390,14 @@
 	for (i = 0; i < PUSH_PEERS; i++) {
 		peer = pick_peer(gsp, i == 0);
 		if (peer != NULL && strcmp(peer->address, sender) != 0)
-			push_to(gsp, peer->address, cursor);
+			push_to(gsp, peer->address, cursor, own_seq);
 	}
 }
 
 void
-bg_gossip_push(struct bg_gossip *gsp, uint64_t cursor)
+bg_gossip_push(struct bg_gossip *gsp, uint64_t cursor, uint64_t own_seq)
 {
-	push_to_peers(gsp, cursor, "");
+	push_to_peers(gsp, cursor, own_seq, "");
 }
 
 static void
@@ -460,7 +475,7 @@
 	 * so it is forwarded only while the store is unreachable. */
 	if (args->is_push && changed > 0 &&
 	    !bg_mesh_is_store_reachable(gsp->mesh))
-		push_to_peers(gsp, cursor, args->address);
+		push_to_peers(gsp, cursor, 0, args->address);
 	bg_rpc_reply(rpc, (xdrproc_t)xdr_bg_xsync_res, &res);
 	free(res.items.items_val);
 }
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -19,6 +19,7 @@
 #define BG_CONFIG_KEY "main"
 
 struct bg_known_node;
+struct bg_durable_wait;
 struct bg_gossip;
 struct bg_state_poll;
 
@@ -63,6 +64,12 @@
 	void (*withdraw_done)(void *arg);
 	void *withdraw_arg;
 
+	/* durable.c */
+	struct bg_durable_wait *durable_waits;
+	uint64_t writing_seq; /**< of the announcement being written */
+	uint64_t stored_seq;  /**< last announcement that the store has */
+	uint64_t copied_seq;  /**< last announcement that a peer has */
+
 	/* recovery.c */
 	struct event *recovery_timer;
 	struct bg_member earlier; /**< last announcement of an earlier
@@ -124,6 +131,11 @@
 /** Writes or removes this node's object in the store if that is due. */
 void bg_mesh_self_update_store(struct bg_mesh *mesh);
 
+/* durable.c */
+/** Ends the waits for announcements that stored_seq or copied_seq covers. */
+void bg_mesh_durable_update(struct bg_mesh *mesh);
+void bg_mesh_durable_free(struct bg_mesh *mesh);
+
 /* recovery.c */
 /** @return 0 or BG_ENOMEM */
 int bg_mesh_recovery_init(struct bg_mesh *mesh);
@@ -145,8 +157,10 @@
 void bg_gossip_start(struct bg_gossip *gsp);
 /** Compares the table with a random peer now. */
 void bg_gossip_compare(struct bg_gossip *gsp);
-/** Pushes the changes after a cursor to some peers immediately. */
-void bg_gossip_push(struct bg_gossip *gsp, uint64_t cursor);
+/** Pushes the changes after a cursor to some peers immediately.
+ * @param own_seq of this node's announcement, if it is among the changes, or 0
+ */
+void bg_gossip_push(struct bg_gossip *gsp, uint64_t cursor, uint64_t own_seq);
 
 /* state_poll.c */
 /** @return 0 or BG_ENOMEM */
--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -141,6 +141,7 @@
 {
 	if (mesh == NULL)
 		return;
+	bg_mesh_durable_free(mesh);
 	bg_state_poll_free(mesh->state_poll);
 	bg_gossip_free(mesh->gossip);
 	bg_mesh_nodes_free(mesh);
@@ -193,10 +194,13 @@
 bg_mesh_publish(struct bg_mesh *mesh, const struct bg_item *item)
 {
 	uint64_t cursor = bg_table_cursor(mesh->table);
+	int is_own = item->kind == BG_ITEM_MEMBER &&
+	    strcmp(item->key, mesh->self.address) == 0;
 	int error = bg_mesh_merge(mesh, item);
 
 	if (error == 0)
-		bg_gossip_push(mesh->gossip, cursor);
+		bg_gossip_push(
+		    mesh->gossip, cursor, is_own ? mesh->self.seq : 0);
 	return error;
 }
 
--- a/mesh/src/mesh/self.c
+++ b/mesh/src/mesh/self.c
@@ -96,6 +96,7 @@
 		error = bg_store_write(mesh->store, &change, on_written, mesh);
 	json_decref(spec);
 	mesh->is_writing = error == 0;
+	mesh->writing_seq = mesh->self.seq;
 	if (error == 0)
 		mesh->is_write_due = 0;
 	else if (error != BG_ECANCELED)
@@ -171,6 +172,8 @@
 		bg_counter_add(&writes, 1);
 		mesh->stored_revision =
 		    mesh->is_withdrawn ? 0 : answer->revision;
+		mesh->stored_seq = mesh->writing_seq;
+		bg_mesh_durable_update(mesh);
 		bg_mesh_self_update_store(mesh);
 		return;
 	case BG_ECANCELED:
@@ -221,6 +224,17 @@
 		bg_mesh_self_announce(mesh);
 }
 
+/* The response to a write may be lost; the object shows that it was made. */
+static void
+update_stored_seq(struct bg_mesh *mesh, const struct bg_member *member)
+{
+	if (member->incarnation != mesh->self.incarnation ||
+	    member->seq <= mesh->stored_seq)
+		return;
+	mesh->stored_seq = member->seq;
+	bg_mesh_durable_update(mesh);
+}
+
 void
 bg_mesh_self_handle_stored(
     struct bg_mesh *mesh, uint64_t revision, const struct bg_member *member)
@@ -228,8 +242,10 @@
 	if (revision != 0 && revision < mesh->stored_revision)
 		return;
 	mesh->stored_revision = revision;
-	if (member != NULL)
+	if (member != NULL) {
 		bg_mesh_recovery_handle_member(mesh, member);
+		update_stored_seq(mesh, member);
+	}
 	if (revision == 0) {
 		/* Peers that processed the removal accept only a newer
 		 * announcement. */
--- a/mesh/tests/test_mesh.c
+++ b/mesh/tests/test_mesh.c
@@ -9,6 +9,8 @@
 #include "burdockgrade/document.h"
 #include "burdockgrade/mesh.h"
 
+#include "mesh/internal.h"
+
 #include "memory_store.h"
 #include "suite.h"
 
@@ -175,6 +177,7 @@
 
 	if (node->mesh == NULL)
 		return;
+	memory_store_cancel(&mem, node->mesh);
 	bg_link_pool_free(node->links);
 	bg_mesh_free(node->mesh);
 	bg_link_server_free(node->server);
@@ -603,6 +606,103 @@
 }
 END_TEST
 
+/* Result of the last wait for a durable announcement. */
+static int durable_code;
+static int durable_count;
+
+static void
+on_durable(void *arg, int code)
+{
+	durable_code = code;
+	durable_count++;
+}
+
+static void
+wait_durable(size_t i)
+{
+	uint64_t end_ms = bg_clock_now_ms() + WAIT_MS;
+
+	durable_count = 0;
+	bg_mesh_when_durable(nodes[i].mesh, on_durable, NULL);
+	while (durable_count == 0 && bg_clock_now_ms() < end_ms)
+		run_ms(1);
+	ck_assert_int_eq(durable_count, 1);
+}
+
+/* Guards against a server whose leaving is acknowledged while only the process
+ * that may be killed knows of it. */
+START_TEST(announcement_is_durable_once_it_is_stored)
+{
+	size_t i;
+
+	has_servers = 1;
+	start_all();
+	announce(1, BG_MEMBER_DRAINING, "i-1");
+	ck_assert_uint_eq(nodes[1].mesh->stored_seq, 1);
+	wait_durable(1);
+	ck_assert_int_eq(durable_code, 0);
+	ck_assert_uint_eq(nodes[1].mesh->stored_seq, 2);
+	for (i = 0; i < NODES; i++)
+		node_stop(i);
+	node_start(1);
+	assert_recovered_left(1);
+}
+END_TEST
+
+/* Guards against a server that is not acknowledged during an outage of the
+ * store, although peers know that it leaves. */
+START_TEST(announcement_is_durable_at_a_peer_during_an_outage)
+{
+	has_servers = 1;
+	start_all();
+	mem.is_silent = 1;
+	announce(1, BG_MEMBER_DRAINING, "i-1");
+	wait_durable(1);
+	ck_assert_int_eq(durable_code, 0);
+	node_stop(1);
+	nodes[1].view.is_disconnected = 1;
+	node_start(1);
+	assert_recovered_left(1);
+}
+END_TEST
+
+/* Guards against an acknowledgement that nothing but this process keeps. */
+START_TEST(announcement_that_nobody_has_is_not_durable)
+{
+	size_t i;
+
+	has_servers = 1;
+	start_all();
+	for (i = 0; i < NODES; i++) {
+		if (i != 1)
+			node_stop(i);
+	}
+	mem.is_silent = 1;
+	announce(1, BG_MEMBER_DRAINING, "i-1");
+	wait_durable(1);
+	ck_assert_int_eq(durable_code, BG_ETIMEOUT);
+	/* Once the store is back, so is the promise. */
+	memory_store_resume(&mem);
+	run_ms(1500);
+	wait_durable(1);
+	ck_assert_int_eq(durable_code, 0);
+}
+END_TEST
+
+/* Guards against a wait that is forgotten when the process stops. */
+START_TEST(wait_for_durable_announcement_ends_with_the_mesh)
+{
+	has_servers = 1;
+	start_all();
+	announce(1, BG_MEMBER_DRAINING, "i-1");
+	durable_count = 0;
+	bg_mesh_when_durable(nodes[1].mesh, on_durable, NULL);
+	node_stop(1);
+	ck_assert_int_eq(durable_count, 1);
+	ck_assert_int_eq(durable_code, BG_ECANCELED);
+}
+END_TEST
+
 static void
 on_poll(void *arg, const struct bg_state_summary *found, size_t count)
 {
@@ -702,6 +802,10 @@
 	tcase_add_test(
 	    tc, restarted_node_recovers_from_a_peer_without_the_store);
 	tcase_add_test(tc, node_without_peers_recovers);
+	tcase_add_test(tc, announcement_is_durable_once_it_is_stored);
+	tcase_add_test(tc, announcement_is_durable_at_a_peer_during_an_outage);
+	tcase_add_test(tc, announcement_that_nobody_has_is_not_durable);
+	tcase_add_test(tc, wait_for_durable_announcement_ends_with_the_mesh);
 	tcase_add_test(tc, poll_reports_the_lowest_version);
 	tcase_add_test(tc, poll_reports_a_refused_version);
 	failed = run_suite_forked("mesh", tc);
--- a/proxy/include/burdockgrade/proxy.h
+++ b/proxy/include/burdockgrade/proxy.h
@@ -74,12 +74,16 @@
 void bg_proxy_set_move(
     struct bg_proxy *prx, const char *service, const struct bg_move *move);
 /**
- * Applies an announcement of the backend server.
+ * Applies an announcement of the backend server. That it leaves is final, so it
+ * is accepted only once that outlives this process.
  *
- * @return 0, also for a stale or unchanged announcement, or BG_EINVAL if it
- *     comes from a server of another service or this node has no backend server
+ * @param fn runs once, in this function or later, with 0, also for a stale or
+ *     unchanged announcement; BG_EINVAL if it comes from a server of another
+ *     service or this node has no backend server; or BG_ETIMEOUT if neither the
+ *     store nor a peer has got it in time
  */
-int bg_proxy_announce(struct bg_proxy *prx, const struct bg_announcement *ann);
+void bg_proxy_announce(struct bg_proxy *prx, const struct bg_announcement *ann,
+    void (*fn)(void *arg, int code), void *arg);
 /** Stops or resumes sending calls to the backend server. They are stopped while
  * this node judges the server's version bad. */
 void bg_proxy_set_suspended(struct bg_proxy *prx, int is_suspended);
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -161,13 +161,20 @@
 	bg_gatekeeper_set_suspended(prx->gatekeeper, is_suspended);
 }
 
-int
-bg_proxy_announce(struct bg_proxy *prx, const struct bg_announcement *ann)
-{
-	return bg_gatekeeper_announce(prx->gatekeeper, ann) ==
-		BG_ANNOUNCE_REJECTED
-	    ? BG_EINVAL
-	    : 0;
+void
+bg_proxy_announce(struct bg_proxy *prx, const struct bg_announcement *ann,
+    void (*fn)(void *arg, int code), void *arg)
+{
+	enum bg_announce_result result =
+	    bg_gatekeeper_announce(prx->gatekeeper, ann);
+
+	if (result == BG_ANNOUNCE_REJECTED)
+		fn(arg, BG_EINVAL);
+	else if (result == BG_ANNOUNCE_STALE ||
+	    ann->state == BG_ANNOUNCED_READY)
+		fn(arg, 0);
+	else
+		bg_mesh_when_durable(prx->mesh, fn, arg);
 }
 
 int
--- a/proxy/tests/stub_mesh.h
+++ b/proxy/tests/stub_mesh.h
@@ -40,6 +40,12 @@
 	    mesh->server_id, sizeof(mesh->server_id), "%s", ann->server_id);
 }
 
+void
+bg_mesh_when_durable(struct bg_mesh *mesh, bg_mesh_durable_fn fn, void *arg)
+{
+	fn(arg, 0);
+}
+
 void
 bg_mesh_announce_leave(struct bg_mesh *mesh)
 {
--- a/testing/memory_store.c
+++ b/testing/memory_store.c
@@ -388,6 +388,20 @@
 		abort();
 }
 
+void
+memory_store_cancel(struct memory_store *mem, const void *arg)
+{
+	size_t i;
+
+	for (i = 0; i < MEMORY_STORE_CALLS; i++) {
+		if (!mem->calls[i].is_used || mem->calls[i].arg != arg)
+			continue;
+		if (mem->calls[i].is_write)
+			json_decref(mem->calls[i].change.value);
+		respond_code(&mem->calls[i], BG_ECANCELED, 0);
+	}
+}
+
 void
 memory_store_clear(struct memory_store *mem)
 {
--- a/testing/memory_store.h
+++ b/testing/memory_store.h
@@ -89,6 +89,9 @@
 /** Clears is_silent and is_write_silent, so that the event loop handles the
  * pending calls. */
 void memory_store_resume(struct memory_store *mem);
+/** Ends the pending calls with this argument with BG_ECANCELED, as the client of
+ * a process that ends does. */
+void memory_store_cancel(struct memory_store *mem, const void *arg);
 /** Runs a fixed number of iterations of the event loop, without blocking and
  * without a check that no event is left. */
 void memory_store_run(struct memory_store *mem);
