--- a/mesh/include/burdockgrade/wire_xdr.h
+++ b/mesh/include/burdockgrade/wire_xdr.h
@@ -80,6 +80,24 @@
 };
 typedef struct bg_xsync_res bg_xsync_res;
 
+struct bg_xconfig_args {
+	u_quad_t config_version;
+	u_int is_document_wanted;
+};
+typedef struct bg_xconfig_args bg_xconfig_args;
+
+struct bg_xconfig_res {
+	u_quad_t config_version;
+	u_int age_ms;
+	u_int raw_bytes;
+	u_quad_t items_digest;
+	struct {
+		u_int items_len;
+		char *items_val;
+	} items;
+};
+typedef struct bg_xconfig_res bg_xconfig_res;
+
 struct bg_xheader {
 	char *name;
 	char *value;
@@ -222,6 +240,9 @@
 #define BG_PROC_BODY 5
 extern  bg_xcall_res * bg_proc_body_3(bg_xbody_args *, CLIENT *);
 extern  bg_xcall_res * bg_proc_body_3_svc(bg_xbody_args *, struct svc_req *);
+#define BG_PROC_CONFIG 6
+extern  bg_xconfig_res * bg_proc_config_3(bg_xconfig_args *, CLIENT *);
+extern  bg_xconfig_res * bg_proc_config_3_svc(bg_xconfig_args *, struct svc_req *);
 extern int bg_mesh_3_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -243,6 +264,9 @@
 #define BG_PROC_BODY 5
 extern  bg_xcall_res * bg_proc_body_3();
 extern  bg_xcall_res * bg_proc_body_3_svc();
+#define BG_PROC_CONFIG 6
+extern  bg_xconfig_res * bg_proc_config_3();
+extern  bg_xconfig_res * bg_proc_config_3_svc();
 extern int bg_mesh_3_freeresult ();
 #endif /* K&R C */
 
@@ -256,6 +280,8 @@
 extern  bool_t xdr_bg_xitems (XDR *, bg_xitems*);
 extern  bool_t xdr_bg_xsync_args (XDR *, bg_xsync_args*);
 extern  bool_t xdr_bg_xsync_res (XDR *, bg_xsync_res*);
+extern  bool_t xdr_bg_xconfig_args (XDR *, bg_xconfig_args*);
+extern  bool_t xdr_bg_xconfig_res (XDR *, bg_xconfig_res*);
 extern  bool_t xdr_bg_xheader (XDR *, bg_xheader*);
 extern  bool_t xdr_bg_xoutcome (XDR *, bg_xoutcome*);
 extern  bool_t xdr_bg_xrefusal (XDR *, bg_xrefusal*);
@@ -274,6 +300,8 @@
 extern bool_t xdr_bg_xitems ();
 extern bool_t xdr_bg_xsync_args ();
 extern bool_t xdr_bg_xsync_res ();
+extern bool_t xdr_bg_xconfig_args ();
+extern bool_t xdr_bg_xconfig_res ();
 extern bool_t xdr_bg_xheader ();
 extern bool_t xdr_bg_xoutcome ();
 extern bool_t xdr_bg_xrefusal ();
--- a/mesh/src/mesh/config.c
+++ b/mesh/src/mesh/config.c
@@ -119,11 +119,10 @@
 	json_decref(doc);
 }
 
-static void
-on_object(void *arg, const struct bg_store_object *obj)
+void
+bg_mesh_config_handle_object(
+    struct bg_mesh *mesh, const struct bg_store_object *obj)
 {
-	struct bg_mesh *mesh = arg;
-
 	if (strcmp(obj->name, mesh->config->name) != 0)
 		return;
 	if (obj->is_deleted || obj->spec == NULL) {
@@ -134,6 +133,12 @@
 		add_document_item(mesh, obj->spec);
 }
 
+static void
+on_object(void *arg, const struct bg_store_object *obj)
+{
+	bg_mesh_config_handle_object(arg, obj);
+}
+
 static void
 on_listed(void *arg)
 {
--- a/mesh/src/mesh/gossip.c
+++ b/mesh/src/mesh/gossip.c
@@ -105,8 +105,8 @@
 	return error;
 }
 
-static int
-pack_config(struct bg_packed *out, const struct bg_gossip *gsp)
+int
+bg_gossip_pack_config(struct bg_packed *out, const struct bg_gossip *gsp)
 {
 	struct bg_xitem copy = {0};
 	struct bg_xitems list = {{1, &copy}};
@@ -125,10 +125,8 @@
 	return bg_items_pack(out, &list);
 }
 
-/* Merges a list from a peer. Returns the number of changed items or an error
- * code < 0. */
-static int
-merge_packed(
+int
+bg_gossip_merge(
     struct bg_gossip *gsp, const struct bg_packed *packed, const char *peer)
 {
 	struct bg_xitems items;
@@ -255,7 +253,7 @@
 	if (xch == NULL)
 		return;
 	args.is_push = 1;
-	if (pack_config(&packed, gsp) != 0 ||
+	if (bg_gossip_pack_config(&packed, gsp) != 0 ||
 	    send_sync(xch, &args, &packed) != 0)
 		exchange_free(xch);
 }
@@ -287,7 +285,7 @@
 	}
 	set_packed(&packed, res->items.items_val, res->items.items_len,
 	    res->raw_bytes, res->items_digest);
-	merged = merge_packed(xch->gossip, &packed, xch->peer);
+	merged = bg_gossip_merge(xch->gossip, &packed, xch->peer);
 	if (xch->is_round && is_config_settled(xch->gossip->mesh) &&
 	    res->config_version < bg_mesh_config_version(xch->gossip->mesh))
 		push_config(xch->gossip, xch->peer);
@@ -423,7 +421,8 @@
 	if (args->is_push)
 		return;
 	if (args->config_version < res->config_version &&
-	    is_config_settled(gsp->mesh) && pack_config(&packed, gsp) == 0) {
+	    is_config_settled(gsp->mesh) &&
+	    bg_gossip_pack_config(&packed, gsp) == 0) {
 		set_items(res, &packed);
 		return;
 	}
@@ -468,7 +467,7 @@
 	fill_response(gsp, args, &res, digests);
 	set_packed(&packed, args->items.items_val, args->items.items_len,
 	    args->raw_bytes, args->items_digest);
-	changed = merge_packed(gsp, &packed, args->address);
+	changed = bg_gossip_merge(gsp, &packed, args->address);
 	if (changed >= 0 && is_comparison)
 		bg_mesh_recovery_handle_comparison(gsp->mesh);
 	/* With a reachable store, every node reads the change from the store,
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -21,6 +21,8 @@
 struct bg_known_node;
 struct bg_durable_wait;
 struct bg_gossip;
+struct bg_packed;
+struct bg_reader;
 struct bg_state_poll;
 
 struct bg_mesh {
@@ -81,6 +83,7 @@
 					    has not begun */
 
 	struct bg_gossip *gossip;
+	struct bg_reader *reader;
 	struct bg_state_poll *state_poll;
 };
 
@@ -100,6 +103,10 @@
  * than the version in force. */
 void bg_mesh_config_handle_item(
     struct bg_mesh *mesh, const struct bg_item *item);
+/** Installs the document of an object read from the store if it is newer than
+ * the version in force, and passes it on to peers. */
+void bg_mesh_config_handle_object(
+    struct bg_mesh *mesh, const struct bg_store_object *obj);
 void bg_mesh_config_free(struct bg_mesh *mesh);
 /** Configuration version in force, or 0. */
 uint64_t bg_mesh_config_version(const struct bg_mesh *mesh);
@@ -162,6 +169,21 @@
  */
 void bg_gossip_push(struct bg_gossip *gsp, uint64_t cursor, uint64_t own_seq);
 
+/** Packs the configuration. @param out the caller frees out->data
+ * @return 0, BG_ENOTFOUND if there is none, BG_ELIMIT or BG_ENOMEM */
+int bg_gossip_pack_config(struct bg_packed *out, const struct bg_gossip *gsp);
+/** Merges a list from a peer.
+ * @return number of changed items, or an error code < 0 */
+int bg_gossip_merge(
+    struct bg_gossip *gsp, const struct bg_packed *packed, const char *peer);
+
+/* reader.c */
+/** @return 0 or BG_ENOMEM */
+int bg_reader_init(struct bg_reader **out, struct bg_mesh *mesh);
+/** Starts the checks for a newer configuration. */
+void bg_reader_start(struct bg_reader *rdr);
+void bg_reader_free(struct bg_reader *rdr);
+
 /* state_poll.c */
 /** @return 0 or BG_ENOMEM */
 int bg_state_poll_init(struct bg_state_poll **out, struct bg_mesh *mesh);
--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -1,7 +1,9 @@
 /* How a configuration reaches the nodes:
  *  1. An operator writes it to the store (store/src/change/operate.c, or the
  *     users' platform).
- *  2. The watch of each node returns the change (store/src/follow/follow.c).
+ *  2. The watch of each node returns the change (store/src/watcher/watcher.c).
+ *     Where it is late, the node that reads the store exactly tells of it
+ *     (reader.c).
  *  3. The node decodes and validates the whole document and installs the
  *     snapshot by a single pointer swap (config.c).
  *  4. A node that cannot reach the store gets the document from a peer when
@@ -127,6 +129,7 @@
 	if (mesh->change_event == NULL || bg_table_init(&mesh->table) != 0 ||
 	    bg_mesh_self_init(mesh) != 0 || bg_mesh_recovery_init(mesh) != 0 ||
 	    bg_gossip_init(&mesh->gossip, mesh) != 0 ||
+	    bg_reader_init(&mesh->reader, mesh) != 0 ||
 	    bg_state_poll_init(&mesh->state_poll, mesh) != 0) {
 		bg_mesh_free(mesh);
 		return bg_error_set(
@@ -143,6 +146,7 @@
 		return;
 	bg_mesh_durable_free(mesh);
 	bg_state_poll_free(mesh->state_poll);
+	bg_reader_free(mesh->reader);
 	bg_gossip_free(mesh->gossip);
 	bg_mesh_nodes_free(mesh);
 	bg_mesh_config_free(mesh);
@@ -175,6 +179,7 @@
 	    (bg_mesh_config_init(mesh) != 0 || bg_mesh_nodes_init(mesh) != 0))
 		bg_log_error("mesh", "store not watched reason=memory");
 	bg_gossip_start(mesh->gossip);
+	bg_reader_start(mesh->reader);
 	bg_mesh_recovery_handle_store(mesh);
 	/* A node with a backend server announces itself when the state of the
 	 * server is known. */
--- a/mesh/src/wire/wire_xdr.c
+++ b/mesh/src/wire/wire_xdr.c
@@ -108,6 +108,36 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bg_xconfig_args (XDR *xdrs, bg_xconfig_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->is_document_wanted))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bg_xconfig_res (XDR *xdrs, bg_xconfig_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->raw_bytes))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->items_digest))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, BG_BODY_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bg_xheader (XDR *xdrs, bg_xheader *objp)
 {
--- a/mesh/src/wire/wire_xdr.x
+++ b/mesh/src/wire/wire_xdr.x
@@ -55,6 +55,23 @@
 	opaque items<BG_BODY_BYTES>;
 };
 
+/* CONFIG: a node asks one that reads the store exactly for the newest
+ * configuration. The reply has the document if it is wanted and newer than the
+ * caller's version; items, raw_bytes and items_digest are as for SYNC. */
+struct bg_xconfig_args {
+	unsigned hyper config_version; /* in force at the caller; 0: none */
+	unsigned int is_document_wanted;
+};
+
+struct bg_xconfig_res {
+	unsigned hyper config_version; /* in force; 0: none */
+	unsigned int age_ms; /* since the store confirmed that it is the
+			      * newest */
+	unsigned int raw_bytes;
+	unsigned hyper items_digest;
+	opaque items<BG_BODY_BYTES>;
+};
+
 struct bg_xheader {
 	string name<256>;
 	string value<16384>;
@@ -181,5 +198,6 @@
 		void BG_PROC_CANCEL(bg_xcancel_args) = 3;
 		bg_xstate_res BG_PROC_STATE(void) = 4;
 		bg_xcall_res BG_PROC_BODY(bg_xbody_args) = 5;
+		bg_xconfig_res BG_PROC_CONFIG(bg_xconfig_args) = 6;
 	} = 3;
 } = 0x2f0b0d67;
--- a/standins/platform/control.c
+++ b/standins/platform/control.c
@@ -58,6 +58,8 @@
 		return set_number(&plt->write_delay_ms, value);
 	if (strcmp(name, "answer_delay_ms") == 0)
 		return set_number(&plt->answer_delay_ms, value);
+	if (strcmp(name, "stale_lag_ms") == 0)
+		return set_number(&plt->stale_lag_ms, value);
 	if (strcmp(name, "lose_next_write_answers") == 0)
 		return set_number(&plt->lose_next_write_answers, value);
 	if (strcmp(name, "reads_per_s") == 0)
--- a/standins/platform/platform.h
+++ b/standins/platform/platform.h
@@ -31,6 +31,7 @@
 	uint32_t delay_ms;	  /**< before a call is executed */
 	uint32_t write_delay_ms;  /**< the same for writes, in addition */
 	uint32_t answer_delay_ms; /**< after it was executed */
+	uint32_t stale_lag_ms;	  /**< age of what stale watches see */
 	uint32_t lose_next_write_answers;
 	int is_mute_due; /**< open connections go silent after this answer */
 	uint64_t lost_answers;
--- a/standins/platform/store.c
+++ b/standins/platform/store.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "burdockgrade/clock.h"
+
 #include "store.h"
 
 static struct object *
@@ -35,6 +37,13 @@
 	return obj;
 }
 
+static void
+touch(struct store *str, struct object *obj)
+{
+	obj->revision = ++str->revision;
+	obj->changed_ms = bg_clock_now_ms();
+}
+
 /* A write that changes nothing makes no revision. */
 struct object *
 store_put(struct store *str, const char *key, json_t *spec)
@@ -45,7 +54,7 @@
 		return NULL;
 	if (!obj->is_deleted && json_equal(obj->spec, spec))
 		return obj;
-	obj->revision = ++str->revision;
+	touch(str, obj);
 	if (obj->is_deleted)
 		obj->created = obj->revision;
 	obj->is_deleted = 0;
@@ -59,7 +68,7 @@
 {
 	if (json_equal(obj->status, status))
 		return;
-	obj->revision = ++str->revision;
+	touch(str, obj);
 	json_decref(obj->status);
 	obj->status = json_incref(status);
 }
@@ -70,7 +79,7 @@
 	obj->is_deleted = 1;
 	json_decref(obj->status);
 	obj->status = NULL;
-	obj->revision = ++str->revision;
+	touch(str, obj);
 	return obj->revision;
 }
 
--- a/standins/platform/store.h
+++ b/standins/platform/store.h
@@ -19,6 +19,7 @@
 	int is_deleted; /**< kept for watches */
 	uint64_t revision;
 	uint64_t created;
+	uint64_t changed_ms; /**< monotonic time of the last change */
 	UT_hash_handle hh;
 };
 
--- a/store/include/burdockgrade/store.h
+++ b/store/include/burdockgrade/store.h
@@ -39,9 +39,11 @@
 	const char *after_name;	 /**< list: only names after this one; NULL:
 				      from the first name */
 	uint64_t since_revision; /**< watch: only changes after it */
-	uint32_t wait_ms; /**< watch: time to wait for a change, in ms; 0: no
-			       watch */
-	int may_be_stale; /**< cheaper; the result may be seconds old */
+	uint32_t wait_ms;    /**< watch: time to wait for a change, in ms; 0: no
+				  watch */
+	int may_be_stale;    /**< cheaper; the result may be seconds old */
+	uint32_t timeout_ms; /**< of the call, besides wait_ms; 0: that of the
+				  client */
 };
 
 enum bg_store_action {
--- a/store/include/burdockgrade/watcher.h
+++ b/store/include/burdockgrade/watcher.h
@@ -22,6 +22,9 @@
 	void (*list_begin)(void *arg);
 	/** The store became reachable or unreachable; may be NULL. */
 	void (*reachable)(void *arg, int is_reachable);
+	/** All changes up to now were reported, as far as the store's answer is
+	 * exact; may be NULL. Runs after `object` and `list_end`. */
+	void (*contact)(void *arg);
 	void *arg;
 };
 
@@ -32,6 +35,11 @@
 	/** Delay between a change and the next watch, in ms, so that several
 	 * changes in quick succession cost one call. */
 	uint32_t coalesce_ms;
+	int is_exact;	     /**< watches are exact, not only lists; they cost
+				  ten times as much */
+	uint32_t wait_ms;    /**< of a watch; 0: 2 s */
+	uint32_t timeout_ms; /**< of a call, besides wait_ms; 0: that of the
+				  store's client */
 	struct bg_watcher_handler handler;
 };
 
--- a/store/src/watcher/watcher.c
+++ b/store/src/watcher/watcher.c
@@ -8,7 +8,7 @@
 
 /* Wait of a watch. A connection that went silent, or a response that was lost,
  * is detected only after this time plus the client's timeout. */
-#define WATCH_MS 2000
+#define DEFAULT_WATCH_MS 2000
 /* Wait of a watch while the store is unreachable. It is short because only the
  * response shows that the store is reachable again. */
 #define UNREACHABLE_WATCH_MS 300
@@ -28,6 +28,9 @@
 	const char *kind;
 	uint64_t revision; /* the next watch reports changes after it */
 	uint32_t coalesce_ms;
+	int is_exact;
+	uint32_t wait_ms;
+	uint32_t timeout_ms;
 	int is_watching; /* the next call is a watch, not a list */
 	int has_listed;	 /* a list has been completed */
 	int is_reachable;
@@ -82,7 +85,7 @@
 }
 
 /* A list must not be stale, since the watches that follow apply their changes
- * to it. A watch may be: the changes it reports have been made, and a stale
+ * to it. A watch may be where a change may be reported seconds late: a stale
  * read costs a tenth. */
 static void
 start_call(struct bg_watcher *wat)
@@ -91,11 +94,12 @@
 	int error;
 
 	query.kind = wat->kind;
+	query.timeout_ms = wat->timeout_ms;
 	if (wat->is_watching) {
 		query.since_revision = wat->revision;
 		query.wait_ms =
-		    wat->is_reachable ? WATCH_MS : UNREACHABLE_WATCH_MS;
-		query.may_be_stale = 1;
+		    wat->is_reachable ? wat->wait_ms : UNREACHABLE_WATCH_MS;
+		query.may_be_stale = !wat->is_exact;
 	} else if (wat->last_name[0] != '\0')
 		query.after_name = wat->last_name;
 	error = bg_store_read(wat->store, &query, on_response, wat);
@@ -122,6 +126,13 @@
 		wat->handler.object(wat->handler.arg, &response->objects[i]);
 }
 
+static void
+notify_contact(struct bg_watcher *wat)
+{
+	if (wat->handler.contact != NULL)
+		wat->handler.contact(wat->handler.arg);
+}
+
 static void
 process_page(struct bg_watcher *wat, const struct bg_store_response *response)
 {
@@ -142,6 +153,7 @@
 	wat->is_watching = 1;
 	wat->has_listed = 1;
 	wat->handler.list_end(wat->handler.arg);
+	notify_contact(wat);
 	schedule_call(wat, 0);
 }
 
@@ -151,6 +163,7 @@
 	if (response->revision > wat->revision)
 		wat->revision = response->revision;
 	deliver_objects(wat, response);
+	notify_contact(wat);
 	schedule_call(wat, response->object_count > 0 ? wat->coalesce_ms : 0);
 }
 
@@ -209,6 +222,9 @@
 	wat->store = opts->store;
 	wat->kind = opts->kind;
 	wat->coalesce_ms = opts->coalesce_ms;
+	wat->is_exact = opts->is_exact;
+	wat->wait_ms = opts->wait_ms != 0 ? opts->wait_ms : DEFAULT_WATCH_MS;
+	wat->timeout_ms = opts->timeout_ms;
 	wat->handler = opts->handler;
 	wat->is_reachable = 1;
 	wat->retry_ms = RETRY_MS;
--- a/testing/memory_store.c
+++ b/testing/memory_store.c
@@ -2,8 +2,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "burdockgrade/clock.h"
+
 #include "memory_store.h"
 
+/* Interval at which pending watches are examined. */
+#define WATCH_POLL_MS 20
 /* Iterations of memory_store_run(), assumed to be enough to handle all due
  * events, including those that the handlers make due. */
 #define RUN_ITERATIONS 50
@@ -50,6 +54,7 @@
 touch(struct memory_store *mem, struct memory_object *obj)
 {
 	obj->revision = ++mem->revision;
+	obj->changed_ms = bg_clock_now_ms();
 	wake(mem);
 }
 
@@ -172,32 +177,57 @@
 	respond(call, &response);
 }
 
+/* 1 if a watch without a change has waited long enough. */
+static int
+is_watch_over(struct memory_store *mem, struct memory_call *call)
+{
+	static const struct timeval interval = {0, WATCH_POLL_MS * 1000};
+	uint64_t now_ms = bg_clock_now_ms();
+
+	if (call->watch_end_ms == 0)
+		call->watch_end_ms = now_ms + call->query.wait_ms;
+	if (now_ms >= call->watch_end_ms)
+		return 1;
+	event_add(mem->timer, &interval);
+	return 0;
+}
+
+static int
+is_visible(const struct memory_store *mem, const struct memory_call *call,
+    const struct memory_object *obj)
+{
+	uint32_t lag_ms = call->query.may_be_stale ? mem->stale_lag_ms : 0;
+
+	return bg_clock_now_ms() - obj->changed_ms >= lag_ms;
+}
+
 /* A watch covers all objects of its kind; call->name is ignored, since
- * bg_watcher does not set it. A watch without a change stays pending: wait_ms
- * marks a read as a watch, but is not used as a timeout.
+ * bg_watcher does not set it.
  * @return 1 if the watch was answered */
 static int
 handle_watch(struct memory_store *mem, struct memory_call *call)
 {
 	struct bg_store_object out[MEMORY_STORE_OBJECTS] = {{0}};
 	struct bg_store_response response = {0};
+	struct memory_object *obj;
 	size_t i;
 
 	if (call->query.since_revision < mem->history_start) {
 		respond_code(call, BG_ESTALE, 0);
 		return 1;
 	}
+	response.revision = mem->revision;
 	for (i = 0; i < mem->object_count; i++) {
-		if (strcmp(mem->objects[i].kind, call->kind) == 0 &&
-		    mem->objects[i].revision > call->query.since_revision)
-			out[response.object_count++] =
-			    to_store_object(&mem->objects[i]);
+		obj = &mem->objects[i];
+		if (!is_visible(mem, call, obj)) {
+			if (obj->revision <= response.revision)
+				response.revision = obj->revision - 1;
+		} else if (strcmp(obj->kind, call->kind) == 0 &&
+		    obj->revision > call->query.since_revision)
+			out[response.object_count++] = to_store_object(obj);
 	}
-	if (response.object_count == 0) {
-		call->is_watching = 1;
+	if (response.object_count == 0 && !is_watch_over(mem, call))
 		return 0;
-	}
-	response.revision = mem->revision;
 	response.objects = out;
 	respond(call, &response);
 	return 1;
@@ -384,7 +414,8 @@
 	out->base = base;
 	out->page_size = MEMORY_STORE_OBJECTS;
 	out->wakeup = event_new(base, -1, 0, on_wakeup, out);
-	if (out->wakeup == NULL)
+	out->timer = evtimer_new(base, on_wakeup, out);
+	if (out->wakeup == NULL || out->timer == NULL)
 		abort();
 }
 
@@ -419,6 +450,7 @@
 		json_decref(mem->objects[i].status);
 	}
 	event_free(mem->wakeup);
+	event_free(mem->timer);
 }
 
 void
--- a/testing/memory_store.h
+++ b/testing/memory_store.h
@@ -4,8 +4,8 @@
 /** @file
  * In-memory store for tests. It responds from the event loop. A test can make
  * calls fail or hang, lose responses to writes, and drop the watch history. A
- * watch covers all objects of its kind and has no timeout: it ends with a
- * change, an error or memory_store_clear().
+ * watch covers all objects of its kind. It ends with a change, an error, or
+ * after its wait.
  */
 
 #include "burdockgrade/store.h"
@@ -20,6 +20,7 @@
 	json_t *status;
 	uint64_t revision;
 	uint64_t create_revision;
+	uint64_t changed_ms;
 	int is_deleted;
 };
 
@@ -34,13 +35,15 @@
 	char after_name[BG_STORE_NAME_BYTES];
 	bg_store_fn fn;
 	void *arg;
-	int is_watching; /**< a watch that has found no change yet; not read */
+	uint64_t watch_end_ms; /**< end of a watch that has found no change
+				    yet; 0: none */
 };
 
 struct memory_store {
 	struct bg_store store; /**< first member: the vtable */
 	struct event_base *base;
 	struct event *wakeup;
+	struct event *timer; /**< re-examines pending watches */
 	struct memory_object objects[MEMORY_STORE_OBJECTS];
 	size_t object_count;
 	struct memory_call calls[MEMORY_STORE_CALLS];
@@ -57,6 +60,8 @@
 				       as after a lost connection */
 	int is_write_silent;	  /**< only writes stay pending, and are not
 				       applied */
+	uint32_t stale_lag_ms;	  /**< a watch with may_be_stale does not see
+				       changes made within this time */
 
 	/* Read by tests: calls so far. */
 	int reads;	 /**< without may_be_stale */
@@ -89,8 +94,8 @@
 /** Clears is_silent and is_write_silent, so that the event loop handles the
  * pending calls. */
 void memory_store_resume(struct memory_store *mem);
-/** Ends the pending calls with this argument with BG_ECANCELED, as the client of
- * a process that ends does. */
+/** Ends the pending calls with this argument with BG_ECANCELED, as the client
+ * of a process that ends does. */
 void memory_store_cancel(struct memory_store *mem, const void *arg);
 /** Runs a fixed number of iterations of the event loop, without blocking and
  * without a check that no event is left. */
