--- a/mesh/src/mesh/durable.c
+++ b/mesh/src/mesh/durable.c
@@ -70,8 +70,7 @@
 		    wait->seq, wait->mesh->stored_seq, wait->mesh->copied_seq);
 		finish(wait, BG_ETIMEOUT);
 	} else {
-		/* The peers that got it at once may not have answered. */
-		bg_gossip_compare(wait->mesh->gossip);
+		bg_mesh_self_spread(wait->mesh);
 		schedule(wait, LIMIT_MS - age_ms);
 	}
 }
--- a/mesh/src/mesh/gossip.c
+++ b/mesh/src/mesh/gossip.c
@@ -252,7 +252,7 @@
 
 	if (xch == NULL)
 		return;
-	args.is_push = 1;
+	args.is_push = BG_PUSH_STORED;
 	if (bg_gossip_pack_config(&packed, gsp) != 0 ||
 	    send_sync(xch, &args, &packed) != 0)
 		exchange_free(xch);
@@ -362,8 +362,8 @@
 }
 
 static void
-push_to(
-    struct bg_gossip *gsp, const char *peer, uint64_t cursor, uint64_t own_seq)
+push_to(struct bg_gossip *gsp, const char *peer, uint64_t cursor,
+    uint64_t own_seq, enum bg_push push)
 {
 	struct bg_xsync_args args = {0};
 	struct bg_packed packed;
@@ -371,7 +371,7 @@
 
 	if (xch == NULL)
 		return;
-	args.is_push = 1;
+	args.is_push = (u_int)push;
 	xch->own_seq = own_seq;
 	if (pack_selected(&packed, gsp, 0, cursor) != 0 ||
 	    send_sync(xch, &args, &packed) != 0)
@@ -380,7 +380,7 @@
 
 static void
 push_to_peers(struct bg_gossip *gsp, uint64_t cursor, uint64_t own_seq,
-    const char *sender)
+    enum bg_push push, const char *sender)
 {
 	const struct bg_member *peer;
 	int i;
@@ -388,14 +388,15 @@
 	for (i = 0; i < PUSH_PEERS; i++) {
 		peer = pick_peer(gsp, i == 0);
 		if (peer != NULL && strcmp(peer->address, sender) != 0)
-			push_to(gsp, peer->address, cursor, own_seq);
+			push_to(gsp, peer->address, cursor, own_seq, push);
 	}
 }
 
 void
-bg_gossip_push(struct bg_gossip *gsp, uint64_t cursor, uint64_t own_seq)
+bg_gossip_push(
+    struct bg_gossip *gsp, uint64_t cursor, uint64_t own_seq, enum bg_push push)
 {
-	push_to_peers(gsp, cursor, own_seq, "");
+	push_to_peers(gsp, cursor, own_seq, push, "");
 }
 
 static void
@@ -471,10 +472,12 @@
 	if (changed >= 0 && is_comparison)
 		bg_mesh_recovery_handle_comparison(gsp->mesh);
 	/* With a reachable store, every node reads the change from the store,
-	 * so it is forwarded only while the store is unreachable. */
+	 * unless its sender could not write it. */
 	if (args->is_push && changed > 0 &&
-	    !bg_mesh_is_store_reachable(gsp->mesh))
-		push_to_peers(gsp, cursor, 0, args->address);
+	    (args->is_push == BG_PUSH_UNSTORED ||
+		!bg_mesh_is_store_reachable(gsp->mesh)))
+		push_to_peers(
+		    gsp, cursor, 0, (enum bg_push)args->is_push, args->address);
 	bg_rpc_reply(rpc, (xdrproc_t)xdr_bg_xsync_res, &res);
 	free(res.items.items_val);
 }
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -59,6 +59,7 @@
 	struct bg_member self;
 	struct event *write_timer;
 	uint64_t stored_revision; /**< of the node's object; 0: none */
+	uint64_t spread_seq;	  /**< last announcement that was spread */
 	int is_announced;	  /**< at least one announcement was made */
 	int is_write_due;	  /**< the object in the store is outdated */
 	int is_writing;		  /**< a write or removal is in progress */
@@ -135,6 +136,9 @@
 /** Announces again under a higher incarnation if the table holds a newer
  * announcement for this address, made by an earlier process. */
 void bg_mesh_self_refute(struct bg_mesh *mesh);
+/** Announces the current state once more, for peers to forward it, since the
+ * store has not got it. Has an effect once for each announcement. */
+void bg_mesh_self_spread(struct bg_mesh *mesh);
 /** Writes or removes this node's object in the store if that is due. */
 void bg_mesh_self_update_store(struct bg_mesh *mesh);
 
@@ -164,10 +168,16 @@
 void bg_gossip_start(struct bg_gossip *gsp);
 /** Compares the table with a random peer now. */
 void bg_gossip_compare(struct bg_gossip *gsp);
+/** What a push tells of the store; value of is_push in SYNC. */
+enum bg_push {
+	BG_PUSH_STORED = 1,   /**< the store has the items, or is about to */
+	BG_PUSH_UNSTORED = 2, /**< it has not; the receiver forwards them */
+};
 /** Pushes the changes after a cursor to some peers immediately.
  * @param own_seq of this node's announcement, if it is among the changes, or 0
  */
-void bg_gossip_push(struct bg_gossip *gsp, uint64_t cursor, uint64_t own_seq);
+void bg_gossip_push(struct bg_gossip *gsp, uint64_t cursor, uint64_t own_seq,
+    enum bg_push push);
 
 /** Packs the configuration. @param out the caller frees out->data
  * @return 0, BG_ENOTFOUND if there is none, BG_ELIMIT or BG_ENOMEM */
--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -199,13 +199,10 @@
 bg_mesh_publish(struct bg_mesh *mesh, const struct bg_item *item)
 {
 	uint64_t cursor = bg_table_cursor(mesh->table);
-	int is_own = item->kind == BG_ITEM_MEMBER &&
-	    strcmp(item->key, mesh->self.address) == 0;
 	int error = bg_mesh_merge(mesh, item);
 
 	if (error == 0)
-		bg_gossip_push(
-		    mesh->gossip, cursor, is_own ? mesh->self.seq : 0);
+		bg_gossip_push(mesh->gossip, cursor, 0, BG_PUSH_STORED);
 	return error;
 }
 
--- a/mesh/src/mesh/self.c
+++ b/mesh/src/mesh/self.c
@@ -26,15 +26,17 @@
 static void on_written(void *arg, const struct bg_store_response *answer);
 
 static void
-publish(struct bg_mesh *mesh)
+publish(struct bg_mesh *mesh, enum bg_push push)
 {
+	uint64_t cursor = bg_table_cursor(mesh->table);
 	struct bg_item item;
 
 	if (bg_member_encode(&item, &mesh->self) != 0) {
 		bg_log_error("mesh", "not announced reason=encoding");
 		return;
 	}
-	bg_mesh_publish(mesh, &item);
+	if (bg_mesh_merge(mesh, &item) == 0)
+		bg_gossip_push(mesh->gossip, cursor, mesh->self.seq, push);
 	free((char *)item.value);
 }
 
@@ -48,10 +50,23 @@
 	    "announced state=%d server=%s version=%s seq=%" PRIu64,
 	    (int)mesh->self.state, mesh->self.server_id,
 	    mesh->self.server_version, mesh->self.seq);
-	publish(mesh);
+	publish(mesh, BG_PUSH_STORED);
 	bg_mesh_self_update_store(mesh);
 }
 
+void
+bg_mesh_self_spread(struct bg_mesh *mesh)
+{
+	if (!mesh->is_announced || mesh->is_withdrawn ||
+	    mesh->spread_seq == mesh->self.seq)
+		return;
+	/* Peers forward only what is new to them. */
+	mesh->self.seq++;
+	mesh->spread_seq = mesh->self.seq;
+	mesh->is_write_due = 1;
+	publish(mesh, BG_PUSH_UNSTORED);
+}
+
 static json_t *
 build_spec(const struct bg_mesh *mesh)
 {
@@ -99,8 +114,10 @@
 	mesh->writing_seq = mesh->self.seq;
 	if (error == 0)
 		mesh->is_write_due = 0;
-	else if (error != BG_ECANCELED)
+	else if (error != BG_ECANCELED) {
+		bg_mesh_self_spread(mesh);
 		schedule_retry(mesh);
+	}
 }
 
 static void
@@ -189,6 +206,7 @@
 		mesh->self.seq++;
 		break;
 	default:
+		bg_mesh_self_spread(mesh);
 		break;
 	}
 	mesh->is_write_due = 1;
--- a/mesh/tests/test_mesh.c
+++ b/mesh/tests/test_mesh.c
@@ -667,6 +667,28 @@
 }
 END_TEST
 
+/* Guards against the same fault if the peer that is asked is not one of the few
+ * that the announcement was pushed to. */
+START_TEST(announcement_that_is_not_stored_reaches_all_peers)
+{
+	enum bg_member_state state;
+	int round;
+
+	has_servers = 1;
+	start_all();
+	nodes[1].view.is_disconnected = 1;
+	for (round = 0; round < 5; round++) {
+		state = round % 2 == 0 ? BG_MEMBER_DRAINING : BG_MEMBER_READY;
+		announce(1, state, "i-1");
+		/* Less than the interval of the comparisons. */
+		run_ms(200);
+		ck_assert_int_eq(member_at(0, 1)->state, state);
+		ck_assert_int_eq(member_at(2, 1)->state, state);
+		ck_assert_int_eq(member_at(3, 1)->state, state);
+	}
+}
+END_TEST
+
 /* Guards against the same fault if the store cannot be reached after the
  * restart, and against a server that is then not used until it can. */
 START_TEST(restarted_node_recovers_from_a_peer_without_the_store)
@@ -889,6 +911,7 @@
 	    tc, server_that_leaves_while_its_node_stops_is_announced);
 	tcase_add_test(
 	    tc, restarted_node_recovers_from_a_peer_what_the_store_lacks);
+	tcase_add_test(tc, announcement_that_is_not_stored_reaches_all_peers);
 	tcase_add_test(
 	    tc, restarted_node_recovers_from_a_peer_without_the_store);
 	tcase_add_test(tc, node_without_peers_recovers);
