--- a/bench/managed.py
+++ b/bench/managed.py
@@ -218,6 +218,10 @@
                                json.dumps(switches).encode())
         assert status == 200, text
 
+    def stored_nodes(self):
+        _, _, text = http("GET", self.store, "/api/objects/burdock-nodes")
+        return len(json.loads(text)["items"])
+
     def accept(self, version, service):
         """Writes a configuration; the answer acknowledges it."""
         spec = configuration(version, service,
--- a/bench/test_managed.py
+++ b/bench/test_managed.py
@@ -125,6 +125,28 @@
         self.assertEqual(self.server.deliver(late), 200)
         self.assert_unused(acked)
 
+    def test_node_that_is_stopped_while_its_server_leaves(self):
+        """Guards against the same if the node is stopped and started again
+        while the server still runs."""
+        late = self.server.ping("ready")
+        self.assertEqual(self.server.deregister(), 200)
+        acked = time.monotonic()
+        self.node.child.send_signal(signal.SIGTERM)
+        self.assertEqual(self.node.child.wait(10), 0)
+        self.node.start()
+        self.node.wait_ready()
+        self.assertEqual(self.server.deliver(late), 200)
+        self.assert_unused(acked)
+
+    def test_node_that_is_stopped_after_its_server(self):
+        """Guards against nodes that stay in the store for good."""
+        self.assertEqual(self.fleet.stored_nodes(), 1)
+        self.assertEqual(self.server.deregister(), 200)
+        self.server.stop()
+        self.node.child.send_signal(signal.SIGTERM)
+        self.assertEqual(self.node.child.wait(10), 0)
+        self.assertEqual(self.fleet.stored_nodes(), 0)
+
     def test_leaving_that_nothing_else_knows(self):
         """Guards against the acknowledgement of a leaving that ends with the
         process that gave it."""
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -23,15 +23,28 @@
 	event_base_loopexit(node->base, &flush);
 }
 
-/* A node whose backend server has left will not be started again at this
- * address, so it is removed from the store. */
+/* A node whose backend server has ended will not be started again at this
+ * address, so it is removed from the store. While a server that leaves still
+ * runs, the node may be started again, and has to find that the server has
+ * left. */
+static void
+on_server_checked(void *arg, int is_listening)
+{
+	struct bg_node *node = arg;
+
+	if (is_listening)
+		on_withdrawn(node);
+	else
+		bg_mesh_withdraw(node->mesh, on_withdrawn, node);
+}
+
 static void
 on_drained(void *arg)
 {
 	struct bg_node *node = arg;
 
 	if (bg_proxy_server_is_leaving(node->proxy))
-		bg_mesh_withdraw(node->mesh, on_withdrawn, node);
+		bg_proxy_check_server(node->proxy, on_server_checked, node);
 	else
 		on_withdrawn(node);
 }
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -6,6 +6,7 @@
 #include "burdockgrade/log.h"
 
 #include "call/call.h"
+#include "gatekeeper/presence.h"
 #include "ingress/ingress.h"
 #include "metrics/metrics.h"
 #include "proxy_internal.h"
@@ -190,6 +191,13 @@
 	return bg_gatekeeper_server_is_leaving(prx->gatekeeper);
 }
 
+void
+bg_proxy_check_server(
+    struct bg_proxy *prx, void (*fn)(void *arg, int is_listening), void *arg)
+{
+	bg_presence_check(prx->base, prx->settings->server.address, fn, arg);
+}
+
 static uint32_t
 in_flight(const struct bg_proxy *prx)
 {
