--- a/bench/test_managed.py
+++ b/bench/test_managed.py
@@ -192,6 +192,20 @@
         self.fleet.control(outage=False)
         wait_for("acknowledged", lambda: self.server.deregister() == 200)
 
+    def test_server_that_starts_with_a_clock_set_back(self):
+        """Guards against a leaving that is acknowledged and ignored, since the
+        server started under its id with a lower start time (KNOWN-RED.txt,
+        issue 24: DRAIN)."""
+        self.server.born -= 1000
+        self.server.sequence = 0
+        self.server.deliver(self.server.ping("ready"))
+        self.assertNotEqual(self.server.deregister(), 200)
+        for _ in range(3):
+            self.server.deliver(self.server.ping("ready"))
+            time.sleep(1.5)
+        self.assertEqual(self.server.deregister(), 200)
+        self.assert_unused(time.monotonic())
+
     def test_new_server_after_a_restart(self):
         """Guards against a new server that is shut out because another one left
         before the restart."""
--- a/proxy/include/burdockgrade/proxy.h
+++ b/proxy/include/burdockgrade/proxy.h
@@ -77,10 +77,11 @@
  * Applies an announcement of the backend server. That it leaves is final, so it
  * is accepted only once that outlives this process.
  *
- * @param fn runs once, in this function or later, with 0, also for a stale or
- *     unchanged announcement; BG_EINVAL if it comes from a server of another
- *     service or this node has no backend server; or BG_ETIMEOUT if neither the
- *     store nor a peer has got it in time
+ * @param fn runs once, in this function or later, with 0, also for an unchanged
+ *     announcement or a stale heartbeat; BG_EINVAL if it comes from a server of
+ *     another service or this node has no backend server; BG_ESTALE if another
+ *     lifetime than the current one leaves, which has no effect; or BG_ETIMEOUT
+ *     if neither the store nor a peer has got it in time
  */
 void bg_proxy_announce(struct bg_proxy *prx, const struct bg_announcement *ann,
     void (*fn)(void *arg, int code), void *arg);
--- a/proxy/src/gatekeeper/server.c
+++ b/proxy/src/gatekeeper/server.c
@@ -3,6 +3,13 @@
 
 #include "server.h"
 
+/* Heartbeats, and the time that they span, after which a lifetime with a lower
+ * start time is taken for the current one. A server sends one every 1.5 s; late
+ * ones of a server that has ended do not go on for so long while no other sends
+ * any. */
+#define CANDIDATE_COUNT_MIN 3
+#define CANDIDATE_SPAN_MS 2000
+
 static int
 is_leaving(enum bg_server_state state)
 {
@@ -48,6 +55,41 @@
 	    ann->sequence > srv->sequence && srv->state != BG_SERVER_GONE;
 }
 
+/* 1 if a lifetime that has reported that it leaves does so again. */
+static int
+is_repeated_leaving(
+    const struct bg_server *srv, const struct bg_announcement *ann)
+{
+	return is_leaving(srv->state) && ann->state != BG_ANNOUNCED_READY &&
+	    strcmp(srv->id, ann->server_id) == 0 &&
+	    (!ann->has_started_ms || ann->started_ms == srv->started_ms);
+}
+
+/* Counts an announcement of a lifetime with a lower start time. @return 1 if it
+ * is the current one */
+static int
+update_candidate(
+    struct bg_server *srv, const struct bg_announcement *ann, uint64_t now_ms)
+{
+	struct bg_server_candidate *cand = &srv->candidate;
+
+	if (ann->state == BG_ANNOUNCED_GONE || !ann->has_started_ms ||
+	    ann->started_ms >= srv->started_ms)
+		return 0;
+	if (strcmp(cand->id, ann->server_id) != 0 ||
+	    cand->started_ms != ann->started_ms) {
+		memset(cand, 0, sizeof(*cand));
+		snprintf(cand->id, sizeof(cand->id), "%s", ann->server_id);
+		cand->started_ms = ann->started_ms;
+		cand->since_ms = now_ms;
+	} else if (ann->sequence <= cand->sequence)
+		return 0;
+	cand->sequence = ann->sequence;
+	cand->count++;
+	return cand->count >= CANDIDATE_COUNT_MIN &&
+	    now_ms - cand->since_ms >= CANDIDATE_SPAN_MS;
+}
+
 static void
 store_announcement(struct bg_server *srv, const struct bg_announcement *ann)
 {
@@ -86,17 +128,21 @@
 		/* Leaving is final within a lifetime. */
 		if (is_leaving(srv->state) && state == BG_SERVER_READY)
 			state = srv->state;
-	} else if (is_new_lifetime(srv, ann)) {
+	} else if (is_new_lifetime(srv, ann) ||
+	    update_candidate(srv, ann, now_ms)) {
 		srv->leaving_since_ms = 0;
 		srv->is_drained = 0;
 	} else
-		return BG_ANNOUNCE_STALE;
+		return is_repeated_leaving(srv, ann) ? BG_ANNOUNCE_UNCHANGED
+						     : BG_ANNOUNCE_STALE;
+	memset(&srv->candidate, 0, sizeof(srv->candidate));
 	store_announcement(srv, ann);
 	srv->last_announced_ms = now_ms;
 	srv->state = state;
 	if (is_leaving(state) && srv->leaving_since_ms == 0)
 		srv->leaving_since_ms = now_ms;
 	return previous.state == srv->state && previous.slots == srv->slots &&
+		previous.started_ms == srv->started_ms &&
 		strcmp(previous.id, srv->id) == 0 &&
 		strcmp(previous.version, srv->version) == 0
 	    ? BG_ANNOUNCE_UNCHANGED
--- a/proxy/src/gatekeeper/server.h
+++ b/proxy/src/gatekeeper/server.h
@@ -21,6 +21,16 @@
 			       address */
 };
 
+/** Announcements of a lifetime that seems to be an earlier one. If they go on
+ * while the known lifetime is silent, the wall clock was set back. */
+struct bg_server_candidate {
+	char id[BG_NAME_BYTES];
+	uint64_t started_ms;
+	uint64_t sequence; /**< of the last announcement */
+	uint64_t since_ms; /**< monotonic time of the first one */
+	uint32_t count;
+};
+
 struct bg_server {
 	enum bg_server_state state;
 	char id[BG_NAME_BYTES];
@@ -33,6 +43,7 @@
 	uint64_t leaving_since_ms;  /**< monotonic time at which it began to
 				 leave  (draining or gone); 0: it has not */
 	int is_drained;		    /**< it left before this process started */
+	struct bg_server_candidate candidate;
 };
 
 /** What an earlier process of this node has announced of the server. */
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -171,9 +171,10 @@
 
 	if (result == BG_ANNOUNCE_REJECTED)
 		fn(arg, BG_EINVAL);
-	else if (result == BG_ANNOUNCE_STALE ||
-	    ann->state == BG_ANNOUNCED_READY)
+	else if (ann->state == BG_ANNOUNCED_READY)
 		fn(arg, 0);
+	else if (result == BG_ANNOUNCE_STALE)
+		fn(arg, BG_ESTALE);
 	else
 		bg_mesh_when_durable(prx->mesh, fn, arg);
 }
--- a/proxy/tests/test_server.c
+++ b/proxy/tests/test_server.c
@@ -263,6 +263,56 @@
 }
 END_TEST
 
+/* Guards against a server that is shut out, and whose leaving is ignored, since
+ * the clock was set back before it started. */
+START_TEST(lower_start_time_is_accepted_if_heartbeats_go_on)
+{
+	announce_ready("a", 5000, 4);
+	ck_assert_int_eq(announce_ready("a", 4000, 1), BG_ANNOUNCE_STALE);
+	now_ms += 1500;
+	ck_assert_int_eq(announce_ready("a", 4000, 2), BG_ANNOUNCE_STALE);
+	now_ms += 1500;
+	ck_assert_int_eq(announce_ready("a", 4000, 3), BG_ANNOUNCE_CHANGED);
+	ck_assert_uint_eq(srv.started_ms, 4000);
+	ck_assert_int_eq(
+	    announce("a", 4000, 4, BG_ANNOUNCED_DRAINING), BG_ANNOUNCE_CHANGED);
+	ck_assert_int_eq(srv.state, BG_SERVER_DRAINING);
+}
+END_TEST
+
+/* Guards against a server that has ended and is taken for the current one: its
+ * late heartbeats come all at once, or while the current one sends its own. */
+START_TEST(late_heartbeats_do_not_replace_a_lifetime)
+{
+	uint64_t i;
+
+	announce_ready("b", 5000, 1);
+	for (i = 1; i <= 5; i++)
+		ck_assert_int_eq(
+		    announce_ready("a", 4000, i), BG_ANNOUNCE_STALE);
+	for (i = 2; i <= 5; i++) {
+		now_ms += 1500;
+		announce_ready("b", 5000, i);
+		ck_assert_int_eq(
+		    announce_ready("a", 4000, 5 + i), BG_ANNOUNCE_STALE);
+	}
+	ck_assert_str_eq(srv.id, "b");
+	ck_assert_int_eq(srv.state, BG_SERVER_READY);
+}
+END_TEST
+
+/* Guards against a leaving that is refused because it was accepted before. */
+START_TEST(repeated_leaving_is_accepted)
+{
+	announce_ready("a", 50, 1);
+	announce("a", 50, 0, BG_ANNOUNCED_GONE);
+	ck_assert_int_eq(
+	    announce("a", 50, 2, BG_ANNOUNCED_DRAINING), BG_ANNOUNCE_UNCHANGED);
+	ck_assert_int_eq(
+	    announce("a", 40, 9, BG_ANNOUNCED_DRAINING), BG_ANNOUNCE_STALE);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -283,5 +333,8 @@
 	tcase_add_test(tc, record_that_is_found_late_stops_calls);
 	tcase_add_test(tc, record_does_not_shut_out_a_server);
 	tcase_add_test(tc, record_without_start_time_is_ignored);
+	tcase_add_test(tc, lower_start_time_is_accepted_if_heartbeats_go_on);
+	tcase_add_test(tc, late_heartbeats_do_not_replace_a_lifetime);
+	tcase_add_test(tc, repeated_leaving_is_accepted);
 	return run_suite("server", tc);
 }
