--- a/core/src/web.c
+++ b/core/src/web.c
@@ -70,12 +70,12 @@
 }
 
 static void
-exchange_unlink(struct bg_web_exchange *xch)
+exchange_unlink(struct bg_web *web, struct bg_web_exchange *xch)
 {
 	if (xch->prev != NULL)
 		xch->prev->next = xch->next;
 	else
-		xch->web->exchanges = xch->next;
+		web->exchanges = xch->next;
 	if (xch->next != NULL)
 		xch->next->prev = xch->prev;
 	xch->web = NULL;
@@ -104,7 +104,7 @@
 bg_web_complete(struct bg_web_exchange *xch, const struct bg_web_response *res)
 {
 	if (xch->web != NULL) {
-		exchange_unlink(xch);
+		exchange_unlink(xch->web, xch);
 		send_response(xch->req, res);
 	}
 	free(xch);
@@ -189,7 +189,7 @@
 	if (web == NULL)
 		return;
 	while ((xch = web->exchanges) != NULL) {
-		exchange_unlink(xch);
+		exchange_unlink(web, xch);
 		/* evhttp frees those whose clients have not gone. */
 		if (evhttp_request_get_connection(xch->req) == NULL)
 			evhttp_request_free(xch->req);
--- a/mesh/src/mesh/self.c
+++ b/mesh/src/mesh/self.c
@@ -260,16 +260,16 @@
 	if (revision != 0 && revision < mesh->stored_revision)
 		return;
 	mesh->stored_revision = revision;
-	if (member != NULL) {
-		bg_mesh_recovery_handle_member(mesh, member);
-		update_stored_seq(mesh, member);
-	}
-	if (revision == 0) {
+	if (member == NULL) {
 		/* Peers that processed the removal accept only a newer
 		 * announcement. */
 		if (mesh->is_announced && !mesh->is_withdrawn)
 			bg_mesh_self_announce(mesh);
-	} else if (is_newer_than_self(mesh, member->incarnation, member->seq))
+		return;
+	}
+	bg_mesh_recovery_handle_member(mesh, member);
+	update_stored_seq(mesh, member);
+	if (is_newer_than_self(mesh, member->incarnation, member->seq))
 		raise_incarnation(mesh, member->incarnation);
 }
 
--- a/proxy/include/burdockgrade/proxy.h
+++ b/proxy/include/burdockgrade/proxy.h
@@ -95,8 +95,8 @@
 /** Checks whether the backend server still listens at its address.
  * @param fn runs once, in this function or later; is_listening is 1 if that is
  *     unknown */
-void bg_proxy_check_server(struct bg_proxy *prx,
-    void (*fn)(void *arg, int is_listening), void *arg);
+void bg_proxy_check_server(
+    struct bg_proxy *prx, void (*fn)(void *arg, int is_listening), void *arg);
 
 /** Bans a server version as bad, up to and including a move generation. This
  * node sends it no more calls. Logs an error if out of memory. */
