--- a/mesh/src/freshness/freshness.c
+++ b/mesh/src/freshness/freshness.c
@@ -90,6 +90,7 @@
 bg_freshness_begin(struct bg_freshness *fr)
 {
 	fr->next = 0;
+	fr->lost_count = 0;
 }
 
 const char *
@@ -102,7 +103,10 @@
 		if (now_ms >= candidate->retry_ms)
 			return candidate->address;
 	}
-	fr->failed_checks++;
+	if (fr->lost_count >= BG_FRESHNESS_LOST_MIN)
+		fr->failed_checks = 0;
+	else
+		fr->failed_checks++;
 	return NULL;
 }
 
@@ -110,8 +114,10 @@
 bg_freshness_handle_answer(
     struct bg_freshness *fr, uint32_t age_ms, uint64_t now_ms)
 {
-	if (age_ms > BG_FRESHNESS_AGE_MAX_MS)
+	if (age_ms > BG_FRESHNESS_AGE_MAX_MS) {
+		fr->lost_count++;
 		return 0;
+	}
 	if (now_ms - age_ms > fr->confirmed_ms)
 		fr->confirmed_ms = now_ms - age_ms;
 	fr->failed_checks = 0;
--- a/mesh/src/freshness/freshness.h
+++ b/mesh/src/freshness/freshness.h
@@ -25,6 +25,9 @@
 /** Checks without confirmation after which a node reads the store itself,
  * whatever its rank. */
 #define BG_FRESHNESS_FAILED_CHECKS_MAX 2
+/** If as many nodes answer that they have lost the store, one more would not
+ * reach it either, and such a check does not count. */
+#define BG_FRESHNESS_LOST_MIN 3
 
 struct bg_freshness_candidate {
 	char address[BG_ADDRESS_BYTES];
@@ -35,7 +38,8 @@
 struct bg_freshness {
 	struct bg_freshness_candidate candidates[BG_FRESHNESS_CANDIDATES_MAX];
 	size_t candidate_count;
-	size_t next; /**< of this check */
+	size_t next;	     /**< of this check */
+	uint32_t lost_count; /**< answers of this check that did not confirm */
 	uint32_t failed_checks;
 	uint64_t roster_generation; /**< that the candidates were taken from */
 	uint64_t confirmed_ms; /**< time as of which the version in force was
@@ -67,7 +71,8 @@
 /** Handles the lack of an answer. */
 void bg_freshness_handle_failure(
     struct bg_freshness *fr, const char *address, uint64_t now_ms);
-/** 1 if the node has to read the store itself, since the last checks failed. */
+/** 1 if the node has to read the store itself, since the last checks failed for
+ * lack of answers. */
 int bg_freshness_must_read(const struct bg_freshness *fr);
 
 #endif
--- a/mesh/src/mesh/config.c
+++ b/mesh/src/mesh/config.c
@@ -13,6 +13,9 @@
 /* Pause before the next watch, so that versions in quick succession cost one
  * read. Short compared to the time within which a version must be in force. */
 #define COALESCE_MS 200
+/* Wait of the watch. It may be long, since the checks (reader.c) do not depend
+ * on it. */
+#define WATCH_WAIT_MS 10000
 
 static struct bg_counter refused_snapshots = BG_COUNTER(
     "burdock_mesh_refused_snapshots_total", "Versions that did not validate.");
@@ -153,6 +156,7 @@
 	opts.store = mesh->store;
 	opts.kind = mesh->config->kind;
 	opts.coalesce_ms = COALESCE_MS;
+	opts.wait_ms = WATCH_WAIT_MS;
 	opts.handler.object = on_object;
 	opts.handler.list_end = on_listed;
 	opts.handler.arg = mesh;
--- a/mesh/tests/test_freshness.c
+++ b/mesh/tests/test_freshness.c
@@ -151,6 +151,21 @@
 }
 END_TEST
 
+/* Guards against a burst of calls from all nodes of a data centre when none of
+ * them reaches the store (trace: grown site, trouble-1, 31 of 32 nodes). */
+START_TEST(node_does_not_read_if_others_have_lost_the_store)
+{
+	int round;
+
+	for (round = 0; round < 4; round++) {
+		begin();
+		while (bg_freshness_next(&fr, now_ms) != NULL)
+			bg_freshness_handle_answer(&fr, UINT32_MAX, now_ms);
+		ck_assert_int_eq(bg_freshness_must_read(&fr), 0);
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -162,5 +177,6 @@
 	tcase_add_test(tc, old_answer_does_not_confirm);
 	tcase_add_test(tc, node_that_did_not_answer_is_left_out);
 	tcase_add_test(tc, node_reads_itself_after_failed_checks);
+	tcase_add_test(tc, node_does_not_read_if_others_have_lost_the_store);
 	return run_suite("freshness", tc);
 }
