--- a/mesh/src/mesh/gossip.c
+++ b/mesh/src/mesh/gossip.c
@@ -39,10 +39,11 @@
 	struct bg_gossip *gossip;
 	struct exchange *prev;
 	struct exchange *next;
-	uint64_t bucket_mask; /* buckets sent; 0: root digests or a push */
-	uint64_t own_seq;     /* last announcement of this node that the peer
-				 has after it; 0: none */
-	int is_round;	      /* a periodic comparison, not a push */
+	uint64_t bucket_mask;  /* buckets sent; 0: root digests or a push */
+	uint64_t own_seq;      /* last announcement of this node that the peer
+				  has after it; 0: none */
+	int is_round;	       /* a comparison, not a push */
+	int is_without_config; /* the peer sends no configuration */
 	char peer[BG_ADDRESS_BYTES];
 };
 
@@ -156,7 +157,8 @@
 
 	args->address = mesh->self.address;
 	args->root = bg_table_root_digest(mesh->table);
-	args->config_version = bg_mesh_config_version(mesh);
+	args->config_version =
+	    xch->is_without_config ? UINT64_MAX : bg_mesh_config_version(mesh);
 	args->items.items_val = packed->data;
 	args->items.items_len = packed->bytes;
 	args->raw_bytes = packed->raw_bytes;
@@ -174,7 +176,7 @@
 /* Compares root digests with a peer: one small exchange if the tables are
  * equal. */
 static void
-start_round(struct bg_gossip *gsp, const char *peer)
+start_round(struct bg_gossip *gsp, const char *peer, int is_without_config)
 {
 	struct bg_xsync_args args = {0};
 	struct bg_packed none = {0};
@@ -183,6 +185,7 @@
 	if (xch == NULL)
 		return;
 	xch->is_round = 1;
+	xch->is_without_config = is_without_config;
 	xch->own_seq = gsp->mesh->self.seq;
 	bg_counter_add(&rounds, 1);
 	if (send_sync(xch, &args, &none) != 0)
@@ -338,8 +341,8 @@
 	event_add(gsp->timer, &tv);
 }
 
-void
-bg_gossip_compare(struct bg_gossip *gsp)
+static void
+compare(struct bg_gossip *gsp, int is_without_config)
 {
 	const struct bg_member *peer;
 	int is_remote =
@@ -349,7 +352,13 @@
 	if (peer == NULL)
 		peer = pick_peer(gsp, !is_remote);
 	if (peer != NULL)
-		start_round(gsp, peer->address);
+		start_round(gsp, peer->address, is_without_config);
+}
+
+void
+bg_gossip_compare_members(struct bg_gossip *gsp)
+{
+	compare(gsp, 1);
 }
 
 static void
@@ -358,7 +367,7 @@
 	struct bg_gossip *gsp = arg;
 
 	schedule_round(gsp);
-	bg_gossip_compare(gsp);
+	compare(gsp, 0);
 }
 
 static void
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -166,8 +166,8 @@
 int bg_gossip_init(struct bg_gossip **out, struct bg_mesh *mesh);
 void bg_gossip_free(struct bg_gossip *gsp);
 void bg_gossip_start(struct bg_gossip *gsp);
-/** Compares the table with a random peer now. */
-void bg_gossip_compare(struct bg_gossip *gsp);
+/** Compares the table, without the configuration, with a random peer now. */
+void bg_gossip_compare_members(struct bg_gossip *gsp);
 /** What a push tells of the store; value of is_push in SYNC. */
 enum bg_push {
 	BG_PUSH_STORED = 1,   /**< the store has the items, or is about to */
--- a/mesh/src/mesh/recovery.c
+++ b/mesh/src/mesh/recovery.c
@@ -107,7 +107,7 @@
 		complete(mesh);
 		return;
 	}
-	bg_gossip_compare(mesh->gossip);
+	bg_gossip_compare_members(mesh->gossip);
 	schedule(mesh, RETRY_MS);
 }
 
