--- a/mesh/src/freshness/freshness.c
+++ b/mesh/src/freshness/freshness.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "freshness/freshness.h"
 
@@ -15,48 +16,67 @@
 	return NULL;
 }
 
+uint64_t
+bg_freshness_rank(const char *address)
+{
+	return XXH64(address, strlen(address), 0);
+}
+
 static int
-has_run_longer(const struct bg_member *a, const struct bg_member *b)
+has_failed(const struct bg_freshness *fr, const struct bg_member *member,
+    uint64_t now_ms)
 {
-	if (a->incarnation != b->incarnation)
-		return a->incarnation < b->incarnation;
-	return strcmp(a->address, b->address) < 0;
+	const struct bg_freshness_failure *failure;
+	size_t i;
+
+	for (i = 0; i < BG_FRESHNESS_FAILURES_MAX; i++) {
+		failure = &fr->failures[i];
+		if (now_ms < failure->retry_ms &&
+		    failure->node.incarnation == member->incarnation &&
+		    strcmp(failure->node.address, member->address) == 0)
+			return 1;
+	}
+	return 0;
 }
 
 /* @param data_centre NULL: any
- * @return the first member that is no candidate yet, or NULL */
+ * @return the first member that may become a candidate, or NULL */
 static const struct bg_member *
 find_first(struct bg_freshness *fr, const struct bg_roster *ros,
-    const char *data_centre)
+    const char *data_centre, uint64_t now_ms)
 {
 	const struct bg_member *first = NULL;
 	const struct bg_member *m;
+	uint64_t first_rank = UINT64_MAX;
+	uint64_t rank;
 	size_t i;
 
 	for (i = 0; i < ros->member_count; i++) {
 		m = &ros->members[i];
 		if (m->state == BG_MEMBER_LEAVING ||
 		    (data_centre != NULL &&
-			strcmp(m->data_centre, data_centre) != 0) ||
-		    (first != NULL && !has_run_longer(m, first)))
+			strcmp(m->data_centre, data_centre) != 0))
 			continue;
-		if (find(fr, m->address) == NULL)
-			first = m;
+		rank = bg_freshness_rank(m->address);
+		if (rank >= first_rank || find(fr, m->address) != NULL ||
+		    has_failed(fr, m, now_ms))
+			continue;
+		first = m;
+		first_rank = rank;
 	}
 	return first;
 }
 
 static void
 add_candidates(struct bg_freshness *fr, const struct bg_roster *ros,
-    const char *data_centre, size_t limit)
+    const char *data_centre, size_t limit, uint64_t now_ms)
 {
 	struct bg_freshness_candidate *candidate;
 	const struct bg_member *m;
 
 	while (fr->candidate_count < limit &&
-	    (m = find_first(fr, ros, data_centre)) != NULL) {
+	    (m = find_first(fr, ros, data_centre, now_ms)) != NULL) {
 		candidate = &fr->candidates[fr->candidate_count++];
-		memset(candidate, 0, sizeof(*candidate));
 		snprintf(candidate->address, sizeof(candidate->address), "%s",
 		    m->address);
 		candidate->incarnation = m->incarnation;
@@ -65,25 +85,12 @@
 
 void
 bg_freshness_set_candidates(struct bg_freshness *fr,
-    const struct bg_roster *ros, const char *data_centre)
+    const struct bg_roster *ros, const char *data_centre, uint64_t now_ms)
 {
-	struct bg_freshness before = *fr;
-	struct bg_freshness_candidate *same;
-	size_t i;
-
-	if (fr->candidate_count > 0 && fr->roster_generation == ros->generation)
-		return;
-	fr->roster_generation = ros->generation;
 	fr->candidate_count = 0;
-	add_candidates(fr, ros, NULL, BG_FRESHNESS_COMMON_CANDIDATES);
-	add_candidates(fr, ros, data_centre, BG_FRESHNESS_CANDIDATES_MAX);
-	for (i = 0; i < before.candidate_count; i++) {
-		same = find(fr, before.candidates[i].address);
-		/* A restarted node is asked again. */
-		if (same != NULL &&
-		    same->incarnation == before.candidates[i].incarnation)
-			same->retry_ms = before.candidates[i].retry_ms;
-	}
+	add_candidates(fr, ros, NULL, BG_FRESHNESS_COMMON_CANDIDATES, now_ms);
+	add_candidates(
+	    fr, ros, data_centre, BG_FRESHNESS_CANDIDATES_MAX, now_ms);
 }
 
 void
@@ -94,15 +101,10 @@
 }
 
 const char *
-bg_freshness_next(struct bg_freshness *fr, uint64_t now_ms)
+bg_freshness_next(struct bg_freshness *fr)
 {
-	struct bg_freshness_candidate *candidate;
-
-	while (fr->next < fr->candidate_count) {
-		candidate = &fr->candidates[fr->next++];
-		if (now_ms >= candidate->retry_ms)
-			return candidate->address;
-	}
+	if (fr->next < fr->candidate_count)
+		return fr->candidates[fr->next++].address;
 	if (fr->lost_count >= BG_FRESHNESS_LOST_MIN)
 		fr->failed_checks = 0;
 	else
@@ -129,9 +131,14 @@
     struct bg_freshness *fr, const char *address, uint64_t now_ms)
 {
 	struct bg_freshness_candidate *candidate = find(fr, address);
+	struct bg_freshness_failure *failure;
 
-	if (candidate != NULL)
-		candidate->retry_ms = now_ms + BG_FRESHNESS_RETRY_MS;
+	if (candidate == NULL)
+		return;
+	failure = &fr->failures[fr->next_failure];
+	failure->node = *candidate;
+	failure->retry_ms = now_ms + BG_FRESHNESS_RETRY_MS;
+	fr->next_failure = (fr->next_failure + 1) % BG_FRESHNESS_FAILURES_MAX;
 }
 
 int
--- a/mesh/src/freshness/freshness.h
+++ b/mesh/src/freshness/freshness.h
@@ -20,8 +20,10 @@
 #define BG_FRESHNESS_COMMON_CANDIDATES 2
 /** An answer that is older does not confirm the configuration. */
 #define BG_FRESHNESS_AGE_MAX_MS 1000
-/** A node that did not answer is not asked for this long. */
-#define BG_FRESHNESS_RETRY_MS 5000
+/** A node that did not answer is no candidate for this long. */
+#define BG_FRESHNESS_RETRY_MS 10000
+/** Nodes of which that is remembered; the next one replaces the first. */
+#define BG_FRESHNESS_FAILURES_MAX 16
 /** Checks without confirmation after which a node reads the store itself,
  * whatever its rank. */
 #define BG_FRESHNESS_FAILED_CHECKS_MAX 2
@@ -32,7 +34,12 @@
 struct bg_freshness_candidate {
 	char address[BG_ADDRESS_BYTES];
 	uint64_t incarnation;
-	uint64_t retry_ms; /**< not asked before; 0: may be asked */
+};
+
+/** A node that did not answer. */
+struct bg_freshness_failure {
+	struct bg_freshness_candidate node;
+	uint64_t retry_ms; /**< no candidate before */
 };
 
 struct bg_freshness {
@@ -41,25 +48,29 @@
 	size_t next;	     /**< of this check */
 	uint32_t lost_count; /**< answers of this check that did not confirm */
 	uint32_t failed_checks;
-	uint64_t roster_generation; /**< that the candidates were taken from */
+	struct bg_freshness_failure failures[BG_FRESHNESS_FAILURES_MAX];
+	size_t next_failure;   /**< to be replaced */
 	uint64_t confirmed_ms; /**< time as of which the version in force was
 				    the newest; 0: never */
 };
 
+/** Position of a node in the order in which nodes are asked; lower ones are
+ * asked first. The same on all nodes, and kept over restarts. */
+uint64_t bg_freshness_rank(const char *address);
 /**
- * Sets the candidates if the roster has changed: those members that are not
- * stopping and have run longest, first of all data centres, then of that of the
- * node.
+ * Sets the candidates: those members that are not stopping and have the lowest
+ * ranks, first of all data centres, then of that of the node. Members that did
+ * not answer recently are left out, unless they have restarted.
  */
 void bg_freshness_set_candidates(struct bg_freshness *fr,
-    const struct bg_roster *ros, const char *data_centre);
+    const struct bg_roster *ros, const char *data_centre, uint64_t now_ms);
 /** Begins a check. */
 void bg_freshness_begin(struct bg_freshness *fr);
 /**
  * Returns the address of the node to ask next, which may be that of the caller,
  * or NULL if none is left. The check has failed then.
  */
-const char *bg_freshness_next(struct bg_freshness *fr, uint64_t now_ms);
+const char *bg_freshness_next(struct bg_freshness *fr);
 /**
  * Handles an answer.
  *
--- a/mesh/src/mesh/reader.c
+++ b/mesh/src/mesh/reader.c
@@ -169,6 +169,7 @@
 	opts.kind = mesh->config->kind;
 	opts.coalesce_ms = WATCH_COALESCE_MS;
 	opts.is_exact = 1;
+	opts.since_revision = bg_watcher_revision(mesh->config_watcher);
 	opts.wait_ms = WATCH_WAIT_MS;
 	opts.timeout_ms = WATCH_TIMEOUT_MS;
 	opts.handler.object = on_object;
@@ -398,7 +399,7 @@
 	uint64_t now_ms = bg_clock_now_ms();
 	const char *address;
 
-	while ((address = bg_freshness_next(&rdr->freshness, now_ms)) != NULL) {
+	while ((address = bg_freshness_next(&rdr->freshness)) != NULL) {
 		if (strcmp(address, rdr->mesh->self.address) == 0) {
 			ask_self(rdr);
 			return;
@@ -421,8 +422,8 @@
 	if (rdr->watcher != NULL && is_reading_idle(rdr))
 		stop_reading(rdr);
 	bg_counter_add(&checks, 1);
-	bg_freshness_set_candidates(
-	    &rdr->freshness, &mesh->roster, mesh->self.data_centre);
+	bg_freshness_set_candidates(&rdr->freshness, &mesh->roster,
+	    mesh->self.data_centre, bg_clock_now_ms());
 	bg_freshness_begin(&rdr->freshness);
 	ask_next(rdr);
 }
--- a/mesh/tests/test_freshness.c
+++ b/mesh/tests/test_freshness.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "freshness/freshness.h"
@@ -26,6 +27,15 @@
 	m->state = BG_MEMBER_READY;
 }
 
+static int
+by_rank(const void *a, const void *b)
+{
+	uint64_t x = bg_freshness_rank(((const struct bg_member *)a)->address);
+	uint64_t y = bg_freshness_rank(((const struct bg_member *)b)->address);
+
+	return (x > y) - (x < y);
+}
+
 static void
 setup(void)
 {
@@ -34,6 +44,7 @@
 	memset(&fr, 0, sizeof(fr));
 	for (i = 0; i < MEMBERS; i++)
 		set_member(i);
+	qsort(members, MEMBERS, sizeof(members[0]), by_rank);
 	roster.members = members;
 	roster.member_count = MEMBERS;
 	now_ms = 100000;
@@ -42,15 +53,14 @@
 static void
 begin(void)
 {
-	roster.generation++;
-	bg_freshness_set_candidates(&fr, &roster, "a");
+	bg_freshness_set_candidates(&fr, &roster, "a", now_ms);
 	bg_freshness_begin(&fr);
 }
 
 static void
 assert_next(size_t i)
 {
-	const char *address = bg_freshness_next(&fr, now_ms);
+	const char *address = bg_freshness_next(&fr);
 
 	ck_assert_ptr_nonnull(address);
 	ck_assert_str_eq(address, members[i].address);
@@ -58,18 +68,15 @@
 
 /* Guards against nodes that ask in different orders, so that all of them have
  * to read the store. */
-START_TEST(longest_running_nodes_are_asked_first)
+START_TEST(nodes_are_asked_by_rank)
 {
 	size_t i;
 
-	members[2].incarnation = 50;
 	members[0].state = BG_MEMBER_LEAVING;
 	begin();
-	assert_next(2);
-	assert_next(1);
-	for (i = 3; i < 9; i++)
+	for (i = 1; i < 9; i++)
 		assert_next(i);
-	ck_assert_ptr_null(bg_freshness_next(&fr, now_ms));
+	ck_assert_ptr_null(bg_freshness_next(&fr));
 }
 END_TEST
 
@@ -87,7 +94,7 @@
 	assert_next(1);
 	for (i = 6; i < 12; i++)
 		assert_next(i);
-	ck_assert_ptr_null(bg_freshness_next(&fr, now_ms));
+	ck_assert_ptr_null(bg_freshness_next(&fr));
 }
 END_TEST
 
@@ -127,12 +134,31 @@
 	assert_next(0);
 	bg_freshness_handle_failure(&fr, members[0].address, now_ms);
 	/* After a restart it has a new incarnation. */
-	members[0].incarnation = 101;
+	members[0].incarnation++;
 	begin();
 	assert_next(0);
 }
 END_TEST
 
+/* Guards against nodes that all read the store because VMs that are gone for
+ * good are the first ones in the order (trace: grown site, trouble-3, 33 nodes
+ * of a data centre after a restart of all). */
+START_TEST(others_take_the_place_of_dead_nodes)
+{
+	size_t i;
+
+	begin();
+	for (i = 0; i < 8; i++) {
+		assert_next(i);
+		bg_freshness_handle_failure(&fr, members[i].address, now_ms);
+	}
+	ck_assert_ptr_null(bg_freshness_next(&fr));
+	begin();
+	for (i = 8; i < MEMBERS; i++)
+		assert_next(i);
+}
+END_TEST
+
 /* Guards against a node without anybody to ask that never reads the store, and
  * against all nodes reading it at once when the first ones have lost it. */
 START_TEST(node_reads_itself_after_failed_checks)
@@ -140,11 +166,11 @@
 	roster.member_count = 1;
 	begin();
 	assert_next(0);
-	ck_assert_ptr_null(bg_freshness_next(&fr, now_ms));
+	ck_assert_ptr_null(bg_freshness_next(&fr));
 	ck_assert_int_eq(bg_freshness_must_read(&fr), 0);
 	begin();
 	assert_next(0);
-	ck_assert_ptr_null(bg_freshness_next(&fr, now_ms));
+	ck_assert_ptr_null(bg_freshness_next(&fr));
 	ck_assert_int_eq(bg_freshness_must_read(&fr), 1);
 	ck_assert_int_eq(bg_freshness_handle_answer(&fr, 0, now_ms), 1);
 	ck_assert_int_eq(bg_freshness_must_read(&fr), 0);
@@ -159,7 +185,7 @@
 
 	for (round = 0; round < 4; round++) {
 		begin();
-		while (bg_freshness_next(&fr, now_ms) != NULL)
+		while (bg_freshness_next(&fr) != NULL)
 			bg_freshness_handle_answer(&fr, UINT32_MAX, now_ms);
 		ck_assert_int_eq(bg_freshness_must_read(&fr), 0);
 	}
@@ -172,10 +198,11 @@
 	TCase *tc = tcase_create("freshness");
 
 	tcase_add_checked_fixture(tc, setup, NULL);
-	tcase_add_test(tc, longest_running_nodes_are_asked_first);
+	tcase_add_test(tc, nodes_are_asked_by_rank);
 	tcase_add_test(tc, most_candidates_are_of_the_own_data_centre);
 	tcase_add_test(tc, old_answer_does_not_confirm);
 	tcase_add_test(tc, node_that_did_not_answer_is_left_out);
+	tcase_add_test(tc, others_take_the_place_of_dead_nodes);
 	tcase_add_test(tc, node_reads_itself_after_failed_checks);
 	tcase_add_test(tc, node_does_not_read_if_others_have_lost_the_store);
 	return run_suite("freshness", tc);
--- a/store/include/burdockgrade/watcher.h
+++ b/store/include/burdockgrade/watcher.h
@@ -35,6 +35,9 @@
 	/** Delay between a change and the next watch, in ms, so that several
 	 * changes in quick succession cost one call. */
 	uint32_t coalesce_ms;
+	/** Begins with a watch of the changes since this revision, whose first
+	 * answer comes at once, in place of a list; 0: with a list. */
+	uint64_t since_revision;
 	int is_exact;	     /**< watches are exact, not only lists; they cost
 				  ten times as much */
 	uint32_t wait_ms;    /**< of a watch; 0: 2 s */
@@ -55,6 +58,8 @@
 void bg_watcher_free(struct bg_watcher *wat);
 /** 0 from a failed call to the store until the next successful one, else 1. */
 int bg_watcher_is_reachable(const struct bg_watcher *wat);
+/** Revision up to which changes were reported; 0 before the first list. */
+uint64_t bg_watcher_revision(const struct bg_watcher *wat);
 /** 1 once a list has been completed. */
 int bg_watcher_has_listed(const struct bg_watcher *wat);
 
--- a/store/src/watcher/watcher.c
+++ b/store/src/watcher/watcher.c
@@ -12,6 +12,8 @@
 /* Wait of a watch while the store is unreachable. It is short because only the
  * response shows that the store is reachable again. */
 #define UNREACHABLE_WATCH_MS 300
+/* Wait of a watch that only asks for the changes so far. */
+#define FIRST_WATCH_MS 1
 /* Delay after a failed call. It doubles with each further failure up to the
  * maximum. The random jitter keeps the nodes of a fleet from all calling at the
  * same moment. */
@@ -31,8 +33,9 @@
 	int is_exact;
 	uint32_t wait_ms;
 	uint32_t timeout_ms;
-	int is_watching; /* the next call is a watch, not a list */
-	int has_listed;	 /* a list has been completed */
+	int is_first_watch; /* it is to be answered at once */
+	int is_watching;    /* the next call is a watch, not a list */
+	int has_listed;	    /* a list has been completed */
 	int is_reachable;
 	uint32_t retry_ms;   /* delay after the next failure, without jitter */
 	int is_call_pending; /* the store will run on_response */
@@ -84,6 +87,14 @@
 		wat->handler.reachable(wat->handler.arg, is_reachable);
 }
 
+static uint32_t
+next_wait_ms(const struct bg_watcher *wat)
+{
+	if (wat->is_first_watch)
+		return FIRST_WATCH_MS;
+	return wat->is_reachable ? wat->wait_ms : UNREACHABLE_WATCH_MS;
+}
+
 /* A list must not be stale, since the watches that follow apply their changes
  * to it. A watch may be where a change may be reported seconds late: a stale
  * read costs a tenth. */
@@ -97,8 +108,7 @@
 	query.timeout_ms = wat->timeout_ms;
 	if (wat->is_watching) {
 		query.since_revision = wat->revision;
-		query.wait_ms =
-		    wat->is_reachable ? wat->wait_ms : UNREACHABLE_WATCH_MS;
+		query.wait_ms = next_wait_ms(wat);
 		query.may_be_stale = !wat->is_exact;
 	} else if (wat->last_name[0] != '\0')
 		query.after_name = wat->last_name;
@@ -187,6 +197,7 @@
 	switch (response->code) {
 	case 0:
 		set_reachable(wat, 1, 0);
+		wat->is_first_watch = 0;
 		wat->retry_ms = RETRY_MS;
 		if (wat->is_watching)
 			process_events(wat, response);
@@ -225,6 +236,8 @@
 	wat->is_exact = opts->is_exact;
 	wat->wait_ms = opts->wait_ms != 0 ? opts->wait_ms : DEFAULT_WATCH_MS;
 	wat->timeout_ms = opts->timeout_ms;
+	wat->revision = opts->since_revision;
+	wat->is_watching = wat->is_first_watch = wat->revision != 0;
 	wat->handler = opts->handler;
 	wat->is_reachable = 1;
 	wat->retry_ms = RETRY_MS;
@@ -256,6 +269,12 @@
 	return wat->is_reachable;
 }
 
+uint64_t
+bg_watcher_revision(const struct bg_watcher *wat)
+{
+	return wat->revision;
+}
+
 int
 bg_watcher_has_listed(const struct bg_watcher *wat)
 {
--- a/store/tests/test_watcher.c
+++ b/store/tests/test_watcher.c
@@ -23,6 +23,7 @@
 	int deletions;
 	int outages;
 	int recoveries;
+	int contacts;
 	uint64_t last_revision;
 	char names[256]; /* of the objects, each followed by a space */
 } seen;
@@ -50,6 +51,12 @@
 	seen.names[0] = '\0';
 }
 
+static void
+on_contact(void *arg)
+{
+	seen.contacts++;
+}
+
 static void
 on_reachable(void *arg, int is_reachable)
 {
@@ -127,6 +134,38 @@
 }
 END_TEST
 
+/* Guards against the price and the size of a list where the changes since a
+ * known revision are enough, and against a first answer that comes late. */
+START_TEST(watcher_may_begin_with_a_watch)
+{
+	struct bg_watcher_options opts = {0};
+	int stale_reads;
+
+	memory_store_set(&mem, KIND, "a", json_integer(1));
+	memory_store_run(&mem);
+	stale_reads = mem.stale_reads;
+	opts.base = base;
+	opts.store = &mem.store;
+	opts.kind = KIND;
+	opts.since_revision = bg_watcher_revision(watcher);
+	opts.is_exact = 1;
+	opts.handler.object = on_object;
+	opts.handler.list_end = on_list_end;
+	opts.handler.contact = on_contact;
+	bg_watcher_free(watcher);
+	ck_assert_int_eq(bg_watcher_init(&watcher, &opts), 0);
+	run_ms(100);
+	ck_assert_int_eq(seen.contacts, 1);
+	ck_assert_int_eq(seen.objects, 1);
+	ck_assert_int_eq(seen.lists, 1);
+	ck_assert_int_eq(mem.stale_reads, stale_reads);
+	memory_store_set(&mem, KIND, "b", json_integer(1));
+	memory_store_run(&mem);
+	ck_assert_str_eq(seen.names, "a b ");
+	ck_assert_int_eq(seen.contacts, 2);
+}
+END_TEST
+
 /* Guards against missing objects after the first page of a list. */
 START_TEST(pages_form_one_list)
 {
@@ -236,6 +275,7 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, changes_after_the_list_are_reported);
 	tcase_add_test(tc, lists_are_exact_and_watches_may_be_stale);
+	tcase_add_test(tc, watcher_may_begin_with_a_watch);
 	tcase_add_test(tc, pages_form_one_list);
 	tcase_add_test(tc, dropped_history_leads_to_a_new_list);
 	tcase_add_test(tc, outage_is_reported_and_ends);
