--- a/mesh/include/burdockgrade/mesh.h
+++ b/mesh/include/burdockgrade/mesh.h
@@ -35,8 +35,8 @@
 	 */
 	int (*decode)(struct bg_config_source *src, struct bg_snapshot **out,
 	    const json_t *doc, struct bg_error *err);
-	/** Returns the version of a document that failed to decode, or 0 if it
-	 * is unknown. May be NULL. */
+	/** Returns the version of a document without decoding the rest of it,
+	 * or 0 if it is unknown. May be NULL. */
 	uint64_t (*version)(struct bg_config_source *src, const json_t *doc);
 };
 
--- a/mesh/src/mesh/config.c
+++ b/mesh/src/mesh/config.c
@@ -13,9 +13,6 @@
 /* Pause before the next watch, so that versions in quick succession cost one
  * read. Short compared to the time within which a version must be in force. */
 #define COALESCE_MS 200
-/* Wait of the watch. It may be long, since the checks (reader.c) do not depend
- * on it. */
-#define WATCH_WAIT_MS 10000
 
 static struct bg_counter refused_snapshots = BG_COUNTER(
     "burdock_mesh_refused_snapshots_total", "Versions that did not validate.");
@@ -42,6 +39,20 @@
 	return mesh->snapshot == NULL ? 0 : mesh->snapshot->version;
 }
 
+/* 1 if the version of a document is known and not newer than the one in force.
+ * The same document comes from the watches and from peers, and a large one
+ * takes long to decode. */
+static int
+is_known(const struct bg_mesh *mesh, const json_t *doc)
+{
+	uint64_t version;
+
+	if (mesh->config->version == NULL || mesh->snapshot == NULL)
+		return 0;
+	version = mesh->config->version(mesh->config, doc);
+	return version != 0 && version <= mesh->snapshot->version;
+}
+
 /* Decodes a document and installs it if it is newer than the version in force.
  * Returns 1 if it was installed. */
 static int
@@ -50,6 +61,8 @@
 	struct bg_snapshot *snap;
 	struct bg_error err = {0};
 
+	if (is_known(mesh, doc))
+		return 0;
 	if (mesh->config->decode(mesh->config, &snap, doc, &err) != 0) {
 		bg_counter_add(&refused_snapshots, 1);
 		bg_log_error("config",
@@ -156,7 +169,6 @@
 	opts.store = mesh->store;
 	opts.kind = mesh->config->kind;
 	opts.coalesce_ms = COALESCE_MS;
-	opts.wait_ms = WATCH_WAIT_MS;
 	opts.handler.object = on_object;
 	opts.handler.list_end = on_listed;
 	opts.handler.arg = mesh;
--- a/mesh/src/mesh/gossip.c
+++ b/mesh/src/mesh/gossip.c
@@ -51,6 +51,8 @@
 	struct bg_mesh *mesh;
 	struct event *timer;
 	struct exchange *exchanges;
+	struct bg_packed packed_config; /* see bg_gossip_pack_config() */
+	uint64_t packed_version;	/* 0: none */
 };
 
 static void on_sync(void *arg, int code, void *res);
@@ -106,24 +108,48 @@
 	return error;
 }
 
-int
-bg_gossip_pack_config(struct bg_packed *out, const struct bg_gossip *gsp)
+static int
+pack_config(struct bg_packed *out, const struct bg_item *item)
 {
 	struct bg_xitem copy = {0};
 	struct bg_xitems list = {{1, &copy}};
+
+	copy.kind = item->kind;
+	copy.key = (char *)item->key;
+	copy.major = item->major;
+	copy.minor = item->minor;
+	copy.value.value_val = (char *)item->value;
+	copy.value.value_len = item->value_bytes;
+	return bg_items_pack(out, &list);
+}
+
+/* Many nodes may ask for the same version at about the same time, and packing a
+ * large one takes long. So the last one is kept. */
+int
+bg_gossip_pack_config(struct bg_packed *out, struct bg_gossip *gsp)
+{
 	struct bg_item item;
+	int error;
 
 	memset(out, 0, sizeof(*out));
 	if (bg_table_get(
 		&item, gsp->mesh->table, BG_ITEM_CONFIG, BG_CONFIG_KEY) != 0)
 		return BG_ENOTFOUND;
-	copy.kind = item.kind;
-	copy.key = (char *)item.key;
-	copy.major = item.major;
-	copy.minor = item.minor;
-	copy.value.value_val = (char *)item.value;
-	copy.value.value_len = item.value_bytes;
-	return bg_items_pack(out, &list);
+	if (gsp->packed_version != item.major) {
+		free(gsp->packed_config.data);
+		gsp->packed_version = 0;
+		error = pack_config(&gsp->packed_config, &item);
+		if (error != 0) {
+			gsp->packed_config.data = NULL;
+			return error;
+		}
+		gsp->packed_version = item.major;
+	}
+	*out = gsp->packed_config;
+	if ((out->data = malloc(out->bytes)) == NULL)
+		return BG_ENOMEM;
+	memcpy(out->data, gsp->packed_config.data, out->bytes);
+	return 0;
 }
 
 int
@@ -530,5 +556,6 @@
 		event_free(gsp->timer);
 	while ((xch = gsp->exchanges) != NULL)
 		exchange_free(xch);
+	free(gsp->packed_config.data);
 	free(gsp);
 }
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -181,7 +181,7 @@
 
 /** Packs the configuration. @param out the caller frees out->data
  * @return 0, BG_ENOTFOUND if there is none, BG_ELIMIT or BG_ENOMEM */
-int bg_gossip_pack_config(struct bg_packed *out, const struct bg_gossip *gsp);
+int bg_gossip_pack_config(struct bg_packed *out, struct bg_gossip *gsp);
 /** Merges a list from a peer.
  * @return number of changed items, or an error code < 0 */
 int bg_gossip_merge(
