--- a/bench/managed.py
+++ b/bench/managed.py
@@ -70,10 +70,11 @@
     daemon_threads = True
     allow_reuse_address = True
 
-    def __init__(self, node, server_id):
+    def __init__(self, node, server_id, version="v1"):
         super().__init__((node.ip, node.ports["server"]), Handler)
         self.node = node
         self.id = server_id
+        self.version = version
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = []
@@ -83,7 +84,8 @@
         """Returns a heartbeat; deliver() sends it, now or later."""
         self.sequence += 1
         return ("heartbeat", {
-            "Service": self.node.service, "Zone": "dc-a", "Version": "v1",
+            "Service": self.node.service, "Zone": "dc-a",
+            "Version": self.version,
             "Address": "%s:%d" % (self.node.ip, self.node.ports["server"]),
             "Capacity": 6, "State": state, "WarmupLeftS": 0,
             "Sequence": self.sequence, "born": self.born})
@@ -227,13 +229,25 @@
         """Writes a configuration; the answer acknowledges it."""
         spec = configuration(version, service,
                              sorted({n.service for n in self.nodes}))
-        body = json.dumps({"Metadata": {"Name": "main"},
-                           "Spec": spec}).encode()
-        status, _, text = http("PUT", self.store, "/api/objects/config/main",
-                               body)
+        self.put("config", "main", spec)
+
+    def order_rollout(self, service, version, ramp_s):
+        """Orders a service's traffic to be moved to a server version."""
+        self.put("rollouts", service, {
+            "Service": service, "TargetVersion": version, "RampS": ramp_s})
+
+    def rollout_state(self, service):
+        _, _, text = http("GET", self.store, "/api/objects/rollouts/" + service)
+        status = json.loads(text).get("Status")
+        return status["State"] if status else None
+
+    def put(self, kind, name, spec):
+        """Writes an object; the answer acknowledges it."""
+        body = json.dumps({"Metadata": {"Name": name}, "Spec": spec}).encode()
+        path = "/api/objects/" + kind
+        status, _, text = http("PUT", self.store, path + "/" + name, body)
         if status == 404:
-            status, _, text = http("POST", self.store, "/api/objects/config",
-                                   body)
+            status, _, text = http("POST", self.store, path, body)
         assert status == 200, text
 
     def stop(self):
--- a/bench/test_managed.py
+++ b/bench/test_managed.py
@@ -82,6 +82,61 @@
         self.assert_in_force([n for n in self.nodes if n is not reader])
 
 
+class Rollout(unittest.TestCase):
+    """A new server version gets no more than its share, and takes over by the
+    promised time, although the store's cheap reads are seconds old."""
+
+    RAMP_S = 16.0
+    CANARY_SHARE = 0.1
+
+    def setUp(self):
+        self.fleet = Fleet(["orders", "orders", "other", "other"])
+        self.addCleanup(self.fleet.stop)
+        self.nodes = self.fleet.nodes
+        self.fleet.accept(1, "orders")
+        for node in self.nodes:
+            node.start()
+        for node in self.nodes:
+            node.wait_ready()
+        self.serve(self.nodes[0], "server-1", "v1")
+        for node in self.nodes:
+            wait_for("order served", lambda n=node: n.order()[0] == 200)
+        time.sleep(READERS_S)
+        self.fleet.control(stale_lag_ms=STALE_MS)
+        self.fleet.order_rollout("orders", "v2", self.RAMP_S)
+        self.ordered = time.monotonic()
+        time.sleep(APPLY_S)
+        self.new = self.serve(self.nodes[1], "server-2", "v2")
+
+    def serve(self, node, server_id, version):
+        server = Server(node, server_id, version)
+        self.addCleanup(server.stop)
+        server.deliver(server.ping("ready"))
+        return server
+
+    def test_share_of_a_new_version(self):
+        """Guards against a new version that gets an equal share of the calls,
+        since nodes learn of the order by reads that may be old (EXPOSURE)."""
+        count = 0
+        for _ in range(20):
+            for node in self.nodes:
+                self.assertEqual(node.order()[0], 200)
+                count += 1
+            time.sleep(0.1)
+        self.assertLessEqual(len(self.new.runs), count * self.CANARY_SHARE)
+
+    def test_good_version_is_completed(self):
+        """Guards against a good version that is not completed in time, since
+        nodes learn of each step by reads that may be old."""
+        while self.fleet.rollout_state("orders") != "completed":
+            self.assertLess(time.monotonic(), self.ordered + self.RAMP_S)
+            self.new.deliver(self.new.ping("ready"))
+            time.sleep(0.5)
+        for node in self.nodes:
+            wait_for("order run by the new version",
+                     lambda n=node: n.order() == (200, "server-2"), APPLY_S)
+
+
 class SilentConnections(unittest.TestCase):
     """Connections to the store that go silent, without a reset, are noticed in
     time: once a machine is in contact again, CONTACT_S after that, a version is
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -205,7 +205,7 @@
 init_proxy(struct bg_node *node, struct bg_error *err)
 {
 	struct bg_mesh_listener listener = {
-	    on_snapshot, NULL, NULL, NULL, node};
+	    on_snapshot, NULL, NULL, NULL, NULL, node};
 	struct bg_proxy_options opts = BG_PROXY_OPTIONS_INIT;
 	int error;
 
--- a/mesh/include/burdockgrade/mesh.h
+++ b/mesh/include/burdockgrade/mesh.h
@@ -60,6 +60,9 @@
 	 * @param earlier NULL if there is none
 	 */
 	void (*recovered)(void *arg, const struct bg_member *earlier);
+	/** This node begins (1) or ends (0) to read the store exactly for the
+	 * others. Meanwhile bg_mesh_is_reading() is 1. */
+	void (*reading)(void *arg, int is_reading);
 	void *arg;
 };
 
@@ -103,12 +106,15 @@
  */
 int bg_mesh_merge_stored(struct bg_mesh *mesh, const struct bg_item *item);
 /**
- * Merges an item created by this process and pushes it to some peers
- * immediately.
+ * Merges an item that this process wrote to the store, or has read from it for
+ * others. If it is new here, it is pushed to some peers immediately, which
+ * forward it.
  *
  * @return 0, BG_EINVAL or BG_ENOMEM
  */
 int bg_mesh_publish(struct bg_mesh *mesh, const struct bg_item *item);
+/** 1 while this node reads the store exactly for the others. */
+int bg_mesh_is_reading(const struct bg_mesh *mesh);
 
 /** State of the local backend server, as announced to other nodes. */
 struct bg_server_announcement {
--- a/mesh/src/mesh/gossip.c
+++ b/mesh/src/mesh/gossip.c
@@ -509,7 +509,7 @@
 	/* With a reachable store, every node reads the change from the store,
 	 * unless its sender could not write it. */
 	if (args->is_push && changed > 0 &&
-	    (args->is_push == BG_PUSH_UNSTORED ||
+	    (args->is_push == BG_PUSH_FORWARD ||
 		!bg_mesh_is_store_reachable(gsp->mesh)))
 		push_to_peers(
 		    gsp, cursor, 0, (enum bg_push)args->is_push, args->address);
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -168,10 +168,12 @@
 void bg_gossip_start(struct bg_gossip *gsp);
 /** Compares the table, without the configuration, with a random peer now. */
 void bg_gossip_compare_members(struct bg_gossip *gsp);
-/** What a push tells of the store; value of is_push in SYNC. */
+/** What the receiver of a push does; value of is_push in SYNC. */
 enum bg_push {
-	BG_PUSH_STORED = 1,   /**< the store has the items, or is about to */
-	BG_PUSH_UNSTORED = 2, /**< it has not; the receiver forwards them */
+	BG_PUSH_STORED = 1,  /**< all nodes are about to read the items from the
+				store; the receiver forwards them only while it
+				cannot reach the store */
+	BG_PUSH_FORWARD = 2, /**< the receiver forwards them */
 };
 /** Pushes the changes after a cursor to some peers immediately.
  * @param own_seq of this node's announcement, if it is among the changes, or 0
--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -201,8 +201,8 @@
 	uint64_t cursor = bg_table_cursor(mesh->table);
 	int error = bg_mesh_merge(mesh, item);
 
-	if (error == 0)
-		bg_gossip_push(mesh->gossip, cursor, 0, BG_PUSH_STORED);
+	if (error == 0 && bg_table_cursor(mesh->table) != cursor)
+		bg_gossip_push(mesh->gossip, cursor, 0, BG_PUSH_FORWARD);
 	return error;
 }
 
--- a/mesh/src/mesh/reader.c
+++ b/mesh/src/mesh/reader.c
@@ -26,10 +26,6 @@
 /* Time limit of a question to a node, and of the answer's delay there. */
 #define ASK_TIMEOUT_MS 350
 #define ANSWER_DELAY_MAX_MS 200
-/* Wait of an exact watch, and the time limit of its answer besides. Together
- * with the interval of the checks, they bound the age of what nodes know. */
-#define WATCH_WAIT_MS 700
-#define WATCH_TIMEOUT_MS 500
 #define WATCH_COALESCE_MS 200
 /* A node that nobody has asked for this long stops its exact reads. */
 #define READ_IDLE_MS 3000
@@ -158,6 +154,24 @@
 		answer(rdr->questions);
 }
 
+static void
+notify_reading(const struct bg_mesh *mesh, int is_reading)
+{
+	size_t i;
+
+	for (i = 0; i < mesh->listener_count; i++) {
+		if (mesh->listeners[i].reading != NULL)
+			mesh->listeners[i].reading(
+			    mesh->listeners[i].arg, is_reading);
+	}
+}
+
+int
+bg_mesh_is_reading(const struct bg_mesh *mesh)
+{
+	return mesh->reader->watcher != NULL;
+}
+
 static int
 start_reading(struct bg_reader *rdr)
 {
@@ -170,8 +184,8 @@
 	opts.coalesce_ms = WATCH_COALESCE_MS;
 	opts.is_exact = 1;
 	opts.since_revision = bg_watcher_revision(mesh->config_watcher);
-	opts.wait_ms = WATCH_WAIT_MS;
-	opts.timeout_ms = WATCH_TIMEOUT_MS;
+	opts.wait_ms = BG_WATCHER_EXACT_WAIT_MS;
+	opts.timeout_ms = BG_WATCHER_EXACT_TIMEOUT_MS;
 	opts.handler.object = on_object;
 	opts.handler.list_end = on_list_end;
 	opts.handler.contact = on_contact;
@@ -181,6 +195,7 @@
 	rdr->reading_since_ms = bg_clock_now_ms();
 	bg_counter_set(&reading, 1);
 	bg_log_info("config", "reads the store exactly");
+	notify_reading(mesh, 1);
 	return 0;
 }
 
@@ -192,6 +207,7 @@
 	rdr->contact_ms = 0;
 	bg_counter_set(&reading, 0);
 	bg_log_info("config", "no longer reads the store exactly");
+	notify_reading(rdr->mesh, 0);
 }
 
 /* 1 if nobody needs the exact reads, or if the cheap watches show as well that
--- a/mesh/src/mesh/self.c
+++ b/mesh/src/mesh/self.c
@@ -64,7 +64,7 @@
 	mesh->self.seq++;
 	mesh->spread_seq = mesh->self.seq;
 	mesh->is_write_due = 1;
-	publish(mesh, BG_PUSH_UNSTORED);
+	publish(mesh, BG_PUSH_FORWARD);
 }
 
 static json_t *
--- a/mesh/src/wire/wire_xdr.x
+++ b/mesh/src/wire/wire_xdr.x
@@ -36,8 +36,8 @@
  * raw_bytes, its size before compression, is not 0. items_digest is the xxh64
  * of items as sent; without it, an item with a corrupted byte could win every
  * merge. A push (is_push is not 0) only sends items; its reply carries none. If
- * is_push is 2, the store does not have the items, and the receiver forwards
- * what is new to it. */
+ * is_push is 2, nodes may not read the items from the store soon, and the
+ * receiver forwards what is new to it. */
 struct bg_xsync_args {
 	bg_xaddress address;
 	unsigned hyper root;
--- a/mesh/tests/test_mesh.c
+++ b/mesh/tests/test_mesh.c
@@ -134,7 +134,7 @@
 {
 	struct bg_mesh_options opts = BG_MESH_OPTIONS_INIT;
 	struct bg_mesh_listener listener = {
-	    on_snapshot, NULL, NULL, on_recovered, &nodes[i]};
+	    on_snapshot, NULL, NULL, on_recovered, NULL, &nodes[i]};
 	struct bg_link_options link = BG_LINK_OPTIONS_INIT;
 	struct node *node = &nodes[i];
 	char address[BG_ADDRESS_BYTES];
--- a/moves/src/task/moves.c
+++ b/moves/src/task/moves.c
@@ -462,7 +462,8 @@
 bg_moves_init(struct bg_moves **out, const struct bg_moves_options *opts,
     struct bg_error *err)
 {
-	struct bg_mesh_listener listener = {NULL, on_roster, NULL, NULL, NULL};
+	struct bg_mesh_listener listener = {
+	    NULL, on_roster, NULL, NULL, NULL, NULL};
 	struct bg_moves *mvs;
 
 	if ((mvs = calloc(1, sizeof(*mvs))) == NULL)
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -75,7 +75,7 @@
     struct bg_error *err)
 {
 	struct bg_mesh_listener listener = {
-	    on_snapshot, on_roster, NULL, on_recovered, NULL};
+	    on_snapshot, on_roster, NULL, on_recovered, NULL, NULL};
 	struct bg_proxy *prx;
 	int error;
 
--- a/store/include/burdockgrade/watcher.h
+++ b/store/include/burdockgrade/watcher.h
@@ -8,6 +8,12 @@
 
 #include "burdockgrade/store.h"
 
+/** Wait of an exact watch by which a node reads for others, and the time limit
+ * of its answer besides. Their sum is the time until a silent connection is
+ * noticed, and bounds the age of what the others know. */
+#define BG_WATCHER_EXACT_WAIT_MS 700
+#define BG_WATCHER_EXACT_TIMEOUT_MS 500
+
 struct bg_watcher;
 
 /** Callbacks of a watcher; they run in the event loop. */
