Limit the pipelined input that a connection holds

Change: the connection reads no more while that list is at the limit, and reads on when earlier requests were answered. A caller with more than 64 KiB of requests waiting that closes is noticed only then.

--- a/proxy/src/ingress/ingress_conn.c
+++ b/proxy/src/ingress/ingress_conn.c
@@ -9,9 +9,8 @@
 #include "../metrics/metrics.h"
 #include "ingress_conn.h"
 
-/* Reading from the caller pauses while the bufferevent holds this much input.
- * Input that was moved to bg_ingress_conn.pipelined is not included and not
- * limited. */
+/* Reading from the caller pauses while the bufferevent, or
+ * bg_ingress_conn.pipelined, holds this much input. */
 #define INPUT_MAX_BYTES 65536
 /* Bytes that frame the chunks of a body: at most as many for each byte of the
  * body, and this many in any case. Chunks of one byte have five. */
@@ -156,6 +155,7 @@
 	    "Content-Length: %zu\r\nConnection: close\r\n%s"
 	    "Burdock-Outcome: not-run\r\n\r\n%s\n",
 	    status, reason_phrase(status), strlen(reason) + 1, header, reason);
+	bufferevent_enable(conn->bev, EV_READ);
 	set_timer(conn, LINGER_TIMEOUT_MS);
 }
 
@@ -175,6 +175,17 @@
 	    bg_refusal_text(BG_XREFUSAL_BUFFERS));
 }
 
+/* The caller is read on when its earlier requests were answered. Until then,
+ * its close is not noticed. */
+static void
+limit_pipelined(struct bg_ingress_conn *conn)
+{
+	if (evbuffer_get_length(conn->pipelined) >= INPUT_MAX_BYTES)
+		bufferevent_disable(conn->bev, EV_READ);
+	else
+		bufferevent_enable(conn->bev, EV_READ);
+}
+
 static int
 has_too_much_framing(const struct bg_ingress_conn *conn, uint64_t body_bytes)
 {
@@ -228,6 +239,7 @@
 	conn->body_input_bytes += available_bytes - pending_head_bytes;
 	if (!conn->head.is_chunked)
 		conn->body_left_bytes -= available_bytes - pending_head_bytes;
+	limit_pipelined(conn);
 	conn->evhtp_read(conn->bev, conn->evhtp_arg);
 	if (conn->state == CONN_READING_BODY && !conn->is_free_pending)
 		check_body(conn);
@@ -311,6 +323,7 @@
 	set_timer(conn, BG_INGRESS_IDLE_TIMEOUT_MS);
 	if (evbuffer_get_length(conn->pipelined) > 0)
 		evbuffer_prepend_buffer(in, conn->pipelined);
+	limit_pipelined(conn);
 	if (evbuffer_get_length(in) > 0)
 		handle_input(conn);
 }
--- a/proxy/tests/test_ingress.c
+++ b/proxy/tests/test_ingress.c
@@ -172,6 +172,43 @@
 }
 END_TEST
 
+#define PIPELINED_BYTES 40000000
+#define PIPELINED_ANSWERED 2000
+/* What the sockets of a connection may hold. */
+#define SOCKETS_MAX_BYTES 20000000
+
+static int
+count_responses(const struct client *of)
+{
+	const char *at = of->text;
+	int count = 0;
+
+	while ((at = strstr(at, "HTTP/1.1 ")) != NULL) {
+		at++;
+		count++;
+	}
+	return count;
+}
+
+/* Guards against a caller that sends requests faster than they are answered, of
+ * which more are held with each answer. */
+START_TEST(pipelined_input_is_limited)
+{
+	static const char request[] = "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n";
+	struct evbuffer *out;
+	size_t i;
+
+	setup();
+	out = bufferevent_get_output(cl.bev);
+	for (i = 0; i < PIPELINED_BYTES / (sizeof(request) - 1); i++)
+		evbuffer_add(out, request, sizeof(request) - 1);
+	WAIT(base, count_responses(&cl) >= PIPELINED_ANSWERED);
+	ck_assert_uint_gt(
+	    evbuffer_get_length(out), PIPELINED_BYTES - SOCKETS_MAX_BYTES);
+	teardown();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -185,5 +222,6 @@
 	tcase_add_test(tc, body_in_chunks_of_one_byte_is_served);
 	tcase_add_loop_test(tc, bodies_that_arrive_are_limited, 0,
 	    (int)(sizeof(unfinished_heads) / sizeof(unfinished_heads[0])));
+	tcase_add_test(tc, pipelined_input_is_limited);
 	return run_suite("ingress", tc);
 }
