Judge each step of a rollout anew, and find versions bad that fail a part

Cause: one good verdict at the first share, without load, was enough for all steps; a failure ratio of 12% was evidence for a version; slow answers had only not to speak against it; answers at a small share outweighed failures at a larger one; and beyond the first share a second server had to fail as many calls again.

Change: the verdict names its step and each step needs its own; a bad version is one that fails three times as often as a good one; a good verdict needs evidence on latency; a step begins without evidence for the version; beyond the first share one bad server without a good one, or 80 answers in doubt, are enough; an unproven version is rolled back 0.8 s before its time is over.

One change, since with any part alone the others still let the version through.

--- a/mesh/include/burdockgrade/members.h
+++ b/mesh/include/burdockgrade/members.h
@@ -19,6 +19,9 @@
 };
 
 /** A node's evaluation of the version of its backend server during a move. */
+/** Step of the verdicts of nodes that do not announce it. */
+#define BG_VERDICT_STEP_UNKNOWN UINT32_MAX
+
 enum bg_verdict {
 	BG_VERDICT_NONE, /**< too few calls for a decision */
 	BG_VERDICT_GOOD,
@@ -44,6 +47,8 @@
 	enum bg_member_state state;
 	uint32_t slots; /**< concurrent calls of the backend server */
 	enum bg_verdict verdict;
+	uint32_t verdict_step;	     /**< step of the move that it is on, or
+					BG_VERDICT_STEP_UNKNOWN */
 	uint64_t verdict_generation; /**< generation of the evaluated move */
 };
 
--- a/mesh/include/burdockgrade/mesh.h
+++ b/mesh/include/burdockgrade/mesh.h
@@ -142,9 +142,10 @@
 void bg_mesh_when_durable(
     struct bg_mesh *mesh, bg_mesh_durable_fn fn, void *arg);
 /** Announces the verdict on the server's version during a move.
- * @param generation generation of the move */
-void bg_mesh_announce_verdict(
-    struct bg_mesh *mesh, enum bg_verdict verdict, uint64_t generation);
+ * @param generation generation of the move
+ * @param step step of the move; a bad verdict holds for all */
+void bg_mesh_announce_verdict(struct bg_mesh *mesh, enum bg_verdict verdict,
+    uint64_t generation, uint32_t step);
 /** Announces that the node is stopping. Its backend server may keep running. */
 void bg_mesh_announce_leave(struct bg_mesh *mesh);
 /**
--- a/mesh/src/members/members.c
+++ b/mesh/src/members/members.c
@@ -19,19 +19,21 @@
 static const char FIELD_SLOTS[] = "slots";
 static const char FIELD_VERDICT[] = "verdict";
 static const char FIELD_GENERATION[] = "generation";
+static const char FIELD_STEP[] = "step";
 
 json_t *
 bg_member_to_json(const struct bg_member *member)
 {
 	return json_pack("{s:s, s:s, s:s, s:s, s:I, s:i, s:s, s:i, s:I, s:i, "
-			 "s:I}",
+			 "s:I, s:I}",
 	    FIELD_DC, member->data_centre, FIELD_REGION, member->region,
 	    FIELD_SERVICE, member->service, FIELD_SERVER, member->server_id,
 	    FIELD_STARTED, (json_int_t)member->server_started_ms, FIELD_LEFT,
 	    member->server_has_left, FIELD_VERSION, member->server_version,
 	    FIELD_STATE, (int)member->state, FIELD_SLOTS,
 	    (json_int_t)member->slots, FIELD_VERDICT, (int)member->verdict,
-	    FIELD_GENERATION, (json_int_t)member->verdict_generation);
+	    FIELD_GENERATION, (json_int_t)member->verdict_generation,
+	    FIELD_STEP, (json_int_t)member->verdict_step);
 }
 
 int
@@ -76,21 +78,24 @@
 	json_int_t slots;
 	json_int_t started_ms = 0;
 	json_int_t generation = 0;
+	json_int_t step = BG_VERDICT_STEP_UNKNOWN;
 	int verdict = BG_VERDICT_NONE;
 	int has_left = 0;
 	int state;
 
 	if (json_unpack((json_t *)json,
-		"{s:s, s:s, s:s, s:s, s?I, s?i, s:s, s:i, s:I, s?i, s?I}",
+		"{s:s, s:s, s:s, s:s, s?I, s?i, s:s, s:i, s:I, s?i, s?I, "
+		"s?I}",
 		FIELD_DC, &dc, FIELD_REGION, &region, FIELD_SERVICE, &service,
 		FIELD_SERVER, &id, FIELD_STARTED, &started_ms, FIELD_LEFT,
 		&has_left, FIELD_VERSION, &version, FIELD_STATE, &state,
 		FIELD_SLOTS, &slots, FIELD_VERDICT, &verdict, FIELD_GENERATION,
-		&generation) != 0)
+		&generation, FIELD_STEP, &step) != 0)
 		return BG_EPROTO;
 	if (state < BG_MEMBER_STARTING || state > BG_MEMBER_LEAVING ||
 	    slots < 0 || slots > UINT32_MAX || verdict < BG_VERDICT_NONE ||
-	    verdict > BG_VERDICT_IDLE || generation < 0 || started_ms < 0)
+	    verdict > BG_VERDICT_IDLE || generation < 0 || started_ms < 0 ||
+	    step < 0 || step > UINT32_MAX)
 		return BG_EPROTO;
 	out->server_started_ms = (uint64_t)started_ms;
 	out->server_has_left = has_left != 0;
@@ -98,6 +103,7 @@
 	out->slots = (uint32_t)slots;
 	out->verdict = (enum bg_verdict)verdict;
 	out->verdict_generation = (uint64_t)generation;
+	out->verdict_step = (uint32_t)step;
 	if (copy_name(out->data_centre, sizeof(out->data_centre), dc) != 0 ||
 	    copy_name(out->region, sizeof(out->region), region) != 0 ||
 	    copy_name(out->service, sizeof(out->service), service) != 0 ||
--- a/mesh/src/mesh/self.c
+++ b/mesh/src/mesh/self.c
@@ -358,15 +358,18 @@
 }
 
 void
-bg_mesh_announce_verdict(
-    struct bg_mesh *mesh, enum bg_verdict verdict, uint64_t generation)
+bg_mesh_announce_verdict(struct bg_mesh *mesh, enum bg_verdict verdict,
+    uint64_t generation, uint32_t step)
 {
 	struct bg_member *self = &mesh->self;
 
-	if (self->verdict == verdict && self->verdict_generation == generation)
+	if (self->verdict == verdict &&
+	    self->verdict_generation == generation &&
+	    (self->verdict_step == step || verdict == BG_VERDICT_BAD))
 		return;
 	self->verdict = verdict;
 	self->verdict_generation = generation;
+	self->verdict_step = step;
 	if (mesh->is_announced)
 		bg_mesh_self_announce(mesh);
 }
--- a/moves/src/judge/judge.c
+++ b/moves/src/judge/judge.c
@@ -4,8 +4,11 @@
 
 #include "judge.h"
 
-/* Failure ratio assumed for a bad version, whatever ratio is tolerated. */
-#define BAD_FAILURE_RATIO 0.3
+/* Failure ratio assumed for a bad version: this many times that of a good one,
+ * and at most BAD_FAILURE_RATIO_MAX. Under load, a bad version may fail only
+ * some of its calls. */
+#define BAD_TO_GOOD_FAILURES 3
+#define BAD_FAILURE_RATIO_MAX 0.3
 /* Lower limit of the failure ratio assumed for a good version: the network
  * loses some answers, whatever the version. */
 #define GOOD_FAILURE_RATIO_MIN 0.05
@@ -16,9 +19,12 @@
 #define GOOD_SLOW_RATIO 0.15
 /* ln(1 / 0.01): at most 1 in 100 verdicts is wrong. */
 #define LLR_THRESHOLD 4.6
-/* Answers needed for a good verdict; enough to detect a version that fails only
- * some of its calls. */
-#define GOOD_CALLS_MIN 20
+/* ln(1 / 0.11): at the first share, which exposes few calls, a good verdict may
+ * be wrong more often; a service may not have more calls there. */
+#define FIRST_GOOD_LLR_THRESHOLD 2.2
+/* Answers in a later step after which a version that is not found good is found
+ * bad: while it stays in doubt, it gets a large share. */
+#define STEP_CALLS_MAX 80
 
 void
 bg_judge_reset(struct bg_judge *jdg, uint64_t generation)
@@ -27,6 +33,41 @@
 	jdg->generation = generation;
 }
 
+static void
+drop_evidence_for(struct bg_judge_llr *llr)
+{
+	if (llr->failed < 0)
+		llr->failed = 0;
+	if (llr->slow < 0)
+		llr->slow = 0;
+}
+
+void
+bg_judge_begin_step(struct bg_judge *jdg, uint32_t step)
+{
+	size_t i;
+
+	jdg->step = step;
+	jdg->step_calls = 0;
+	jdg->step_failed = 0;
+	if (jdg->verdict == BG_VERDICT_BAD)
+		return;
+	jdg->verdict = BG_VERDICT_NONE;
+	drop_evidence_for(&jdg->all_routes);
+	for (i = 0; i < BG_ROUTES_MAX; i++)
+		drop_evidence_for(&jdg->routes[i].llr);
+}
+
+int
+bg_judge_is_idle(const struct bg_judge *jdg)
+{
+	if (jdg->verdict != BG_VERDICT_NONE || jdg->step_failed > 0)
+		return 0;
+	/* The first share needs a verdict if there are calls at all. */
+	return jdg->step_calls == 0 ||
+	    (jdg->step > 0 && jdg->step_calls < BG_JUDGE_GOOD_CALLS_MIN);
+}
+
 static struct bg_judge_llr *
 find_or_add_route(struct bg_judge *jdg, const char *route)
 {
@@ -51,12 +92,19 @@
 		*llr = -LLR_THRESHOLD;
 }
 
+static double
+bad_failure_ratio(double good_failure_ratio)
+{
+	return fmin(
+	    BAD_TO_GOOD_FAILURES * good_failure_ratio, BAD_FAILURE_RATIO_MAX);
+}
+
 static void
 add_sample(struct bg_judge_llr *llr, const struct bg_judge_sample *sample,
     double good_failure_ratio)
 {
-	add_outcome(&llr->failed, sample->is_failed, BAD_FAILURE_RATIO,
-	    good_failure_ratio);
+	add_outcome(&llr->failed, sample->is_failed,
+	    bad_failure_ratio(good_failure_ratio), good_failure_ratio);
 	if (sample->has_latency)
 		add_outcome(&llr->slow, sample->is_slow, BAD_SLOW_RATIO,
 		    GOOD_SLOW_RATIO);
@@ -77,6 +125,24 @@
 	    jdg->failed, jdg->slow, jdg->calls);
 }
 
+static int
+is_in_doubt_for_long(const struct bg_judge *jdg)
+{
+	return jdg->verdict == BG_VERDICT_NONE && jdg->step > 0 &&
+	    jdg->step_calls >= STEP_CALLS_MAX;
+}
+
+static int
+is_good(const struct bg_judge *jdg)
+{
+	double failed_threshold =
+	    jdg->step == 0 ? FIRST_GOOD_LLR_THRESHOLD : LLR_THRESHOLD;
+
+	return jdg->step_calls >= BG_JUDGE_GOOD_CALLS_MIN &&
+	    jdg->all_routes.failed <= -failed_threshold &&
+	    jdg->all_routes.slow <= -FIRST_GOOD_LLR_THRESHOLD;
+}
+
 enum bg_verdict
 bg_judge_add_sample(struct bg_judge *jdg, const struct bg_judge_sample *sample,
     uint32_t max_error_permille)
@@ -86,12 +152,14 @@
 
 	if (good_failure_ratio < GOOD_FAILURE_RATIO_MIN)
 		good_failure_ratio = GOOD_FAILURE_RATIO_MIN;
-	if (good_failure_ratio > BAD_FAILURE_RATIO / 2)
-		good_failure_ratio = BAD_FAILURE_RATIO / 2;
+	if (good_failure_ratio > BAD_FAILURE_RATIO_MAX / 2)
+		good_failure_ratio = BAD_FAILURE_RATIO_MAX / 2;
 	if (jdg->verdict == BG_VERDICT_BAD)
 		return jdg->verdict;
 	jdg->calls++;
+	jdg->step_calls++;
 	jdg->failed += sample->is_failed != 0;
+	jdg->step_failed += sample->is_failed != 0;
 	jdg->slow += sample->has_latency && sample->is_slow;
 	add_sample(&jdg->all_routes, sample, good_failure_ratio);
 	if (route != NULL)
@@ -99,9 +167,13 @@
 	if (is_bad(&jdg->all_routes) || (route != NULL && is_bad(route))) {
 		jdg->verdict = BG_VERDICT_BAD;
 		set_reason(jdg, sample);
-	} else if (jdg->calls >= GOOD_CALLS_MIN &&
-	    jdg->all_routes.failed <= -LLR_THRESHOLD &&
-	    jdg->all_routes.slow < 0)
+	} else if (is_good(jdg)) {
 		jdg->verdict = BG_VERDICT_GOOD;
+	} else if (is_in_doubt_for_long(jdg)) {
+		jdg->verdict = BG_VERDICT_BAD;
+		snprintf(jdg->reason, sizeof(jdg->reason),
+		    "not proven good: %u failed, %u slow of %u calls",
+		    jdg->failed, jdg->slow, jdg->calls);
+	}
 	return jdg->verdict;
 }
--- a/moves/src/judge/judge.h
+++ b/moves/src/judge/judge.h
@@ -10,7 +10,9 @@
  * servers of other versions. Each test is a sequential probability ratio test
  * (Wald): it sums the log-likelihood ratio (LLR) of "bad" against "good". The
  * sum has a lower limit, so that a version that degrades after a long good
- * period is detected as soon as a new one.
+ * period is detected as soon as a new one. Each step of a move needs a good
+ * verdict of its own: what a version answered at a small share says little of
+ * how it does under more load.
  */
 
 #include "burdockgrade/contract.h"
@@ -28,8 +30,15 @@
 	struct bg_judge_llr llr;
 };
 
+/** Answers needed for a good verdict; enough to detect a version that fails
+ * only some of its calls. */
+#define BG_JUDGE_GOOD_CALLS_MIN 20
+
 struct bg_judge {
 	uint64_t generation; /**< of the move that is judged; 0: none */
+	uint32_t step;	     /**< of the move */
+	uint32_t step_calls; /**< answers in this step */
+	uint32_t step_failed;
 	uint32_t calls;
 	uint32_t failed;
 	uint32_t slow;
@@ -47,8 +56,14 @@
 	int has_latency; /**< 0: is_slow is ignored, as during a cold start */
 };
 
-/** Discards all samples and starts to judge a move. */
+/** Discards all samples and starts to judge a move at its first step. */
 void bg_judge_reset(struct bg_judge *jdg, uint64_t generation);
+/** Starts to judge a step of the same move. Evidence against the version is
+ * kept, and a bad verdict is; evidence for it is not. */
+void bg_judge_begin_step(struct bg_judge *jdg, uint32_t step);
+/** 1 if the step is over and had so few answers, none of them failed, that
+ * there will be no verdict. */
+int bg_judge_is_idle(const struct bg_judge *jdg);
 /**
  * Adds an answer to the tests.
  *
--- a/moves/src/plan/plan.c
+++ b/moves/src/plan/plan.c
@@ -19,8 +19,13 @@
  * some answers after that. */
 #define STEP_MIN_MS 1500
 #define STEP_MAX_MS 300000
+/* A version without a good verdict is rolled back this long before the
+ * deadline, so that all nodes know of it by then. */
+#define ROLLBACK_LEAD_MS 800
 /* Bad servers that make the version bad; one alone may be at fault itself. */
 #define BAD_SERVERS_MIN 2
+/* Good servers for each bad one, before a share is raised. */
+#define GOOD_TO_BAD_SERVERS 2
 
 static void
 finish(struct bg_move *out, enum bg_move_state state, uint64_t now_ms,
@@ -53,24 +58,36 @@
 }
 
 int
-bg_plan_is_bad(uint32_t ready_new, uint32_t bad_new)
+bg_plan_is_bad(const struct bg_move *move, const struct bg_plan_input *in)
 {
-	if (bad_new == 0)
+	if (in->bad_new == 0)
 		return 0;
-	return bad_new >= BAD_SERVERS_MIN || bad_new >= ready_new;
+	return in->bad_new >= BAD_SERVERS_MIN || in->bad_new >= in->ready_new ||
+	    (move->step > 0 && in->bad_in_step > 0 && in->good_new == 0);
 }
 
-/* The first step ends with a good verdict, or if no new server gets calls. A
- * service with few calls stays at the first share and is rolled back at the
- * deadline, since an unproven version must not get a larger share. */
+/* Good verdicts that a step needs: twice as many as bad ones, as far as that
+ * many servers get calls. */
+static uint32_t
+good_needed(const struct bg_move *move, const struct bg_plan_input *in)
+{
+	uint32_t loaded = (in->ready_new * move->share_permille + 999) / 1000;
+	uint32_t needed = GOOD_TO_BAD_SERVERS * in->bad_new;
+
+	return needed < loaded ? needed : loaded;
+}
+
+/* A step ends with a good verdict on its share, or if no new server gets
+ * enough calls to be judged. A service with few calls stays at the first share
+ * and is rolled back at the deadline, since an unproven version must not get a
+ * larger share. */
 static int
 may_advance(const struct bg_move *move, const struct bg_move_policy *policy,
     const struct bg_plan_input *in)
 {
-	if (in->ready_new == 0 || in->bad_new >= in->ready_new)
+	if (in->ready_new == 0 || in->good_new < good_needed(move, in))
 		return 0;
-	if (move->step == 0 && in->good_new == 0 &&
-	    in->idle_new < in->ready_new)
+	if (in->good_new == 0 && in->idle_new < in->ready_new)
 		return 0;
 	return in->step_age_ms >= bg_plan_step_duration_ms(move, policy) ||
 	    (in->step_age_ms >= STEP_MIN_MS &&
@@ -95,7 +112,8 @@
 {
 	int late;
 
-	if (in->left_ms == 0) {
+	if (in->left_ms == 0 ||
+	    (in->left_ms <= ROLLBACK_LEAD_MS && in->good_new == 0)) {
 		finish(out, BG_MOVE_ROLLED_BACK, in->now_wall_ms,
 		    "promised time passed");
 		return 1;
@@ -125,7 +143,7 @@
 	*out = *move;
 	if (!bg_plan_is_monitored(move, policy, in->step_age_ms))
 		return 0;
-	if (bg_plan_is_bad(in->ready_new, in->bad_new)) {
+	if (bg_plan_is_bad(move, in)) {
 		/* A done move is only rolled back if servers of another
 		 * version are still ready to take over. */
 		if (move->state == BG_MOVE_DONE && in->ready_old == 0)
--- a/moves/src/plan/plan.h
+++ b/moves/src/plan/plan.h
@@ -14,9 +14,11 @@
 struct bg_plan_input {
 	uint32_t ready_old;   /**< ready servers of other versions */
 	uint32_t ready_new;   /**< ready servers of `to`, judged or not */
-	uint32_t good_new;    /**< of ready_new, with a good verdict */
-	uint32_t bad_new;     /**< of ready_new, with a bad verdict */
-	uint32_t idle_new;    /**< of ready_new, without any call */
+	uint32_t good_new;    /**< of ready_new, found good in this step */
+	uint32_t bad_new;     /**< of ready_new, found bad in any step */
+	uint32_t bad_in_step; /**< of bad_new, found bad in this step */
+	uint32_t idle_new;    /**< of ready_new, with too few calls in this step
+				   to be judged */
 	uint64_t step_age_ms; /**< since the present step or state began */
 	uint64_t left_ms;     /**< until the deadline; 0 once it passed */
 	uint64_t now_wall_ms; /**< wall clock, stored with the next state */
@@ -28,8 +30,9 @@
     const struct bg_move *move, const struct bg_move_policy *policy);
 
 /** 1 if the version is at fault: all of its ready servers are bad, or too many
- * for a fault of a single server. */
-int bg_plan_is_bad(uint32_t ready_new, uint32_t bad_new);
+ * for a fault of a single server, or, beyond the first share, one is and none
+ * is good. */
+int bg_plan_is_bad(const struct bg_move *move, const struct bg_plan_input *in);
 
 /**
  * Computes the next state of a move.
--- a/moves/src/task/moves.c
+++ b/moves/src/task/moves.c
@@ -61,6 +61,21 @@
 		event_add(mvs->timer, &tick);
 }
 
+static void
+count_verdict(
+    struct bg_plan_input *in, const struct bg_member *m, uint32_t step)
+{
+	int is_of_step = m->verdict_step == step ||
+	    m->verdict_step == BG_VERDICT_STEP_UNKNOWN;
+
+	in->bad_new += m->verdict == BG_VERDICT_BAD;
+	if (!is_of_step)
+		return;
+	in->bad_in_step += m->verdict == BG_VERDICT_BAD;
+	in->good_new += m->verdict == BG_VERDICT_GOOD;
+	in->idle_new += m->verdict == BG_VERDICT_IDLE;
+}
+
 /* Counts the ready servers of a service by version and verdict. */
 static void
 count_servers(struct bg_plan_input *in, const struct bg_moves *mvs,
@@ -79,11 +94,8 @@
 			continue;
 		}
 		in->ready_new++;
-		if (m[i].verdict_generation != trk->move.generation)
-			continue;
-		in->good_new += m[i].verdict == BG_VERDICT_GOOD;
-		in->bad_new += m[i].verdict == BG_VERDICT_BAD;
-		in->idle_new += m[i].verdict == BG_VERDICT_IDLE;
+		if (m[i].verdict_generation == trk->move.generation)
+			count_verdict(in, &m[i], trk->move.step);
 	}
 }
 
@@ -171,7 +183,7 @@
 {
 	struct bg_moves *mvs = trk->moves;
 
-	if (trk->is_bad_reported || !bg_plan_is_bad(in->ready_new, in->bad_new))
+	if (trk->is_bad_reported || !bg_plan_is_bad(&trk->move, in))
 		return;
 	trk->is_bad_reported = 1;
 	bg_log_warn("moves",
@@ -181,8 +193,21 @@
 	    mvs->options.arg, trk->service, trk->move.to, trk->move.generation);
 }
 
-/* Announces that the new server beside this node got no calls during a step and
- * thus cannot be judged. */
+/* 1 if the judge has not had enough answers in the present step of a move. */
+static int
+is_idle(const struct bg_moves *mvs, const struct bg_move *move)
+{
+	const struct bg_judge *jdg = &mvs->judge;
+
+	if (jdg->generation != move->generation)
+		return 1;
+	if (jdg->verdict == BG_VERDICT_BAD)
+		return 0;
+	return jdg->step != move->step || bg_judge_is_idle(jdg);
+}
+
+/* Announces that the new server beside this node got too few calls during a
+ * step and thus cannot be judged. */
 static void
 announce_idle(struct bg_tracked_move *trk, uint64_t now_ms)
 {
@@ -194,12 +219,12 @@
 	if (me == NULL || trk->move.state != BG_MOVE_IN_PROGRESS ||
 	    strcmp(me->service, trk->service) != 0 ||
 	    strcmp(me->server_version, trk->move.to) != 0 ||
-	    mvs->judge.generation == trk->move.generation ||
+	    !is_idle(mvs, &trk->move) ||
 	    now_ms - trk->step_seen_ms <
 		bg_plan_step_duration_ms(&trk->move, &trk->policy))
 		return;
-	bg_mesh_announce_verdict(
-	    mvs->options.mesh, BG_VERDICT_IDLE, trk->move.generation);
+	bg_mesh_announce_verdict(mvs->options.mesh, BG_VERDICT_IDLE,
+	    trk->move.generation, trk->move.step);
 }
 
 /* Finds the version to move to: that of the latest ready server, by
@@ -326,15 +351,15 @@
 
 	bg_log_info("moves",
 	    "verdict changed service=%s version=%s generation=%" PRIu64
-	    " verdict=%d calls=%u failed=%u slow=%u reason=\"%s\"",
-	    service, mvs->judged_version, jdg->generation, (int)jdg->verdict,
-	    jdg->calls, jdg->failed, jdg->slow, jdg->reason);
+	    " step=%u verdict=%d calls=%u failed=%u slow=%u reason=\"%s\"",
+	    service, mvs->judged_version, jdg->generation, jdg->step,
+	    (int)jdg->verdict, jdg->calls, jdg->failed, jdg->slow, jdg->reason);
 	if (jdg->verdict == BG_VERDICT_BAD) {
 		bg_counter_add(&bad_verdicts, 1);
 		suspend(mvs, 1);
 	}
 	bg_mesh_announce_verdict(
-	    mvs->options.mesh, jdg->verdict, jdg->generation);
+	    mvs->options.mesh, jdg->verdict, jdg->generation, jdg->step);
 	arm_timer(mvs);
 }
 
@@ -352,6 +377,8 @@
 		    seen->server_version);
 		suspend(mvs, 0);
 	}
+	if (mvs->judge.step != trk->move.step)
+		bg_judge_begin_step(&mvs->judge, trk->move.step);
 	before = mvs->judge.verdict;
 	sample.route = seen->route;
 	sample.is_failed = seen->is_failed && !seen->is_dependency_fault;
--- a/moves/tests/test_moves.c
+++ b/moves/tests/test_moves.c
@@ -23,6 +23,7 @@
 	const char *address;
 	enum bg_verdict verdict;
 	uint64_t verdict_generation;
+	uint32_t verdict_step;
 };
 
 struct writer {
@@ -64,11 +65,12 @@
 }
 
 void
-bg_mesh_announce_verdict(
-    struct bg_mesh *m, enum bg_verdict verdict, uint64_t generation)
+bg_mesh_announce_verdict(struct bg_mesh *m, enum bg_verdict verdict,
+    uint64_t generation, uint32_t step)
 {
 	m->verdict = verdict;
 	m->verdict_generation = generation;
+	m->verdict_step = step;
 }
 
 size_t
@@ -91,6 +93,15 @@
 	return NULL;
 }
 
+static void
+set_verdict_steps(uint32_t step)
+{
+	size_t i;
+
+	for (i = 0; i < mesh.roster.member_count; i++)
+		mesh.members[i].verdict_step = step;
+}
+
 /* Like the store: first the result, then the event with the new state. */
 static void
 finish_write(evutil_socket_t fd, short what, void *arg)
@@ -98,8 +109,11 @@
 	struct writer *w = arg;
 
 	w->done(w->done_arg, w->code);
-	if (w->code == 0)
-		bg_moves_set(mvs, SERVICE, &w->last, &policy);
+	if (w->code != 0)
+		return;
+	bg_moves_set(mvs, SERVICE, &w->last, &policy);
+	/* The nodes come to the same verdict on the new step. */
+	set_verdict_steps(w->last.step);
 }
 
 static int
@@ -296,6 +310,28 @@
 }
 END_TEST
 
+/* Guards against a verdict on a small share that counts for a larger one. */
+START_TEST(verdict_names_its_step)
+{
+	struct bg_move move;
+
+	add_member(SELF, "v2");
+	begin_move(5);
+	observe(20, 0);
+	ck_assert_int_eq(mesh.verdict, BG_VERDICT_GOOD);
+	ck_assert_uint_eq(mesh.verdict_step, 0);
+	move = *bg_moves_get(mvs, SERVICE);
+	move.step = 1;
+	move.share_permille = 300;
+	bg_moves_set(mvs, SERVICE, &move, &policy);
+	observe(19, 0);
+	ck_assert_uint_eq(mesh.verdict_step, 0);
+	observe(40, 0);
+	ck_assert_int_eq(mesh.verdict, BG_VERDICT_GOOD);
+	ck_assert_uint_eq(mesh.verdict_step, 1);
+}
+END_TEST
+
 /* Guards against failures of the old version that count against the new one. */
 START_TEST(only_the_new_version_is_judged)
 {
@@ -432,6 +468,7 @@
 	tcase_add_test(tc, good_version_is_done_without_leader);
 	tcase_add_test(tc, bad_version_is_stopped_even_without_the_store);
 	tcase_add_test(tc, node_stops_its_own_bad_server_at_once);
+	tcase_add_test(tc, verdict_names_its_step);
 	tcase_add_test(tc, only_the_new_version_is_judged);
 	tcase_add_test(tc, dependency_faults_do_not_count);
 	tcase_add_test(tc, nodes_write_in_turn);
--- a/moves/tests/test_plan.c
+++ b/moves/tests/test_plan.c
@@ -144,16 +144,90 @@
 }
 END_TEST
 
+static int
+is_bad(uint32_t ready_new, uint32_t bad_new)
+{
+	struct bg_plan_input in = {0};
+
+	in.ready_new = ready_new;
+	in.bad_new = bad_new;
+	in.good_new = ready_new - bad_new;
+	return bg_plan_is_bad(&move, &in);
+}
+
+/* Guards against a larger share without a verdict on the present one, when the
+ * version was good under less load (review/2: EXPOSURE). */
+START_TEST(each_share_needs_a_verdict)
+{
+	move.step = 1;
+	input.good_new = 0;
+	input.idle_new = 4;
+	run_plan(START_MS + DEADLINE_MS - 1000);
+	ck_assert_uint_eq(move.step, 1);
+	run_plan(START_MS + DEADLINE_MS + 1000);
+	ck_assert_int_eq(move.state, BG_MOVE_ROLLED_BACK);
+}
+END_TEST
+
+/* Guards against a version that fails under load and is stopped only when two
+ * of its servers have failed enough calls. */
+START_TEST(bad_server_beyond_the_first_share_rolls_back)
+{
+	struct bg_move next;
+
+	move.step = 1;
+	input.good_new = 0;
+	input.bad_new = 1;
+	ck_assert(!bg_plan_is_bad(&move, &input)); /* bad at the first share */
+	input.bad_in_step = 1;
+	ck_assert(tick(&next));
+	ck_assert_int_eq(next.state, BG_MOVE_ROLLED_BACK);
+	input.good_new = 1;
+	ck_assert(!bg_plan_is_bad(&move, &input));
+	move.step = 0;
+	input.good_new = 0;
+	ck_assert(!bg_plan_is_bad(&move, &input));
+}
+END_TEST
+
+/* Guards against a version without a verdict that is rolled back only when the
+ * promised time is over. */
+START_TEST(unproven_version_is_rolled_back_by_the_deadline)
+{
+	input.good_new = 0;
+	run_plan(START_MS + DEADLINE_MS);
+	ck_assert_int_eq(move.state, BG_MOVE_ROLLED_BACK);
+	ck_assert_uint_lt(step_start_ms, START_MS + DEADLINE_MS);
+}
+END_TEST
+
+/* Guards against a share that is raised after one server was found bad and as
+ * many good, which may be by chance. */
+START_TEST(bad_server_needs_more_good_ones)
+{
+	input.good_new = 1;
+	input.bad_new = 1;
+	move.step = 1;
+	move.share_permille = 300;
+	run_plan(START_MS + DEADLINE_MS - 1000);
+	ck_assert_uint_eq(move.step, 1);
+	input.good_new = 2;
+	now_ms = START_MS + 30000;
+	run_plan(START_MS + 40000);
+	ck_assert_uint_gt(move.step, 1);
+}
+END_TEST
+
 /* Guards against the rollback of a good version for one faulty server. */
 START_TEST(one_bad_server_among_many_does_not_roll_back)
 {
 	input.bad_new = 1;
 	run_plan(START_MS + DEADLINE_MS);
 	ck_assert_int_eq(move.state, BG_MOVE_DONE);
-	ck_assert_int_eq(bg_plan_is_bad(1, 1), 1);
-	ck_assert_int_eq(bg_plan_is_bad(5, 1), 0);
-	ck_assert_int_eq(bg_plan_is_bad(5, 2), 1);
-	ck_assert_int_eq(bg_plan_is_bad(5, 0), 0);
+	ck_assert_int_eq(is_bad(1, 1), 1);
+	ck_assert_int_eq(is_bad(5, 1), 0);
+	ck_assert_int_eq(is_bad(5, 2), 1);
+	ck_assert_int_eq(is_bad(5, 0), 0);
 }
 END_TEST
 
@@ -246,6 +320,10 @@
 	tcase_add_test(tc, service_without_calls_is_done);
 	tcase_add_test(tc, server_with_calls_needs_good_verdict);
 	tcase_add_test(tc, bad_verdicts_roll_back_at_each_step);
+	tcase_add_test(tc, each_share_needs_a_verdict);
+	tcase_add_test(tc, bad_server_beyond_the_first_share_rolls_back);
+	tcase_add_test(tc, unproven_version_is_rolled_back_by_the_deadline);
+	tcase_add_test(tc, bad_server_needs_more_good_ones);
 	tcase_add_test(tc, one_bad_server_among_many_does_not_roll_back);
 	tcase_add_test(tc, share_waits_for_ready_servers);
 	tcase_add_test(tc, step_lasts_its_full_duration);
