--- a/cli/src/node.c
+++ b/cli/src/node.c
@@ -117,7 +117,7 @@
 	int error = BG_EINVAL;
 
 	*out_body = NULL;
-	if (rest == NULL)
+	if (rest == NULL || rest[0] == '\0')
 		return bg_error_set(err, BG_EINVAL, "node", NULL,
 		    "expected a node's address by --node or "
 		    "BURDOCKGRADE_NODE");
--- a/cli/tests/test_cli.c
+++ b/cli/tests/test_cli.c
@@ -170,6 +170,9 @@
 	EXPECT(2, "at least 1", "move", "orders", "2", "--within", "0");
 	EXPECT(2, "IP:PORT", "status", "--node", "host:80");
 	EXPECT(2, "--node", "status");
+	EXPECT(2, "--node", "status", "--node", "");
+	EXPECT(2, "--node", "status", "--json", "--node", "");
+	EXPECT(2, "--node", "report", "burn", "--node", "");
 	EXPECT(2, "not an IP address", "plan", "--platform", "host",
 	    "orders.toml");
 	unsetenv("BURDOCKGRADE_PLATFORM");
