--- a/mesh/src/mesh/self.c
+++ b/mesh/src/mesh/self.c
@@ -24,7 +24,6 @@
     "burdock_mesh_refutations_total", "Own announcements that were replaced.");
 
 static void on_written(void *arg, const struct bg_store_response *answer);
-static void on_removed(void *arg, const struct bg_store_response *answer);
 
 static void
 publish(struct bg_mesh *mesh, enum bg_push push)
@@ -143,33 +142,11 @@
 	change.name = name;
 	change.expected_revision = mesh->stored_revision;
 	mesh->is_writing =
-	    bg_store_write(mesh->store, &change, on_removed, mesh) == 0;
+	    bg_store_write(mesh->store, &change, on_written, mesh) == 0;
 	if (!mesh->is_writing)
 		finish_withdraw(mesh);
 }
 
-/* A conflict means that a write whose response was lost has taken effect; the
- * answer has its revision. */
-static void
-on_removed(void *arg, const struct bg_store_response *answer)
-{
-	struct bg_mesh *mesh = arg;
-
-	mesh->is_writing = 0;
-	if (answer->code == BG_ECANCELED)
-		return;
-	if (answer->code != 0)
-		bg_log_info("mesh", "object not removed reason=%s",
-		    bg_error_name(answer->code));
-	if (answer->code == BG_ECONFLICT && answer->object_count > 0) {
-		mesh->stored_revision = answer->objects[0].revision;
-		remove_object(mesh);
-		return;
-	}
-	mesh->stored_revision = 0;
-	finish_withdraw(mesh);
-}
-
 /* After bg_mesh_withdraw(), removes the object, or finishes the withdrawal if
  * there is none; otherwise writes the object if it is outdated. */
 void
@@ -199,8 +176,8 @@
  * still take effect, before or after the repeated one. Unless the watch reports
  * the new revision in between, whichever comes second fails its condition; if
  * that is the repeated one, it ends with BG_ECONFLICT and is written again on
- * the revision in the answer. After bg_mesh_withdraw(), the write is not
- * repeated, and the object is removed. */
+ * the revision in the answer. After bg_mesh_withdraw(), no repetition is
+ * scheduled and the withdrawal ends. */
 static void
 on_written(void *arg, const struct bg_store_response *answer)
 {
@@ -210,7 +187,8 @@
 	switch (answer->code) {
 	case 0:
 		bg_counter_add(&writes, 1);
-		mesh->stored_revision = answer->revision;
+		mesh->stored_revision =
+		    mesh->is_withdrawn ? 0 : answer->revision;
 		mesh->stored_seq = mesh->writing_seq;
 		bg_mesh_durable_update(mesh);
 		bg_mesh_self_update_store(mesh);
@@ -235,7 +213,7 @@
 	bg_log_info("mesh", "announcement not stored reason=%s seq=%" PRIu64,
 	    bg_error_name(answer->code), mesh->self.seq);
 	if (mesh->is_withdrawn)
-		bg_mesh_self_update_store(mesh);
+		finish_withdraw(mesh);
 	else
 		schedule_retry(mesh);
 }
