--- a/core/tests/fuzz_settings.c
+++ b/core/tests/fuzz_settings.c
@@ -25,7 +25,8 @@
 	snprintf(path, sizeof(path), "/proc/self/fd/%d", fd);
 	/* Settings that are accepted must be usable. */
 	if (bg_settings_load(&set, path, &err) == 0 &&
-	    (set.node.address[0] == '\0' || set.mesh.fanout == 0))
+	    (set.node.address[0] == '\0' ||
+		set.limits.buffered_bytes < 2ULL * set.limits.body_bytes))
 		abort();
 	close(fd);
 	return 0;
