Comments and a constant that no longer said what the code does

Found when the whole change was read once more: a threshold named after the first share is used for slow answers at each, the judge does not know when a step ends, a chunked body is checked while it arrives, and a push is forwarded also where its sender has written the item.

--- a/mesh/src/mesh/gossip.c
+++ b/mesh/src/mesh/gossip.c
@@ -507,7 +507,7 @@
 	if (changed >= 0 && is_comparison)
 		bg_mesh_recovery_handle_comparison(gsp->mesh);
 	/* With a reachable store, every node reads the change from the store,
-	 * unless its sender could not write it. */
+	 * unless its sender knows that it may come late or not at all. */
 	if (args->is_push && changed > 0 &&
 	    (args->is_push == BG_PUSH_FORWARD ||
 		!bg_mesh_is_store_reachable(gsp->mesh)))
--- a/moves/src/judge/judge.c
+++ b/moves/src/judge/judge.c
@@ -19,9 +19,9 @@
 #define GOOD_SLOW_RATIO 0.15
 /* ln(1 / 0.01): at most 1 in 100 verdicts is wrong. */
 #define LLR_THRESHOLD 4.6
-/* ln(1 / 0.11): at the first share, which exposes few calls, a good verdict may
- * be wrong more often; a service may not have more calls there. */
-#define FIRST_GOOD_LLR_THRESHOLD 2.2
+/* ln(1 / 0.11): enough evidence that answers are not slow and, at the first
+ * share, which exposes few calls, that they do not fail. */
+#define WEAK_LLR_THRESHOLD 2.2
 /* Answers in a later step after which a version that is not found good is found
  * bad: while it stays in doubt, it gets a large share. */
 #define STEP_CALLS_MAX 80
@@ -136,11 +136,11 @@
 is_good(const struct bg_judge *jdg)
 {
 	double failed_threshold =
-	    jdg->step == 0 ? FIRST_GOOD_LLR_THRESHOLD : LLR_THRESHOLD;
+	    jdg->step == 0 ? WEAK_LLR_THRESHOLD : LLR_THRESHOLD;
 
 	return jdg->step_calls >= BG_JUDGE_GOOD_CALLS_MIN &&
 	    jdg->all_routes.failed <= -failed_threshold &&
-	    jdg->all_routes.slow <= -FIRST_GOOD_LLR_THRESHOLD;
+	    jdg->all_routes.slow <= -WEAK_LLR_THRESHOLD;
 }
 
 enum bg_verdict
--- a/moves/src/judge/judge.h
+++ b/moves/src/judge/judge.h
@@ -61,8 +61,8 @@
 /** Starts to judge a step of the same move. Evidence against the version is
  * kept, and a bad verdict is; evidence for it is not. */
 void bg_judge_begin_step(struct bg_judge *jdg, uint32_t step);
-/** 1 if the step is over and had so few answers, none of them failed, that
- * there will be no verdict. */
+/** 1 if there were too few answers in this step for a verdict, and none of them
+ * failed. At the first step that means no answers at all. */
 int bg_judge_is_idle(const struct bg_judge *jdg);
 /**
  * Adds an answer to the tests.
--- a/proxy/src/ingress/ingress.c
+++ b/proxy/src/ingress/ingress.c
@@ -332,8 +332,8 @@
 	uint64_t bytes = evbuffer_get_length(p->request->buffer_in);
 
 	if (bytes > ing->proxy->settings->limits.body_bytes) {
-		/* The head check rejects a Content-Length above the limit, so
-		 * this body is chunked. */
+		/* The last piece of a chunked body, which the connection has
+		 * not checked, took it above the limit. */
 		bg_metrics_count_invalid_request();
 		send_error(p, 413, "the body is too large", 0, 1);
 	} else if (!bg_buffers_can_admit(&ing->proxy->buffers, bytes)) {
--- a/proxy/src/ingress/ingress_conn.c
+++ b/proxy/src/ingress/ingress_conn.c
@@ -19,6 +19,7 @@
 /* Time that the caller has to read the response to a rejected request. The
  * connection is closed afterwards, or earlier if the caller closes it. */
 #define LINGER_TIMEOUT_MS 1000
+/* BG_RETRY_AFTER_MS, in whole seconds. */
 #define RETRY_AFTER_HEADER "Retry-After: 1\r\n"
 
 enum conn_state {
--- a/proxy/src/ingress/request_head.h
+++ b/proxy/src/ingress/request_head.h
@@ -38,8 +38,8 @@
  *
  * @param out_reason set to the response text if the head is rejected
  * @param data received bytes, which may extend beyond the head
- * @param body_max_bytes maximum Content-Length; ingress.c checks the length of
- *     a chunked body once it is complete
+ * @param body_max_bytes maximum Content-Length; ingress_conn.c checks the
+ *     length of a chunked body while it arrives
  * @return BG_REQUEST_HEAD_INCOMPLETE, BG_REQUEST_HEAD_VALID, or the HTTP status
  *     of the rejection
  */
