Reject a response whose status is not 100 to 599

A backend server in trouble sent a response with the status 000, and callers got it: "HTTP/1.1 0 UNKNOWN" with the server's signature and body, for lookups and orders, through the node beside the server and through another one (MIXED).

Cause: libevhtp's parser takes up to three digits as a status, and the reader took what the parser returned. No later step looks at the status of a complete response.

The reader now treats a status outside the range of RFC 9110, section 15, as it treats other bytes that are not a response: 502 with an unknown outcome at once, or another server for an idempotent call; the server version is judged and the connection closed. So a caller gets no status that HTTP does not define, and none of the body.

--- a/bench/managed.py
+++ b/bench/managed.py
@@ -17,6 +17,7 @@
 
 HOST = "mesh.example"
 PREFIX = "/orders/"
+LOOKUP_PREFIX = "/lookups/"
 PORTS = ("inbound", "outbound", "readiness", "control", "server")
 METRICS_PORT = 9464
 APPLY_S = 2.0
@@ -50,14 +51,20 @@
 """
 
 
+def route(service):
+    return {"Host": HOST, "TimeoutS": 1, "TargetLatencyS": 0.4, "Priority": 1,
+            "Service": service, "Attempts": 2}
+
+
 def configuration(version, service, services):
-    """The platform's configuration with one route, to a service."""
+    """The platform's configuration with two routes, to a service."""
     return {
         "Version": "r%d" % version,
-        "Routes": {"orders": {
-            "Host": HOST, "PathPrefix": PREFIX, "Kind": "non_idempotent",
-            "TimeoutS": 1, "TargetLatencyS": 0.4, "Priority": 1,
-            "Service": service, "Attempts": 2}},
+        "Routes": {
+            "orders": dict(route(service), PathPrefix=PREFIX,
+                           Kind="non_idempotent"),
+            "lookups": dict(route(service), PathPrefix=LOOKUP_PREFIX,
+                            Kind="idempotent")},
         "Services": {s: {"HealthPath": "/healthz", "MaxConns": 120,
                          "Protocol": "h1", "Tls": False} for s in services},
         "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1048576,
@@ -65,7 +72,8 @@
 
 
 class Server(ThreadingHTTPServer):
-    """A backend server. `runs` has the monotonic time of each request."""
+    """A backend server. `runs` has the monotonic time of each request. `raw`,
+    if it is set, is sent as its response; %s stands for the request id."""
 
     daemon_threads = True
     allow_reuse_address = True
@@ -78,6 +86,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = []
+        self.raw = None
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def ping(self, state):
@@ -115,6 +124,10 @@
         self.rfile.read(int(self.headers.get("Content-Length", 0)))
         if self.path != "/healthz":
             self.server.runs.append(time.monotonic())
+        if self.server.raw is not None:
+            request_id = self.headers.get("X-Request-Id", "").encode()
+            self.wfile.write(self.server.raw.replace(b"%s", request_id))
+            return
         body = self.server.id.encode()
         self.send_response(200)
         self.send_header("X-Request-Id", self.headers.get("X-Request-Id", ""))
@@ -179,13 +192,17 @@
 
     def order(self):
         """Sends an order. Returns (status, id of the server that ran it)."""
+        status, headers, _ = self.send("POST", PREFIX + "1", b"x")
+        return status, headers.get("X-Instance-Id")
+
+    def send(self, method, path, body=None):
+        """Sends a request. Returns status, headers and body."""
         self.fleet.request_count += 1
-        status, headers, _ = http(
-            "POST", "%s:%d" % (self.ip, self.ports["outbound"]), PREFIX + "1",
-            b"x", headers={
+        return http(
+            method, "%s:%d" % (self.ip, self.ports["outbound"]), path, body,
+            headers={
                 "Host": HOST, "X-Deadline-Ms": "1000",
                 "X-Request-Id": "request-%d" % self.fleet.request_count})
-        return status, headers.get("X-Instance-Id")
 
 
 class Fleet:
--- a/bench/test_managed.py
+++ b/bench/test_managed.py
@@ -11,7 +11,8 @@
 sys.path.insert(0, HERE)
 
 from cluster import wait_for  # noqa: E402
-from managed import APPLY_S, CONTACT_S, DRAIN_S, Fleet, Server  # noqa: E402
+from managed import (APPLY_S, CONTACT_S, DRAIN_S, LOOKUP_PREFIX,  # noqa: E402
+                     PREFIX, Fleet, Server)
 
 READERS_S = 4.0  # until the nodes have agreed on who reads the store
 STALE_MS = 60000
@@ -173,6 +174,48 @@
                                  "new" if version % 2 == 0 else "old")
 
 
+class BrokenResponses(unittest.TestCase):
+    """A broken response of a backend server does not reach callers: they get
+    502 at once, through the node beside the server and through another one."""
+
+    CALLS = (("POST", PREFIX + "1", b"x"), ("GET", LOOKUP_PREFIX + "1", None))
+
+    def setUp(self):
+        self.fleet = Fleet(["orders", "other"])
+        self.addCleanup(self.fleet.stop)
+        self.nodes = self.fleet.nodes
+        self.fleet.accept(1, "orders")
+        for node in self.nodes:
+            node.start()
+        for node in self.nodes:
+            node.wait_ready()
+        self.server = Server(self.nodes[0], "server-1")
+        self.addCleanup(self.server.stop)
+        self.server.deliver(self.server.ping("ready"))
+        for node in self.nodes:
+            wait_for("order served", lambda n=node: n.order()[0] == 200)
+
+    def assert_withheld(self, raw):
+        self.server.raw = raw
+        for node in self.nodes:
+            for call in self.CALLS:
+                self.server.deliver(self.server.ping("ready"))
+                status, headers, body = node.send(*call)
+                self.assertEqual(status, 502)
+                self.assertEqual(headers.get("Burdock-Outcome"), "unknown")
+                self.assertNotIn("secret", body)
+        self.server.raw = None
+        self.server.deliver(self.server.ping("ready"))
+        for node in self.nodes:
+            wait_for("order served", lambda n=node: n.order()[0] == 200)
+
+    def test_status(self):
+        """Guards against a response whose status is 000 (MIXED)."""
+        self.assert_withheld(
+            b"HTTP/1.1 000 X\r\nX-Request-Id: %s\r\n"
+            b"X-Response-Signature: s\r\nContent-Length: 6\r\n\r\nsecret")
+
+
 class Restart(unittest.TestCase):
     """What a node acknowledged holds after its process has ended."""
 
--- a/proxy/src/gatekeeper/response_reader.c
+++ b/proxy/src/gatekeeper/response_reader.c
@@ -11,6 +11,9 @@
 
 /* Largest number of bytes that the parser is given in one call. */
 #define PARSE_CHUNK_BYTES 16384
+/* Bounds of a status code (RFC 9110, section 15). */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
 #define MS_PER_S 1000
@@ -115,6 +118,8 @@
 	uint32_t i;
 
 	rd->status = htparser_get_status(parser);
+	if (rd->status < STATUS_MIN || rd->status > STATUS_MAX)
+		return abort_parse(&rd->is_invalid);
 	rd->keeps_alive = htparser_should_keep_alive(parser);
 	for (i = 0; i < rd->header_count; i++) {
 		if (rd->headers[i].value == NULL &&
--- a/proxy/tests/backend.h
+++ b/proxy/tests/backend.h
@@ -32,6 +32,7 @@
 	BACKEND_SHED,
 	BACKEND_204,
 	BACKEND_LARGE, /* body of 512 KiB */
+	BACKEND_RAW,   /* sends raw, and nothing else */
 };
 
 struct backend {
@@ -46,6 +47,8 @@
 	int accepted; /* connections */
 	int held;     /* requests held now */
 	uint16_t port;
+	const char *raw; /* response of BACKEND_RAW */
+	size_t raw_bytes;
 	const char *version; /* sent as X-Version; NULL: none */
 	char last_head[8192];
 	char last_body[256];
@@ -106,6 +109,10 @@
 	int status = backend_status(mode);
 	static char large_body[512 * 1024];
 
+	if (mode == BACKEND_RAW) {
+		evbuffer_add(out, conn->backend->raw, conn->backend->raw_bytes);
+		return;
+	}
 	evbuffer_add_printf(out, "HTTP/1.1 %d X\r\n", status);
 	if (mode != BACKEND_NO_ID && mode != BACKEND_SHED && !conn->is_probe)
 		evbuffer_add_printf(out, "X-Request-Id: %s\r\n", id);
--- /dev/null
+++ b/proxy/tests/test_broken_responses.c
@@ -0,0 +1,156 @@
+#include <check.h>
+
+#include "node.h"
+#include "suite.h"
+
+/* Broken responses of a backend server, through real nodes. The server keeps
+ * the connection open after each of them, so a node that waits for more of it
+ * would answer at the deadline only. */
+
+#define BODY "secret-body"
+#define LENGTH "Content-Length: 11\r\n"
+
+struct broken_response {
+	const char *name;
+	const char *text;
+	size_t bytes;
+};
+
+#define BROKEN(name, text)                   \
+	{                                    \
+		name, text, sizeof(text) - 1 \
+	}
+
+static const struct broken_response broken_responses[] = {
+    BROKEN("status 000", "HTTP/1.1 000 X\r\n" LENGTH "\r\n" BODY),
+    BROKEN("status 600", "HTTP/1.1 600 X\r\n" LENGTH "\r\n" BODY),
+};
+
+/* How the call reaches the server. */
+struct path {
+	int is_remote; /* through another node */
+	int is_order;  /* not idempotent */
+};
+
+static const struct path paths[] = {{0, 0}, {0, 1}, {1, 0}, {1, 1}};
+
+#define COUNT(array) ((int)(sizeof(array) / sizeof((array)[0])))
+
+static struct event_base *base;
+static struct node node1; /* its ingress receives all calls */
+static struct node node2;
+static struct client cl;
+
+static void
+setup(void)
+{
+	base = event_base_new();
+	build_snapshot();
+	node_start(&node1, base);
+	node_start(&node2, base);
+	client_open(&cl, base, bg_proxy_port(node1.proxy));
+}
+
+static void
+teardown(void)
+{
+	client_close(&cl);
+	node_stop(&node1);
+	node_stop(&node2);
+	bg_snapshot_release(snapshot);
+	event_base_free(base);
+}
+
+static void
+send_lookup(void)
+{
+	client_send(&cl, "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, client_has_response(&cl));
+}
+
+static void
+send_order(void)
+{
+	client_send(&cl,
+	    "POST /cut HTTP/1.1\r\nHost: x\r\n"
+	    "Content-Length: 4\r\n\r\nbolt");
+	WAIT(base, client_has_response(&cl));
+}
+
+static void
+send_call(const struct path *path)
+{
+	if (path->is_order)
+		send_order();
+	else
+		send_lookup();
+}
+
+static void
+set_response(struct node *nd, const struct broken_response *rsp)
+{
+	nd->backend.mode = BACKEND_RAW;
+	nd->backend.raw = rsp->text;
+	nd->backend.raw_bytes = rsp->bytes;
+}
+
+/* Guards against a broken response that is forwarded, against a call that waits
+ * for more of it until its deadline, and against reusing the connection. */
+START_TEST(broken_response_gives_unknown)
+{
+	const struct broken_response *rsp =
+	    &broken_responses[_i / COUNT(paths)];
+	const struct path *path = &paths[_i % COUNT(paths)];
+	struct node *nd = path->is_remote ? &node2 : &node1;
+	int accepted;
+
+	node_set_roster(&node1, &nd, 1);
+	set_response(nd, rsp);
+	send_call(path);
+	ck_assert_msg(client_status(&cl) == 502, "%s: %s", rsp->name, cl.text);
+	ck_assert(client_has_header(&cl, "Burdock-Outcome: unknown"));
+	ck_assert(!client_has_header(&cl, "Retry-After"));
+	ck_assert_msg(
+	    strstr(cl.text, "secret") == NULL, "%s: %s", rsp->name, cl.text);
+	ck_assert_int_eq(nd->backend.requests, 1);
+	ck_assert_int_eq(nd->observed.failed, 1);
+	nd->backend.mode = BACKEND_OK;
+	accepted = nd->backend.accepted;
+	send_call(path);
+	ck_assert_int_eq(client_status(&cl), 200);
+	ck_assert_str_eq(client_body(&cl), "hello");
+	ck_assert_int_gt(nd->backend.accepted, accepted);
+}
+END_TEST
+
+/* Guards against an idempotent call that fails although another server could
+ * run it. */
+START_TEST(lookup_goes_to_another_server)
+{
+	struct node *both[] = {&node1, &node2};
+	int i;
+
+	node_set_roster(&node1, both, 2);
+	set_response(&node1, &broken_responses[_i]);
+	for (i = 0; i < 6 && node1.backend.requests == 0; i++) {
+		send_lookup();
+		ck_assert_int_eq(client_status(&cl), 200);
+		ck_assert_str_eq(client_body(&cl), "hello");
+	}
+	ck_assert_int_eq(node1.backend.requests, 1);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("broken responses");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_loop_test(tc, broken_response_gives_unknown, 0,
+	    COUNT(broken_responses) * COUNT(paths));
+	tcase_add_loop_test(
+	    tc, lookup_goes_to_another_server, 0, COUNT(broken_responses));
+	return run_suite("broken responses", tc);
+}
--- a/proxy/tests/test_response_reader.c
+++ b/proxy/tests/test_response_reader.c
@@ -145,6 +145,24 @@
     "\x01\x02\x03\x04\r\n\r\n",
 };
 
+static const char *const INVALID_STATUS[] = {
+    "HTTP/1.1 000 X\r\nContent-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 000 X\r\n\r\nhello",
+    "HTTP/1.1 099 X\r\nContent-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 20 X\r\nContent-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 600 X\r\nContent-Length: 5\r\n\r\nhello",
+    "HTTP/1.1 999 X\r\nContent-Length: 5\r\n\r\nhello",
+};
+
+/* Guards against a status that HTTP does not define, which no client can
+ * interpret. */
+START_TEST(status_out_of_range_is_rejected)
+{
+	ck_assert_int_eq(feed(INVALID_STATUS[_i]), BG_RESPONSE_INVALID);
+}
+END_TEST
+
 /* Guards against forwarding bytes that are not an HTTP response, or a response
  * with conflicting framing headers. */
 START_TEST(invalid_responses_are_rejected)
@@ -220,6 +238,8 @@
 	tcase_add_test(tc, responses_without_body);
 	tcase_add_loop_test(tc, invalid_responses_are_rejected, 0,
 	    (int)(sizeof(INVALID) / sizeof(INVALID[0])));
+	tcase_add_loop_test(tc, status_out_of_range_is_rejected, 0,
+	    (int)(sizeof(INVALID_STATUS) / sizeof(INVALID_STATUS[0])));
 	tcase_add_test(tc, oversized_responses_are_rejected);
 	tcase_add_test(tc, connection_headers_are_read);
 	tcase_add_test(tc, reader_is_reusable);
