Decode chunked bodies of responses with sizes that cannot overflow

A size of 4 GiB made the call wait until its deadline, although no such body is accepted.

Cause: libevhtp's parser shifts the digits of the size into 64 bits and does not report the overflow, and it passes on the data as it comes, so the limit of the body was noticed only when its data arrived.

Chunked bodies are now read by chunk_decoder.c, which stops at a size that the body limit has no room for. The parser reads heads and bodies with a length only. Extensions and trailers follow: an extension is refused, as before; a trailer is refused, where it was passed on as a header with a broken value.

--- a/proxy/src/gatekeeper/response_reader.c
+++ b/proxy/src/gatekeeper/response_reader.c
@@ -8,6 +8,7 @@
 #include "burdockgrade/error.h"
 
 #include "../http/syntax.h"
+#include "chunk_decoder.h"
 #include "response_reader.h"
 
 /* Largest number of bytes that the parser is given in one call. */
@@ -34,6 +35,7 @@
 struct bg_response_reader {
 	htparser *parser;
 	struct evbuffer *body;
+	struct bg_chunk_decoder chunks;
 	struct bg_xheader headers[BG_RESPONSE_HEADERS_MAX];
 	uint32_t header_count;
 	uint32_t body_max_bytes;
@@ -41,6 +43,7 @@
 	int is_head;
 	int is_started; /* the parser has received bytes of the response */
 	int is_complete;
+	int is_chunked;	    /* the body is read by chunks */
 	int is_until_close; /* the body ends with the connection */
 	int is_invalid;
 	int is_oversized;
@@ -137,7 +140,9 @@
 		return abort_parse(&rd->is_oversized);
 	if (has_no_body(rd))
 		return abort_parse(&rd->is_complete);
-	if (lengths == 0 && coding == NULL) {
+	if (coding != NULL)
+		return abort_parse(&rd->is_chunked);
+	if (lengths == 0) {
 		rd->keeps_alive = 0;
 		return abort_parse(&rd->is_until_close);
 	}
@@ -224,6 +229,8 @@
 	htparser_set_userdata(rd->parser, rd);
 	rd->is_started = 0;
 	rd->is_complete = 0;
+	rd->is_chunked = 0;
+	bg_chunk_decoder_init(&rd->chunks);
 	rd->is_until_close = 0;
 	rd->is_invalid = 0;
 	rd->is_oversized = 0;
@@ -249,6 +256,13 @@
 	return BG_RESPONSE_UNTIL_CLOSE;
 }
 
+static enum bg_response_progress
+feed_chunks(struct bg_response_reader *rd, struct evbuffer *in)
+{
+	return bg_chunk_decoder_feed(
+	    &rd->chunks, rd->body, rd->body_max_bytes, in);
+}
+
 /* The parser does not support interim responses with headers, so they are
  * removed from its input. */
 static enum interim
@@ -285,7 +299,8 @@
 	    (const char *)evbuffer_pullup(in, (ev_ssize_t)bytes), bytes);
 	evbuffer_drain(in, used);
 	if (htparser_get_error(rd->parser) != htparse_error_none &&
-	    !rd->is_complete && !rd->is_until_close && !rd->is_oversized)
+	    !rd->is_complete && !rd->is_chunked && !rd->is_until_close &&
+	    !rd->is_oversized)
 		rd->is_invalid = 1;
 }
 
@@ -294,6 +309,8 @@
 {
 	if (rd->is_until_close)
 		return feed_until_close(rd, in);
+	if (rd->is_chunked)
+		return feed_chunks(rd, in);
 	while (evbuffer_get_length(in) > 0) {
 		if (!rd->is_started) {
 			switch (skip_interim(in)) {
@@ -315,6 +332,8 @@
 			return BG_RESPONSE_OVERSIZED;
 		if (rd->is_until_close)
 			return feed_until_close(rd, in);
+		if (rd->is_chunked)
+			return feed_chunks(rd, in);
 		if (rd->is_complete)
 			return BG_RESPONSE_COMPLETE;
 	}
--- a/proxy/src/gatekeeper/response_reader.h
+++ b/proxy/src/gatekeeper/response_reader.h
@@ -10,21 +10,13 @@
 
 #include "burdockgrade/wire_xdr.h"
 
+#include "response_progress.h"
+
 /** Bounds of bg_xcall_res, which carries the response to the caller's node. */
 #define BG_RESPONSE_HEADERS_MAX BG_HEADERS_MAX
 #define BG_RESPONSE_HEADER_NAME_BYTES 256
 #define BG_RESPONSE_HEADER_VALUE_BYTES 8192
 
-enum bg_response_progress {
-	BG_RESPONSE_INCOMPLETE, /**< more bytes are needed */
-	BG_RESPONSE_COMPLETE,
-	BG_RESPONSE_UNTIL_CLOSE, /**< all bytes so far were read; the body ends
-				  with the connection */
-	BG_RESPONSE_INVALID,	 /**< not an HTTP response, or with conflicting
-				  framing headers */
-	BG_RESPONSE_OVERSIZED,	 /**< above the limits, or out of memory */
-};
-
 struct bg_response_reader;
 
 /**
--- a/proxy/tests/test_broken_responses.c
+++ b/proxy/tests/test_broken_responses.c
@@ -10,6 +10,7 @@
 #define BODY "secret-body"
 #define OK_LINE "HTTP/1.1 200 OK\r\n"
 #define LENGTH "Content-Length: 11\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 
 struct broken_response {
 	const char *name;
@@ -42,6 +43,9 @@
 	"HTTP/1.1 500 X\r\nX Na: secret\r\n" LENGTH "\r\n" BODY),
     BROKEN("blank in a name of a refusal",
 	"HTTP/1.1 503 X\r\nX-Shed: 1\r\nX Na: secret\r\n" LENGTH "\r\n" BODY),
+    BROKEN("chunk size above 64 bits",
+	OK_LINE CHUNKED "1000000000000000b\r\n" BODY "\r\n0\r\n\r\n"),
+    BROKEN("chunk size above the limit", OK_LINE CHUNKED "ffffffff\r\n" BODY),
 };
 
 /* How the call reaches the server. */
