Read past the extensions of chunks

A sound response of a backend server was refused with 502 if one of its chunk sizes had an extension ("5;name=value"). RFC 9112, section 7.1.1, has recipients ignore extensions that they do not know.

The decoder now skips what follows a semicolon after the size, up to the limit of the line, unless it holds control bytes.

--- a/proxy/src/gatekeeper/chunk_decoder.c
+++ b/proxy/src/gatekeeper/chunk_decoder.c
@@ -1,6 +1,7 @@
 #include <ctype.h>
 #include <string.h>
 
+#include "../http/syntax.h"
 #include "chunk_decoder.h"
 #include "response_line.h"
 
@@ -23,10 +24,30 @@
 	return n;
 }
 
+/* Extensions follow the size after a semicolon, with blanks before it. They are
+ * ignored. */
 static int
 can_begin_size_line(const char *text, size_t bytes)
 {
-	return count_digits(text, bytes) == bytes;
+	size_t digits = count_digits(text, bytes);
+	size_t at = digits;
+
+	if (digits == 0 && bytes > 0)
+		return 0;
+	while (at < bytes && (text[at] == ' ' || text[at] == '\t'))
+		at++;
+	return at == bytes ||
+	    (text[at] == ';' && bg_http_is_value(text + at, bytes - at));
+}
+
+static int
+is_size_line(const struct bg_response_line *line)
+{
+	size_t digits = count_digits(line->text, line->bytes);
+
+	return digits > 0 &&
+	    (digits == line->bytes ||
+		memchr(line->text, ';', line->bytes) != NULL);
 }
 
 static uint32_t
@@ -45,7 +66,7 @@
 	uint64_t bytes = 0;
 	size_t i;
 
-	if (digits == 0)
+	if (!is_size_line(line))
 		return BG_RESPONSE_INVALID;
 	for (i = 0; i < digits; i++) {
 		bytes = bytes * HEX_BASE + digit_value(line->text[i]);
--- a/proxy/src/http/syntax.c
+++ b/proxy/src/http/syntax.c
@@ -3,6 +3,8 @@
 
 #include "syntax.h"
 
+#define DELETE 0x7f
+
 int
 bg_http_is_token(const char *s, size_t bytes)
 {
@@ -15,3 +17,16 @@
 	}
 	return bytes > 0;
 }
+
+int
+bg_http_is_value(const char *s, size_t bytes)
+{
+	size_t i;
+
+	for (i = 0; i < bytes; i++) {
+		if (((unsigned char)s[i] < ' ' && s[i] != '\t') ||
+		    s[i] == DELETE)
+			return 0;
+	}
+	return 1;
+}
--- a/proxy/src/http/syntax.h
+++ b/proxy/src/http/syntax.h
@@ -10,5 +10,8 @@
 
 /** 1 if the bytes are a token: the form of methods and of header names. */
 int bg_http_is_token(const char *s, size_t bytes);
+/** 1 if the bytes can stand in the value of a header: no control bytes but the
+ * tab. */
+int bg_http_is_value(const char *s, size_t bytes);
 
 #endif
--- a/proxy/tests/test_chunk_decoder.c
+++ b/proxy/tests/test_chunk_decoder.c
@@ -54,6 +54,8 @@
 	"01234567890123456789a"},
     {"2\r\n\r\n\r\n0\r\n\r\n", "\r\n"},
     {"0\r\n\r\n", ""},
+    {"5;a\r\nhello\r\n0;b=c\r\n\r\n", "hello"},
+    {"5 ; a = \"b;\\\"c\"\r\nhello\r\n0\r\n\r\n", "hello"},
 };
 
 #define VALID_COUNT ((int)(sizeof(VALID) / sizeof(VALID[0])))
@@ -99,6 +101,13 @@
     " 5",
     "0x",
     "5\n",
+    "5 x",
+    "5 \t\r\n",
+    "5,",
+    "5;a\x01",
+    "5;a\x7f",
+    "5;a\n",
+    ";a",
     "5\r5",
     "5\r\nhellox",
     "5\r\nhello\n",
--- a/proxy/tests/test_response_reader.c
+++ b/proxy/tests/test_response_reader.c
@@ -88,6 +88,16 @@
 }
 END_TEST
 
+/* Guards against a sound response that is rejected for its chunk extension. */
+START_TEST(chunked_response_with_extension)
+{
+	ck_assert_int_eq(feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+			      "\r\n\r\n5;name=value\r\nhello\r\n0\r\n\r\n"),
+	    BG_RESPONSE_COMPLETE);
+	expect_body("hello");
+}
+END_TEST
+
 /* Guards against a response without a length that is taken for complete before
  * the connection closes, or is discarded. */
 START_TEST(response_without_length_ends_at_close)
@@ -317,6 +327,7 @@
 	tcase_add_test(tc, response_with_content_length);
 	tcase_add_test(tc, response_in_single_bytes);
 	tcase_add_test(tc, chunked_response);
+	tcase_add_test(tc, chunked_response_with_extension);
 	tcase_add_test(tc, response_without_length_ends_at_close);
 	tcase_add_test(tc, bytes_after_the_response_are_left);
 	tcase_add_test(tc, interim_responses_are_skipped);
