Read and discard the trailers of a chunked response

On a response with a trailer got no result through another node: the call ended with 504 at its deadline. Through the node beside the server the trailer reached the caller as a header. All are wrong: a response with trailers is sound.

Cause: the parser reports a trailer like a header, but after the end of the head, where the reader no longer completes missing values. The value stayed NULL, which the messages between nodes cannot encode, and nothing reported that.

The decoder now reads the trailers as header lines, rejects the body if one of them is not valid or if all exceed 8 KiB, and discards them, as RFC 9110, section 6.5.1, allows a recipient that does not know them. Header lines are split by http/field.c, with the grammar of syntax.c.

--- a/proxy/src/gatekeeper/chunk_decoder.c
+++ b/proxy/src/gatekeeper/chunk_decoder.c
@@ -1,11 +1,13 @@
 #include <ctype.h>
 #include <string.h>
 
+#include "../http/field.h"
 #include "../http/syntax.h"
 #include "chunk_decoder.h"
 #include "response_line.h"
 
 #define LINE_MAX_BYTES 1024
+#define TRAILERS_MAX_BYTES 8192
 #define HEX_BASE 16
 
 void
@@ -116,8 +118,7 @@
 }
 
 static enum bg_response_progress
-read_empty_line(
-    struct bg_chunk_decoder *dec, enum bg_chunk_state next, struct evbuffer *in)
+read_data_end(struct bg_chunk_decoder *dec, struct evbuffer *in)
 {
 	struct bg_response_line line;
 	enum bg_response_progress progress;
@@ -126,7 +127,28 @@
 	if (progress != BG_RESPONSE_COMPLETE)
 		return progress;
 	bg_response_line_drain(in, &line);
-	dec->state = next;
+	dec->state = BG_CHUNK_SIZE;
+	return BG_RESPONSE_COMPLETE;
+}
+
+/* An empty line ends the trailers and the body. */
+static enum bg_response_progress
+read_trailer(struct bg_chunk_decoder *dec, struct evbuffer *in)
+{
+	struct bg_response_line line;
+	struct bg_http_field field;
+	enum bg_response_progress progress;
+
+	progress = bg_response_line_peek(&line, in,
+	    TRAILERS_MAX_BYTES - dec->trailer_bytes, bg_http_field_can_begin);
+	if (progress != BG_RESPONSE_COMPLETE)
+		return progress;
+	if (line.bytes == 0)
+		dec->state = BG_CHUNK_END;
+	else if (bg_http_field_parse(&field, line.text, line.bytes) != 0)
+		return BG_RESPONSE_INVALID;
+	dec->trailer_bytes += (uint32_t)line.bytes;
+	bg_response_line_drain(in, &line);
 	return BG_RESPONSE_COMPLETE;
 }
 
@@ -146,10 +168,10 @@
 			progress = read_data(dec, body, in);
 			break;
 		case BG_CHUNK_DATA_END:
-			progress = read_empty_line(dec, BG_CHUNK_SIZE, in);
+			progress = read_data_end(dec, in);
 			break;
 		case BG_CHUNK_TRAILER:
-			progress = read_empty_line(dec, BG_CHUNK_END, in);
+			progress = read_trailer(dec, in);
 			break;
 		case BG_CHUNK_END:
 			break;
--- a/proxy/src/gatekeeper/chunk_decoder.h
+++ b/proxy/src/gatekeeper/chunk_decoder.h
@@ -23,12 +23,13 @@
 struct bg_chunk_decoder {
 	enum bg_chunk_state state;
 	uint64_t left_bytes; /**< of the data of the current chunk */
+	uint32_t trailer_bytes;
 };
 
 void bg_chunk_decoder_init(struct bg_chunk_decoder *dec);
 /**
  * Moves the data of the body from one buffer to the other. Consumes no bytes
- * after the end of the body.
+ * after the end of the body. Trailers are checked and discarded.
  *
  * @param body_max_bytes largest body that is accepted
  * @return any value but BG_RESPONSE_UNTIL_CLOSE
--- a/proxy/tests/test_broken_responses.c
+++ b/proxy/tests/test_broken_responses.c
@@ -12,40 +12,50 @@
 #define LENGTH "Content-Length: 11\r\n"
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 
-struct broken_response {
+struct raw_response {
 	const char *name;
 	const char *text;
 	size_t bytes;
 };
 
-#define BROKEN(name, text)                   \
+#define RESPONSE(name, text)                 \
 	{                                    \
 		name, text, sizeof(text) - 1 \
 	}
 
-static const struct broken_response broken_responses[] = {
-    BROKEN("status 000", "HTTP/1.1 000 X\r\n" LENGTH "\r\n" BODY),
-    BROKEN("status 600", "HTTP/1.1 600 X\r\n" LENGTH "\r\n" BODY),
-    BROKEN("blank in a name", OK_LINE "X Na: secret\r\n" LENGTH "\r\n" BODY),
-    BROKEN(
+static const struct raw_response broken_responses[] = {
+    RESPONSE("status 000", "HTTP/1.1 000 X\r\n" LENGTH "\r\n" BODY),
+    RESPONSE("status 600", "HTTP/1.1 600 X\r\n" LENGTH "\r\n" BODY),
+    RESPONSE("blank in a name", OK_LINE "X Na: secret\r\n" LENGTH "\r\n" BODY),
+    RESPONSE(
 	"blank after a name", OK_LINE "X-Na : secret\r\n" LENGTH "\r\n" BODY),
-    BROKEN("tab in a name", OK_LINE "X\tNa: secret\r\n" LENGTH "\r\n" BODY),
-    BROKEN("DEL in a name", OK_LINE "X\x7fNa: secret\r\n" LENGTH "\r\n" BODY),
-    BROKEN("control byte in a name",
+    RESPONSE("tab in a name", OK_LINE "X\tNa: secret\r\n" LENGTH "\r\n" BODY),
+    RESPONSE("DEL in a name", OK_LINE "X\x7fNa: secret\r\n" LENGTH "\r\n" BODY),
+    RESPONSE("control byte in a name",
 	OK_LINE "X\x01Na: secret\r\n" LENGTH "\r\n" BODY),
-    BROKEN("NUL in a name", OK_LINE "X\0Na: secret\r\n" LENGTH "\r\n" BODY),
-    BROKEN("blank after Content-Length",
+    RESPONSE("NUL in a name", OK_LINE "X\0Na: secret\r\n" LENGTH "\r\n" BODY),
+    RESPONSE("blank after Content-Length",
 	OK_LINE "Content-Length : 11\r\n\r\n" BODY),
-    BROKEN("blank after Transfer-Encoding",
+    RESPONSE("blank after Transfer-Encoding",
 	OK_LINE "Transfer-Encoding : chunked\r\n\r\n"
 		"b\r\n" BODY "\r\n0\r\n\r\n"),
-    BROKEN("blank in a name of a failure",
+    RESPONSE("blank in a name of a failure",
 	"HTTP/1.1 500 X\r\nX Na: secret\r\n" LENGTH "\r\n" BODY),
-    BROKEN("blank in a name of a refusal",
+    RESPONSE("blank in a name of a refusal",
 	"HTTP/1.1 503 X\r\nX-Shed: 1\r\nX Na: secret\r\n" LENGTH "\r\n" BODY),
-    BROKEN("chunk size above 64 bits",
+    RESPONSE("chunk size above 64 bits",
 	OK_LINE CHUNKED "1000000000000000b\r\n" BODY "\r\n0\r\n\r\n"),
-    BROKEN("chunk size above the limit", OK_LINE CHUNKED "ffffffff\r\n" BODY),
+    RESPONSE("chunk size above the limit", OK_LINE CHUNKED "ffffffff\r\n" BODY),
+    RESPONSE("blank in a name of a trailer",
+	OK_LINE CHUNKED "b\r\n" BODY "\r\n0\r\nX Na: secret\r\n\r\n"),
+};
+
+static const struct raw_response sound_responses[] = {
+    RESPONSE(
+	"trailer", OK_LINE CHUNKED "5\r\nhello\r\n0\r\nX-Na: secret\r\n\r\n"),
+    RESPONSE("trailer without a value",
+	OK_LINE CHUNKED "5\r\nhello\r\n0\r\nX-Na:\r\n\r\n"),
+    RESPONSE("chunk extension", OK_LINE CHUNKED "5;a=b\r\nhello\r\n0\r\n\r\n"),
 };
 
 /* How the call reaches the server. */
@@ -109,7 +119,7 @@
 }
 
 static void
-set_response(struct node *nd, const struct broken_response *rsp)
+set_response(struct node *nd, const struct raw_response *rsp)
 {
 	nd->backend.mode = BACKEND_RAW;
 	nd->backend.raw = rsp->text;
@@ -120,8 +130,7 @@
  * for more of it until its deadline, and against reusing the connection. */
 START_TEST(broken_response_gives_unknown)
 {
-	const struct broken_response *rsp =
-	    &broken_responses[_i / COUNT(paths)];
+	const struct raw_response *rsp = &broken_responses[_i / COUNT(paths)];
 	const struct path *path = &paths[_i % COUNT(paths)];
 	struct node *nd = path->is_remote ? &node2 : &node1;
 	int accepted;
@@ -163,6 +172,25 @@
 }
 END_TEST
 
+/* Guards against a sound response that is withheld or changed because it has
+ * parts that few responses have. */
+START_TEST(sound_response_is_forwarded)
+{
+	const struct raw_response *rsp = &sound_responses[_i / COUNT(paths)];
+	const struct path *path = &paths[_i % COUNT(paths)];
+	struct node *nd = path->is_remote ? &node2 : &node1;
+
+	node_set_roster(&node1, &nd, 1);
+	set_response(nd, rsp);
+	send_call(path);
+	ck_assert_msg(client_status(&cl) == 200, "%s: %s", rsp->name, cl.text);
+	ck_assert_str_eq(client_body(&cl), "hello");
+	ck_assert(client_has_header(&cl, "Burdock-Outcome: done"));
+	ck_assert(!client_has_header(&cl, "X-Na"));
+	ck_assert_int_eq(nd->observed.failed, 0);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -174,5 +202,7 @@
 	    COUNT(broken_responses) * COUNT(paths));
 	tcase_add_loop_test(
 	    tc, lookup_goes_to_another_server, 0, COUNT(broken_responses));
+	tcase_add_loop_test(tc, sound_response_is_forwarded, 0,
+	    COUNT(sound_responses) * COUNT(paths));
 	return run_suite("broken responses", tc);
 }
--- a/proxy/tests/test_chunk_decoder.c
+++ b/proxy/tests/test_chunk_decoder.c
@@ -56,6 +56,7 @@
     {"0\r\n\r\n", ""},
     {"5;a\r\nhello\r\n0;b=c\r\n\r\n", "hello"},
     {"5 ; a = \"b;\\\"c\"\r\nhello\r\n0\r\n\r\n", "hello"},
+    {"5\r\nhello\r\n0\r\nX-A: b\r\nX-C:\r\n\r\n", "hello"},
 };
 
 #define VALID_COUNT ((int)(sizeof(VALID) / sizeof(VALID[0])))
@@ -112,6 +113,11 @@
     "5\r\nhellox",
     "5\r\nhello\n",
     "5\r\nhello0\r\n",
+    "0\r\nX A",
+    "0\r\nX-A\r\n",
+    "0\r\n: b",
+    "0\r\nX-A: \x01",
+    "0\r\nX-A: b\r\n c",
 };
 
 /* Guards against a body whose parts are not the server's, and against a call
@@ -159,6 +165,18 @@
 }
 END_TEST
 
+/* Guards against trailers without an end. */
+START_TEST(trailers_are_limited)
+{
+	int i;
+
+	ck_assert_int_eq(feed("0\r\n"), BG_RESPONSE_INCOMPLETE);
+	for (i = 0; i < 1024; i++)
+		ck_assert_int_eq(feed("X-Abc: d\r\n"), BG_RESPONSE_INCOMPLETE);
+	ck_assert_int_eq(feed("X"), BG_RESPONSE_OVERSIZED);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -173,5 +191,6 @@
 	tcase_add_loop_test(tc, oversized_chunk_is_rejected, 0,
 	    (int)(sizeof(OVERSIZED) / sizeof(OVERSIZED[0])));
 	tcase_add_test(tc, size_line_is_limited);
+	tcase_add_test(tc, trailers_are_limited);
 	return run_suite("chunk decoder", tc);
 }
--- a/proxy/tests/test_response_reader.c
+++ b/proxy/tests/test_response_reader.c
@@ -98,6 +98,18 @@
 }
 END_TEST
 
+/* Guards against a trailer that becomes a header of the response. */
+START_TEST(trailers_are_discarded)
+{
+	ck_assert_int_eq(feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+			      "\r\n\r\n5\r\nhello\r\n0\r\nX-A: b\r\n\r\n"),
+	    BG_RESPONSE_COMPLETE);
+	expect_body("hello");
+	ck_assert_ptr_null(bg_response_reader_header(rd, "X-A"));
+	ck_assert_uint_eq(evbuffer_get_length(in), 0);
+}
+END_TEST
+
 /* Guards against a response without a length that is taken for complete before
  * the connection closes, or is discarded. */
 START_TEST(response_without_length_ends_at_close)
@@ -328,6 +340,7 @@
 	tcase_add_test(tc, response_in_single_bytes);
 	tcase_add_test(tc, chunked_response);
 	tcase_add_test(tc, chunked_response_with_extension);
+	tcase_add_test(tc, trailers_are_discarded);
 	tcase_add_test(tc, response_without_length_ends_at_close);
 	tcase_add_test(tc, bytes_after_the_response_are_left);
 	tcase_add_test(tc, interim_responses_are_skipped);
