Read the head of a response by the grammar of HTTP

Callers got responses whose heads HTTP does not allow: HTTP/2.0 or 1.10 in the status line, two blanks before the status, an empty line before it, a control byte or DEL in the reason phrase or in a value. A value with a NUL was cut at the NUL, since it was copied as a string, and passed on. A head that stopped within a broken line made the call wait until its deadline (504).

Cause: libevhtp's parser takes all of these, calls back for whole names and values only, and the reader added checks for what was known to be wrong.

The reader now reads lines itself: http/status_line.c and http/field.c check a line by RFC 9112, sections 4 and 5, also one whose end has not arrived, so a broken head is known at its first wrong byte. Values are taken without the blanks around them. Interim responses are read like others, not searched for their end. What decides on reuse is the list of all Connection headers: "Connection: a, close" was overlooked. The parser's 8 KiB for each response are gone. A blank after the status may be missing, as before.

Evidence, without the change in response_reader.c: test_response_reader 16 of 63 fail (13 starts of broken heads, NUL in a value, blanks around values, Connection); test_broken_responses, 7 more responses: all 28 cases gave 200 with the body or 504, and 7 lookups did not go to the other server. Now all pass.

--- a/proxy/src/gatekeeper/response_reader.c
+++ b/proxy/src/gatekeeper/response_reader.c
@@ -1,5 +1,3 @@
-#include <evhtp/parser.h>
-
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -7,94 +5,131 @@
 
 #include "burdockgrade/error.h"
 
+#include "../http/field.h"
+#include "../http/status_line.h"
 #include "../http/syntax.h"
 #include "chunk_decoder.h"
+#include "response_line.h"
 #include "response_reader.h"
 
-/* Largest number of bytes that the parser is given in one call. */
-#define PARSE_CHUNK_BYTES 16384
-/* Bounds of a status code (RFC 9110, section 15). */
-#define STATUS_MIN 100
-#define STATUS_MAX 599
+/* Room for the blanks around a value. */
+#define LINE_MAX_BYTES \
+	(BG_RESPONSE_HEADER_NAME_BYTES + BG_RESPONSE_HEADER_VALUE_BYTES + 64)
+#define DIGITS "0123456789"
+#define STATUS_OK 200
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
 #define MS_PER_S 1000
-/* Limit for the head of an interim response. */
-#define INTERIM_MAX_BYTES 8192
-
-/* First bytes of an interim response (1xx); '?' matches any character. */
-static const char INTERIM_START[] = "HTTP/1.? 1";
 
-enum interim {
-	INTERIM_NONE,
-	INTERIM_SKIPPED,
-	INTERIM_INCOMPLETE, /* more bytes are needed */
-	INTERIM_OVERSIZED,
+/** Part of the response that is read next. */
+enum phase {
+	PHASE_STATUS_LINE,
+	PHASE_HEADERS,
+	PHASE_BODY, /* with a length */
+	PHASE_CHUNKS,
+	PHASE_UNTIL_CLOSE,
+	PHASE_END,
 };
 
 struct bg_response_reader {
-	htparser *parser;
 	struct evbuffer *body;
 	struct bg_chunk_decoder chunks;
 	struct bg_xheader headers[BG_RESPONSE_HEADERS_MAX];
 	uint32_t header_count;
 	uint32_t body_max_bytes;
-	uint32_t status;
+	struct bg_http_status_line status_line;
+	uint64_t body_left_bytes; /* PHASE_BODY */
+	enum phase phase;
 	int is_head;
-	int is_started; /* the parser has received bytes of the response */
-	int is_complete;
-	int is_chunked;	    /* the body is read by chunks */
-	int is_until_close; /* the body ends with the connection */
-	int is_invalid;
-	int is_oversized;
 	int keeps_alive;
 };
 
-static struct bg_response_reader *
-reader_of(htparser *parser)
+int
+bg_response_reader_init(
+    struct bg_response_reader **out, uint32_t body_max_bytes)
 {
-	return htparser_get_userdata(parser);
+	struct bg_response_reader *rd;
+
+	if ((rd = calloc(1, sizeof(*rd))) == NULL)
+		return BG_ENOMEM;
+	rd->body_max_bytes = body_max_bytes;
+	if ((rd->body = evbuffer_new()) == NULL) {
+		bg_response_reader_free(rd);
+		return BG_ENOMEM;
+	}
+	bg_response_reader_reset(rd, 0);
+	*out = rd;
+	return 0;
 }
 
-static int
-abort_parse(int *flag)
+static void
+free_headers(struct bg_response_reader *rd)
 {
-	*flag = 1;
-	return -1;
+	uint32_t i;
+
+	for (i = 0; i < rd->header_count; i++) {
+		free(rd->headers[i].name);
+		free(rd->headers[i].value);
+	}
+	rd->header_count = 0;
 }
 
-static int
-on_header_name(htparser *parser, const char *data, size_t bytes)
+void
+bg_response_reader_free(struct bg_response_reader *rd)
+{
+	if (rd == NULL)
+		return;
+	free_headers(rd);
+	if (rd->body != NULL)
+		evbuffer_free(rd->body);
+	free(rd);
+}
+
+void
+bg_response_reader_reset(struct bg_response_reader *rd, int is_head)
 {
-	struct bg_response_reader *rd = reader_of(parser);
+	free_headers(rd);
+	evbuffer_drain(rd->body, evbuffer_get_length(rd->body));
+	bg_chunk_decoder_init(&rd->chunks);
+	memset(&rd->status_line, 0, sizeof(rd->status_line));
+	rd->phase = PHASE_STATUS_LINE;
+	rd->is_head = is_head;
+	rd->keeps_alive = 0;
+}
 
-	if (!bg_http_is_token(data, bytes))
-		return abort_parse(&rd->is_invalid);
-	if (rd->header_count == BG_RESPONSE_HEADERS_MAX ||
-	    bytes >= BG_RESPONSE_HEADER_NAME_BYTES)
-		return abort_parse(&rd->is_oversized);
-	rd->headers[rd->header_count].name = strndup(data, bytes);
-	rd->headers[rd->header_count].value = NULL;
-	if (rd->headers[rd->header_count].name == NULL)
-		return abort_parse(&rd->is_oversized);
-	rd->header_count++;
-	return 0;
+static enum bg_response_progress
+read_status_line(struct bg_response_reader *rd, struct evbuffer *in)
+{
+	struct bg_response_line line;
+	enum bg_response_progress progress;
+
+	progress = bg_response_line_peek(
+	    &line, in, LINE_MAX_BYTES, bg_http_status_line_can_begin);
+	if (progress != BG_RESPONSE_COMPLETE)
+		return progress;
+	if (bg_http_status_line_parse(
+		&rd->status_line, line.text, line.bytes) != 0)
+		return BG_RESPONSE_INVALID;
+	bg_response_line_drain(in, &line);
+	rd->phase = PHASE_HEADERS;
+	return BG_RESPONSE_COMPLETE;
 }
 
-static int
-on_header_value(htparser *parser, const char *data, size_t bytes)
+static enum bg_response_progress
+add_header(struct bg_response_reader *rd, const struct bg_http_field *field)
 {
-	struct bg_response_reader *rd = reader_of(parser);
 	struct bg_xheader *header;
 
-	if (rd->header_count == 0)
-		return abort_parse(&rd->is_invalid);
-	header = &rd->headers[rd->header_count - 1];
-	if (bytes >= BG_RESPONSE_HEADER_VALUE_BYTES || header->value != NULL)
-		return abort_parse(&rd->is_oversized);
-	if ((header->value = strndup(data, bytes)) == NULL)
-		return abort_parse(&rd->is_oversized);
-	return 0;
+	if (rd->header_count == BG_RESPONSE_HEADERS_MAX ||
+	    field->name_bytes >= BG_RESPONSE_HEADER_NAME_BYTES ||
+	    field->value_bytes >= BG_RESPONSE_HEADER_VALUE_BYTES)
+		return BG_RESPONSE_OVERSIZED;
+	header = &rd->headers[rd->header_count++];
+	header->name = strndup(field->name, field->name_bytes);
+	header->value = strndup(field->value, field->value_bytes);
+	return header->name == NULL || header->value == NULL
+	    ? BG_RESPONSE_OVERSIZED
+	    : BG_RESPONSE_COMPLETE;
 }
 
 static int
@@ -109,241 +144,187 @@
 }
 
 static int
-has_no_body(const struct bg_response_reader *rd)
+has_connection_option(const struct bg_response_reader *rd, const char *option)
 {
-	return rd->is_head || rd->status == STATUS_NO_CONTENT ||
-	    rd->status == STATUS_NOT_MODIFIED;
-}
-
-static int
-on_headers(htparser *parser)
-{
-	struct bg_response_reader *rd = reader_of(parser);
-	int lengths = count_headers(rd, "Content-Length");
-	const char *coding = bg_response_reader_header(rd, "Transfer-Encoding");
 	uint32_t i;
 
-	rd->status = htparser_get_status(parser);
-	if (rd->status < STATUS_MIN || rd->status > STATUS_MAX)
-		return abort_parse(&rd->is_invalid);
-	rd->keeps_alive = htparser_should_keep_alive(parser);
 	for (i = 0; i < rd->header_count; i++) {
-		if (rd->headers[i].value == NULL &&
-		    (rd->headers[i].value = strdup("")) == NULL)
-			return abort_parse(&rd->is_oversized);
-	}
-	if (lengths > 1 || (lengths == 1 && coding != NULL) ||
-	    (coding != NULL && strcasecmp(coding, "chunked") != 0))
-		return abort_parse(&rd->is_invalid);
-	if (lengths == 1 && !has_no_body(rd) &&
-	    htparser_get_content_length(parser) > rd->body_max_bytes)
-		return abort_parse(&rd->is_oversized);
-	if (has_no_body(rd))
-		return abort_parse(&rd->is_complete);
-	if (coding != NULL)
-		return abort_parse(&rd->is_chunked);
-	if (lengths == 0) {
-		rd->keeps_alive = 0;
-		return abort_parse(&rd->is_until_close);
+		if (strcasecmp(rd->headers[i].name, "Connection") == 0 &&
+		    bg_http_list_has(rd->headers[i].value, option))
+			return 1;
 	}
 	return 0;
 }
 
 static int
-on_body(htparser *parser, const char *data, size_t bytes)
+announces_reuse(const struct bg_response_reader *rd)
 {
-	struct bg_response_reader *rd = reader_of(parser);
-
-	if (evbuffer_get_length(rd->body) + bytes > rd->body_max_bytes)
-		return abort_parse(&rd->is_oversized);
-	evbuffer_add(rd->body, data, bytes);
-	return 0;
+	if (has_connection_option(rd, "close"))
+		return 0;
+	return rd->status_line.minor_version > 0 ||
+	    has_connection_option(rd, "keep-alive");
 }
 
 static int
-on_complete(htparser *parser)
+is_interim(const struct bg_response_reader *rd)
 {
-	struct bg_response_reader *rd = reader_of(parser);
-
-	return abort_parse(&rd->is_complete);
+	return rd->status_line.status < STATUS_OK;
 }
 
-static htparse_hooks hooks = {
-    .hdr_key = on_header_name,
-    .hdr_val = on_header_value,
-    .on_hdrs_complete = on_headers,
-    .body = on_body,
-    .on_msg_complete = on_complete,
-};
-
-int
-bg_response_reader_init(
-    struct bg_response_reader **out, uint32_t body_max_bytes)
+static int
+has_no_body(const struct bg_response_reader *rd)
 {
-	struct bg_response_reader *rd;
-
-	if ((rd = calloc(1, sizeof(*rd))) == NULL)
-		return BG_ENOMEM;
-	rd->body_max_bytes = body_max_bytes;
-	rd->parser = htparser_new();
-	rd->body = evbuffer_new();
-	if (rd->parser == NULL || rd->body == NULL) {
-		bg_response_reader_free(rd);
-		return BG_ENOMEM;
-	}
-	bg_response_reader_reset(rd, 0);
-	*out = rd;
-	return 0;
+	return rd->is_head || rd->status_line.status == STATUS_NO_CONTENT ||
+	    rd->status_line.status == STATUS_NOT_MODIFIED;
 }
 
-static void
-free_headers(struct bg_response_reader *rd)
+static enum bg_response_progress
+parse_content_length(uint64_t *out, const char *value, uint64_t body_max_bytes)
 {
-	uint32_t i;
-
-	for (i = 0; i < rd->header_count; i++) {
-		free(rd->headers[i].name);
-		free(rd->headers[i].value);
+	size_t digits = strspn(value, DIGITS);
+	uint64_t bytes = 0;
+	size_t i;
+
+	if (value[digits] != '\0')
+		return BG_RESPONSE_INVALID;
+	for (i = 0; i < digits; i++) {
+		bytes = bytes * 10 + (uint64_t)(value[i] - '0');
+		if (bytes > body_max_bytes)
+			return BG_RESPONSE_OVERSIZED;
 	}
-	rd->header_count = 0;
+	*out = bytes;
+	return BG_RESPONSE_COMPLETE;
 }
 
-void
-bg_response_reader_free(struct bg_response_reader *rd)
+/* Determines the length of the body (RFC 9112, section 6.3). */
+static enum bg_response_progress
+start_body(struct bg_response_reader *rd)
 {
-	if (rd == NULL)
-		return;
-	free_headers(rd);
-	if (rd->body != NULL)
-		evbuffer_free(rd->body);
-	free(rd->parser);
-	free(rd);
+	const char *length = bg_response_reader_header(rd, "Content-Length");
+	const char *coding = bg_response_reader_header(rd, "Transfer-Encoding");
+
+	if (count_headers(rd, "Content-Length") > 1 ||
+	    (length != NULL && coding != NULL) ||
+	    (coding != NULL && strcasecmp(coding, "chunked") != 0))
+		return BG_RESPONSE_INVALID;
+	if (has_no_body(rd))
+		rd->phase = PHASE_END;
+	else if (coding != NULL)
+		rd->phase = PHASE_CHUNKS;
+	else if (length != NULL) {
+		rd->phase = PHASE_BODY;
+		return parse_content_length(
+		    &rd->body_left_bytes, length, rd->body_max_bytes);
+	} else {
+		rd->phase = PHASE_UNTIL_CLOSE;
+		rd->keeps_alive = 0;
+	}
+	return BG_RESPONSE_COMPLETE;
 }
 
-static void
-reset_state(struct bg_response_reader *rd)
+/* An interim response is skipped. */
+static enum bg_response_progress
+finish_head(struct bg_response_reader *rd)
 {
-	free_headers(rd);
-	evbuffer_drain(rd->body, evbuffer_get_length(rd->body));
-	htparser_init(rd->parser, htp_type_response);
-	htparser_set_userdata(rd->parser, rd);
-	rd->is_started = 0;
-	rd->is_complete = 0;
-	rd->is_chunked = 0;
-	bg_chunk_decoder_init(&rd->chunks);
-	rd->is_until_close = 0;
-	rd->is_invalid = 0;
-	rd->is_oversized = 0;
-	rd->keeps_alive = 0;
-	rd->status = 0;
+	if (is_interim(rd)) {
+		bg_response_reader_reset(rd, rd->is_head);
+		return BG_RESPONSE_COMPLETE;
+	}
+	rd->keeps_alive = announces_reuse(rd);
+	return start_body(rd);
 }
 
-void
-bg_response_reader_reset(struct bg_response_reader *rd, int is_head)
+/* Reads a header line, or the empty line that ends the head. */
+static enum bg_response_progress
+read_header(struct bg_response_reader *rd, struct evbuffer *in)
 {
-	rd->is_head = is_head;
-	reset_state(rd);
+	struct bg_response_line line;
+	struct bg_http_field field;
+	enum bg_response_progress progress;
+
+	progress = bg_response_line_peek(
+	    &line, in, LINE_MAX_BYTES, bg_http_field_can_begin);
+	if (progress != BG_RESPONSE_COMPLETE)
+		return progress;
+	if (line.bytes == 0)
+		progress = finish_head(rd);
+	else if (bg_http_field_parse(&field, line.text, line.bytes) == 0)
+		progress = add_header(rd, &field);
+	else
+		progress = BG_RESPONSE_INVALID;
+	bg_response_line_drain(in, &line);
+	return progress;
 }
 
-/* A body that ends with the connection is not parsed. */
 static enum bg_response_progress
-feed_until_close(struct bg_response_reader *rd, struct evbuffer *in)
+read_body(struct bg_response_reader *rd, struct evbuffer *in)
 {
-	if (evbuffer_get_length(rd->body) + evbuffer_get_length(in) >
-	    rd->body_max_bytes)
+	int moved =
+	    evbuffer_remove_buffer(in, rd->body, (size_t)rd->body_left_bytes);
+
+	if (moved < 0)
 		return BG_RESPONSE_OVERSIZED;
-	evbuffer_add_buffer(rd->body, in);
-	return BG_RESPONSE_UNTIL_CLOSE;
+	rd->body_left_bytes -= (uint64_t)moved;
+	if (rd->body_left_bytes > 0)
+		return BG_RESPONSE_INCOMPLETE;
+	rd->phase = PHASE_END;
+	return BG_RESPONSE_COMPLETE;
 }
 
 static enum bg_response_progress
-feed_chunks(struct bg_response_reader *rd, struct evbuffer *in)
+read_chunks(struct bg_response_reader *rd, struct evbuffer *in)
 {
-	return bg_chunk_decoder_feed(
+	enum bg_response_progress progress = bg_chunk_decoder_feed(
 	    &rd->chunks, rd->body, rd->body_max_bytes, in);
-}
 
-/* The parser does not support interim responses with headers, so they are
- * removed from its input. */
-static enum interim
-skip_interim(struct evbuffer *in)
-{
-	char start[sizeof(INTERIM_START)];
-	ev_ssize_t bytes =
-	    evbuffer_copyout(in, start, sizeof(INTERIM_START) - 1);
-	struct evbuffer_ptr end;
-	ev_ssize_t i;
-
-	for (i = 0; i < bytes; i++) {
-		if (INTERIM_START[i] != '?' && start[i] != INTERIM_START[i])
-			return INTERIM_NONE;
-	}
-	end = evbuffer_search(in, "\r\n\r\n", 4, NULL);
-	if (end.pos < 0)
-		return evbuffer_get_length(in) > INTERIM_MAX_BYTES
-		    ? INTERIM_OVERSIZED
-		    : INTERIM_INCOMPLETE;
-	evbuffer_drain(in, (size_t)end.pos + 4);
-	return INTERIM_SKIPPED;
+	if (progress == BG_RESPONSE_COMPLETE)
+		rd->phase = PHASE_END;
+	return progress;
 }
 
-static void
-parse_chunk(struct bg_response_reader *rd, struct evbuffer *in)
+static enum bg_response_progress
+read_until_close(struct bg_response_reader *rd, struct evbuffer *in)
 {
-	size_t bytes = evbuffer_get_contiguous_space(in);
-	size_t used;
-
-	if (bytes > PARSE_CHUNK_BYTES)
-		bytes = PARSE_CHUNK_BYTES;
-	used = htparser_run(rd->parser, &hooks,
-	    (const char *)evbuffer_pullup(in, (ev_ssize_t)bytes), bytes);
-	evbuffer_drain(in, used);
-	if (htparser_get_error(rd->parser) != htparse_error_none &&
-	    !rd->is_complete && !rd->is_chunked && !rd->is_until_close &&
-	    !rd->is_oversized)
-		rd->is_invalid = 1;
+	if (evbuffer_get_length(rd->body) + evbuffer_get_length(in) >
+	    rd->body_max_bytes)
+		return BG_RESPONSE_OVERSIZED;
+	evbuffer_add_buffer(rd->body, in);
+	return BG_RESPONSE_UNTIL_CLOSE;
 }
 
 enum bg_response_progress
 bg_response_reader_feed(struct bg_response_reader *rd, struct evbuffer *in)
 {
-	if (rd->is_until_close)
-		return feed_until_close(rd, in);
-	if (rd->is_chunked)
-		return feed_chunks(rd, in);
-	while (evbuffer_get_length(in) > 0) {
-		if (!rd->is_started) {
-			switch (skip_interim(in)) {
-			case INTERIM_SKIPPED:
-				continue;
-			case INTERIM_INCOMPLETE:
-				return BG_RESPONSE_INCOMPLETE;
-			case INTERIM_OVERSIZED:
-				return BG_RESPONSE_OVERSIZED;
-			case INTERIM_NONE:
-				break;
-			}
+	enum bg_response_progress progress = BG_RESPONSE_COMPLETE;
+
+	while (progress == BG_RESPONSE_COMPLETE && rd->phase != PHASE_END) {
+		switch (rd->phase) {
+		case PHASE_STATUS_LINE:
+			progress = read_status_line(rd, in);
+			break;
+		case PHASE_HEADERS:
+			progress = read_header(rd, in);
+			break;
+		case PHASE_BODY:
+			progress = read_body(rd, in);
+			break;
+		case PHASE_CHUNKS:
+			progress = read_chunks(rd, in);
+			break;
+		case PHASE_UNTIL_CLOSE:
+			progress = read_until_close(rd, in);
+			break;
+		case PHASE_END:
+			break;
 		}
-		rd->is_started = 1;
-		parse_chunk(rd, in);
-		if (rd->is_invalid)
-			return BG_RESPONSE_INVALID;
-		if (rd->is_oversized)
-			return BG_RESPONSE_OVERSIZED;
-		if (rd->is_until_close)
-			return feed_until_close(rd, in);
-		if (rd->is_chunked)
-			return feed_chunks(rd, in);
-		if (rd->is_complete)
-			return BG_RESPONSE_COMPLETE;
 	}
-	return BG_RESPONSE_INCOMPLETE;
+	return progress;
 }
 
 uint32_t
 bg_response_reader_status(const struct bg_response_reader *rd)
 {
-	return rd->status;
+	return rd->status_line.status;
 }
 
 uint32_t
--- a/proxy/src/http/syntax.c
+++ b/proxy/src/http/syntax.c
@@ -1,9 +1,11 @@
 #include <ctype.h>
 #include <string.h>
+#include <strings.h>
 
 #include "syntax.h"
 
 #define DELETE 0x7f
+#define LIST_SEPARATORS " \t,"
 
 int
 bg_http_is_token(const char *s, size_t bytes)
@@ -30,3 +32,19 @@
 	}
 	return 1;
 }
+
+int
+bg_http_list_has(const char *list, const char *item)
+{
+	size_t bytes;
+
+	for (list += strspn(list, LIST_SEPARATORS); *list != '\0';
+	     list += strspn(list, LIST_SEPARATORS)) {
+		bytes = strcspn(list, LIST_SEPARATORS);
+		if (bytes == strlen(item) &&
+		    strncasecmp(list, item, bytes) == 0)
+			return 1;
+		list += bytes;
+	}
+	return 0;
+}
--- a/proxy/src/http/syntax.h
+++ b/proxy/src/http/syntax.h
@@ -13,5 +13,7 @@
 /** 1 if the bytes can stand in the value of a header: no control bytes but the
  * tab. */
 int bg_http_is_value(const char *s, size_t bytes);
+/** 1 if a comma-separated list has the item, in any case. */
+int bg_http_list_has(const char *list, const char *item);
 
 #endif
--- a/proxy/tests/test_broken_responses.c
+++ b/proxy/tests/test_broken_responses.c
@@ -43,6 +43,19 @@
 	"HTTP/1.1 500 X\r\nX Na: secret\r\n" LENGTH "\r\n" BODY),
     RESPONSE("blank in a name of a refusal",
 	"HTTP/1.1 503 X\r\nX-Shed: 1\r\nX Na: secret\r\n" LENGTH "\r\n" BODY),
+    RESPONSE(
+	"another protocol version", "HTTP/2.0 200 OK\r\n" LENGTH "\r\n" BODY),
+    RESPONSE("two blanks before the status",
+	"HTTP/1.1  200 OK\r\n" LENGTH "\r\n" BODY),
+    RESPONSE("control byte in the reason phrase",
+	"HTTP/1.1 200 O\x01K\r\n" LENGTH "\r\n" BODY),
+    RESPONSE("control byte in a value",
+	OK_LINE "X-Na: secret\x01\r\n" LENGTH "\r\n" BODY),
+    RESPONSE(
+	"DEL in a value", OK_LINE "X-Na: secret\x7f\r\n" LENGTH "\r\n" BODY),
+    RESPONSE(
+	"NUL in a value", OK_LINE "X-Na: secret\0x\r\n" LENGTH "\r\n" BODY),
+    RESPONSE("head that stops in a broken line", OK_LINE "X Na"),
     RESPONSE("chunk size above 64 bits",
 	OK_LINE CHUNKED "1000000000000000b\r\n" BODY "\r\n0\r\n\r\n"),
     RESPONSE("chunk size above the limit", OK_LINE CHUNKED "ffffffff\r\n" BODY),
--- a/proxy/tests/test_response_reader.c
+++ b/proxy/tests/test_response_reader.c
@@ -183,6 +183,66 @@
     "HTTP/1.1 999 X\r\nContent-Length: 5\r\n\r\nhello",
 };
 
+/* Broken heads, up to the byte that shows it. */
+static const char *const BROKEN_STARTS[] = {
+    "h",
+    "\r\n",
+    "HTTP/2",
+    "HTTP/1.1 0",
+    "HTTP/1.1 2000",
+    "HTTP/1.1  ",
+    "HTTP/1.1 200 O\x01",
+    "HTTP/1.1 200 OK\n",
+    "HTTP/1.1 200 OK\r\r",
+    "HTTP/1.1 200 OK\r\nX ",
+    "HTTP/1.1 200 OK\r\n ",
+    "HTTP/1.1 200 OK\r\nX-Name: a\x01",
+    "HTTP/1.1 200 OK\r\nX-Name: a\x7f",
+    "HTTP/1.1 200 OK\r\nX-Name: a\r\n ",
+    "HTTP/1.1 200 OK\r\nX-Name\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\n",
+    "HTTP/1.1 100 Continue\r\nX ",
+};
+
+/* Guards against a broken head that is forwarded, and against waiting for more
+ * of it. */
+START_TEST(broken_head_is_rejected_at_once)
+{
+	const char *text = BROKEN_STARTS[_i];
+	char one[2] = "";
+
+	for (; text[1] != '\0'; text++) {
+		one[0] = text[0];
+		ck_assert_int_eq(feed(one), BG_RESPONSE_INCOMPLETE);
+	}
+	ck_assert_int_eq(feed(text), BG_RESPONSE_INVALID);
+}
+END_TEST
+
+/* Guards against a value that ends at a NUL for the reader only. */
+START_TEST(value_with_nul_is_rejected)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nX-Name: a\0b\r\n"
+				   "Content-Length: 0\r\n\r\n";
+
+	ck_assert_int_eq(
+	    feed_bytes(head, sizeof(head) - 1), BG_RESPONSE_INVALID);
+}
+END_TEST
+
+/* Guards against values with the blanks around them, which are no part of them
+ * (RFC 9112, section 5). */
+START_TEST(values_are_trimmed)
+{
+	ck_assert_int_eq(feed("HTTP/1.1 200 OK\r\nX-A: \t a b \t\r\nX-B:\r\n"
+			      "Content-Length: 5 \r\n\r\nhello"),
+	    BG_RESPONSE_COMPLETE);
+	ck_assert_str_eq(bg_response_reader_header(rd, "X-A"), "a b");
+	ck_assert_str_eq(bg_response_reader_header(rd, "X-B"), "");
+	expect_body("hello");
+}
+END_TEST
+
 /* Guards against a status that HTTP does not define, which no client can
  * interpret. */
 START_TEST(status_out_of_range_is_rejected)
@@ -305,6 +365,17 @@
 	    BG_RESPONSE_COMPLETE);
 	ck_assert_int_eq(bg_response_reader_keeps_alive(rd), 0);
 	bg_response_reader_reset(rd, 0);
+	ck_assert_int_eq(feed("HTTP/1.1 200 OK\r\nConnection: a\r\n"
+			      "Connection: X-B, Close\r\n"
+			      "Content-Length: 0\r\n\r\n"),
+	    BG_RESPONSE_COMPLETE);
+	ck_assert_int_eq(bg_response_reader_keeps_alive(rd), 0);
+	bg_response_reader_reset(rd, 0);
+	ck_assert_int_eq(feed("HTTP/1.0 200 OK\r\nConnection: Keep-Alive\r\n"
+			      "Content-Length: 0\r\n\r\n"),
+	    BG_RESPONSE_COMPLETE);
+	ck_assert_int_eq(bg_response_reader_keeps_alive(rd), 1);
+	bg_response_reader_reset(rd, 0);
 	ck_assert_int_eq(feed("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n"),
 	    BG_RESPONSE_COMPLETE);
 	ck_assert_int_eq(bg_response_reader_keeps_alive(rd), 0);
@@ -349,6 +420,10 @@
 	    (int)(sizeof(INVALID) / sizeof(INVALID[0])));
 	tcase_add_loop_test(tc, status_out_of_range_is_rejected, 0,
 	    (int)(sizeof(INVALID_STATUS) / sizeof(INVALID_STATUS[0])));
+	tcase_add_loop_test(tc, broken_head_is_rejected_at_once, 0,
+	    (int)(sizeof(BROKEN_STARTS) / sizeof(BROKEN_STARTS[0])));
+	tcase_add_test(tc, value_with_nul_is_rejected);
+	tcase_add_test(tc, values_are_trimmed);
 	tcase_add_loop_test(tc, invalid_header_name_is_rejected, 0,
 	    (int)(sizeof(INVALID_NAMES) / sizeof(INVALID_NAMES[0])));
 	tcase_add_test(tc, token_is_a_valid_header_name);
