Reject a response with an empty Content-Length

A response with an empty "Content-Length:" gave callers a 200 without a body, although the server sent one.

The value must now be a number (RFC 9110, section 8.6), also where a response has no body (204, 304, HEAD).

Signs, lists and hexadecimal lengths and a length above 64 bits were refused already: their tests are kept.

--- a/proxy/src/gatekeeper/response_reader.c
+++ b/proxy/src/gatekeeper/response_reader.c
@@ -178,17 +178,19 @@
 	    rd->status_line.status == STATUS_NOT_MODIFIED;
 }
 
+static int
+is_number(const char *value)
+{
+	return value[0] != '\0' && value[strspn(value, DIGITS)] == '\0';
+}
+
 static enum bg_response_progress
-parse_content_length(uint64_t *out, const char *value, uint64_t body_max_bytes)
+parse_content_length(uint64_t *out, const char *number, uint64_t body_max_bytes)
 {
-	size_t digits = strspn(value, DIGITS);
 	uint64_t bytes = 0;
-	size_t i;
 
-	if (value[digits] != '\0')
-		return BG_RESPONSE_INVALID;
-	for (i = 0; i < digits; i++) {
-		bytes = bytes * 10 + (uint64_t)(value[i] - '0');
+	for (; *number != '\0'; number++) {
+		bytes = bytes * 10 + (uint64_t)(*number - '0');
 		if (bytes > body_max_bytes)
 			return BG_RESPONSE_OVERSIZED;
 	}
@@ -204,7 +206,7 @@
 	const char *coding = bg_response_reader_header(rd, "Transfer-Encoding");
 
 	if (count_headers(rd, "Content-Length") > 1 ||
-	    (length != NULL && coding != NULL) ||
+	    (length != NULL && (coding != NULL || !is_number(length))) ||
 	    (coding != NULL && strcasecmp(coding, "chunked") != 0))
 		return BG_RESPONSE_INVALID;
 	if (has_no_body(rd))
--- a/proxy/tests/test_broken_responses.c
+++ b/proxy/tests/test_broken_responses.c
@@ -56,6 +56,10 @@
     RESPONSE(
 	"NUL in a value", OK_LINE "X-Na: secret\0x\r\n" LENGTH "\r\n" BODY),
     RESPONSE("head that stops in a broken line", OK_LINE "X Na"),
+    RESPONSE("empty length", OK_LINE "Content-Length:\r\n\r\n" BODY),
+    RESPONSE("length with a sign", OK_LINE "Content-Length: +11\r\n\r\n" BODY),
+    RESPONSE("two lengths in one value",
+	OK_LINE "Content-Length: 11, 11\r\n\r\n" BODY),
     RESPONSE("chunk size above 64 bits",
 	OK_LINE CHUNKED "1000000000000000b\r\n" BODY "\r\n0\r\n\r\n"),
     RESPONSE("chunk size above the limit", OK_LINE CHUNKED "ffffffff\r\n" BODY),
--- a/proxy/tests/test_response_reader.c
+++ b/proxy/tests/test_response_reader.c
@@ -153,6 +153,10 @@
 	ck_assert_int_eq(
 	    feed("HTTP/1.1 204 No Content\r\n\r\n"), BG_RESPONSE_COMPLETE);
 	bg_response_reader_reset(rd, 0);
+	ck_assert_int_eq(feed("HTTP/1.1 304 Not Modified\r\n"
+			      "Content-Length: 99999999\r\n\r\n"),
+	    BG_RESPONSE_COMPLETE);
+	bg_response_reader_reset(rd, 0);
 	ck_assert_int_eq(feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
 	    BG_RESPONSE_COMPLETE);
 	ck_assert_uint_eq(evbuffer_get_length(in), 0);
@@ -171,6 +175,15 @@
     TWO_FRAMINGS,
     "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello",
     "\x01\x02\x03\x04\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\nContent-Length: \t\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5x\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\nContent-Length: 0x5\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5, 5\r\n\r\nhello",
+    "HTTP/1.1 200 OK\r\nContent-Length: 5 5\r\n\r\nhello",
+    "HTTP/1.1 204 X\r\nContent-Length: 5x\r\n\r\n",
+    "HTTP/1.1 304 X\r\nContent-Length:\r\n\r\n",
 };
 
 static const char *const INVALID_STATUS[] = {
@@ -348,6 +361,11 @@
 	    BG_RESPONSE_OVERSIZED);
 	evbuffer_drain(in, evbuffer_get_length(in));
 	bg_response_reader_reset(rd, 0);
+	ck_assert_int_eq(feed("HTTP/1.1 200 OK\r\n"
+			      "Content-Length: 18446744073709551621\r\n\r\n"),
+	    BG_RESPONSE_OVERSIZED);
+	evbuffer_drain(in, evbuffer_get_length(in));
+	bg_response_reader_reset(rd, 0);
 	memset(text, 'x', sizeof(text) - 1);
 	text[sizeof(text) - 1] = '\0';
 	ck_assert_int_eq(
