Reject a response with several transfer codings, or one in HTTP/1.0

A response with "Transfer-Encoding: chunked" and a second such header, "gzip", reached callers as a plain body: 200 with bytes that are still compressed and without a header that says so. In HTTP/1.0, where the coding does not exist, it was decoded as well.

Cause: only the first header of the name was looked at, and not the version.

The coding must now be one header with the value chunked in HTTP/1.1 (RFC 9112, sections 6.1 and 6.3). The checks of both framing headers are one function.

An empty coding and a list of codings were refused already: their tests are kept.

--- a/proxy/src/gatekeeper/response_reader.c
+++ b/proxy/src/gatekeeper/response_reader.c
@@ -198,6 +198,22 @@
 	return BG_RESPONSE_COMPLETE;
 }
 
+/* 1 if the headers that give the length of the body are valid and agree. */
+static int
+has_valid_framing(const struct bg_response_reader *rd)
+{
+	const char *length = bg_response_reader_header(rd, "Content-Length");
+	const char *coding = bg_response_reader_header(rd, "Transfer-Encoding");
+
+	if (length != NULL)
+		return coding == NULL && is_number(length) &&
+		    count_headers(rd, "Content-Length") == 1;
+	return coding == NULL ||
+	    (strcasecmp(coding, "chunked") == 0 &&
+		count_headers(rd, "Transfer-Encoding") == 1 &&
+		rd->status_line.minor_version > 0);
+}
+
 /* Determines the length of the body (RFC 9112, section 6.3). */
 static enum bg_response_progress
 start_body(struct bg_response_reader *rd)
@@ -205,9 +221,7 @@
 	const char *length = bg_response_reader_header(rd, "Content-Length");
 	const char *coding = bg_response_reader_header(rd, "Transfer-Encoding");
 
-	if (count_headers(rd, "Content-Length") > 1 ||
-	    (length != NULL && (coding != NULL || !is_number(length))) ||
-	    (coding != NULL && strcasecmp(coding, "chunked") != 0))
+	if (!has_valid_framing(rd))
 		return BG_RESPONSE_INVALID;
 	if (has_no_body(rd))
 		rd->phase = PHASE_END;
--- a/proxy/tests/test_broken_responses.c
+++ b/proxy/tests/test_broken_responses.c
@@ -60,6 +60,11 @@
     RESPONSE("length with a sign", OK_LINE "Content-Length: +11\r\n\r\n" BODY),
     RESPONSE("two lengths in one value",
 	OK_LINE "Content-Length: 11, 11\r\n\r\n" BODY),
+    RESPONSE("two transfer codings",
+	OK_LINE "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n"
+		"b\r\n" BODY "\r\n0\r\n\r\n"),
+    RESPONSE("transfer coding in HTTP/1.0",
+	"HTTP/1.0 200 OK\r\n" CHUNKED "b\r\n" BODY "\r\n0\r\n\r\n"),
     RESPONSE("chunk size above 64 bits",
 	OK_LINE CHUNKED "1000000000000000b\r\n" BODY "\r\n0\r\n\r\n"),
     RESPONSE("chunk size above the limit", OK_LINE CHUNKED "ffffffff\r\n" BODY),
