Reject a response that switches the protocol

A response with the status 101, which no request asks for (Upgrade is not forwarded), was skipped like other interim responses, and the call waited for another response until its deadline.

Cause: all statuses below 200 were skipped. 101 ends HTTP on the connection (RFC 9110, section 15.2.2), so it is rejected as soon as its head is read.

Evidence: test_response_reader, 1 of 78 cases, and test_broken_responses, "protocol that was not asked for", fail without the change (504). An interim response with a broken line is rejected since the heads of all responses are read by the same code; that case and two sound interim responses are kept as tests.

--- a/proxy/src/gatekeeper/response_reader.c
+++ b/proxy/src/gatekeeper/response_reader.c
@@ -16,6 +16,7 @@
 #define LINE_MAX_BYTES \
 	(BG_RESPONSE_HEADER_NAME_BYTES + BG_RESPONSE_HEADER_VALUE_BYTES + 64)
 #define DIGITS "0123456789"
+#define STATUS_SWITCHING_PROTOCOLS 101
 #define STATUS_OK 200
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
@@ -238,10 +239,13 @@
 	return BG_RESPONSE_COMPLETE;
 }
 
-/* An interim response is skipped. */
+/* An interim response is skipped, but not one that changes the protocol: no
+ * request asks for that. */
 static enum bg_response_progress
 finish_head(struct bg_response_reader *rd)
 {
+	if (rd->status_line.status == STATUS_SWITCHING_PROTOCOLS)
+		return BG_RESPONSE_INVALID;
 	if (is_interim(rd)) {
 		bg_response_reader_reset(rd, rd->is_head);
 		return BG_RESPONSE_COMPLETE;
--- a/proxy/tests/test_broken_responses.c
+++ b/proxy/tests/test_broken_responses.c
@@ -65,6 +65,10 @@
 		"b\r\n" BODY "\r\n0\r\n\r\n"),
     RESPONSE("transfer coding in HTTP/1.0",
 	"HTTP/1.0 200 OK\r\n" CHUNKED "b\r\n" BODY "\r\n0\r\n\r\n"),
+    RESPONSE("protocol that was not asked for",
+	"HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n"),
+    RESPONSE("interim response with a blank in a name",
+	"HTTP/1.1 100 X\r\nX Na: secret\r\n\r\n" OK_LINE LENGTH "\r\n" BODY),
     RESPONSE("chunk size above 64 bits",
 	OK_LINE CHUNKED "1000000000000000b\r\n" BODY "\r\n0\r\n\r\n"),
     RESPONSE("chunk size above the limit", OK_LINE CHUNKED "ffffffff\r\n" BODY),
@@ -73,6 +77,9 @@
 };
 
 static const struct raw_response sound_responses[] = {
+    RESPONSE("interim responses",
+	"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 103 X\r\nX-Na: secret\r\n\r\n" OK_LINE
+	"Content-Length: 5\r\n\r\nhello"),
     RESPONSE(
 	"trailer", OK_LINE CHUNKED "5\r\nhello\r\n0\r\nX-Na: secret\r\n\r\n"),
     RESPONSE("trailer without a value",
--- a/proxy/tests/test_response_reader.c
+++ b/proxy/tests/test_response_reader.c
@@ -184,6 +184,7 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 5 5\r\n\r\nhello",
     "HTTP/1.1 204 X\r\nContent-Length: 5x\r\n\r\n",
     "HTTP/1.1 304 X\r\nContent-Length:\r\n\r\n",
+    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n\r\n0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
