Check the results of calls that other nodes send

A node wrote to its caller whatever another node sent as a result: the status ("HTTP/1.1 0 UNKNOWN", 100, 999), names with blanks, and values with a line break, which became headers of their own. In a fleet of two builds, one that lets broken responses pass hands them to callers of the other one. An outcome or a refusal that this build does not know was used as an index beyond its table.

Cause: the message is checked for its encoding only. The reader of responses checks what a backend server sends, at the node beside it.

attempt.c, the one place that receives such results, now checks them with call/result.c. An invalid one is logged ("call: invalid result") and ends the attempt like a link that failed: 502 with an unknown outcome, or another server for an idempotent call.

--- a/proxy/src/call/attempt.c
+++ b/proxy/src/call/attempt.c
@@ -9,6 +9,7 @@
 #include "../proxy_internal.h"
 #include "attempt.h"
 #include "deadline.h"
+#include "result.h"
 
 /* A ping on a link. Allocated apart from its attempt, since the link still
  * refers to it if the attempt ends first. */
@@ -122,6 +123,18 @@
 	return 0;
 }
 
+static int
+check_result(const struct bg_attempt *att, const struct bg_xcall_res *res)
+{
+	if (bg_call_result_is_valid(res))
+		return 0;
+	bg_log_error("call",
+	    "invalid result request=%s peer=%s outcome=%d refusal=%d status=%u",
+	    att->args->request_id, att->address, (int)res->outcome,
+	    (int)res->refusal, res->http_status);
+	return BG_EPROTO;
+}
+
 /* A call whose body is not complete has not run and will not: the gatekeeper
  * gets no more of it. */
 static void
@@ -131,6 +144,8 @@
 	struct bg_xcall_res *result = res;
 
 	att->is_pending = 0;
+	if (code == 0)
+		code = check_result(att, result);
 	if (code == 0 && result->outcome == BG_XOUTCOME_CONTINUE) {
 		if (send_piece(att, result) != 0)
 			finish(att, BG_EUNAVAILABLE, NULL);
--- a/proxy/tests/test_broken_responses.c
+++ b/proxy/tests/test_broken_responses.c
@@ -95,6 +95,9 @@
 
 static const struct path paths[] = {{0, 0}, {0, 1}, {1, 0}, {1, 1}};
 
+/* The node picks one of two servers at random, until it picks the other one. */
+#define LOOKUPS_MAX 200
+
 #define COUNT(array) ((int)(sizeof(array) / sizeof((array)[0])))
 
 static struct event_base *base;
@@ -192,7 +195,7 @@
 
 	node_set_roster(&node1, both, 2);
 	set_response(&node1, &broken_responses[_i]);
-	for (i = 0; i < 6 && node1.backend.requests == 0; i++) {
+	for (i = 0; i < LOOKUPS_MAX && node1.backend.requests == 0; i++) {
 		send_lookup();
 		ck_assert_int_eq(client_status(&cl), 200);
 		ck_assert_str_eq(client_body(&cl), "hello");
