Let a request for more of a whole call not mean "has not run"

If a node that has a whole call asks for the next piece of its body, which only a faulty build does, the caller got 503 and "not-run", although a backend server may have run the call. Callers repeat orders after that.

Cause: a piece that cannot be sent ended the attempt as unavailable, whatever had been sent before.

A node that has the whole call is now asked nothing further, and the attempt ends as a broken one: 502 with an unknown outcome.

Evidence, test_peer_results: 2 of 3 cases fail without the change (a lookup and an order without a body: 503).

--- a/proxy/src/call/attempt.c
+++ b/proxy/src/call/attempt.c
@@ -108,7 +108,7 @@
 	struct bg_xbody_args args;
 	int error;
 
-	if (left_bytes == 0 || res->piece_bytes == 0)
+	if (att->is_sent || left_bytes == 0 || res->piece_bytes == 0)
 		return BG_EPROTO;
 	args.call_id = res->call_id;
 	args.piece.piece_val = att->args->body.body_val + att->body_sent_bytes;
@@ -147,9 +147,9 @@
 	if (code == 0)
 		code = check_result(att, result);
 	if (code == 0 && result->outcome == BG_XOUTCOME_CONTINUE) {
-		if (send_piece(att, result) != 0)
-			finish(att, BG_EUNAVAILABLE, NULL);
-		return;
+		if ((code = send_piece(att, result)) == 0)
+			return;
+		res = NULL;
 	}
 	if (code != 0 && !att->is_sent)
 		code = BG_EUNAVAILABLE;
--- a/proxy/tests/test_peer_results.c
+++ b/proxy/tests/test_peer_results.c
@@ -147,6 +147,24 @@
 }
 END_TEST
 
+/* Guards against "has not run" for a call that the other node has as a whole
+ * and asks for more of (P6). */
+START_TEST(request_for_more_of_a_whole_call_gives_unknown)
+{
+	peer.res.outcome = BG_XOUTCOME_CONTINUE;
+	peer.res.piece_bytes = 100;
+	if (_i < 2)
+		send_call(_i);
+	else
+		client_send(&cl,
+		    "POST /cut HTTP/1.1\r\nHost: x\r\n"
+		    "Content-Length: 0\r\n\r\n");
+	WAIT(base, client_has_response(&cl));
+	expect_unknown();
+	ck_assert_int_eq(peer.calls, 1);
+}
+END_TEST
+
 /* Guards against an idempotent call that fails although another node could
  * serve it. */
 START_TEST(lookup_goes_to_another_node)
@@ -194,6 +212,8 @@
 	    COUNT(STATUSES) * 4);
 	tcase_add_loop_test(
 	    tc, result_with_an_unknown_number_gives_unknown, 0, 6);
+	tcase_add_loop_test(
+	    tc, request_for_more_of_a_whole_call_gives_unknown, 0, 3);
 	tcase_add_test(tc, lookup_goes_to_another_node);
 	tcase_add_loop_test(tc, valid_result_is_forwarded, 0, 2);
 	return run_suite("peer results", tc);
