End a call at once whose reply cannot be encoded

A node that could not encode a result sent nothing: the call at the other node waited until its deadline and ended with 504.

Cause: bg_rpc_reply() logged the error and left the peer without a reply.

It now sends a reply without a result (SYSTEM_ERR, as RFC 5531 has it), which ends the call with BG_EPROTO: 502 with an unknown outcome, or another server for an idempotent call. The log line names the procedure. Replies to procedures that a node does not have are written by the same function, without a NULL encoder.

--- a/mesh/src/link/frame.c
+++ b/mesh/src/link/frame.c
@@ -121,9 +121,9 @@
 	return TRUE;
 }
 
-int
-bg_frame_write_reply(
-    struct evbuffer *out, uint32_t xid, xdrproc_t xres, void *res)
+static int
+write_accepted(struct evbuffer *out, uint32_t xid, enum accept_stat stat,
+    xdrproc_t xres, void *res)
 {
 	struct rpc_msg msg;
 
@@ -131,7 +131,20 @@
 	msg.rm_xid = xid;
 	msg.rm_direction = REPLY;
 	msg.rm_reply.rp_stat = MSG_ACCEPTED;
-	msg.acpted_rply.ar_stat = xres == NULL ? PROC_UNAVAIL : SUCCESS;
+	msg.acpted_rply.ar_stat = stat;
 	msg.acpted_rply.ar_results.proc = (xdrproc_t)bg_xdr_empty;
 	return append_message(out, &msg, 0, xres, res);
 }
+
+int
+bg_frame_write_reply(
+    struct evbuffer *out, uint32_t xid, xdrproc_t xres, void *res)
+{
+	return write_accepted(out, xid, SUCCESS, xres, res);
+}
+
+int
+bg_frame_write_failure(struct evbuffer *out, uint32_t xid, enum accept_stat why)
+{
+	return write_accepted(out, xid, why, NULL, NULL);
+}
--- a/mesh/src/link/frame.h
+++ b/mesh/src/link/frame.h
@@ -35,11 +35,18 @@
 /**
  * Appends a reply message to the buffer.
  *
- * @param xres NULL replies that the procedure is unavailable
  * @return as of bg_frame_write_call
  */
 int bg_frame_write_reply(
     struct evbuffer *out, uint32_t xid, xdrproc_t xres, void *res);
+/**
+ * Appends a reply without a result, which ends the call at its caller.
+ *
+ * @param why any value but SUCCESS and PROG_MISMATCH
+ * @return as of bg_frame_write_call
+ */
+int bg_frame_write_failure(
+    struct evbuffer *out, uint32_t xid, enum accept_stat why);
 
 /** XDR routine of an empty body. */
 bool_t bg_xdr_empty(XDR *xdrs, void *unused);
--- a/mesh/src/link/server.c
+++ b/mesh/src/link/server.c
@@ -131,11 +131,12 @@
 	if (rpc->connection != NULL) {
 		out = bufferevent_get_output(rpc->connection->bev);
 		old_length = evbuffer_get_length(out);
-		/* After an error the peer gets no reply; its call ends with its
-		 * timeout or the close of its link. */
-		if (bg_frame_write_reply(out, rpc->xid, xres, res) != 0)
-			bg_log_error("link", "reply not encoded peer=%s",
-			    rpc->connection->peer);
+		if (bg_frame_write_reply(out, rpc->xid, xres, res) != 0) {
+			bg_log_error("link",
+			    "reply not encoded peer=%s procedure=%u",
+			    rpc->connection->peer, rpc->handler->proc);
+			bg_frame_write_failure(out, rpc->xid, SYSTEM_ERR);
+		}
 		bg_frame_count_bytes(rpc->handler->proc, 1 /* is_sent */,
 		    evbuffer_get_length(out) - old_length);
 	}
@@ -177,11 +178,9 @@
 	int error = BG_ENOMEM;
 
 	handler = find_handler(conn->server, (uint32_t)msg->rm_call.cb_proc);
-	/* Without an encoder, the reply says that the procedure is
-	 * unavailable. */
 	if (handler == NULL)
-		return bg_frame_write_reply(
-		    bufferevent_get_output(conn->bev), msg->rm_xid, NULL, NULL);
+		return bg_frame_write_failure(bufferevent_get_output(conn->bev),
+		    msg->rm_xid, PROC_UNAVAIL);
 	if ((rpc = calloc(1, sizeof(*rpc))) == NULL)
 		return BG_ENOMEM;
 	rpc->connection = conn;
--- a/mesh/tests/test_link.c
+++ b/mesh/tests/test_link.c
@@ -201,6 +201,31 @@
 }
 END_TEST
 
+/* Guards against a call that waits for its timeout, or forever, since the peer
+ * cannot encode its reply. */
+START_TEST(reply_that_cannot_be_encoded_ends_the_call)
+{
+	struct bg_xstate_res res = {0};
+	char too_long[200];
+
+	memset(too_long, 'x', sizeof(too_long) - 1);
+	too_long[sizeof(too_long) - 1] = '\0';
+	res.refused_reason = too_long;
+	setup();
+	ck_assert_int_eq(call_state(NULL, 0), 0);
+	run_until(&fx.calls, 1);
+	bg_rpc_reply(fx.pending_rpc, (xdrproc_t)xdr_bg_xstate_res, &res);
+	fx.pending_rpc = NULL;
+	run_until(&fx.replies, 1);
+	ck_assert_int_eq(fx.last_code, BG_EPROTO);
+	ck_assert_int_eq(call_sync(41, 1000), 0);
+	run_until(&fx.replies, 2);
+	ck_assert_int_eq(fx.last_code, 0);
+	ck_assert_int_eq(fx.closes, 0);
+	teardown();
+}
+END_TEST
+
 /* Guards against a handler that keeps working on a call after its caller
  * canceled it. */
 START_TEST(cancel_reaches_the_handler)
@@ -265,6 +290,7 @@
 	tcase_add_test(tc, refused_connection_fails_with_unavailable);
 	tcase_add_test(tc, connection_lost_after_write_fails_with_io);
 	tcase_add_test(tc, call_without_reply_times_out);
+	tcase_add_test(tc, reply_that_cannot_be_encoded_ends_the_call);
 	tcase_add_test(tc, cancel_reaches_the_handler);
 	tcase_add_test(tc, free_fails_pending_calls);
 	tcase_add_test(tc, responsive_peer_is_not_suspect);
