Test that a broken answer to a probe is a failed probe

Probes read their answers with the same reader as calls, so a broken one is a failure: a server whose probes are answered with broken heads is lost after three of them, and its version is not taken from such a head.

Evidence: test_broken_responses, broken_probe_is_a_failure. No change of the product here.

--- a/proxy/tests/backend.h
+++ b/proxy/tests/backend.h
@@ -40,8 +40,9 @@
 	struct evconnlistener *listener;
 	struct backend_conn *conns;
 	enum backend_mode mode;
-	int is_unhealthy; /* responds to probes with 500 */
-	int requests;	  /* received, without probes */
+	int is_unhealthy;	      /* responds to probes with 500 */
+	enum backend_mode probe_mode; /* if it is not unhealthy */
+	int requests;		      /* received, without probes */
 	int probes;
 	int aborted;  /* connections closed while a request was held */
 	int accepted; /* connections */
@@ -179,7 +180,7 @@
 	if (conn->is_probe) {
 		be->probes++;
 		backend_respond(
-		    conn, be->is_unhealthy ? BACKEND_500 : BACKEND_OK);
+		    conn, be->is_unhealthy ? BACKEND_500 : be->probe_mode);
 		return;
 	}
 	be->requests++;
--- a/proxy/tests/test_broken_responses.c
+++ b/proxy/tests/test_broken_responses.c
@@ -204,6 +204,29 @@
 }
 END_TEST
 
+/* Guards against a server that counts as healthy, or has its version taken
+ * from such a head, since its answers to probes are broken but not with 5xx. */
+START_TEST(broken_probe_is_a_failure)
+{
+	static const struct raw_response responses[] = {
+	    RESPONSE("status 000",
+		"HTTP/1.1 000 X\r\nX-Version: v2\r\n"
+		"Content-Length: 0\r\n\r\n"),
+	    RESPONSE("blank in a name",
+		OK_LINE
+		"X-Version: v2\r\nX Na: a\r\nContent-Length: 0\r\n\r\n"),
+	};
+
+	set_response(&node1, &responses[_i]);
+	node1.backend.probe_mode = BACKEND_RAW;
+	WAIT(base, node1.mesh.state != BG_MEMBER_READY);
+	ck_assert_str_ne(node1.mesh.version, "v2");
+	node1.backend.probe_mode = BACKEND_OK;
+	WAIT(base, node1.mesh.state == BG_MEMBER_READY);
+	ck_assert_str_eq(node1.mesh.version, "v1");
+}
+END_TEST
+
 /* Guards against a sound response that is withheld or changed because it has
  * parts that few responses have. */
 START_TEST(sound_response_is_forwarded)
@@ -234,6 +257,7 @@
 	    COUNT(broken_responses) * COUNT(paths));
 	tcase_add_loop_test(
 	    tc, lookup_goes_to_another_server, 0, COUNT(broken_responses));
+	tcase_add_loop_test(tc, broken_probe_is_a_failure, 0, 2);
 	tcase_add_loop_test(tc, sound_response_is_forwarded, 0,
 	    COUNT(sound_responses) * COUNT(paths));
 	return run_suite("broken responses", tc);
