Test that burdockgrade prints no page of a response with a broken status

Handled already, no change of the product: the commands that fetch pages of a node take status 200 only, evhttp reports status 000 like a lost connection, and the next node is asked.

--- a/cli/tests/test_cli.c
+++ b/cli/tests/test_cli.c
@@ -308,6 +308,7 @@
 	char address[64];
 	const char *const *pages; /* ends with NULL */
 	size_t page;		  /* index of the next one */
+	int status;
 };
 
 static void
@@ -319,13 +320,14 @@
 	evbuffer_add_printf(body, "%s", stub->pages[stub->page]);
 	if (stub->pages[stub->page + 1] != NULL)
 		stub->page++;
-	evhttp_send_reply(req, 200, "OK", body);
+	evhttp_send_reply(req, stub->status, "OK", body);
 	evbuffer_free(body);
 }
 
 /* Serves pages in a child process until stub_stop. */
 static void
-stub_start(struct node_stub *out, const char *const *pages)
+stub_start_with_status(
+    struct node_stub *out, const char *const *pages, int status)
 {
 	struct evhttp_bound_socket *bound;
 	struct event_base *base;
@@ -335,6 +337,7 @@
 
 	memset(out, 0, sizeof(*out));
 	out->pages = pages;
+	out->status = status;
 	base = event_base_new();
 	http = evhttp_new(base);
 	bound = evhttp_bind_socket_with_handle(http, "127.0.0.1", 0);
@@ -354,6 +357,12 @@
 	event_base_free(base);
 }
 
+static void
+stub_start(struct node_stub *out, const char *const *pages)
+{
+	stub_start_with_status(out, pages, 200);
+}
+
 static void
 stub_stop(struct node_stub *stub)
 {
@@ -422,6 +431,28 @@
 }
 END_TEST
 
+/* Guards against printing the page of a response whose status is not 200, such
+ * as 000, and against not asking the next node. */
+START_TEST(page_with_a_broken_status_is_not_printed)
+{
+	static const char *const pages[] = {LINE("done", "2", "3", "0"), NULL};
+	static const int statuses[] = {0, 99, 204, 600};
+	struct node_stub broken;
+	struct node_stub stub;
+	char nodes[160];
+
+	stub_start_with_status(&broken, pages, statuses[_i]);
+	stub_start(&stub, pages);
+	EXPECT(1, statuses[_i] == 0 ? "does not answer" : "HTTP status",
+	    "status", "--node", broken.address);
+	ck_assert_ptr_null(strstr(output, "done orders"));
+	snprintf(nodes, sizeof(nodes), "%s,%s", broken.address, stub.address);
+	EXPECT(0, "done orders", "status", "--node", nodes);
+	stub_stop(&broken);
+	stub_stop(&stub);
+}
+END_TEST
+
 /* Guards against a watch that ends because an earlier change is done, or that
  * prints a line again although only its age changed. */
 START_TEST(watch_waits_for_the_config_version)
@@ -540,6 +571,7 @@
 	tcase_add_test(tc, lost_write_responses_are_resolved);
 	tcase_add_test(tc, status_of_named_services);
 	tcase_add_test(tc, status_uses_first_responding_node);
+	tcase_add_loop_test(tc, page_with_a_broken_status_is_not_printed, 0, 4);
 	tcase_add_test(tc, watch_waits_for_the_config_version);
 	tcase_add_test(tc, watch_fails_on_rollback_and_timeout);
 	tcase_add_test(tc, report_sums_counts_and_names_missing_nodes);
