Print the results of a load of which no call was answered

bg-load ended with an error of the sanitizer (qsort of a null pointer) if no call was answered, as with a target that sends broken answers only.

--- a/bench/load/print.c
+++ b/bench/load/print.c
@@ -31,8 +31,9 @@
 	double elapsed_s = (double)(bg_clock_now_us() - load->start_us) / 1e6;
 	json_t *out;
 
-	qsort(load->latencies_us, load->latency_count,
-	    sizeof(*load->latencies_us), compare);
+	if (load->latency_count > 0)
+		qsort(load->latencies_us, load->latency_count,
+		    sizeof(*load->latencies_us), compare);
 	out = json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:f,s:o,s:o,s:o}",
 	    "calls", (json_int_t)load->calls, "attempts",
 	    (json_int_t)load->sent, "done",
