Free the failed connections of bg-load

bg-load leaked each connection on which a call got no answer: 28 of 28 with a target that sends the status 000 (leak sanitizer).

Cause: evhttp_connection_free_on_completion() has no effect once the request has failed, and a connection must not be freed in its callback. Failed connections are now collected and freed from the timer of arrivals and at the end.

--- a/bench/load/call.c
+++ b/bench/load/call.c
@@ -84,12 +84,32 @@
 	conn->load->idle[conn->target] = conn;
 }
 
+/* A connection must not be freed inside a callback of evhttp. */
+static void
+connection_discard(struct bg_load_connection *conn)
+{
+	conn->next = conn->load->discarded;
+	conn->load->discarded = conn;
+}
+
+void
+bg_load_free_discarded(struct bg_load *load)
+{
+	struct bg_load_connection *conn;
+
+	while ((conn = load->discarded) != NULL) {
+		load->discarded = conn->next;
+		connection_free(conn);
+	}
+}
+
 void
 bg_load_close(struct bg_load *load)
 {
 	struct bg_load_connection *conn;
 	size_t i;
 
+	bg_load_free_discarded(load);
 	for (i = 0; i < load->options.target_count; i++) {
 		while ((conn = load->idle[i]) != NULL) {
 			load->idle[i] = conn->next;
@@ -230,11 +250,9 @@
 	load->wrong += is_own ? 0 : 1;
 	load->outcomes[outcome]++;
 	write_log(call, outcome, status, is_own, is_fresh, now_us);
-	if (outcome == BG_LOAD_NO_ANSWER || outcome == BG_LOAD_REFUSED) {
-		/* Frees itself with the failed connection. */
-		evhttp_connection_free_on_completion(conn->http);
-		free(conn);
-	} else
+	if (outcome == BG_LOAD_NO_ANSWER || outcome == BG_LOAD_REFUSED)
+		connection_discard(conn);
+	else
 		connection_return(conn);
 	if (!schedule_resend(call, outcome))
 		call_free(call);
--- a/bench/load/load.h
+++ b/bench/load/load.h
@@ -61,6 +61,7 @@
 	struct event *arrivals;
 	struct bg_rand rnd;
 	struct bg_load_connection *idle[BG_LOAD_TARGETS_MAX];
+	struct bg_load_connection *discarded;
 	FILE *log;
 	uint64_t start_us;
 	uint64_t next_us;
@@ -81,6 +82,9 @@
 /** Starts one call. */
 void bg_load_call(struct bg_load *load);
 
+/** Frees the connections that failed. Not for callbacks of evhttp. */
+void bg_load_free_discarded(struct bg_load *load);
+
 /** Ends the idle connections. */
 void bg_load_close(struct bg_load *load);
 
--- a/bench/load/main.c
+++ b/bench/load/main.c
@@ -99,6 +99,7 @@
 	uint64_t end_us =
 	    load->start_us + (uint64_t)(load->options.seconds * 1e6);
 
+	bg_load_free_discarded(load);
 	while (load->next_us <= now_us && load->next_us < end_us) {
 		bg_load_call(load);
 		load->next_us += next_gap_us(load);
