Answer a HEAD after a response to another request was skipped

A HEAD call waited until its deadline (504) if a late response to another request came on its connection before its own.

Cause: skipping the foreign response reset the reader as for a GET, so it waited for the body that the Content-Length of the next head names.

The exchange now keeps whether its request is a HEAD.

Evidence: test_broken_responses, head_is_answered_after_a_foreign_response, gave 504 before and gives 200 now.

--- a/proxy/src/gatekeeper/backend.c
+++ b/proxy/src/gatekeeper/backend.c
@@ -46,6 +46,7 @@
 	int has_received;
 	int was_idle; /* the connection was reused after an idle time */
 	int may_lack_request_id;
+	int is_head;
 	int foreign_count; /* skipped responses to other requests */
 	char request_id[BG_REQUEST_ID_BYTES];
 };
@@ -291,7 +292,7 @@
 	if (++xch->foreign_count > FOREIGN_RESPONSES_MAX ||
 	    !bg_response_reader_keeps_alive(xch->reader))
 		return -1;
-	bg_response_reader_reset(xch->reader, 0);
+	bg_response_reader_reset(xch->reader, xch->is_head);
 	return 0;
 }
 
@@ -496,8 +497,8 @@
 		free(xch);
 		return BG_ENOMEM;
 	}
-	bg_response_reader_reset(
-	    xch->reader, strcmp(opts->method, "HEAD") == 0);
+	xch->is_head = strcmp(opts->method, "HEAD") == 0;
+	bg_response_reader_reset(xch->reader, xch->is_head);
 	xch->connection = conn;
 	xch->was_idle = conn->served > 0 &&
 	    !bg_connection_is_reusable(
--- a/proxy/tests/test_broken_responses.c
+++ b/proxy/tests/test_broken_responses.c
@@ -246,6 +246,25 @@
 }
 END_TEST
 
+/* Guards against a HEAD that waits for a body, since a response to another
+ * request came before its own. */
+START_TEST(head_is_answered_after_a_foreign_response)
+{
+	static const struct raw_response responses = RESPONSE("foreign and own",
+	    OK_LINE "X-Request-Id: other\r\nContent-Length: 5\r\n\r\n" OK_LINE
+		    "X-Request-Id: own\r\nContent-Length: 5\r\n\r\n");
+	struct node *self = &node1;
+
+	node_set_roster(&node1, &self, 1);
+	set_response(&node1, &responses);
+	client_send(&cl,
+	    "HEAD /lookup HTTP/1.1\r\nHost: x\r\nX-Request-Id: own\r\n\r\n");
+	WAIT(base, client_has_response(&cl));
+	ck_assert_int_eq(client_status(&cl), 200);
+	ck_assert(client_has_header(&cl, "X-Request-Id: own"));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -258,6 +277,7 @@
 	tcase_add_loop_test(
 	    tc, lookup_goes_to_another_server, 0, COUNT(broken_responses));
 	tcase_add_loop_test(tc, broken_probe_is_a_failure, 0, 2);
+	tcase_add_test(tc, head_is_answered_after_a_foreign_response);
 	tcase_add_loop_test(tc, sound_response_is_forwarded, 0,
 	    COUNT(sound_responses) * COUNT(paths));
 	return run_suite("broken responses", tc);
