--- a/proxy/src/gatekeeper/response_progress.h
+++ b/proxy/src/gatekeeper/response_progress.h
@@ -7,8 +7,7 @@
 	BG_RESPONSE_COMPLETE,
 	BG_RESPONSE_UNTIL_CLOSE, /**< all bytes so far were read; the body ends
 				  with the connection */
-	BG_RESPONSE_INVALID,	 /**< not an HTTP response, or with conflicting
-				  framing headers */
+	BG_RESPONSE_INVALID,	 /**< HTTP forbids its head or its framing */
 	BG_RESPONSE_OVERSIZED,	 /**< above the limits, or out of memory */
 };
 
--- a/proxy/src/gatekeeper/response_reader.h
+++ b/proxy/src/gatekeeper/response_reader.h
@@ -2,8 +2,9 @@
 #define BG_PROXY_RESPONSE_READER_H
 
 /** @file
- * Incremental reader of one HTTP response of a backend server, on top of
- * libevhtp's parser. No I/O.
+ * Incremental reader of one HTTP response of a backend server. It rejects what
+ * RFC 9110 and 9112 forbid, since a recipient could read it differently. No
+ * I/O.
  */
 
 #include <event2/buffer.h>
--- a/proxy/src/metrics/metrics.h
+++ b/proxy/src/metrics/metrics.h
@@ -15,7 +15,7 @@
 /** Why a response of the backend server was discarded. */
 enum bg_discard_reason {
 	BG_DISCARD_FOREIGN,   /**< belongs to another request, or to none */
-	BG_DISCARD_UNFRAMED,  /**< not HTTP, or conflicting framing headers */
+	BG_DISCARD_UNFRAMED,  /**< HTTP forbids its head or its framing */
 	BG_DISCARD_TRUNCATED, /**< the connection ended within the response */
 	BG_DISCARD_OVERSIZED, /**< above the size limits, or out of memory */
 	BG_DISCARD_COUNT,
