--- a/cli/tests/test_cli.c
+++ b/cli/tests/test_cli.c
@@ -304,11 +304,11 @@
 /* HTTP server in place of a node. Each request gets the next page; the last
  * page is repeated. */
 struct node_stub {
-	pid_t pid;
-	char address[64];
 	const char *const *pages; /* ends with NULL */
 	size_t page;		  /* index of the next one */
+	pid_t pid;
 	int status;
+	char address[64];
 };
 
 static void
--- a/proxy/tests/test_response_reader.c
+++ b/proxy/tests/test_response_reader.c
@@ -167,6 +167,14 @@
     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
     "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
 
+static const char SECOND_CODING[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    "Transfer-Encoding: gzip\r\n\r\n0\r\n\r\n";
+
+static const char REPEATED_CODING[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+
 static const char *const INVALID[] = {
     "hello\r\n\r\n",
     "HTTP/1.1 xx OK\r\n\r\n",
@@ -187,10 +195,8 @@
     "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding:\r\n\r\n0\r\n\r\n",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-    "Transfer-Encoding: gzip\r\n\r\n0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    SECOND_CODING,
+    REPEATED_CODING,
     "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 };
 
