--- a/proxy/src/gatekeeper/response_line.h
+++ b/proxy/src/gatekeeper/response_line.h
@@ -10,7 +10,7 @@
 #include "response_progress.h"
 
 struct bg_response_line {
-	const char *text; /**< without CRLF and without a NUL at its end */
+	const char *text; /**< without CRLF; not terminated by NUL */
 	size_t bytes;
 };
 
--- a/proxy/src/gatekeeper/response_reader.c
+++ b/proxy/src/gatekeeper/response_reader.c
@@ -12,9 +12,11 @@
 #include "response_line.h"
 #include "response_reader.h"
 
-/* Room for the blanks around a value. */
-#define LINE_MAX_BYTES \
-	(BG_RESPONSE_HEADER_NAME_BYTES + BG_RESPONSE_HEADER_VALUE_BYTES + 64)
+/* Blanks around a value. */
+#define BLANKS_MAX_BYTES 64
+#define LINE_MAX_BYTES                                                    \
+	(BG_RESPONSE_HEADER_NAME_BYTES + BG_RESPONSE_HEADER_VALUE_BYTES + \
+	    BLANKS_MAX_BYTES)
 #define DIGITS "0123456789"
 #define STATUS_SWITCHING_PROTOCOLS 101
 #define STATUS_OK 200
@@ -22,7 +24,7 @@
 #define STATUS_NOT_MODIFIED 304
 #define MS_PER_S 1000
 
-/** Part of the response that is read next. */
+/* Part of the response that is read next. */
 enum phase {
 	PHASE_STATUS_LINE,
 	PHASE_HEADERS,
