--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -528,7 +528,8 @@
 	call->sent++;
 	call->args.is_repeat = 1;
 	call->may_have_run |= code != 0 || res->outcome != BG_XOUTCOME_NOT_RUN;
-	/* A link that failed is replaced, and its peer may be healthy. */
+	/* Another result of this node would be no better. A node whose link
+	 * failed may be healthy, since the link is replaced. */
 	if (code == 0 || code == BG_EPROTO)
 		bg_call_avoid(call, address);
 	if (retry_call(call, code, res) != 0)
--- a/proxy/src/gatekeeper/chunk_decoder.c
+++ b/proxy/src/gatekeeper/chunk_decoder.c
@@ -36,7 +36,7 @@
 
 	if (digits == 0 && bytes > 0)
 		return 0;
-	while (at < bytes && (text[at] == ' ' || text[at] == '\t'))
+	while (at < bytes && bg_http_is_blank(text[at]))
 		at++;
 	return at == bytes ||
 	    (text[at] == ';' && bg_http_is_value(text + at, bytes - at));
--- a/proxy/src/http/field.c
+++ b/proxy/src/http/field.c
@@ -5,12 +5,6 @@
 #include "field.h"
 #include "syntax.h"
 
-static int
-is_blank(char c)
-{
-	return c == ' ' || c == '\t';
-}
-
 int
 bg_http_field_can_begin(const char *text, size_t bytes)
 {
@@ -33,9 +27,9 @@
 	if (colon == NULL || !bg_http_field_can_begin(text, bytes))
 		return BG_EPROTO;
 	value = colon + 1;
-	while (value < end && is_blank(*value))
+	while (value < end && bg_http_is_blank(*value))
 		value++;
-	while (end > value && is_blank(end[-1]))
+	while (end > value && bg_http_is_blank(end[-1]))
 		end--;
 	out->name = text;
 	out->name_bytes = (size_t)(colon - text);
--- a/proxy/src/http/syntax.c
+++ b/proxy/src/http/syntax.c
@@ -7,6 +7,12 @@
 #define DELETE 0x7f
 #define LIST_SEPARATORS " \t,"
 
+int
+bg_http_is_blank(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
 int
 bg_http_is_token(const char *s, size_t bytes)
 {
--- a/proxy/src/http/syntax.h
+++ b/proxy/src/http/syntax.h
@@ -8,6 +8,8 @@
 
 #include <stddef.h>
 
+/** 1 for the blanks that may stand around values. */
+int bg_http_is_blank(char c);
 /** 1 if the bytes are a token: the form of methods and of header names. */
 int bg_http_is_token(const char *s, size_t bytes);
 /** 1 if the bytes can stand in the value of a header: no control bytes but the
