Hold the ports of a test's node until all are chosen

The test chose a free port, released it and chose the next one, and the kernel gave out the same one again.

The sockets are now held until all ports of a node are known, also in test_faultproxy, which chose its two ports the same way.

Evidence: ports_of_a_node_differ chooses the ports of a node 200,000 times.

--- a/mesh/tests/cluster.h
+++ b/mesh/tests/cluster.h
@@ -87,9 +87,9 @@
 	return pid;
 }
 
-/* Returns a port that is currently free. */
-static inline uint16_t
-cluster_free_port(const char *ip)
+/* Binds a socket to a port that is free. @return the socket */
+static inline int
+cluster_bind_port(uint16_t *out_port, const char *ip)
 {
 	struct sockaddr_in sin;
 	socklen_t bytes = sizeof(sin);
@@ -100,8 +100,22 @@
 	ck_assert_int_eq(inet_pton(AF_INET, ip, &sin.sin_addr), 1);
 	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
 	getsockname(fd, (struct sockaddr *)&sin, &bytes);
-	close(fd);
-	return ntohs(sin.sin_port);
+	*out_port = ntohs(sin.sin_port);
+	return fd;
+}
+
+/* Chooses the ports of a node. All are held until the last one is known, since
+ * the kernel may give out a released one again. */
+static inline void
+cluster_choose_ports(struct cluster_node *node)
+{
+	int mesh_fd = cluster_bind_port(&node->mesh_port, node->ip);
+	int proxy_fd = cluster_bind_port(&node->proxy_port, node->ip);
+	int customer_fd = cluster_bind_port(&node->customer_port, node->ip);
+
+	close(mesh_fd);
+	close(proxy_fd);
+	close(customer_fd);
 }
 
 /* Waits for the first line of a stand-in's log, "listening IP:PORT", and parses
@@ -146,8 +160,7 @@
 	node->dc = dc;
 	node->number = number;
 	snprintf(node->ip, sizeof(node->ip), "127.%d.0.%d", dc, number);
-	node->mesh_port = cluster_free_port(node->ip);
-	node->customer_port = cluster_free_port(node->ip);
+	cluster_choose_ports(node);
 	snprintf(node->address, sizeof(node->address), "127.%d.0.%d:%u", dc,
 	    number, node->mesh_port);
 	return node;
@@ -392,7 +405,6 @@
 	for (i = 0; i < cl->node_count; i++) {
 		struct cluster_node *node = &cl->nodes[i];
 
-		node->proxy_port = cluster_free_port(node->ip);
 		snprintf(node->address, sizeof(node->address), "127.%d.0.%d:%u",
 		    node->dc, node->number, node->proxy_port);
 		snprintf(maps[i], sizeof(maps[i]), "%s=%s:%u,rpc",
@@ -400,7 +412,7 @@
 		argv[argc++] = "--map";
 		argv[argc++] = maps[i];
 	}
-	cl->proxy_control_port = cluster_free_port("127.0.0.1");
+	close(cluster_bind_port(&cl->proxy_control_port, "127.0.0.1"));
 	snprintf(
 	    control, sizeof(control), "127.0.0.1:%u", cl->proxy_control_port);
 	snprintf(log, sizeof(log), "%s/proxy.log", cl->dir);
--- a/mesh/tests/test_mesh_process.c
+++ b/mesh/tests/test_mesh_process.c
@@ -3,6 +3,8 @@
 
 #define SMALL_CLUSTER 3
 #define LARGE_CLUSTER 9
+/* Several times the number of ports that the kernel chooses from. */
+#define PORT_DRAWS 200000
 
 static struct cluster cl;
 
@@ -31,6 +33,24 @@
 	}
 }
 
+/* Guards against a node that does not start, since the port for its callers is
+ * also the one for its peers: the kernel may give out a released port again. */
+START_TEST(ports_of_a_node_differ)
+{
+	struct cluster_node *node;
+	int i;
+
+	for (i = 0; i < PORT_DRAWS; i++) {
+		cl.node_count = 0;
+		node = cluster_add_node(&cl, 1, 1);
+		ck_assert_uint_ne(node->mesh_port, node->customer_port);
+		ck_assert_uint_ne(node->mesh_port, node->proxy_port);
+		ck_assert_uint_ne(node->proxy_port, node->customer_port);
+	}
+	cl.node_count = 0;
+}
+END_TEST
+
 /* Guards against a version that does not reach every node. */
 START_TEST(versions_reach_every_node)
 {
@@ -189,6 +209,7 @@
 
 	tcase_set_timeout(tc, 110);
 	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, ports_of_a_node_differ);
 	tcase_add_test(tc, versions_reach_every_node);
 	tcase_add_test(tc, nodes_killed_during_a_change);
 	tcase_add_test(tc, paused_node_catches_up);
--- a/standins/test_faultproxy.c
+++ b/standins/test_faultproxy.c
@@ -88,8 +88,9 @@
 	return sin;
 }
 
-static uint16_t
-free_port(const char *ip)
+/* Binds a socket to a port that is free. @return the socket */
+static int
+bind_port(uint16_t *out_port, const char *ip)
 {
 	struct sockaddr_in sin = address(ip, 0);
 	socklen_t bytes = sizeof(sin);
@@ -97,8 +98,20 @@
 
 	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
 	getsockname(fd, (struct sockaddr *)&sin, &bytes);
-	close(fd);
-	return ntohs(sin.sin_port);
+	*out_port = ntohs(sin.sin_port);
+	return fd;
+}
+
+/* Holds the first port until the second one is known, since the kernel may give
+ * out a released one again. */
+static void
+choose_ports(void)
+{
+	int proxy_fd = bind_port(&proxy_port, TARGET_IP);
+	int control_fd = bind_port(&control_port, TARGET_IP);
+
+	close(proxy_fd);
+	close(control_fd);
 }
 
 static void
@@ -156,8 +169,7 @@
 		getsockname(evconnlistener_get_fd(echo),
 		    (struct sockaddr *)&sin, &bytes);
 	}
-	proxy_port = free_port(TARGET_IP);
-	control_port = free_port(TARGET_IP);
+	choose_ports();
 	snprintf(program, sizeof(program), "%s/bg-faultproxy",
 	    bin == NULL ? "build/bin" : bin);
 	snprintf(map, sizeof(map), "%s:%u=%s:%u,rpc", TARGET_IP, proxy_port,
