--- a/config/include/burdockgrade/snapshot.h
+++ b/config/include/burdockgrade/snapshot.h
@@ -132,6 +132,22 @@
 	/** Health path of the backend servers, or empty. Currently not used:
 	 * probes take the path from the node's settings. */
 	char probe_path[BG_PREFIX_BYTES];
+	/** Time for which a server that has started is cold. 0: unknown. */
+	uint32_t warmup_ms;
+	/** Calls that a cold server bears, in thousandths of a call a second.
+	 * 0: no limit. */
+	uint32_t warmup_milli_per_s;
+};
+
+/** An organisation, whose callers identify themselves by one of its keys. */
+struct bg_organisation {
+	const char *name;
+	int has_priority;
+	uint32_t priority; /**< goes before that of a rule; 0 is served first */
+	/** Calls that all nodes together may admit, in thousandths of a call a
+	 * second. 0: no limit. */
+	uint32_t rate_milli_per_s;
+	uint32_t burst; /**< calls that may come at once beyond the rate */
 };
 
 /** A service that gets a share of the calls of a rule. */
@@ -157,6 +173,7 @@
 				  gatekeeper do not count */
 	const struct bg_target *targets;
 	size_t target_count;
+	int is_public; /**< callers need no key */
 };
 
 /** Limits on the requests of callers; 0: not given. Currently not enforced: the
@@ -177,6 +194,9 @@
 	size_t rule_count;
 	struct bg_target *targets; /**< of all rules */
 	char *strings;		   /**< of all rules and targets */
+	/** Sorted by name. If there is one, callers need a key. */
+	struct bg_organisation *organisations;
+	size_t organisation_count;
 	struct bg_caller_limits limits;
 };
 
--- a/mesh/include/burdockgrade/wire_xdr.h
+++ b/mesh/include/burdockgrade/wire_xdr.h
@@ -127,6 +127,28 @@
 };
 typedef enum bg_xrefusal bg_xrefusal;
 
+struct bg_xcall_extension {
+	bg_xname organisation;
+	u_int cost_us;
+};
+typedef struct bg_xcall_extension bg_xcall_extension;
+
+struct bg_xload_extension {
+	u_int work_left_us;
+	u_int slowness_permille;
+	u_int slowness_age_ms;
+	u_int cold_left_ms;
+	u_int cold_starts_milli_per_s;
+	u_int cold_starts_left;
+};
+typedef struct bg_xload_extension bg_xload_extension;
+typedef struct bg_xcall_extension bg_xoptional_call_extension;
+typedef struct bg_xload_extension bg_xoptional_load_extension;
+bool_t xdr_bg_xoptional_call_extension(
+ XDR *xdrs, bg_xoptional_call_extension *out);
+bool_t xdr_bg_xoptional_load_extension(
+ XDR *xdrs, bg_xoptional_load_extension *out);
+
 struct bg_xcall_args {
 	char *request_id;
 	bg_xname service;
@@ -158,6 +180,7 @@
 	u_int attempt;
 	u_int is_repeat;
 	u_quad_t config_version;
+	bg_xoptional_call_extension extension;
 };
 typedef struct bg_xcall_args bg_xcall_args;
 
@@ -203,6 +226,7 @@
 	bg_xname server_id;
 	u_quad_t call_id;
 	u_int piece_bytes;
+	bg_xoptional_load_extension load_extension;
 };
 typedef struct bg_xcall_res bg_xcall_res;
 
@@ -285,6 +309,8 @@
 extern  bool_t xdr_bg_xheader (XDR *, bg_xheader*);
 extern  bool_t xdr_bg_xoutcome (XDR *, bg_xoutcome*);
 extern  bool_t xdr_bg_xrefusal (XDR *, bg_xrefusal*);
+extern  bool_t xdr_bg_xcall_extension (XDR *, bg_xcall_extension*);
+extern  bool_t xdr_bg_xload_extension (XDR *, bg_xload_extension*);
 extern  bool_t xdr_bg_xcall_args (XDR *, bg_xcall_args*);
 extern  bool_t xdr_bg_xbody_args (XDR *, bg_xbody_args*);
 extern  bool_t xdr_bg_xload (XDR *, bg_xload*);
@@ -305,6 +331,8 @@
 extern bool_t xdr_bg_xheader ();
 extern bool_t xdr_bg_xoutcome ();
 extern bool_t xdr_bg_xrefusal ();
+extern bool_t xdr_bg_xcall_extension ();
+extern bool_t xdr_bg_xload_extension ();
 extern bool_t xdr_bg_xcall_args ();
 extern bool_t xdr_bg_xbody_args ();
 extern bool_t xdr_bg_xload ();
--- a/mesh/src/wire/wire_xdr.c
+++ b/mesh/src/wire/wire_xdr.c
@@ -170,6 +170,89 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bg_xcall_extension (XDR *xdrs, bg_xcall_extension *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bg_xname (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cost_us))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bg_xload_extension (XDR *xdrs, bg_xload_extension *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->work_left_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slowness_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slowness_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_left_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_starts_milli_per_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_starts_left))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->work_left_us);
+			IXDR_PUT_U_LONG(buf, objp->slowness_permille);
+			IXDR_PUT_U_LONG(buf, objp->slowness_age_ms);
+			IXDR_PUT_U_LONG(buf, objp->cold_left_ms);
+			IXDR_PUT_U_LONG(buf, objp->cold_starts_milli_per_s);
+			IXDR_PUT_U_LONG(buf, objp->cold_starts_left);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->work_left_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slowness_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->slowness_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_left_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_starts_milli_per_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->cold_starts_left))
+				 return FALSE;
+		} else {
+			objp->work_left_us = IXDR_GET_U_LONG(buf);
+			objp->slowness_permille = IXDR_GET_U_LONG(buf);
+			objp->slowness_age_ms = IXDR_GET_U_LONG(buf);
+			objp->cold_left_ms = IXDR_GET_U_LONG(buf);
+			objp->cold_starts_milli_per_s = IXDR_GET_U_LONG(buf);
+			objp->cold_starts_left = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->work_left_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slowness_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->slowness_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_left_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_starts_milli_per_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->cold_starts_left))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bg_xcall_args (XDR *xdrs, bg_xcall_args *objp)
 {
@@ -244,6 +327,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 			 return FALSE;
+		 if (!xdr_bg_xoptional_call_extension (xdrs, &objp->extension))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
 		 if (!xdr_string (xdrs, &objp->request_id, 128))
@@ -313,6 +398,8 @@
 		}
 		 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 			 return FALSE;
+		 if (!xdr_bg_xoptional_call_extension (xdrs, &objp->extension))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -365,6 +452,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
 		 return FALSE;
+	 if (!xdr_bg_xoptional_call_extension (xdrs, &objp->extension))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -501,6 +590,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->piece_bytes))
 		 return FALSE;
+	 if (!xdr_bg_xoptional_load_extension (xdrs, &objp->load_extension))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/mesh/src/wire/wire_xdr.x
+++ b/mesh/src/wire/wire_xdr.x
@@ -104,6 +104,37 @@
 	BG_XREFUSAL_UNREACHABLE = 10 /* no gatekeeper can be reached */
 };
 
+/* What nodes of earlier builds neither send nor expect in a CALL. */
+struct bg_xcall_extension {
+	bg_xname organisation; /* of the caller; empty: none */
+	unsigned int cost_us;  /* expected own time at a usual backend server;
+				* 0: unknown */
+};
+
+/* What nodes of earlier builds neither send nor expect in the reply to a CALL.
+ */
+struct bg_xload_extension {
+	unsigned int work_left_us; /* of running and queued calls, at the
+				    * server's present speed */
+	unsigned int slowness_permille; /* time that work takes at present, of
+					 * the usual; 0: unknown */
+	unsigned int slowness_age_ms;	/* since the server reported it */
+	unsigned int cold_left_ms; /* until the server is warm; 0: it is */
+	unsigned int cold_starts_milli_per_s; /* rate it bears until then */
+	unsigned int cold_starts_left; /* calls that may start now */
+};
+
+/* The extensions end their messages and are absent in those of earlier builds:
+ * wire_optional.c. */
+#ifdef RPC_HDR
+%typedef struct bg_xcall_extension bg_xoptional_call_extension;
+%typedef struct bg_xload_extension bg_xoptional_load_extension;
+%bool_t xdr_bg_xoptional_call_extension(
+%    XDR *xdrs, bg_xoptional_call_extension *out);
+%bool_t xdr_bg_xoptional_load_extension(
+%    XDR *xdrs, bg_xoptional_load_extension *out);
+#endif
+
 /* CALL: an ingress asks a gatekeeper to run a request. deadline_ms, target_ms
  * and wait_ms are remaining times at the moment the message is sent.
  *
@@ -141,6 +172,7 @@
 				 * before, or a call that was repeated made
 				 * it */
 	unsigned hyper config_version;
+	bg_xoptional_call_extension extension;
 };
 
 struct bg_xbody_args {
@@ -177,6 +209,7 @@
 	bg_xname server_id;
 	unsigned hyper call_id;	   /* BG_XOUTCOME_CONTINUE only */
 	unsigned int piece_bytes; /* BG_XOUTCOME_CONTINUE: largest next piece */
+	bg_xoptional_load_extension load_extension;
 };
 
 struct bg_xcancel_args {
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -177,7 +177,10 @@
 	args->idempotent = rule->is_idempotent != 0;
 	args->is_dependency = call->is_dependency != 0;
 	args->config_version = call->snapshot->version;
-	if (set_string(&args->service, call->service) != 0 ||
+	if (set_string(&args->extension.organisation,
+		call->organisation == NULL ? "" : call->organisation->name) !=
+		0 ||
+	    set_string(&args->service, call->service) != 0 ||
 	    set_string(&args->route, rule->name) != 0 ||
 	    set_string(&args->caller_service,
 		call->proxy->settings->server.service) != 0)
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -24,6 +24,9 @@
 	struct bg_snapshot *snapshot;
 	const struct bg_rule *rule;
 	const char *service; /**< owned by the snapshot */
+	/** Of the caller; owned by the snapshot. NULL: none, and for calls
+	 * that backend servers make. */
+	const struct bg_organisation *organisation;
 	struct bg_xcall_args args;
 	struct event *timer; /**< start, then deadline or link polling */
 	bg_call_fn fn;
--- a/proxy/src/call/pick.c
+++ b/proxy/src/call/pick.c
@@ -129,6 +129,13 @@
 	load.bad_permille = res->load.bad_permille;
 	load.intake_wait_us = res->load.intake_wait_us;
 	load.intake_bytes_per_ms = res->load.intake_bytes_per_ms;
+	load.work_left_us = res->load_extension.work_left_us;
+	load.slowness_permille = res->load_extension.slowness_permille;
+	load.slowness_age_ms = res->load_extension.slowness_age_ms;
+	load.cold_left_ms = res->load_extension.cold_left_ms;
+	load.cold_starts_milli_per_s =
+	    res->load_extension.cold_starts_milli_per_s;
+	load.cold_starts_left = res->load_extension.cold_starts_left;
 	bg_endpoint_answered(call->endpoint, call->rule->name, &load, now_ms);
 	if (res->outcome != BG_XOUTCOME_NOT_RUN)
 		return;
--- a/proxy/src/router/endpoint.h
+++ b/proxy/src/router/endpoint.h
@@ -36,6 +36,14 @@
 	uint32_t intake_wait_us; /**< until a request body begins to arrive */
 	uint32_t intake_bytes_per_ms; /**< rate at which bodies arrive; 0:
 					   unknown */
+	uint32_t work_left_us;	    /**< of its running and queued calls, at the
+					 server's present speed; 0: unknown */
+	uint32_t slowness_permille; /**< time that work takes at present, of the
+					 usual; 0: unknown */
+	uint32_t slowness_age_ms;   /**< when the load was reported */
+	uint32_t cold_left_ms;	    /**< until the server is warm; 0: it is */
+	uint32_t cold_starts_milli_per_s; /**< rate that it bears until then */
+	uint32_t cold_starts_left;	  /**< calls that may start now */
 };
 
 struct bg_endpoint_route {
--- a/proxy/tests/test_router.c
+++ b/proxy/tests/test_router.c
@@ -69,7 +69,10 @@
 static void
 report_with(int i, uint32_t running, uint32_t service_us, uint32_t bad_permille)
 {
-	struct bg_load ld = {running, 0, 10, 0, service_us, bad_permille, 0, 0};
+	struct bg_load ld = {.running = running,
+	    .slots = 10,
+	    .service_us = service_us,
+	    .bad_permille = bad_permille};
 
 	bg_endpoint_sent(endpoint(i));
 	bg_endpoint_answered(endpoint(i), "lookup", &ld, q.now_ms);
