Limit the starts of cold backend servers

Cause: nothing knew the rate that a cold server bears. A server that had just started got its full load, and of a service that was cold as a whole each server ended and became cold again.

Change: the platform adapter decodes the warm-up of a service, of heartbeats and of probe responses. The gatekeeper beside the server asks a pure allowance before each start; any span of one second has at most the rate and a burst that is half of the tolerated excess. A new process begins with no allowance, and takes the server of a service with a rate for cold until it is announced as warm. Calls wait only for a start in time. Callers' nodes learn the remaining starts with the load report, prefer warm servers, try at most two cold ones and spread Retry-After over the warm-up. Services without a rate are served as before.

--- a/core/include/burdockgrade/settings.h
+++ b/core/include/burdockgrade/settings.h
@@ -31,6 +31,9 @@
 	char not_run[BG_HEADER_NAME_BYTES];
 	/** Number of calls above this one in a chain; empty name: not sent. */
 	char call_depth[BG_HEADER_NAME_BYTES];
+	/** Remaining time for which a backend server is cold, in ms, in the
+	 * responses to probes; empty name: not read. */
+	char warmup_left[BG_HEADER_NAME_BYTES];
 };
 
 /** Retry budget of each service: a share of its calls plus a slack. */
@@ -46,6 +49,13 @@
 	uint32_t first_share_permille;
 };
 
+/** What the platform tolerates in one second beyond the rate of a cold backend
+ * server. */
+struct bg_warmup_settings {
+	uint32_t excess_permille; /**< share of the rate */
+	uint32_t excess_starts;	  /**< calls, whatever the rate */
+};
+
 struct bg_settings {
 	struct {
 		char address[BG_SETTING_BYTES]; /**< own IPv4 address */
@@ -93,6 +103,7 @@
 	struct bg_header_names headers;
 	struct bg_retry_settings retry;
 	struct bg_move_settings move;
+	struct bg_warmup_settings warmup;
 	struct {
 		char level[BG_SETTING_BYTES];
 	} log;
--- a/core/src/settings.c
+++ b/core/src/settings.c
@@ -283,6 +283,7 @@
 	    {"server_id", out->server_id},
 	    {"not_run", out->not_run},
 	    {"call_depth", out->call_depth},
+	    {"warmup_left", out->warmup_left},
 	};
 	size_t i;
 
--- a/proxy/include/burdockgrade/announce.h
+++ b/proxy/include/burdockgrade/announce.h
@@ -24,12 +24,13 @@
 	char server_version[BG_NAME_BYTES];
 	enum bg_announced_state state;
 	uint32_t slots;
-	uint32_t warmup_left_ms; /**< remaining time of slow responses after a
-				      cold start */
+	uint32_t warmup_left_ms; /**< remaining time for which the server is
+				      cold; 0: it is warm */
 	uint64_t started_ms;	 /**< wall clock time of the server's start; set
 				      to the current time if not announced */
 	uint64_t sequence;	 /**< rises with each heartbeat since that
 				      start */
+	int has_warmup_left;	 /**< 0 if the announcement does not say it */
 	int has_started_ms;	 /**< 0 if not announced, which only a
 				      deregistration may omit */
 };
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -9,6 +9,7 @@
 #include "burdockgrade/log.h"
 
 #include "call_internal.h"
+#include "cold_call.h"
 
 #define STATUS_NOT_FOUND 404
 #define STATUS_BAD_METHOD 405
@@ -115,7 +116,12 @@
 		base_ms = call->busy_wait_us / 1000;
 	if (base_ms < RETRY_AFTER_MIN_MS)
 		base_ms = RETRY_AFTER_MIN_MS;
-	ms = base_ms + bg_rand_below(&call->proxy->router.rand, base_ms);
+	if (call->cold_left_ms != 0)
+		ms = bg_cold_call_retry_ms(
+		    &call->proxy->router.rand, base_ms, call->cold_left_ms);
+	else
+		ms =
+		    base_ms + bg_rand_below(&call->proxy->router.rand, base_ms);
 	return ms > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS : (uint32_t)ms;
 }
 
@@ -262,6 +268,26 @@
 	arm_timer(call, LINK_POLL_MS * 1000);
 }
 
+/* 1 if the best server is cold and would refuse the call. */
+static int
+is_hopeless(struct bg_call *call, const struct bg_pick *pick)
+{
+	uint64_t now_us = bg_clock_now_us();
+	uint64_t useful_us = call->target_us > now_us ? call->target_us - now_us
+						      : bg_call_left_us(call);
+
+	if (!bg_cold_call_is_hopeless(pick, call->picks, useful_us))
+		return 0;
+	call->cold_left_ms = pick->cold_left_ms;
+	bg_metrics_count_cold_unsent();
+	bg_log_info("call",
+	    "not sent request=%s reason=cold service=%s picks=%u wait_us=%llu "
+	    "cold_left_ms=%u",
+	    call->args.request_id, call->service, call->picks,
+	    (unsigned long long)pick->wait_us, pick->cold_left_ms);
+	return 1;
+}
+
 static void
 step_pick(struct bg_call *call)
 {
@@ -274,7 +300,10 @@
 	switch (bg_call_pick_server(&pick, call)) {
 	case 0:
 		call->link_wait_start_us = 0;
-		step_send(call, &pick);
+		if (is_hopeless(call, &pick))
+			bg_call_refuse(call, BG_XREFUSAL_BUSY);
+		else
+			step_send(call, &pick);
 		break;
 	case BG_EUNAVAILABLE:
 		wait_for_link(call);
@@ -445,6 +474,8 @@
 		/* None of the servers left could run the call in time. */
 		if (pick.wait_us != 0 && allowed_wait_ms(call, &pick) == 0)
 			return -1;
+		if (is_hopeless(call, &pick))
+			return -1;
 		step_send(call, &pick);
 		return 0;
 	case BG_EUNAVAILABLE:
@@ -466,6 +497,8 @@
 	if (code == 0 && res->refusal == BG_XREFUSAL_BUSY &&
 	    (call->busy_wait_us == 0 || res->load.wait_us < call->busy_wait_us))
 		call->busy_wait_us = res->load.wait_us + 1;
+	if (code == 0)
+		call->cold_left_ms = res->load_extension.cold_left_ms;
 	if (call->picks >= BG_CALL_PICKS_MAX ||
 	    bg_call_left_us(call) < BG_DEADLINE_MIN_MS * 1000)
 		return -1;
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -43,6 +43,8 @@
 	uint64_t target_us;    /**< 0: no target */
 	uint64_t busy_wait_us; /**< shortest reported by a busy gatekeeper; 0:
 				  none */
+	uint32_t cold_left_ms; /**< of the server that refused it last, or
+				  would have; 0: it was warm */
 	uint32_t caller_deadline_ms;
 	int is_started;
 	int is_queueing_allowed;     /**< in the current attempt */
--- a/proxy/src/call/pick.c
+++ b/proxy/src/call/pick.c
@@ -40,6 +40,7 @@
 {
 	struct bg_proxy *prx = call->proxy;
 	const char *avoid[BG_CALL_AVOID_MAX];
+	const struct bg_service *svc;
 	struct bg_pick_query q;
 	uint64_t now_us = bg_clock_now_us();
 	size_t i;
@@ -66,6 +67,12 @@
 	q.avoid = avoid;
 	q.avoid_count = call->avoid_count;
 	q.now_ms = bg_clock_now_ms();
+	q.wall_ms = bg_clock_wall_ms();
+	svc = bg_snapshot_service(call->snapshot, call->service);
+	if (svc != NULL) {
+		q.cold.duration_ms = svc->warmup_ms;
+		q.cold.rate_milli_per_s = svc->warmup_milli_per_s;
+	}
 	q.left_us = bg_call_left_us(call);
 	q.target_us = q.left_us;
 	if (call->target_us != 0)
--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -11,6 +11,7 @@
 #include "../call/deadline.h"
 #include "body.h"
 #include "gate_call.h"
+#include "gate_warmup.h"
 #include "headers.h"
 
 #define STATUS_MISDIRECTED 421
@@ -89,6 +90,7 @@
 	}
 	bg_metrics_set_gatekeeper(gk->limiter.running, gk->limiter.queue.length,
 	    (uint32_t)gk->limiter.limit);
+	bg_gate_warmup_schedule(gk);
 }
 
 static void
@@ -99,7 +101,7 @@
 	out->running = lim->running;
 	out->queued = lim->queue.length;
 	out->slots = lim->slots;
-	out->wait_us = (u_int)bg_limiter_wait_us(lim);
+	out->wait_us = (u_int)bg_limiter_wait_us(lim, bg_clock_now_us());
 	out->service_us = (u_int)bg_limiter_service_us(lim, call->args->route);
 	out->bad_permille = bg_limiter_failure_permille(lim, bg_clock_now_us());
 	out->intake_wait_us =
@@ -122,6 +124,7 @@
 	res->server_version = gk->server.version;
 	res->server_id = gk->server.id;
 	fill_load(&res->load, call);
+	bg_gate_warmup_fill(&res->load_extension, gk);
 	bg_gate_call_free(call);
 	if (rpc != NULL)
 		bg_rpc_reply(rpc, (xdrproc_t)xdr_bg_xcall_res, res);
@@ -142,13 +145,15 @@
 	bg_metrics_count_refused(call->refusal);
 	bg_log_warn("gatekeeper",
 	    "refused request=%s reason=%s running=%u queued=%u slots=%u "
-	    "wait_allowed_ms=%u server=%s state=%d attempt=%u",
+	    "wait_allowed_ms=%u server=%s state=%d attempt=%u "
+	    "cold_left_ms=%u",
 	    call->args->request_id, bg_refusal_name(call->refusal),
 	    call->gatekeeper->limiter.running,
 	    call->gatekeeper->limiter.queue.length,
 	    call->gatekeeper->limiter.slots, call->args->wait_ms,
 	    call->gatekeeper->server.id, (int)call->gatekeeper->server.state,
-	    call->args->attempt);
+	    call->args->attempt,
+	    bg_gate_warmup_count_refusal(call->gatekeeper));
 	deliver(call, &res);
 }
 
@@ -186,7 +191,7 @@
 	obs.is_slow = is_slow(args, own_us);
 	obs.is_dependency_fault =
 	    call->dependency.has_failed && (obs.is_failed || obs.is_slow);
-	obs.is_cold = bg_clock_now_ms() < gk->warmup_end_ms;
+	obs.is_cold = bg_warmup_is_cold(&gk->limiter.warmup, bg_clock_now_us());
 	obs.own_time_us = own_us;
 	gk->observer->observe(gk->observer, &obs);
 }
@@ -278,6 +283,7 @@
 		bg_server_mark_lost(&gk->server);
 		bg_gate_publish(gk);
 		res.refusal = BG_XREFUSAL_NO_SERVER;
+		bg_warmup_refund(&gk->limiter.warmup, bg_clock_now_us());
 	}
 	finish(call, &res, &asmt);
 }
@@ -325,18 +331,26 @@
 {
 	if (gk->probe != NULL)
 		bg_probe_trigger(gk->probe);
+	/* The server may have ended, and start again with the same id. */
+	bg_gate_warmup_doubt(gk, "connection-refused");
 	if (++gk->connect_failures >= CONNECT_FAILURES_MAX)
 		mark_server_lost(gk, "connection refused");
 }
 
 /* 1 if the call may be sent to the server a second time, which uses the retry
- * budget. */
+ * budget and is a start of its own at a cold server. */
 static int
 may_resend(const struct bg_gate_call *call)
 {
-	return call->args->idempotent && !call->is_resent &&
-	    bg_retry_take(call->gatekeeper->retry, call->args->service,
-		bg_clock_now_ms());
+	struct bg_gatekeeper *gk = call->gatekeeper;
+	struct bg_warmup *wu = &gk->limiter.warmup;
+
+	if (!call->args->idempotent || call->is_resent ||
+	    !bg_warmup_may_start(wu, bg_clock_now_us()) ||
+	    !bg_retry_take(gk->retry, call->args->service, bg_clock_now_ms()))
+		return 0;
+	bg_warmup_start(wu, bg_clock_now_us());
+	return 1;
 }
 
 static void
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -54,8 +54,10 @@
 	struct event *drain_timer; /* end of the grace period in which a leaving
 				      server accepts calls */
 	uint32_t in_flight;
-	uint32_t connect_failures; /* consecutive */
-	uint64_t warmup_end_ms;	   /* the server is slow until then */
+	uint32_t connect_failures;  /* consecutive */
+	struct event *warmup_timer; /* next change of a cold server's limit */
+	uint64_t limited_since_us;  /* valid while is_limited */
+	int is_limited;		    /* starts of the cold server are limited */
 	struct bg_buffers *buffers;
 	struct bg_retry_budget *retry;
 	struct bg_announcement
--- /dev/null
+++ b/proxy/src/gatekeeper/gate_warmup.c
@@ -0,0 +1,167 @@
+#include "burdockgrade/clock.h"
+#include "burdockgrade/log.h"
+
+#include "gate_warmup.h"
+
+/* Assumed warm-up time of a backend server that does not announce it, in which
+ * its slow responses do not count against its version. */
+#define UNANNOUNCED_WARMUP_MS 10000
+/* The timer fires this much later than calculated, so that the allowance is
+ * complete when it does. */
+#define TIMER_MARGIN_US 500
+
+/* Logs that the limit begins or ends, and sets the metrics. */
+static void
+report_limit(struct bg_gatekeeper *gk, const char *reason)
+{
+	const struct bg_warmup *wu = &gk->limiter.warmup;
+	uint64_t now_us = bg_clock_now_us();
+	int is_limited = bg_warmup_is_limited(wu, now_us);
+	uint32_t left_ms = bg_warmup_left_ms(wu, now_us);
+
+	if (is_limited != gk->is_limited) {
+		gk->is_limited = is_limited;
+		if (is_limited) {
+			gk->limited_since_us = now_us;
+			bg_metrics_count_cold_period();
+			bg_log_info("gatekeeper",
+			    "server cold id=%s left_ms=%u milli_per_s=%u "
+			    "burst=%u reason=%s",
+			    gk->server.id, left_ms, wu->rate_milli_per_s,
+			    wu->burst, reason);
+		} else
+			bg_log_info("gatekeeper",
+			    "server warm id=%s cold_ms=%llu reason=%s",
+			    gk->server.id,
+			    (unsigned long long)(now_us -
+				gk->limited_since_us) /
+				1000,
+			    reason);
+	}
+	bg_metrics_set_cold_left(is_limited ? left_ms : 0);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct bg_gatekeeper *gk = arg;
+
+	report_limit(gk, "time");
+	bg_gate_start_queued(gk);
+	bg_gate_warmup_schedule(gk);
+}
+
+int
+bg_gate_warmup_init(struct bg_gatekeeper *gk)
+{
+	gk->warmup_timer = evtimer_new(gk->base, on_timer, gk);
+	return gk->warmup_timer == NULL ? BG_ENOMEM : 0;
+}
+
+void
+bg_gate_warmup_free(struct bg_gatekeeper *gk)
+{
+	if (gk->warmup_timer != NULL)
+		event_free(gk->warmup_timer);
+}
+
+/* Time until a queued call may start or the server is warm; 0: neither is
+ * awaited. */
+static uint64_t
+next_change_us(const struct bg_gatekeeper *gk, uint64_t now_us)
+{
+	uint64_t wait_us = bg_limiter_warmup_wait_us(&gk->limiter, now_us);
+
+	if (!bg_warmup_is_limited(&gk->limiter.warmup, now_us))
+		return 0;
+	if (wait_us == 0)
+		wait_us =
+		    (uint64_t)bg_warmup_left_ms(&gk->limiter.warmup, now_us) *
+		    1000;
+	return wait_us + TIMER_MARGIN_US;
+}
+
+void
+bg_gate_warmup_schedule(struct bg_gatekeeper *gk)
+{
+	uint64_t us = next_change_us(gk, bg_clock_now_us());
+	struct timeval tv = {
+	    (time_t)(us / 1000000), (suseconds_t)(us % 1000000)};
+
+	if (us == 0)
+		event_del(gk->warmup_timer);
+	else
+		event_add(gk->warmup_timer, &tv);
+}
+
+void
+bg_gate_warmup_configure(struct bg_gatekeeper *gk, const struct bg_service *svc)
+{
+	bg_warmup_configure(&gk->limiter.warmup, svc->warmup_ms,
+	    svc->warmup_milli_per_s,
+	    bg_warmup_burst(&gk->settings->warmup, svc->warmup_milli_per_s),
+	    bg_clock_now_us());
+	report_limit(gk, "config");
+	bg_gate_warmup_schedule(gk);
+}
+
+static void
+apply_announcement(struct bg_warmup *wu, const struct bg_announcement *ann,
+    int is_new_lifetime, uint64_t now_us)
+{
+	if (ann->has_warmup_left)
+		bg_warmup_report(wu, ann->warmup_left_ms, now_us);
+	else if (!is_new_lifetime)
+		bg_warmup_heard(wu, now_us);
+	else if (wu->duration_ms != 0)
+		bg_warmup_report(wu, wu->duration_ms, now_us);
+	else
+		bg_warmup_report(wu, UNANNOUNCED_WARMUP_MS, now_us);
+}
+
+void
+bg_gate_warmup_announced(struct bg_gatekeeper *gk,
+    const struct bg_announcement *ann, int is_new_lifetime)
+{
+	apply_announcement(
+	    &gk->limiter.warmup, ann, is_new_lifetime, bg_clock_now_us());
+	report_limit(gk, is_new_lifetime ? "start" : "report");
+	bg_gate_start_queued(gk);
+	bg_gate_warmup_schedule(gk);
+}
+
+void
+bg_gate_warmup_doubt(struct bg_gatekeeper *gk, const char *reason)
+{
+	if (gk->limiter.warmup.rate_milli_per_s == 0)
+		return;
+	bg_warmup_doubt(&gk->limiter.warmup, bg_clock_now_us());
+	report_limit(gk, reason);
+	bg_gate_warmup_schedule(gk);
+}
+
+void
+bg_gate_warmup_fill(
+    struct bg_xload_extension *out, const struct bg_gatekeeper *gk)
+{
+	const struct bg_warmup *wu = &gk->limiter.warmup;
+	uint64_t now_us = bg_clock_now_us();
+
+	if (!bg_warmup_is_limited(wu, now_us))
+		return;
+	out->cold_left_ms = bg_warmup_left_ms(wu, now_us);
+	out->cold_starts_milli_per_s = wu->rate_milli_per_s;
+	out->cold_starts_left = bg_warmup_starts_left(wu, now_us);
+}
+
+uint32_t
+bg_gate_warmup_count_refusal(const struct bg_gatekeeper *gk)
+{
+	const struct bg_warmup *wu = &gk->limiter.warmup;
+	uint64_t now_us = bg_clock_now_us();
+
+	if (!bg_warmup_is_limited(wu, now_us))
+		return 0;
+	bg_metrics_count_cold_refused();
+	return bg_warmup_left_ms(wu, now_us);
+}
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -7,6 +7,7 @@
 
 #include "body.h"
 #include "gate_call.h"
+#include "gate_warmup.h"
 
 /* A leaving server accepts calls for this long, since some are on their way to
  * it. Nodes that know that it is leaving send it no more calls. */
@@ -21,9 +22,6 @@
 /* An announcement that was held for longer is dropped; the server repeats it.
  */
 #define HELD_MAX_MS 2000
-/* Assumed warm-up time of a probed backend server, in which its slow responses
- * do not count against its version. */
-#define PROBED_WARMUP_MS 10000
 
 static uint32_t
 usable_connections(uint32_t connections)
@@ -115,6 +113,7 @@
 	case BG_LIMITER_QUEUED:
 		bg_gate_set_timer(call, bg_queue_latest_start_us(&call->entry));
 		refuse_infeasible(gk);
+		bg_gate_warmup_schedule(gk);
 		break;
 	case BG_LIMITER_REJECTED:
 		bg_gate_refuse(call, BG_XREFUSAL_BUSY);
@@ -295,9 +294,13 @@
 static void
 release_held(struct bg_gatekeeper *gk)
 {
-	int is_recent = bg_clock_now_ms() - gk->held_ms < HELD_MAX_MS;
+	uint64_t held_ms = bg_clock_now_ms() - gk->held_ms;
+	struct bg_announcement *ann = &gk->held;
 
-	if (gk->has_held && is_recent)
+	ann->warmup_left_ms = ann->warmup_left_ms > held_ms
+	    ? ann->warmup_left_ms - (uint32_t)held_ms
+	    : 0;
+	if (gk->has_held && held_ms < HELD_MAX_MS)
 		bg_gatekeeper_announce(gk, &gk->held);
 	gk->has_held = 0;
 }
@@ -339,12 +342,19 @@
 }
 
 static void
-reset_for_new_server(
-    struct bg_gatekeeper *gk, const struct bg_announcement *ann)
+reset_for_new_server(struct bg_gatekeeper *gk)
 {
 	bg_limiter_reset(&gk->limiter);
 	bg_backend_close_idle(gk->backend);
-	gk->warmup_end_ms = bg_clock_now_ms() + ann->warmup_left_ms;
+}
+
+static int
+is_new_lifetime(
+    const struct bg_gatekeeper *gk, const struct bg_server *previous)
+{
+	return previous->state == BG_SERVER_UNKNOWN ||
+	    strcmp(previous->id, gk->server.id) != 0 ||
+	    previous->started_ms != gk->server.started_ms;
 }
 
 enum bg_announce_result
@@ -354,6 +364,7 @@
 	struct bg_server previous = gk->server;
 	struct bg_announcement copy = *ann;
 	enum bg_announce_result result;
+	int is_new;
 
 	if (gk->backend == NULL ||
 	    !bg_announcement_matches_service(ann, gk->settings->server.service))
@@ -365,6 +376,9 @@
 		return BG_ANNOUNCE_UNCHANGED;
 	}
 	result = bg_server_update(&gk->server, &copy, bg_clock_now_ms());
+	is_new = is_new_lifetime(gk, &previous);
+	if (result == BG_ANNOUNCE_UNCHANGED)
+		bg_gate_warmup_announced(gk, &copy, is_new);
 	if (result != BG_ANNOUNCE_CHANGED)
 		return result;
 	bg_log_info("gatekeeper",
@@ -374,10 +388,9 @@
 	    (int)previous.state, gk->server.slots,
 	    (unsigned long long)gk->server.started_ms,
 	    (unsigned long long)gk->server.sequence);
-	if (previous.state == BG_SERVER_UNKNOWN ||
-	    strcmp(previous.id, gk->server.id) != 0 ||
-	    previous.started_ms != gk->server.started_ms)
-		reset_for_new_server(gk, ann);
+	if (is_new)
+		reset_for_new_server(gk);
+	bg_gate_warmup_announced(gk, &copy, is_new);
 	bg_limiter_set_slots(&gk->limiter, gk->server.slots);
 	gk->connect_failures = 0;
 	if (gk->server.leaving_since_ms != 0 && previous.leaving_since_ms == 0)
@@ -418,6 +431,7 @@
 
 	if (svc == NULL || gk->backend == NULL)
 		return;
+	bg_gate_warmup_configure(gk, svc);
 	connections = svc->contract.connections;
 	if (connections == 0 ||
 	    (set->server.connections != 0 &&
@@ -432,6 +446,12 @@
 	bg_gate_start_queued(gk);
 }
 
+void
+bg_gatekeeper_doubt_warmth(struct bg_gatekeeper *gk, const char *reason)
+{
+	bg_gate_warmup_doubt(gk, reason);
+}
+
 uint32_t
 bg_gatekeeper_in_flight(const struct bg_gatekeeper *gk)
 {
@@ -441,13 +461,7 @@
 static void
 on_probe_announce(void *arg, const struct bg_announcement *ann)
 {
-	struct bg_gatekeeper *gk = arg;
-	struct bg_announcement copy = *ann;
-
-	/* Probes report no warm-up time. bg_gatekeeper_announce uses it for a
-	 * new server only. */
-	copy.warmup_left_ms = PROBED_WARMUP_MS;
-	bg_gatekeeper_announce(gk, &copy);
+	bg_gatekeeper_announce(arg, ann);
 }
 
 static void
@@ -516,7 +530,7 @@
 	bg_limiter_init(&gk->limiter, opts->settings->server.slots);
 	bg_intake_init(&gk->intake, opts->settings->limits.link_mbps);
 	gk->drain_timer = evtimer_new(opts->base, on_drain_timer, gk);
-	if (gk->drain_timer == NULL)
+	if (gk->drain_timer == NULL || bg_gate_warmup_init(gk) != 0)
 		goto on_error;
 	if ((error = init_backend(gk, err)) != 0)
 		goto on_error;
@@ -550,6 +564,7 @@
 	}
 	bg_probe_free(gk->probe);
 	bg_backend_free(gk->backend);
+	bg_gate_warmup_free(gk);
 	if (gk->drain_timer != NULL)
 		event_free(gk->drain_timer);
 	free(gk);
--- a/proxy/src/gatekeeper/gatekeeper.h
+++ b/proxy/src/gatekeeper/gatekeeper.h
@@ -113,6 +113,11 @@
 /** Applies the connection and slot limits of a new snapshot. */
 void bg_gatekeeper_apply_snapshot(
     struct bg_gatekeeper *gk, const struct bg_snapshot *snap);
+/** Takes the backend server for cold until its next announcement, because it
+ * may have turned cold since the last one. Does nothing if the configuration
+ * gives no rate for the cold servers of its service.
+ * @param reason one word for the log */
+void bg_gatekeeper_doubt_warmth(struct bg_gatekeeper *gk, const char *reason);
 /** Calls that are not answered yet, running or queued. */
 uint32_t bg_gatekeeper_in_flight(const struct bg_gatekeeper *gk);
 
--- a/proxy/src/gatekeeper/probe.c
+++ b/proxy/src/gatekeeper/probe.c
@@ -1,3 +1,4 @@
+#include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -39,8 +40,31 @@
 	event_add(prb->timer, &tv);
 }
 
+/* Reads how long the server stays cold. A response without the header, or with
+ * one that is not a number, does not say it. */
 static void
-report_success(struct bg_probe *prb)
+read_warmup(struct bg_announcement *out, const struct bg_probe *prb,
+    const struct bg_exchange_result *res)
+{
+	const char *name = prb->settings->headers.warmup_left;
+	const char *text = name[0] == '\0'
+	    ? NULL
+	    : bg_header_find(res->headers, res->header_count, name);
+	unsigned long long ms;
+	char *end;
+
+	if (text == NULL || !isdigit((unsigned char)text[0]))
+		return;
+	ms = strtoull(text, &end, 10);
+	/* A fraction of a millisecond is ignored. */
+	if (*end != '\0' && *end != '.')
+		return;
+	out->warmup_left_ms = ms > UINT32_MAX ? UINT32_MAX : (uint32_t)ms;
+	out->has_warmup_left = 1;
+}
+
+static void
+report_success(struct bg_probe *prb, const struct bg_exchange_result *res)
 {
 	const struct bg_settings *set = prb->settings;
 	struct bg_announcement ann;
@@ -67,6 +91,7 @@
 	ann.started_ms = prb->lifetime;
 	ann.has_started_ms = 1;
 	ann.sequence = ++prb->sequence;
+	read_warmup(&ann, prb, res);
 	prb->handler.announce(prb->handler.arg, &ann);
 }
 
@@ -105,7 +130,7 @@
 			snprintf(prb->version, sizeof(prb->version), "%.*s",
 			    BG_NAME_BYTES - 1, version);
 		prb->consecutive_failures = 0;
-		report_success(prb);
+		report_success(prb, res);
 	} else
 		report_failure(prb, res->code == BG_EUNAVAILABLE);
 	set_timer(prb,
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -86,22 +86,47 @@
 	return (uint64_t)(r == NULL ? lim->service_us : r->service_us);
 }
 
-/* Expected time between two starts while all slots are taken. */
+/* Expected time between two starts while calls have to wait for them. */
 static uint64_t
-start_interval_us(const struct bg_limiter *lim)
+start_interval_us(const struct bg_limiter *lim, uint64_t now_us)
 {
 	double service_us =
 	    lim->service_us == 0 ? DEFAULT_SERVICE_US : lim->service_us;
+	uint64_t slot_us = (uint64_t)(service_us / running_limit(lim));
+	uint64_t warmup_us = bg_warmup_interval_us(&lim->warmup, now_us);
 
-	return (uint64_t)(service_us / running_limit(lim));
+	return slot_us > warmup_us ? slot_us : warmup_us;
+}
+
+/* 1 if a call that comes now may start at once. At a cold server, those that
+ * wait precede it. */
+static int
+may_start(const struct bg_limiter *lim, uint64_t now_us)
+{
+	if (lim->running >= running_limit(lim))
+		return 0;
+	return !bg_warmup_is_limited(&lim->warmup, now_us) ||
+	    (lim->queue.length == 0 &&
+		bg_warmup_may_start(&lim->warmup, now_us));
 }
 
 uint64_t
-bg_limiter_wait_us(const struct bg_limiter *lim)
+bg_limiter_warmup_wait_us(const struct bg_limiter *lim, uint64_t now_us)
 {
-	if (lim->running < running_limit(lim))
+	if (lim->queue.length == 0 || lim->running >= running_limit(lim))
 		return 0;
-	return start_interval_us(lim) * (lim->queue.length + 1);
+	return bg_warmup_wait_us(&lim->warmup, now_us);
+}
+
+uint64_t
+bg_limiter_wait_us(const struct bg_limiter *lim, uint64_t now_us)
+{
+	if (may_start(lim, now_us))
+		return 0;
+	if (lim->running < running_limit(lim))
+		return bg_warmup_wait_us(&lim->warmup, now_us) +
+		    start_interval_us(lim, now_us) * lim->queue.length;
+	return start_interval_us(lim, now_us) * (lim->queue.length + 1);
 }
 
 static void
@@ -111,6 +136,7 @@
 	entry->is_running = 1;
 	entry->started_us = now_us;
 	entry->running_at_start = ++lim->running;
+	bg_warmup_start(&lim->warmup, now_us);
 }
 
 /* Queues a call unless it is not expected to start in time. */
@@ -121,7 +147,7 @@
 	entry->service_us = bg_limiter_service_us(lim, entry->route);
 	bg_queue_insert(&lim->queue, entry, now_us);
 	if (!bg_queue_is_infeasible(
-		&lim->queue, entry, start_interval_us(lim), now_us))
+		&lim->queue, entry, start_interval_us(lim, now_us), now_us))
 		return 1;
 	bg_queue_remove(&lim->queue, entry);
 	return 0;
@@ -131,7 +157,7 @@
 bg_limiter_acquire(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	if (lim->running < running_limit(lim)) {
+	if (may_start(lim, now_us)) {
 		start_entry(lim, entry, now_us);
 		return BG_LIMITER_STARTED;
 	}
@@ -143,7 +169,7 @@
 bg_limiter_is_feasible(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	if (lim->running < running_limit(lim))
+	if (may_start(lim, now_us))
 		return 1;
 	if (!try_queue(lim, entry, now_us))
 		return 0;
@@ -279,7 +305,8 @@
 {
 	struct bg_limiter_entry *entry;
 
-	if (lim->queue.length == 0 || lim->running >= running_limit(lim))
+	if (lim->queue.length == 0 || lim->running >= running_limit(lim) ||
+	    !bg_warmup_may_start(&lim->warmup, now_us))
 		return NULL;
 	entry = bg_queue_next(&lim->queue, now_us);
 	bg_queue_remove(&lim->queue, entry);
@@ -291,5 +318,5 @@
 bg_limiter_find_infeasible(const struct bg_limiter *lim, uint64_t now_us)
 {
 	return bg_queue_find_infeasible(
-	    &lim->queue, start_interval_us(lim), now_us);
+	    &lim->queue, start_interval_us(lim, now_us), now_us);
 }
--- a/proxy/src/limiter/limiter.h
+++ b/proxy/src/limiter/limiter.h
@@ -10,6 +10,7 @@
 
 #include "burdockgrade/contract.h"
 
+#include "../warmup/warmup.h"
 #include "queue.h"
 
 /** Routes whose service times are tracked separately. */
@@ -36,6 +37,7 @@
 	uint64_t low_load_shed_us; /**< last call that the server shed with
 					most of its slots free; 0: never */
 	struct bg_limiter_route routes[BG_LIMITER_ROUTES];
+	struct bg_warmup warmup; /**< limits the starts of a cold server */
 };
 
 enum bg_limiter_admission {
@@ -91,8 +93,12 @@
  */
 struct bg_limiter_entry *bg_limiter_find_infeasible(
     const struct bg_limiter *lim, uint64_t now_us);
+/** Time until the next queued call may start if slots are free and only the
+ * warm-up of the server holds it back; 0: no queued call waits for that. */
+uint64_t bg_limiter_warmup_wait_us(
+    const struct bg_limiter *lim, uint64_t now_us);
 /** Expected wait of a call at the end of the queue, in microseconds. */
-uint64_t bg_limiter_wait_us(const struct bg_limiter *lim);
+uint64_t bg_limiter_wait_us(const struct bg_limiter *lim, uint64_t now_us);
 /** Expected service time of a call of a route, in microseconds; 0: unknown. */
 uint64_t bg_limiter_service_us(const struct bg_limiter *lim, const char *route);
 /** Ratio of failures among recent responses, in permille. */
--- a/proxy/src/metrics/metrics.c
+++ b/proxy/src/metrics/metrics.c
@@ -95,6 +95,17 @@
 static struct bg_counter gate_limit =
     BG_GAUGE("burdock_gate_limit", "Adaptive limit of running calls.");
 
+static struct bg_counter cold_left = BG_GAUGE(
+    "burdock_server_cold_left_ms", "Time until the backend server is warm.");
+static struct bg_counter cold_periods = BG_COUNTER(
+    "burdock_server_cold_total", "Times that the backend server turned cold.");
+static struct bg_counter cold_refused =
+    BG_COUNTER("burdock_cold_refused_total{at=\"gatekeeper\"}",
+	"Calls refused since the servers are cold.");
+static struct bg_counter cold_unsent =
+    BG_COUNTER("burdock_cold_refused_total{at=\"ingress\"}",
+	"Calls refused since the servers are cold.");
+
 static struct bg_counter buffered =
     BG_GAUGE("burdock_buffered_bytes", "Bytes of bodies held by the node.");
 
@@ -172,6 +183,30 @@
 	bg_counter_set(&gate_limit, limit);
 }
 
+void
+bg_metrics_set_cold_left(uint32_t left_ms)
+{
+	bg_counter_set(&cold_left, left_ms);
+}
+
+void
+bg_metrics_count_cold_period(void)
+{
+	bg_counter_add(&cold_periods, 1);
+}
+
+void
+bg_metrics_count_cold_refused(void)
+{
+	bg_counter_add(&cold_refused, 1);
+}
+
+void
+bg_metrics_count_cold_unsent(void)
+{
+	bg_counter_add(&cold_unsent, 1);
+}
+
 void
 bg_metrics_set_buffered_bytes(uint64_t bytes)
 {
--- a/proxy/src/metrics/metrics.h
+++ b/proxy/src/metrics/metrics.h
@@ -45,6 +45,15 @@
  * @param limit adaptive limit of running calls */
 void bg_metrics_set_gatekeeper(
     uint32_t running, uint32_t queued, uint32_t limit);
+/** Sets the time for which the backend server stays cold, in ms; 0: it is warm,
+ * or its service has no rate for cold servers. */
+void bg_metrics_set_cold_left(uint32_t left_ms);
+/** Counts that the backend server turned cold. */
+void bg_metrics_count_cold_period(void);
+/** Counts a call that is refused at the gatekeeper of a cold server. */
+void bg_metrics_count_cold_refused(void);
+/** Counts a call that is refused at the ingress since all servers are cold. */
+void bg_metrics_count_cold_unsent(void);
 /** Sets the gauge of the body bytes that the node holds. */
 void bg_metrics_set_buffered_bytes(uint64_t bytes);
 /** Records how long a call ran at the backend server. */
--- a/proxy/src/router/router.c
+++ b/proxy/src/router/router.c
@@ -10,8 +10,9 @@
 /* Smaller differences in value are noise of the estimates. The pick among such
  * servers is random, so that nodes do not all pick the same one. */
 #define VALUE_NOISE 0.01
-/* Subtracted from the value of a server without a free slot. It exceeds the
- * noise, so that a free slot is preferred even to a very short queue. */
+/* Subtracted from the value of a server that is cold or has no free slot. It
+ * exceeds the noise, so that a free slot of a warm server is preferred even to
+ * a very short queue. */
 #define VALUE_QUEUE_PENALTY (2 * VALUE_NOISE)
 /* The weight of a reported service time halves in this time, so that a server
  * that was slow is tried again. */
@@ -141,11 +142,16 @@
     const struct bg_pick_query *q, uint32_t typical_us)
 {
 	struct bg_value_input in = {0};
+	struct bg_cold cold;
 
+	bg_cold_estimate(&cold, &q->cold, ep, m, q->now_ms, q->wall_ms);
+	out->cold_left_ms = cold.left_ms;
 	out->member = m;
 	out->endpoint = ep;
 	out->service_us = expected_service_us(ep, q, typical_us);
 	out->wait_us = expected_wait_us(ep, m, out->service_us, q->now_ms);
+	if (out->wait_us < cold.wait_us)
+		out->wait_us = cold.wait_us;
 	in.service_us = out->service_us;
 	in.is_remote = strcmp(m->data_centre, q->data_centre) != 0;
 	in.delay_us = out->wait_us + body_delay_us(ep, q) +
@@ -154,7 +160,7 @@
 	in.left_us = q->left_us;
 	in.bad_permille = ep->load.bad_permille;
 	out->value = bg_expected_value(&in);
-	if (out->wait_us > 0)
+	if (out->wait_us > 0 || out->cold_left_ms > 0)
 		out->value -= VALUE_QUEUE_PENALTY;
 }
 
--- a/proxy/src/router/router.h
+++ b/proxy/src/router/router.h
@@ -9,6 +9,7 @@
 #include "burdockgrade/clock.h"
 #include "burdockgrade/members.h"
 
+#include "cold.h"
 #include "endpoint.h"
 
 /** Round-trip delay before a call starts in another data centre. */
@@ -45,18 +46,21 @@
 	const char *const *avoid; /**< addresses that are not picked */
 	size_t avoid_count;
 	uint64_t now_ms;
-	uint64_t target_us; /**< see struct bg_value_input */
-	uint64_t left_us;   /**< see struct bg_value_input */
+	uint64_t wall_ms;	     /**< wall clock */
+	struct bg_cold_service cold; /**< warm-up of the service */
+	uint64_t target_us;	     /**< see struct bg_value_input */
+	uint64_t left_us;	     /**< see struct bg_value_input */
 };
 
 struct bg_pick {
 	const struct bg_member *member;
 	struct bg_endpoint *endpoint;
-	uint64_t wait_us;     /**< expected queueing time there */
-	uint32_t service_us;  /**< expected service time there */
-	uint32_t baseline_us; /**< mean service time at servers of other
-				versions than the picked one; 0: unknown */
-	double value;	      /**< as from bg_expected_value */
+	uint64_t wait_us;      /**< expected queueing time there */
+	uint32_t service_us;   /**< expected service time there */
+	uint32_t baseline_us;  /**< mean service time at servers of other
+				 versions than the picked one; 0: unknown */
+	uint32_t cold_left_ms; /**< until the server is warm; 0: it is */
+	double value;	       /**< as from bg_expected_value */
 };
 
 /** Picks the server of a call. @return 0, BG_ENOTFOUND if no server may serve
--- /dev/null
+++ b/proxy/tests/test_cold_node.c
@@ -0,0 +1,172 @@
+/* A node beside a cold backend server, with real connections. */
+
+#include <check.h>
+
+#include "node.h"
+#include "suite.h"
+
+#define RATE_MILLI 5000
+#define WARMUP_MS 2000
+#define CLIENTS 16
+
+static struct event_base *base;
+static struct node node1;
+static struct client clients[CLIENTS];
+static uint64_t sequence;
+
+static void
+announce_done(void *arg, int code)
+{
+	*(int *)arg = code;
+}
+
+static void
+announce(const char *id, uint64_t started_ms, uint32_t warmup_left_ms)
+{
+	struct bg_announcement ann;
+	int code = -1;
+
+	memset(&ann, 0, sizeof(ann));
+	snprintf(ann.server_id, sizeof(ann.server_id), "%s", id);
+	snprintf(ann.service, sizeof(ann.service), "atelier");
+	snprintf(ann.server_version, sizeof(ann.server_version), "v1");
+	ann.state = BG_ANNOUNCED_READY;
+	ann.slots = 6;
+	ann.started_ms = started_ms;
+	ann.has_started_ms = 1;
+	ann.warmup_left_ms = warmup_left_ms;
+	ann.has_warmup_left = 1;
+	ann.sequence = ++sequence;
+	bg_proxy_announce(node1.proxy, &ann, announce_done, &code);
+	ck_assert_int_eq(code, 0);
+}
+
+static void
+setup(void)
+{
+	struct node *self = &node1;
+	int i;
+
+	base = event_base_new();
+	build_snapshot();
+	snapshot->services[0].warmup_ms = WARMUP_MS;
+	snapshot->services[0].warmup_milli_per_s = RATE_MILLI;
+	node_start(&node1, base);
+	node_set_roster(&node1, &self, 1);
+	node1.mesh.listener.snapshot(node1.mesh.listener.arg, snapshot);
+	for (i = 0; i < CLIENTS; i++)
+		client_open(&clients[i], base, bg_proxy_port(node1.proxy));
+}
+
+static void
+teardown(void)
+{
+	int i;
+
+	for (i = 0; i < CLIENTS; i++)
+		client_close(&clients[i]);
+	node_stop(&node1);
+	bg_snapshot_release(snapshot);
+	event_base_free(base);
+}
+
+static int
+count_status(int status)
+{
+	int n = 0;
+	int i;
+
+	for (i = 0; i < CLIENTS; i++)
+		n += client_has_response(&clients[i]) &&
+		    client_status(&clients[i]) == status;
+	return n;
+}
+
+static void
+get_with_all(void)
+{
+	int i;
+
+	for (i = 0; i < CLIENTS; i++)
+		client_send(
+		    &clients[i], "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+}
+
+/* Load: 16 calls at once for a server that has just started. Guards against
+ * sending them all, and against refusals without a Retry-After. */
+START_TEST(cold_server_gets_what_it_bears)
+{
+	int i;
+
+	setup();
+	announce("a", 1000, WARMUP_MS);
+	get_with_all();
+	WAIT(base, count_status(200) + count_status(503) == CLIENTS);
+	/* Calls of a target of 500 ms wait for a start for less than that. */
+	ck_assert_int_ge(node1.backend.requests, 1);
+	ck_assert_int_le(node1.backend.requests, 1 + RATE_MILLI / 1000);
+	ck_assert_int_eq(count_status(200), node1.backend.requests);
+	for (i = 0; i < CLIENTS; i++) {
+		if (client_status(&clients[i]) == 503)
+			ck_assert(
+			    client_has_header(&clients[i], "Retry-After: "));
+	}
+	teardown();
+}
+END_TEST
+
+/* Guards against a limit that outlasts the warm-up. */
+START_TEST(warm_server_gets_all)
+{
+	setup();
+	announce("a", 1000, WARMUP_MS);
+	announce("a", 1000, 0);
+	get_with_all();
+	WAIT(base, count_status(200) == CLIENTS);
+	teardown();
+}
+END_TEST
+
+/* Guards against a server that turns cold without a new start and is taken for
+ * warm, because its announcement changes nothing else. */
+START_TEST(server_turns_cold_without_a_start)
+{
+	setup();
+	announce("a", 1000, 0);
+	announce("a", 1000, WARMUP_MS);
+	get_with_all();
+	WAIT(base, count_status(200) + count_status(503) == CLIENTS);
+	ck_assert_int_gt(count_status(503), 0);
+	ck_assert_int_le(node1.backend.requests, 1 + RATE_MILLI / 1000);
+	teardown();
+}
+END_TEST
+
+/* Guards against calls that wait for a start and are never started, since no
+ * other call ends at the server. */
+START_TEST(waiting_call_starts_with_the_allowance)
+{
+	setup();
+	announce("a", 1000, WARMUP_MS);
+	client_send(&clients[0], "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, client_has_response(&clients[0]));
+	client_send(&clients[0], "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, client_has_response(&clients[0]));
+	ck_assert_int_eq(client_status(&clients[0]), 200);
+	ck_assert_int_eq(node1.backend.requests, 2);
+	teardown();
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("cold node");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, cold_server_gets_what_it_bears);
+	tcase_add_test(tc, warm_server_gets_all);
+	tcase_add_test(tc, server_turns_cold_without_a_start);
+	tcase_add_test(tc, waiting_call_starts_with_the_allowance);
+	return run_suite_forked("cold node", tc);
+}
--- a/proxy/tests/test_limiter.c
+++ b/proxy/tests/test_limiter.c
@@ -421,12 +421,64 @@
 }
 END_TEST
 
+/* Makes the server cold, with a rate of 5 calls a second and no allowance. */
+static void
+make_cold(void)
+{
+	bg_warmup_configure(&lim.warmup, 3000, 5000, 1, now_us);
+	bg_warmup_report(&lim.warmup, 3000, now_us);
+}
+
+/* Load: calls for a cold server with free slots. Guards against calls that wait
+ * for a start longer than their answer is of use, and against a reported wait
+ * that draws more calls. */
+START_TEST(cold_server_queues_what_it_starts_in_time)
+{
+	int queued = 0;
+	int i;
+
+	measure_service_time(50000);
+	make_cold();
+	for (i = 10; i < 30; i++)
+		queued +=
+		    acquire_with(i, 1, LONG_US, 600000) == BG_LIMITER_QUEUED;
+	/* Starts after 200 and 400 ms; the answer takes 50 ms. */
+	ck_assert_int_eq(queued, 2);
+	ck_assert_uint_ge(bg_limiter_wait_us(&lim, now_us), 600000);
+	ck_assert_int_eq(start_next(), -1);
+	now_us += bg_limiter_warmup_wait_us(&lim, now_us);
+	ck_assert_int_eq(start_next(), 10);
+	ck_assert_int_eq(start_next(), -1);
+}
+END_TEST
+
+/* Guards against less urgent calls that take the few starts of a cold server
+ * because they came first. */
+START_TEST(cold_server_starts_urgent_calls_first)
+{
+	make_cold();
+	ck_assert_int_eq(acquire_with(10, 2, LONG_US, 0), BG_LIMITER_QUEUED);
+	ck_assert_int_eq(acquire_with(11, 0, LONG_US, 0), BG_LIMITER_QUEUED);
+	now_us += 200000;
+	/* A newcomer does not pass those that wait. */
+	ck_assert_int_eq(acquire_with(12, 1, LONG_US, 0), BG_LIMITER_QUEUED);
+	ck_assert_int_eq(start_next(), 11);
+	ck_assert_int_eq(start_next(), -1);
+	now_us += 3000000;
+	bg_warmup_report(&lim.warmup, 0, now_us);
+	ck_assert_int_eq(start_next(), 12);
+	ck_assert_int_eq(start_next(), 10);
+}
+END_TEST
+
 int
 main(void)
 {
 	TCase *tc = tcase_create("limiter");
 
 	tcase_add_checked_fixture(tc, setup, NULL);
+	tcase_add_test(tc, cold_server_queues_what_it_starts_in_time);
+	tcase_add_test(tc, cold_server_starts_urgent_calls_first);
 	tcase_add_test(tc, running_is_bounded_by_slots);
 	tcase_add_test(tc, burst_is_refused_beyond_capacity);
 	tcase_add_test(tc, dependencies_precede_new_work);
