Queue calls at cold servers at once, and let dependency calls wait

Cause: a call that found no start left at a cold server was refused and tried the next one, so that priorities decided little; a dependency call was refused by its target although its parent waits longer and fails without it.

Change: a call may queue at the first cold server that is picked, where the queue admits it only if it starts in time. A dependency call is hopeless only when it cannot be answered within its deadline.

--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -273,9 +273,12 @@
 is_hopeless(struct bg_call *call, const struct bg_pick *pick)
 {
 	uint64_t now_us = bg_clock_now_us();
-	uint64_t useful_us = call->target_us > now_us ? call->target_us - now_us
-						      : bg_call_left_us(call);
+	uint64_t useful_us = bg_call_left_us(call);
 
+	/* A running request waits for a dependency call, so a late answer is
+	 * better than none. */
+	if (!call->is_dependency && call->target_us > now_us)
+		useful_us = call->target_us - now_us;
 	if (!bg_cold_call_is_hopeless(pick, call->picks, useful_us))
 		return 0;
 	call->cold_left_ms = pick->cold_left_ms;
@@ -323,11 +326,13 @@
 	step_result(call, code, res);
 }
 
-/* 1 if the call may queue at the server, 0 if it needs a free slot. */
+/* 1 if the call may queue at the server, 0 if it needs a free slot. A cold
+ * server is picked if no warm one is better, and starts calls one by one. */
 static int
 allows_queueing(const struct bg_call *call, const struct bg_pick *pick)
 {
-	return pick->wait_us != 0 || call->picks >= QUEUE_FROM_PICK;
+	return pick->wait_us != 0 || pick->cold_left_ms != 0 ||
+	    call->picks >= QUEUE_FROM_PICK;
 }
 
 /* Longest time the call may queue at the picked server. */
--- a/proxy/src/warmup/warmup.c
+++ b/proxy/src/warmup/warmup.c
@@ -35,7 +35,7 @@
 	    now_us > wu->counted_us ? now_us - wu->counted_us : 0;
 	uint64_t left = most > wu->allowance ? most - wu->allowance : 0;
 
-	if (wu->rate_milli_per_s == 0 || wu->counted_us == 0)
+	if (wu->rate_milli_per_s == 0)
 		return wu->allowance;
 	/* Compared by division, since the product may overflow. */
 	if (span_us >= left / wu->rate_milli_per_s + 1)
--- a/proxy/src/warmup/warmup.h
+++ b/proxy/src/warmup/warmup.h
@@ -35,8 +35,7 @@
 	uint64_t cold_until_us;	   /**< 0: the server is warm */
 	uint64_t reported_us;	   /**< last report of the server; 0: never */
 	uint64_t allowance;	   /**< in parts of BG_WARMUP_START_PARTS */
-	uint64_t counted_us;	   /**< time up to which allowance is counted;
-					0: not begun */
+	uint64_t counted_us;	   /**< time up to which allowance is counted */
 };
 
 /** Parts of the allowance that one start takes: thousandths of a call a second,
--- a/proxy/tests/test_ramp.c
+++ b/proxy/tests/test_ramp.c
@@ -177,7 +177,8 @@
 	call->entry.route = "r";
 	call->entry.target_us = call->arrived_us + TARGET_US;
 	call->entry.latest_start_us = now_us + 5000;
-	if (pick->wait_us != 0 || picks >= QUEUE_FROM_PICK)
+	if (pick->wait_us != 0 || pick->cold_left_ms != 0 ||
+	    picks >= QUEUE_FROM_PICK)
 		call->entry.latest_start_us =
 		    call->arrived_us + DEADLINE_US - pick->service_us;
 	attempts++;
