Show servers in their warm-up, and doubt a server that is taken back

Change: the status text names servers that started within their warm-up, in comments. bg_proxy_doubt_warmth takes the server beside a node for cold until it announces itself, for a data centre that is taken back after it was emptied; it has no caller yet. Tests: a probe that tells the warm-up, the doubt, the choice between cold and warm servers.

--- a/core/tests/test_settings.c
+++ b/core/tests/test_settings.c
@@ -38,6 +38,7 @@
 			       "server_id = \"A-Server\"\n"
 			       "not_run = \"A-Not-Run\"\n"
 			       "call_depth = \"A-Depth\"\n"
+			       "warmup_left = \"A-Warmup\"\n"
 			       "[retry]\n"
 			       "share_permille = 200\n"
 			       "slack = 60\n"
@@ -139,6 +140,7 @@
 	ck_assert_str_eq(set.headers.server_id, "A-Server");
 	ck_assert_str_eq(set.headers.not_run, "A-Not-Run");
 	ck_assert_str_eq(set.headers.call_depth, "A-Depth");
+	ck_assert_str_eq(set.headers.warmup_left, "A-Warmup");
 	ck_assert_uint_eq(set.retry.share_permille, 200);
 	ck_assert_uint_eq(set.retry.slack, 60);
 	ck_assert_uint_eq(set.retry.window_ms, 5000);
--- a/daemon/src/pages.c
+++ b/daemon/src/pages.c
@@ -62,6 +62,7 @@
 	if (bg_mesh_is_synced(node->mesh))
 		in.snapshot = bg_mesh_snapshot(node->mesh);
 	in.moves = node->moves;
+	in.roster = bg_mesh_roster(node->mesh);
 	in.summaries = summaries;
 	in.summary_count = count;
 	in.now_wall_ms = bg_clock_wall_ms();
--- a/moves/include/burdockgrade/moves.h
+++ b/moves/include/burdockgrade/moves.h
@@ -99,6 +99,7 @@
 struct bg_status_input {
 	const struct bg_snapshot *snapshot; /**< NULL: not synced */
 	const struct bg_moves *moves;
+	const struct bg_roster *roster; /**< NULL: cold servers are not named */
 	/** One for each data centre. */
 	const struct bg_state_summary *summaries;
 	size_t summary_count;
--- a/moves/src/status/render.c
+++ b/moves/src/status/render.c
@@ -6,6 +6,7 @@
 
 #include "burdockgrade/clock.h"
 
+#include "cold.h"
 #include "status.h"
 
 /* Replaces spaces and unprintable characters by '_', so that scripts can split
@@ -83,6 +84,8 @@
 	    &view, in->summaries, in->summary_count, in->now_wall_ms);
 	if (snap == NULL)
 		fputs("# not synced: this node knows no version yet\n", fp);
+	else if (in->roster != NULL)
+		bg_status_print_cold(fp, snap, in->roster, in->now_wall_ms);
 	for (i = 0; snap != NULL && i < snap->service_count; i++) {
 		build_line(&line, &copy, &snap->services[i], &view, in->moves);
 		print_line(fp, &line);
--- a/proxy/tests/test_cold_node.c
+++ b/proxy/tests/test_cold_node.c
@@ -8,6 +8,9 @@
 #define RATE_MILLI 5000
 #define WARMUP_MS 2000
 #define CLIENTS 16
+/* Time after which a caller's node offers calls again to a cold server that had
+ * a few of them waiting. */
+#define REPORTED_WAIT_MS 1000
 
 static struct event_base *base;
 static struct node node1;
@@ -70,6 +73,14 @@
 	event_base_free(base);
 }
 
+static void
+pass_time(uint32_t ms)
+{
+	uint64_t end_ms = bg_clock_now_ms() + ms;
+
+	WAIT(base, bg_clock_now_ms() >= end_ms);
+}
+
 static int
 count_status(int status)
 {
@@ -142,6 +153,30 @@
 }
 END_TEST
 
+/* Failure: the data centre is taken back after it was emptied, and the server
+ * has turned cold since its last announcement. Guards against sending it all
+ * calls until the next one, and against a doubt that lasts longer. */
+START_TEST(doubted_server_is_cold_until_it_announces_itself)
+{
+	setup();
+	announce("a", 1000, 0);
+	bg_proxy_doubt_warmth(node1.proxy, "taken-back");
+	get_with_all();
+	WAIT(base, count_status(200) + count_status(503) == CLIENTS);
+	ck_assert_int_gt(count_status(503), 0);
+	ck_assert_int_le(node1.backend.requests, 1 + RATE_MILLI / 1000);
+	announce("a", 1000, 0);
+	/* The last load report still says that the server is cold. */
+	pass_time(REPORTED_WAIT_MS);
+	client_send(&clients[0], "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, client_has_response(&clients[0]));
+	ck_assert_int_eq(client_status(&clients[0]), 200);
+	get_with_all();
+	WAIT(base, count_status(200) == CLIENTS);
+	teardown();
+}
+END_TEST
+
 /* Guards against calls that wait for a start and are never started, since no
  * other call ends at the server. */
 START_TEST(waiting_call_starts_with_the_allowance)
@@ -158,6 +193,31 @@
 }
 END_TEST
 
+/* Guards against a probed server that turned cold and is taken for warm
+ * although its responses to probes say so. */
+START_TEST(probe_tells_that_the_server_is_cold)
+{
+	static const char response[] = "HTTP/1.1 200 OK\r\n"
+				       "X-Warmup-Ms: 1500\r\n"
+				       "Content-Length: 0\r\n\r\n";
+	char *name = node1.settings.headers.warmup_left;
+	int probes;
+
+	setup();
+	snprintf(name, BG_HEADER_NAME_BYTES, "X-Warmup-Ms");
+	node1.backend.raw = response;
+	node1.backend.raw_bytes = sizeof(response) - 1;
+	node1.backend.probe_mode = BACKEND_RAW;
+	probes = node1.backend.probes;
+	/* The second probe shows that the first response was read. */
+	WAIT(base, node1.backend.probes >= probes + 2);
+	get_with_all();
+	WAIT(base, count_status(200) + count_status(503) == CLIENTS);
+	ck_assert_int_gt(count_status(503), 0);
+	teardown();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -167,6 +227,8 @@
 	tcase_add_test(tc, cold_server_gets_what_it_bears);
 	tcase_add_test(tc, warm_server_gets_all);
 	tcase_add_test(tc, server_turns_cold_without_a_start);
+	tcase_add_test(tc, doubted_server_is_cold_until_it_announces_itself);
 	tcase_add_test(tc, waiting_call_starts_with_the_allowance);
+	tcase_add_test(tc, probe_tells_that_the_server_is_cold);
 	return run_suite_forked("cold node", tc);
 }
--- a/proxy/tests/test_router.c
+++ b/proxy/tests/test_router.c
@@ -393,12 +393,36 @@
 }
 END_TEST
 
+/* Guards against cold servers that get calls while warm ones have free slots,
+ * and against warm ones that queue calls which a cold one could start. */
+START_TEST(cold_server_is_used_when_warm_ones_are_busy)
+{
+	int i;
+
+	q.cold.duration_ms = 3000;
+	q.cold.rate_milli_per_s = 7200;
+	q.wall_ms = 1790000000000;
+	members[2].server_started_ms = q.wall_ms - 500;
+	for (i = 0; i < 4; i++)
+		if (i != 2)
+			report(i, 5);
+	pick_many(PICKS);
+	ck_assert_int_eq(picked[2], 0);
+	for (i = 0; i < 4; i++)
+		if (i != 2)
+			report(i, 25);
+	pick_many(PICKS);
+	ck_assert_int_eq(picked[2], PICKS);
+}
+END_TEST
+
 int
 main(void)
 {
 	TCase *tc = tcase_create("router");
 
 	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, cold_server_is_used_when_warm_ones_are_busy);
 	tcase_add_test(tc, calls_spread_evenly);
 	tcase_add_test(tc, empty_member_list_is_not_found);
 	tcase_add_test(tc, only_ready_servers_are_used);
