Log each start in a warm-up, and a limit for want of announcements when it begins

Cause: after a loss of power the nodes logged a cold server without an id, from the first configuration on, and not the start of the server; that a server had not announced itself for 4 s was logged only with the next event.

Change: a server that was never heard of is not reported, each new start is, and a timer marks the moment at which the last announcement is too old.

--- a/proxy/src/gatekeeper/gate_warmup.c
+++ b/proxy/src/gatekeeper/gate_warmup.c
@@ -10,35 +10,46 @@
  * complete when it does. */
 #define TIMER_MARGIN_US 500
 
-/* Logs that the limit begins or ends, and sets the metrics. */
 static void
-report_limit(struct bg_gatekeeper *gk, const char *reason)
+log_cold(struct bg_gatekeeper *gk, uint32_t left_ms, const char *reason)
+{
+	const struct bg_warmup *wu = &gk->limiter.warmup;
+
+	bg_metrics_count_cold_period();
+	bg_log_info("gatekeeper",
+	    "server cold id=%s left_ms=%u milli_per_s=%u burst=%u reason=%s",
+	    gk->server.id, left_ms, wu->rate_milli_per_s, wu->burst, reason);
+}
+
+static void
+log_warm(struct bg_gatekeeper *gk, uint64_t now_us, const char *reason)
+{
+	bg_log_info("gatekeeper", "server warm id=%s cold_ms=%llu reason=%s",
+	    gk->server.id,
+	    (unsigned long long)(now_us - gk->limited_since_us) / 1000, reason);
+}
+
+/* Logs that the limit begins or ends, or that it holds for a server that has
+ * just started, and sets the metrics. A server that was never heard of is not
+ * reported.
+ *
+ * @param is_new_lifetime the server has just started */
+static void
+report_limit(struct bg_gatekeeper *gk, const char *reason, int is_new_lifetime)
 {
 	const struct bg_warmup *wu = &gk->limiter.warmup;
 	uint64_t now_us = bg_clock_now_us();
-	int is_limited = bg_warmup_is_limited(wu, now_us);
-	uint32_t left_ms = bg_warmup_left_ms(wu, now_us);
-
-	if (is_limited != gk->is_limited) {
-		gk->is_limited = is_limited;
-		if (is_limited) {
-			gk->limited_since_us = now_us;
-			bg_metrics_count_cold_period();
-			bg_log_info("gatekeeper",
-			    "server cold id=%s left_ms=%u milli_per_s=%u "
-			    "burst=%u reason=%s",
-			    gk->server.id, left_ms, wu->rate_milli_per_s,
-			    wu->burst, reason);
-		} else
-			bg_log_info("gatekeeper",
-			    "server warm id=%s cold_ms=%llu reason=%s",
-			    gk->server.id,
-			    (unsigned long long)(now_us -
-				gk->limited_since_us) /
-				1000,
-			    reason);
-	}
-	bg_metrics_set_cold_left(is_limited ? left_ms : 0);
+	int is_limited =
+	    gk->server.id[0] != '\0' && bg_warmup_is_limited(wu, now_us);
+	uint32_t left_ms = is_limited ? bg_warmup_left_ms(wu, now_us) : 0;
+
+	if (is_limited && (!gk->is_limited || is_new_lifetime)) {
+		gk->limited_since_us = now_us;
+		log_cold(gk, left_ms, reason);
+	} else if (!is_limited && gk->is_limited)
+		log_warm(gk, now_us, reason);
+	gk->is_limited = is_limited;
+	bg_metrics_set_cold_left(left_ms);
 }
 
 static void
@@ -46,7 +57,7 @@
 {
 	struct bg_gatekeeper *gk = arg;
 
-	report_limit(gk, "time");
+	report_limit(gk, "time", 0);
 	bg_gate_start_queued(gk);
 	bg_gate_warmup_schedule(gk);
 }
@@ -65,20 +76,20 @@
 		event_free(gk->warmup_timer);
 }
 
-/* Time until a queued call may start or the server is warm; 0: neither is
+/* Time until a queued call may start or the limit changes; 0: neither is
  * awaited. */
 static uint64_t
 next_change_us(const struct bg_gatekeeper *gk, uint64_t now_us)
 {
-	uint64_t wait_us = bg_limiter_warmup_wait_us(&gk->limiter, now_us);
+	const struct bg_limiter *lim = &gk->limiter;
+	uint64_t wait_us = bg_limiter_warmup_wait_us(lim, now_us);
+	uint64_t change_us = bg_warmup_next_change_us(&lim->warmup, now_us);
 
-	if (!bg_warmup_is_limited(&gk->limiter.warmup, now_us))
+	if (change_us == 0)
 		return 0;
-	if (wait_us == 0)
-		wait_us =
-		    (uint64_t)bg_warmup_left_ms(&gk->limiter.warmup, now_us) *
-		    1000;
-	return wait_us + TIMER_MARGIN_US;
+	if (wait_us != 0 && wait_us < change_us)
+		change_us = wait_us;
+	return change_us + TIMER_MARGIN_US;
 }
 
 void
@@ -101,7 +112,7 @@
 	    svc->warmup_milli_per_s,
 	    bg_warmup_burst(&gk->settings->warmup, svc->warmup_milli_per_s),
 	    bg_clock_now_us());
-	report_limit(gk, "config");
+	report_limit(gk, "config", 0);
 	bg_gate_warmup_schedule(gk);
 }
 
@@ -125,7 +136,7 @@
 {
 	apply_announcement(
 	    &gk->limiter.warmup, ann, is_new_lifetime, bg_clock_now_us());
-	report_limit(gk, is_new_lifetime ? "start" : "report");
+	report_limit(gk, is_new_lifetime ? "start" : "report", is_new_lifetime);
 	bg_gate_start_queued(gk);
 	bg_gate_warmup_schedule(gk);
 }
@@ -136,7 +147,7 @@
 	if (gk->limiter.warmup.rate_milli_per_s == 0)
 		return;
 	bg_warmup_doubt(&gk->limiter.warmup, bg_clock_now_us());
-	report_limit(gk, reason);
+	report_limit(gk, reason, 0);
 	bg_gate_warmup_schedule(gk);
 }
 
--- a/proxy/src/warmup/warmup.c
+++ b/proxy/src/warmup/warmup.c
@@ -123,6 +123,17 @@
 	return (uint32_t)((left_us(wu, now_us) + US_PER_MS - 1) / US_PER_MS);
 }
 
+uint64_t
+bg_warmup_next_change_us(const struct bg_warmup *wu, uint64_t now_us)
+{
+	if (wu->rate_milli_per_s == 0)
+		return 0;
+	if (bg_warmup_is_limited(wu, now_us))
+		return left_us(wu, now_us);
+	return wu->reported_us + BG_WARMUP_REPORT_MAX_AGE_MS * US_PER_MS + 1 -
+	    now_us;
+}
+
 int
 bg_warmup_may_start(const struct bg_warmup *wu, uint64_t now_us)
 {
--- a/proxy/src/warmup/warmup.h
+++ b/proxy/src/warmup/warmup.h
@@ -67,6 +67,9 @@
 int bg_warmup_is_limited(const struct bg_warmup *wu, uint64_t now_us);
 /** Time until the server is expected to be warm; 0: it is. */
 uint32_t bg_warmup_left_ms(const struct bg_warmup *wu, uint64_t now_us);
+/** Time until the limit ends, or begins because no report has come; 0: there is
+ * no rate. While no report comes, the time of a whole warm-up. */
+uint64_t bg_warmup_next_change_us(const struct bg_warmup *wu, uint64_t now_us);
 /** 1 if a call may start now. */
 int bg_warmup_may_start(const struct bg_warmup *wu, uint64_t now_us);
 /** Calls that may start at once; UINT32_MAX without a limit. */
--- a/proxy/tests/test_warmup.c
+++ b/proxy/tests/test_warmup.c
@@ -141,7 +141,12 @@
 START_TEST(pause_makes_the_server_unknown)
 {
 	bg_warmup_report(&wu, 0, now_us);
-	now_us += 6 * SECOND_US;
+	/* The change is due, so that it can be logged when it comes. */
+	now_us += bg_warmup_next_change_us(&wu, now_us) - 1;
+	ck_assert_int_eq(bg_warmup_is_limited(&wu, now_us), 0);
+	now_us += 1;
+	ck_assert_int_eq(bg_warmup_is_limited(&wu, now_us), 1);
+	now_us += 2 * SECOND_US;
 	ck_assert_int_eq(bg_warmup_is_limited(&wu, now_us), 1);
 	ck_assert_uint_eq(bg_warmup_starts_left(&wu, now_us), BURST);
 	bg_warmup_report(&wu, 0, now_us);
