Start queued calls of a new server after its slots are set

Cause: since the warm-up, an announcement that changes the server starts the queued calls before the limiter knows the number of slots of the new server, after the reset has lifted the limit. With fewer slots than before, more calls start than the server has slots for, also for services without a rate.

Change: the warm-up, which starts the queued calls, is applied last, in place of the call that did so before.

--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -390,13 +390,13 @@
 	    (unsigned long long)gk->server.sequence);
 	if (is_new)
 		reset_for_new_server(gk);
-	bg_gate_warmup_announced(gk, &copy, is_new);
 	bg_limiter_set_slots(&gk->limiter, gk->server.slots);
 	gk->connect_failures = 0;
 	if (gk->server.leaving_since_ms != 0 && previous.leaving_since_ms == 0)
 		start_drain_timer(gk);
 	bg_gate_publish(gk);
-	bg_gate_start_queued(gk);
+	/* Starts queued calls, so the slots must be set. */
+	bg_gate_warmup_announced(gk, &copy, is_new);
 	return result;
 }
 
