Spread Retry-After of cold services below its upper bound

Cause: the time was drawn from the whole warm-up and then cut at 2 s. In a long warm-up nearly all callers that were refused together came back together.

Change: the draw ends at the upper bound. The new test is red with the cut.

--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -117,8 +117,8 @@
 	if (base_ms < RETRY_AFTER_MIN_MS)
 		base_ms = RETRY_AFTER_MIN_MS;
 	if (call->cold_left_ms != 0)
-		ms = bg_cold_call_retry_ms(
-		    &call->proxy->router.rand, base_ms, call->cold_left_ms);
+		ms = bg_cold_call_retry_ms(&call->proxy->router.rand, base_ms,
+		    call->cold_left_ms, RETRY_AFTER_MAX_MS);
 	else
 		ms =
 		    base_ms + bg_rand_below(&call->proxy->router.rand, base_ms);
--- a/proxy/src/call/cold_call.h
+++ b/proxy/src/call/cold_call.h
@@ -28,8 +28,9 @@
     const struct bg_pick *pick, uint32_t picks, uint64_t useful_us);
 /** Time after which a refused caller should come back: spread over the rest of
  * the warm-up, because the servers serve more calls the warmer they are.
- * @param earliest_ms @param cold_left_ms until the servers are warm */
-uint32_t bg_cold_call_retry_ms(
-    struct bg_rand *rnd, uint64_t earliest_ms, uint32_t cold_left_ms);
+ * @param earliest_ms @param cold_left_ms until the servers are warm
+ * @param latest_ms end of the spread, if the warm-up takes longer */
+uint32_t bg_cold_call_retry_ms(struct bg_rand *rnd, uint64_t earliest_ms,
+    uint32_t cold_left_ms, uint32_t latest_ms);
 
 #endif
--- a/proxy/tests/test_cold.c
+++ b/proxy/tests/test_cold.c
@@ -143,7 +143,7 @@
 
 	bg_rand_init(&rnd, 7);
 	for (i = 0; i < 1000; i++) {
-		ms = bg_cold_call_retry_ms(&rnd, 100, 2000);
+		ms = bg_cold_call_retry_ms(&rnd, 100, 2000, 5000);
 		ck_assert_uint_ge(ms, 100);
 		ck_assert_uint_le(ms, 2100);
 		early += ms < 1100;
@@ -153,6 +153,27 @@
 }
 END_TEST
 
+/* Guards against callers that all come back at the latest time, because most of
+ * a long warm-up lies after it. */
+START_TEST(refused_callers_do_not_meet_at_the_latest_time)
+{
+	struct bg_rand rnd;
+	uint32_t late = 0;
+	uint32_t ms;
+	int i;
+
+	bg_rand_init(&rnd, 7);
+	for (i = 0; i < 1000; i++) {
+		ms = bg_cold_call_retry_ms(&rnd, 100, 30000, 2000);
+		ck_assert_uint_ge(ms, 100);
+		ck_assert_uint_le(ms, 2000);
+		late += ms > 1900;
+	}
+	ck_assert_uint_lt(late, 100);
+	ck_assert_uint_eq(bg_cold_call_retry_ms(&rnd, 5000, 30000, 2000), 2000);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -167,5 +188,6 @@
 	tcase_add_test(tc, service_without_rate_is_never_cold);
 	tcase_add_test(tc, hopeless_calls_are_not_sent);
 	tcase_add_test(tc, refused_callers_return_over_the_warmup);
+	tcase_add_test(tc, refused_callers_do_not_meet_at_the_latest_time);
 	return run_suite("cold", tc);
 }
--- a/proxy/tests/test_ramp.c
+++ b/proxy/tests/test_ramp.c
@@ -29,6 +29,7 @@
 #define RUN_MS 9000
 #define CALLS_MAX 8192
 #define PICKS_MAX 6
+#define RETRY_MAX_MS 2000
 #define QUEUE_FROM_PICK 3
 #define START_MS 1000000ULL
 #define WALL_OFFSET_MS 1790000000000ULL
@@ -201,8 +202,9 @@
 	if (call->is_retry)
 		return;
 	call->is_retry = 1;
-	call->retry_at_us =
-	    now_us + bg_cold_call_retry_ms(&rnd, 140, cold_left_ms) * 1000ULL;
+	call->retry_at_us = now_us +
+	    bg_cold_call_retry_ms(&rnd, 140, cold_left_ms, RETRY_MAX_MS) *
+		1000ULL;
 	/* Callers wait for a third of their time at most. */
 	if (call->retry_at_us > now_us + DEADLINE_US / 3)
 		call->retry_at_us = now_us + DEADLINE_US / 3;
