Judge slow responses as before for services without a rate

Cause: each announcement set how long the server counts as cold, also for services without a rate. There, before, only the first announcement of a lifetime excused slow responses of a version; a server that announced a warm-up later could hide the slowness of its version.

Change: without a rate, later announcements only show that the server lives. The new test failed before.

--- a/proxy/src/gatekeeper/gate_warmup.c
+++ b/proxy/src/gatekeeper/gate_warmup.c
@@ -116,11 +116,21 @@
 	bg_gate_warmup_schedule(gk);
 }
 
+/* 1 if the announcement decides how long the server is cold. Without a rate,
+ * only that of a start excuses slow responses of its version. */
+static int
+states_warmup(const struct bg_warmup *wu, const struct bg_announcement *ann,
+    int is_new_lifetime)
+{
+	return ann->has_warmup_left &&
+	    (is_new_lifetime || wu->rate_milli_per_s != 0);
+}
+
 static void
 apply_announcement(struct bg_warmup *wu, const struct bg_announcement *ann,
     int is_new_lifetime, uint64_t now_us)
 {
-	if (ann->has_warmup_left)
+	if (states_warmup(wu, ann, is_new_lifetime))
 		bg_warmup_report(wu, ann->warmup_left_ms, now_us);
 	else if (!is_new_lifetime)
 		bg_warmup_heard(wu, now_us);
--- a/proxy/tests/node.h
+++ b/proxy/tests/node.h
@@ -29,6 +29,7 @@
 	int count;
 	int failed;
 	int slow;
+	int cold;
 	int dependency_faults;
 	uint32_t last_own_us;
 };
@@ -69,6 +70,7 @@
 	counts->count++;
 	counts->failed += observation->is_failed;
 	counts->slow += observation->is_slow;
+	counts->cold += observation->is_cold;
 	counts->dependency_faults += observation->is_dependency_fault;
 	counts->last_own_us = observation->own_time_us;
 }
--- a/proxy/tests/test_cold_node.c
+++ b/proxy/tests/test_cold_node.c
@@ -45,7 +45,7 @@
 }
 
 static void
-setup(void)
+setup_with_rate(uint32_t rate_milli)
 {
 	struct node *self = &node1;
 	int i;
@@ -53,7 +53,7 @@
 	base = event_base_new();
 	build_snapshot();
 	snapshot->services[0].warmup_ms = WARMUP_MS;
-	snapshot->services[0].warmup_milli_per_s = RATE_MILLI;
+	snapshot->services[0].warmup_milli_per_s = rate_milli;
 	node_start(&node1, base);
 	node_set_roster(&node1, &self, 1);
 	node1.mesh.listener.snapshot(node1.mesh.listener.arg, snapshot);
@@ -61,6 +61,12 @@
 		client_open(&clients[i], base, bg_proxy_port(node1.proxy));
 }
 
+static void
+setup(void)
+{
+	setup_with_rate(RATE_MILLI);
+}
+
 static void
 teardown(void)
 {
@@ -218,6 +224,25 @@
 }
 END_TEST
 
+/* Guards against another judgment of slow responses for services without a
+ * rate: only the time announced with the start of a server excuses them. */
+START_TEST(later_reports_excuse_no_slowness_without_a_rate)
+{
+	setup_with_rate(0);
+	announce("a", 1000, 0);
+	announce("a", 1000, WARMUP_MS);
+	client_send(&clients[0], "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, client_has_response(&clients[0]));
+	ck_assert_int_eq(node1.observed.cold, 0);
+	announce("b", 2000, WARMUP_MS);
+	announce("b", 2000, 0);
+	client_send(&clients[0], "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, client_has_response(&clients[0]));
+	ck_assert_int_eq(node1.observed.cold, 1);
+	teardown();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -230,5 +255,6 @@
 	tcase_add_test(tc, doubted_server_is_cold_until_it_announces_itself);
 	tcase_add_test(tc, waiting_call_starts_with_the_allowance);
 	tcase_add_test(tc, probe_tells_that_the_server_is_cold);
+	tcase_add_test(tc, later_reports_excuse_no_slowness_without_a_rate);
 	return run_suite_forked("cold node", tc);
 }
