Test resends, 421 and refused connections at cold servers

Cause: no test failed when a second write was not counted as a start or was made without an allowance, when a 421 was not taken back, when a refused connection left the server warm, when the load report lacked the warm-up, when the router ignored the wait at a cold server, or when the header of probes was not read (the server was cold without it).

--- a/proxy/tests/test_cold.c
+++ b/proxy/tests/test_cold.c
@@ -100,6 +100,9 @@
 	estimate(10);
 	ck_assert_uint_eq(cold.left_ms, 0);
 	ck_assert_uint_eq(cold.wait_us, 0);
+	ep.load.cold_left_ms = 1000;
+	estimate(10);
+	ck_assert_uint_eq(cold.left_ms, 0);
 }
 END_TEST
 
--- a/proxy/tests/test_cold_node.c
+++ b/proxy/tests/test_cold_node.c
@@ -2,11 +2,13 @@
 
 #include <check.h>
 
+#include "proxy_internal.h"
 #include "node.h"
 #include "suite.h"
 
 #define RATE_MILLI 5000
 #define WARMUP_MS 2000
+#define LONG_WARMUP_MS 60000
 #define CLIENTS 16
 /* Time after which a caller's node offers calls again to a cold server that had
  * a few of them waiting. */
@@ -199,24 +201,38 @@
 }
 END_TEST
 
+/* Sets the response to probes and waits until it was read. */
+static void
+wait_for_probe(const char *response, size_t bytes)
+{
+	int probes = node1.backend.probes;
+
+	node1.backend.raw = response;
+	node1.backend.raw_bytes = bytes;
+	/* The second probe shows that the first response was read. */
+	WAIT(base, node1.backend.probes >= probes + 2);
+}
+
 /* Guards against a probed server that turned cold and is taken for warm
  * although its responses to probes say so. */
 START_TEST(probe_tells_that_the_server_is_cold)
 {
-	static const char response[] = "HTTP/1.1 200 OK\r\n"
-				       "X-Warmup-Ms: 1500\r\n"
-				       "Content-Length: 0\r\n\r\n";
-	char *name = node1.settings.headers.warmup_left;
-	int probes;
+	static const char warm[] = "HTTP/1.1 200 OK\r\n"
+				   "X-Warmup-Ms: 0\r\n"
+				   "Content-Length: 0\r\n\r\n";
+	static const char cold[] = "HTTP/1.1 200 OK\r\n"
+				   "X-Warmup-Ms: 1500\r\n"
+				   "Content-Length: 0\r\n\r\n";
 
 	setup();
-	snprintf(name, BG_HEADER_NAME_BYTES, "X-Warmup-Ms");
-	node1.backend.raw = response;
-	node1.backend.raw_bytes = sizeof(response) - 1;
+	snprintf(node1.settings.headers.warmup_left, BG_HEADER_NAME_BYTES,
+	    "X-Warmup-Ms");
 	node1.backend.probe_mode = BACKEND_RAW;
-	probes = node1.backend.probes;
-	/* The second probe shows that the first response was read. */
-	WAIT(base, node1.backend.probes >= probes + 2);
+	/* Without the header, a server that was just found counts as cold. */
+	wait_for_probe(warm, sizeof(warm) - 1);
+	get_with_all();
+	WAIT(base, count_status(200) == CLIENTS);
+	wait_for_probe(cold, sizeof(cold) - 1);
 	get_with_all();
 	WAIT(base, count_status(200) + count_status(503) == CLIENTS);
 	ck_assert_int_gt(count_status(503), 0);
@@ -224,6 +240,107 @@
 }
 END_TEST
 
+static void
+apply_rate(uint32_t rate_milli)
+{
+	snapshot->services[0].warmup_milli_per_s = rate_milli;
+	node1.mesh.listener.snapshot(node1.mesh.listener.arg, snapshot);
+}
+
+/* Makes the server cold with a number of starts left that does not rise, and
+ * with an idle connection to it. */
+static void
+leave_starts(uint32_t starts)
+{
+	setup();
+	snapshot->services[0].warmup_ms = LONG_WARMUP_MS;
+	/* The burst is a half of the tolerated excess. */
+	node1.settings.warmup.excess_starts = 2 * starts;
+	apply_rate(RATE_MILLI);
+	announce("a", 1000, 0);
+	client_send(&clients[0], "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, client_has_response(&clients[0]));
+	pass_time(1100 * 1000 * starts / RATE_MILLI);
+	apply_rate(1);
+	announce("a", 1000, LONG_WARMUP_MS);
+}
+
+static int
+get(int i)
+{
+	client_send(&clients[i], "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, client_has_response(&clients[i]));
+	return client_status(&clients[i]);
+}
+
+/* Failure: the server closes its connections. Guards against second writes that
+ * are not counted as starts. */
+START_TEST(resent_call_is_a_start)
+{
+	leave_starts(2);
+	node1.backend.mode = BACKEND_CLOSE;
+	ck_assert_int_eq(get(1), 502);
+	ck_assert_int_eq(node1.backend.requests, 3);
+	ck_assert_int_eq(get(2), 503);
+	ck_assert_int_eq(node1.backend.requests, 3);
+	teardown();
+}
+END_TEST
+
+/* Failure: the server closes its connections. Guards against a second write
+ * beyond the limit, and against a refusal of the call, which may have run. */
+START_TEST(call_is_not_resent_without_an_allowance)
+{
+	leave_starts(1);
+	node1.backend.mode = BACKEND_CLOSE;
+	ck_assert_int_eq(get(1), 502);
+	ck_assert_int_eq(node1.backend.requests, 2);
+	teardown();
+}
+END_TEST
+
+/* Failure: another server has the address. Guards against counting the call
+ * that it did not take. */
+START_TEST(misdirected_call_is_no_start)
+{
+	static const char response[] = "HTTP/1.1 421 X\r\n"
+				       "Content-Length: 0\r\n\r\n";
+
+	leave_starts(1);
+	node1.backend.raw = response;
+	node1.backend.raw_bytes = sizeof(response) - 1;
+	node1.backend.mode = BACKEND_RAW;
+	ck_assert_int_eq(get(1), 503);
+	announce("b", 2000, LONG_WARMUP_MS);
+	node1.backend.mode = BACKEND_OK;
+	pass_time(REPORTED_WAIT_MS);
+	ck_assert_int_eq(get(2), 200);
+	ck_assert_int_eq(get(3), 503);
+	teardown();
+}
+END_TEST
+
+/* Failure: the server has ended, and a new one may start with its id. Guards
+ * against taking it for warm, and against callers that are not told. */
+START_TEST(refused_connection_makes_the_server_cold)
+{
+	const struct bg_load *load;
+
+	setup();
+	announce("a", 1000, 0);
+	ck_assert_int_eq(get(0), 200);
+	load =
+	    &bg_endpoint_get(&node1.proxy->router.endpoints, node1.mesh.address)
+		 ->load;
+	ck_assert_uint_eq(load->cold_left_ms, 0);
+	backend_stop(&node1.backend);
+	ck_assert_int_ne(get(1), 200);
+	ck_assert_uint_gt(load->cold_left_ms, 0);
+	ck_assert_uint_eq(load->cold_starts_milli_per_s, RATE_MILLI);
+	teardown();
+}
+END_TEST
+
 /* Guards against another judgment of slow responses for services without a
  * rate: only the time announced with the start of a server excuses them. */
 START_TEST(later_reports_excuse_no_slowness_without_a_rate)
@@ -255,6 +372,10 @@
 	tcase_add_test(tc, doubted_server_is_cold_until_it_announces_itself);
 	tcase_add_test(tc, waiting_call_starts_with_the_allowance);
 	tcase_add_test(tc, probe_tells_that_the_server_is_cold);
+	tcase_add_test(tc, resent_call_is_a_start);
+	tcase_add_test(tc, call_is_not_resent_without_an_allowance);
+	tcase_add_test(tc, misdirected_call_is_no_start);
+	tcase_add_test(tc, refused_connection_makes_the_server_cold);
 	tcase_add_test(tc, later_reports_excuse_no_slowness_without_a_rate);
 	return run_suite_forked("cold node", tc);
 }
--- a/proxy/tests/test_router.c
+++ b/proxy/tests/test_router.c
@@ -416,6 +416,26 @@
 }
 END_TEST
 
+/* Load: all servers are cold. Guards against calls for those that have no start
+ * left while another one has. */
+START_TEST(cold_server_with_a_start_left_is_preferred)
+{
+	int i;
+
+	q.cold.duration_ms = 3000;
+	q.cold.rate_milli_per_s = 7200;
+	q.wall_ms = 1790000000000;
+	for (i = 0; i < 4; i++) {
+		report(i, 1);
+		endpoint(i)->load.cold_left_ms = 2000;
+		endpoint(i)->load.cold_starts_milli_per_s = 7200;
+		endpoint(i)->load.cold_starts_left = i == 2;
+	}
+	pick_many(PICKS);
+	ck_assert_int_eq(picked[2], PICKS);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -423,6 +443,7 @@
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, cold_server_is_used_when_warm_ones_are_busy);
+	tcase_add_test(tc, cold_server_with_a_start_left_is_preferred);
 	tcase_add_test(tc, calls_spread_evenly);
 	tcase_add_test(tc, empty_member_list_is_not_found);
 	tcase_add_test(tc, only_ready_servers_are_used);
