Refuse waiting calls at once when the server turns cold

Cause: calls that waited for a slot when the server turned cold were checked again only when a further call was queued. Otherwise those that the cold server could not start in time waited until their time was up, with none left for another server.

Change: the queue is checked when a limit begins or is confirmed, only at servers with a limit.

--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -82,6 +82,8 @@
 void bg_gate_send(struct bg_gate_call *call, int needs_new_connection);
 /** Starts queued calls while slots are free. */
 void bg_gate_start_queued(struct bg_gatekeeper *gk);
+/** Refuses the queued calls that are not expected to start in time. */
+void bg_gate_refuse_infeasible(struct bg_gatekeeper *gk);
 /** Starts or queues a call whose request is complete, or refuses it. */
 void bg_gate_admit(struct bg_gate_call *call);
 /** Reason for which a call cannot be admitted whatever the load, or
--- a/proxy/src/gatekeeper/gate_warmup.c
+++ b/proxy/src/gatekeeper/gate_warmup.c
@@ -52,6 +52,15 @@
 	bg_metrics_set_cold_left(left_ms);
 }
 
+/* Refuses the queued calls for which the limit leaves no start in time, so that
+ * their callers can try elsewhere. */
+static void
+refuse_beyond_limit(struct bg_gatekeeper *gk)
+{
+	if (bg_warmup_is_limited(&gk->limiter.warmup, bg_clock_now_us()))
+		bg_gate_refuse_infeasible(gk);
+}
+
 static void
 on_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -59,7 +68,7 @@
 
 	report_limit(gk, "time", 0);
 	bg_gate_start_queued(gk);
-	bg_gate_warmup_schedule(gk);
+	refuse_beyond_limit(gk);
 }
 
 int
@@ -148,7 +157,7 @@
 	    &gk->limiter.warmup, ann, is_new_lifetime, bg_clock_now_us());
 	report_limit(gk, is_new_lifetime ? "start" : "report", is_new_lifetime);
 	bg_gate_start_queued(gk);
-	bg_gate_warmup_schedule(gk);
+	refuse_beyond_limit(gk);
 }
 
 void
@@ -158,6 +167,7 @@
 		return;
 	bg_warmup_doubt(&gk->limiter.warmup, bg_clock_now_us());
 	report_limit(gk, reason, 0);
+	refuse_beyond_limit(gk);
 	bg_gate_warmup_schedule(gk);
 }
 
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -81,8 +81,8 @@
 	return BG_XREFUSAL_NONE;
 }
 
-static void
-refuse_infeasible(struct bg_gatekeeper *gk)
+void
+bg_gate_refuse_infeasible(struct bg_gatekeeper *gk)
 {
 	struct bg_limiter_entry *entry;
 	uint64_t now_us = bg_clock_now_us();
@@ -112,7 +112,7 @@
 		break;
 	case BG_LIMITER_QUEUED:
 		bg_gate_set_timer(call, bg_queue_latest_start_us(&call->entry));
-		refuse_infeasible(gk);
+		bg_gate_refuse_infeasible(gk);
 		bg_gate_warmup_schedule(gk);
 		break;
 	case BG_LIMITER_REJECTED:
--- a/proxy/tests/test_cold_node.c
+++ b/proxy/tests/test_cold_node.c
@@ -2,13 +2,15 @@
 
 #include <check.h>
 
-#include "proxy_internal.h"
 #include "node.h"
+#include "proxy_internal.h"
 #include "suite.h"
 
 #define RATE_MILLI 5000
 #define WARMUP_MS 2000
 #define LONG_WARMUP_MS 60000
+#define LONG_TIMEOUT_MS 8000
+#define SLOTS 6
 #define CLIENTS 16
 /* Time after which a caller's node offers calls again to a cold server that had
  * a few of them waiting. */
@@ -36,7 +38,7 @@
 	snprintf(ann.service, sizeof(ann.service), "atelier");
 	snprintf(ann.server_version, sizeof(ann.server_version), "v1");
 	ann.state = BG_ANNOUNCED_READY;
-	ann.slots = 6;
+	ann.slots = SLOTS;
 	ann.started_ms = started_ms;
 	ann.has_started_ms = 1;
 	ann.warmup_left_ms = warmup_left_ms;
@@ -247,6 +249,17 @@
 	node1.mesh.listener.snapshot(node1.mesh.listener.arg, snapshot);
 }
 
+static void
+set_timeout(uint32_t ms)
+{
+	size_t i;
+
+	for (i = 0; i < snapshot->rule_count; i++) {
+		snapshot->rules[i].timeout_ms = ms;
+		snapshot->rules[i].target_ms = ms / 2;
+	}
+}
+
 /* Makes the server cold with a number of starts left that does not rise, and
  * with an idle connection to it. */
 static void
@@ -341,6 +354,33 @@
 }
 END_TEST
 
+/* Load: more calls than slots wait at a warm server that turns cold. Guards
+ * against calls that wait until their time is up, though the cold server cannot
+ * start them in time, and then have none left for another try. */
+START_TEST(waiting_calls_are_refused_when_the_server_turns_cold)
+{
+	uint64_t start_ms;
+
+	setup();
+	snapshot->services[0].warmup_ms = LONG_WARMUP_MS;
+	apply_rate(1);
+	set_timeout(LONG_TIMEOUT_MS);
+	announce("a", 1000, 0);
+	node1.backend.mode = BACKEND_HOLD;
+	get_with_all();
+	WAIT(base, node1.backend.held == SLOTS);
+	/* Calls queue after two picks without a free slot. */
+	pass_time(200);
+	ck_assert_int_eq(count_status(503), 0);
+	start_ms = bg_clock_now_ms();
+	announce("a", 1000, LONG_WARMUP_MS);
+	WAIT(base, count_status(503) == CLIENTS - SLOTS);
+	ck_assert_uint_lt(bg_clock_now_ms() - start_ms, LONG_TIMEOUT_MS / 4);
+	ck_assert_int_eq(node1.backend.requests, SLOTS);
+	teardown();
+}
+END_TEST
+
 /* Guards against another judgment of slow responses for services without a
  * rate: only the time announced with the start of a server excuses them. */
 START_TEST(later_reports_excuse_no_slowness_without_a_rate)
@@ -376,6 +416,8 @@
 	tcase_add_test(tc, call_is_not_resent_without_an_allowance);
 	tcase_add_test(tc, misdirected_call_is_no_start);
 	tcase_add_test(tc, refused_connection_makes_the_server_cold);
+	tcase_add_test(
+	    tc, waiting_calls_are_refused_when_the_server_turns_cold);
 	tcase_add_test(tc, later_reports_excuse_no_slowness_without_a_rate);
 	return run_suite_forked("cold node", tc);
 }
