--- a/moves/src/task/task.h
+++ b/moves/src/task/task.h
@@ -2,7 +2,9 @@
 #define BG_MOVES_TASK_H
 
 /** @file
- * State of the moves task.
+ * State of the moves task, shared by its files: moves.c evaluates moves and
+ * writes steps, members.c derives the inputs from the members, and verdict.c
+ * judges the server beside this node.
  */
 
 #include <uthash.h>
@@ -40,4 +42,31 @@
 	struct bg_tracked_move *tracked; /**< hash by service */
 };
 
+/** @return NULL if the service has had no move */
+struct bg_tracked_move *bg_moves_find_tracked(
+    const struct bg_moves *mvs, const char *service);
+/** Evaluates the moves soon. */
+void bg_moves_arm_timer(struct bg_moves *mvs);
+/** 1 if the move is in progress or still monitored after its end.
+ * @param now_ms monotonic clock */
+int bg_moves_is_monitored(const struct bg_tracked_move *trk, uint64_t now_ms);
+
+/** Counts an answer and, during a move, judges the server beside this node by
+ * it. Implements struct bg_observer. */
+void bg_moves_observe(
+    struct bg_observer *obs, const struct bg_observation *seen);
+/** Stops or resumes calls to the server beside this node. */
+void bg_moves_suspend(struct bg_moves *mvs, int is_suspended);
+
+/** Fills the input of the next step from the members and their verdicts.
+ * @param now_ms monotonic clock */
+void bg_moves_plan_input(struct bg_plan_input *out, const struct bg_moves *mvs,
+    const struct bg_tracked_move *trk, uint64_t now_ms);
+/** Rank of this node in the order of nodes for a service. */
+uint32_t bg_moves_node_rank(const struct bg_moves *mvs, const char *service);
+/** Finds the version to move to without an operator: that of the latest ready
+ * server whose version was not tried before.
+ * @return NULL if there is none */
+const char *bg_moves_find_candidate(const struct bg_tracked_move *trk);
+
 #endif
