--- a/config/include/burdockgrade/snapshot.h
+++ b/config/include/burdockgrade/snapshot.h
@@ -213,8 +213,8 @@
 /**
  * Builds a snapshot from services and rules. Checks that every rule has a path
  * prefix, a timeout, an attempt and a weighted target, that every target names
- * a service, and that no two rules next to each other in the sort order have
- * the same host and prefix and a common method.
+ * a service, and that no two rules have the same host and prefix and a common
+ * method.
  *
  * @param out to be released by bg_snapshot_release(); NULL on error
  * @return 0, BG_EINVAL or BG_ENOMEM, with the reason in err
--- a/config/src/assemble.c
+++ b/config/src/assemble.c
@@ -141,8 +141,26 @@
 	return 0;
 }
 
-/* Checks each rule, and compares it with the one before it in the sort order
- * only. */
+/* 1 if an earlier rule of the same host and path conflicts with the rule. Rules
+ * of one host and path are neighbours in the sort order. */
+static int
+has_conflict(const struct bg_snapshot *snap, size_t index)
+{
+	const struct bg_rule *rule = &snap->rules[index];
+	const struct bg_rule *earlier;
+	size_t i;
+
+	for (i = index; i > 0; i--) {
+		earlier = &snap->rules[i - 1];
+		if (bg_rule_compare_key(earlier, rule->host, rule->prefix,
+			bg_prefix_bytes(rule->prefix)) != 0)
+			return 0;
+		if (bg_rule_conflicts(earlier, rule))
+			return 1;
+	}
+	return 0;
+}
+
 static int
 check_rules(const struct bg_snapshot *snap, struct bg_error *err)
 {
@@ -152,8 +170,7 @@
 	for (i = 0; i < snap->rule_count; i++) {
 		if ((error = check_rule(snap, &snap->rules[i], err)) != 0)
 			return error;
-		if (i > 0 &&
-		    bg_rule_conflicts(&snap->rules[i - 1], &snap->rules[i]))
+		if (has_conflict(snap, i))
 			return fail(err, snap->rules[i].name,
 			    "another route has the same host, path and method");
 	}
--- a/config/tests/test_snapshot.c
+++ b/config/tests/test_snapshot.c
@@ -543,6 +543,30 @@
 }
 END_TEST
 
+/* Guards against rules that conflict unnoticed because another rule stands
+ * between them in the sort order. */
+START_TEST(conflict_is_found_across_other_rules)
+{
+	struct bg_rule rules[] = {
+	    make_rule("a", "h", "/p", TO_STOCK, 1),
+	    make_rule("b", "h", "/p/", TO_STOCK, 1),
+	    make_rule("c", "h", "/p", TO_STOCK, 1),
+	};
+	struct bg_snapshot *snap;
+
+	ck_assert_int_eq(assemble(&snap, rules, 3), BG_EINVAL);
+	ck_assert_int_eq(assemble(&snap, rules, 2), 0);
+	bg_snapshot_release(snap);
+	rules[1].prefix = "/p";
+	rules[0].methods = rules[2].methods = BG_METHOD_GET;
+	rules[1].methods = BG_METHOD_POST;
+	ck_assert_int_eq(assemble(&snap, rules, 3), BG_EINVAL);
+	rules[2].methods = BG_METHOD_PUT;
+	ck_assert_int_eq(assemble(&snap, rules, 3), 0);
+	bg_snapshot_release(snap);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -562,5 +586,6 @@
 	    (int)(sizeof(HOSTS) / sizeof(HOSTS[0])));
 	tcase_add_test(tc, assembled_rules_are_copies);
 	tcase_add_test(tc, assembly_is_refused_as_a_whole);
+	tcase_add_test(tc, conflict_is_found_across_other_rules);
 	return run_suite("snapshot", tc);
 }
