Count what buffers hold for callers, and bound their connections

Cause: libevhtp keeps each piece of a body in a buffer of its own, of at least 512 bytes, while the account had the bytes of the body only. Requests that wait for their turn and responses of pages were not counted, and the number of connections had no limit.

Change: bodies are stored in blocks. Input, bodies, heads, responses and the responses of the backend server each have an owner that counts them. Connections are bounded by memory and descriptors; idle ones make room for new ones.

--- a/core/include/burdockgrade/settings.h
+++ b/core/include/burdockgrade/settings.h
@@ -79,6 +79,9 @@
 		uint32_t body_bytes;
 		/** Memory for all bodies that the node buffers. */
 		uint64_t buffered_bytes;
+		/** Largest number of connections of callers; 0: bounded by
+		 * buffered_bytes only. */
+		uint32_t caller_connections;
 		/** Rate of the VM's link, in Mbit/s; 0: unknown. */
 		uint32_t link_mbps;
 		/** Longest duration of a graceful stop. */
--- a/core/src/settings.c
+++ b/core/src/settings.c
@@ -250,6 +250,8 @@
 		    "%llu",
 		    set->limits.body_bytes,
 		    (unsigned long long)set->limits.buffered_bytes);
+	bg_toml_u32(&set->limits.caller_connections, doc, tbl,
+	    "caller_connections", 0, CONNECTIONS_MAX, BG_TOML_OPTIONAL);
 	bg_toml_u32(&set->limits.link_mbps, doc, tbl, "link_mbps", 0,
 	    LINK_MAX_MBPS, BG_TOML_OPTIONAL);
 	bg_toml_u32(&set->limits.drain_ms, doc, tbl, "drain_ms", 0,
--- a/proxy/src/gatekeeper/backend.c
+++ b/proxy/src/gatekeeper/backend.c
@@ -47,7 +47,8 @@
 	int was_idle; /* the connection was reused after an idle time */
 	int may_lack_request_id;
 	int is_head;
-	int foreign_count; /* skipped responses to other requests */
+	int foreign_count;	/* skipped responses to other requests */
+	uint64_t counted_bytes; /* of the response body, in buffers */
 	char request_id[BG_REQUEST_ID_BYTES];
 };
 
@@ -61,6 +62,7 @@
 	uint32_t open_count;
 	uint32_t connections_max;
 	uint32_t body_bytes;
+	struct bg_buffers *buffers;
 	uint64_t last_received_ms;
 	int is_sweeping;
 };
@@ -89,9 +91,24 @@
 	be->connections = conn;
 }
 
+/* Counts the part of the response that has arrived. */
+static void
+count_response(struct bg_exchange *xch, uint64_t bytes)
+{
+	struct bg_buffers *buf = xch->connection->backend->buffers;
+
+	if (buf == NULL || bytes == xch->counted_bytes)
+		return;
+	bg_buffers_remove(buf, xch->counted_bytes);
+	bg_buffers_add(buf, bytes);
+	xch->counted_bytes = bytes;
+}
+
 static void
 exchange_free(struct bg_exchange *xch)
 {
+	if (xch->counted_bytes > 0)
+		count_response(xch, 0);
 	bg_response_reader_free(xch->reader);
 	free(xch);
 }
@@ -308,6 +325,7 @@
 static void
 on_read(struct bufferevent *bev, void *arg)
 {
+	enum bg_response_progress progress;
 	struct connection *conn = arg;
 	struct bg_exchange *xch;
 
@@ -322,8 +340,11 @@
 			return;
 		}
 		xch->has_received = 1;
-		switch (bg_response_reader_feed(
-		    xch->reader, bufferevent_get_input(bev))) {
+		progress = bg_response_reader_feed(
+		    xch->reader, bufferevent_get_input(bev));
+		count_response(xch,
+		    evbuffer_get_length(bg_response_reader_body(xch->reader)));
+		switch (progress) {
 		case BG_RESPONSE_INCOMPLETE:
 		case BG_RESPONSE_UNTIL_CLOSE:
 			return;
@@ -572,6 +593,7 @@
 	be->names = opts->names;
 	bg_backend_set_connections(be, opts->connections);
 	be->body_bytes = opts->body_bytes;
+	be->buffers = opts->buffers;
 	if (evutil_parse_sockaddr_port(
 		opts->address, (struct sockaddr *)&be->sin, &sin_bytes) != 0 ||
 	    be->sin.sin_family != AF_INET || be->sin.sin_port == 0) {
--- a/proxy/src/gatekeeper/backend.h
+++ b/proxy/src/gatekeeper/backend.h
@@ -12,6 +12,8 @@
 #include "burdockgrade/settings.h"
 #include "burdockgrade/wire_xdr.h"
 
+#include "../limiter/buffers.h"
+
 /** Idle connections are closed after this time, or one second before the idle
  * timeout that the server announces, whichever is earlier. */
 #define BG_BACKEND_IDLE_TIMEOUT_MS 5000
@@ -53,6 +55,8 @@
 	const struct bg_header_names *names;
 	uint32_t connections; /**< maximum of open connections; 0 counts as 1 */
 	uint32_t body_bytes;  /**< largest body of a response */
+	/** Counts the part of a response that has arrived; NULL: none. */
+	struct bg_buffers *buffers;
 };
 
 /** @return 0, BG_ENOMEM, or BG_EINVAL if the address is not valid */
--- a/proxy/src/gatekeeper/body.c
+++ b/proxy/src/gatekeeper/body.c
@@ -116,6 +116,10 @@
 
 	if (call->owned_args != NULL)
 		return 0;
+	/* Bodies that were admitted together may have no room together. */
+	if (!bg_buffers_can_admit(
+		call->gatekeeper->buffers, call->args->body_bytes))
+		return BG_ELIMIT;
 	if ((args = bg_rpc_take_args(call->rpc)) == NULL)
 		return BG_ENOMEM;
 	call->args = call->owned_args = args;
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -481,7 +481,7 @@
 	    set->server.connections == 0
 		? DEFAULT_CONNECTIONS
 		: usable_connections(set->server.connections),
-	    set->limits.body_bytes};
+	    set->limits.body_bytes, gk->buffers};
 	int error;
 
 	if (set->server.address[0] == '\0')
--- a/proxy/src/gatekeeper/probe.c
+++ b/proxy/src/gatekeeper/probe.c
@@ -168,7 +168,7 @@
     struct bg_error *err)
 {
 	struct bg_backend_options opts = {base, settings->server.address,
-	    &settings->headers, PROBE_CONNECTIONS, PROBE_BODY_BYTES};
+	    &settings->headers, PROBE_CONNECTIONS, PROBE_BODY_BYTES, NULL};
 	struct bg_probe *prb;
 	int error;
 
--- a/proxy/src/ingress/ingress.c
+++ b/proxy/src/ingress/ingress.c
@@ -18,6 +18,9 @@
 #define LISTEN_BACKLOG 1024
 #define PAGES_MAX 16
 #define REQUEST_ID_BYTES 128
+/* Copies of a head while its call is in progress: the headers of libevhtp, the
+ * arguments of the call, and their encoding. */
+#define HEAD_COPIES 3
 /* Header slots that are left free for the gatekeeper to add its own. */
 #define RESERVED_HEADERS 4
 
@@ -36,7 +39,7 @@
 	int is_listening;
 	struct bg_proxy *proxy;
 	evhtp_t *http;
-	struct bg_ingress_conn *connections;
+	struct bg_conn_list connections;
 	struct page_handler pages[PAGES_MAX];
 	size_t page_count;
 	struct bg_rand rand;
@@ -48,7 +51,7 @@
 	struct bg_ingress *ingress;
 	evhtp_request_t *request;
 	struct bg_call *call;	 /* NULL once the call has ended */
-	uint64_t buffered_bytes; /* bodies of the request and the response */
+	uint64_t buffered_bytes; /* head and body of the request */
 	char request_id[REQUEST_ID_BYTES];
 };
 
@@ -93,6 +96,27 @@
 	add_response_header(p->request, "Retry-After", seconds);
 }
 
+static void
+free_body(const void *data, size_t bytes, void *unused)
+{
+	free((void *)data);
+}
+
+/* Copies the body to memory of its length; the buffer would round it up to a
+ * power of two. */
+static void
+add_response_body(evhtp_request_t *req, const struct bg_call_answer *ans)
+{
+	char *copy = malloc(ans->body_bytes);
+
+	if (copy == NULL)
+		return;
+	memcpy(copy, ans->body, ans->body_bytes);
+	if (evbuffer_add_reference(
+		req->buffer_out, copy, ans->body_bytes, free_body, NULL) != 0)
+		free(copy);
+}
+
 static void
 send_response(struct pending_request *p, const struct bg_call_answer *ans,
     int close_after)
@@ -112,13 +136,16 @@
 	if (req->method == htp_method_HEAD)
 		;
 	else if (ans->body_bytes > 0)
-		evbuffer_add(req->buffer_out, ans->body, ans->body_bytes);
+		add_response_body(req, ans);
 	else if (ans->reason != NULL) {
 		add_response_header(req, "Content-Type", "text/plain");
 		evbuffer_add_printf(req->buffer_out, "%s\n", ans->reason);
 	}
 	if (close_after)
 		evhtp_request_set_keepalive(req, 0);
+	/* evhtp_request_set_keepalive() does not clear the flag. */
+	if (bg_ingress_conn_is_crowding(bg_ingress_conn_from_evhtp(req->conn)))
+		req->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
 	evhtp_send_reply(req, (evhtp_res)ans->http_status);
 }
 
@@ -149,8 +176,8 @@
 	struct bg_ingress *ing = p->ingress;
 
 	p->call = NULL;
-	p->buffered_bytes += ans->body_bytes;
-	bg_buffers_add(&ing->proxy->buffers, ans->body_bytes);
+	bg_ingress_conn_hold_response(
+	    bg_ingress_conn_from_evhtp(p->request->conn), ans->body_bytes);
 	send_response(p, ans, is_leaving(ing));
 }
 
@@ -308,7 +335,8 @@
 	struct bg_call_options opts;
 	struct bg_xcall_args args;
 
-	p->buffered_bytes = evbuffer_get_length(req->buffer_in);
+	p->buffered_bytes = evbuffer_get_length(req->buffer_in) +
+	    HEAD_COPIES * (uint64_t)head->head_bytes;
 	bg_buffers_add(&ing->proxy->buffers, p->buffered_bytes);
 	if (fill_args(&args, p, head) != 0) {
 		send_error(p, 503, bg_refusal_text(BG_XREFUSAL_BUFFERS),
@@ -378,6 +406,10 @@
 		bg_ingress_conn_set_busy(
 		    bg_ingress_conn_from_evhtp(req->conn), NULL, NULL);
 		add_response_header(req, "Content-Type", content_type);
+		if (text != NULL)
+			bg_ingress_conn_hold_response(
+			    bg_ingress_conn_from_evhtp(req->conn),
+			    strlen(text));
 		if (text != NULL)
 			evbuffer_add(req->buffer_out, text, strlen(text));
 		evhtp_send_reply(req, (evhtp_res)http_status);
@@ -387,11 +419,14 @@
 }
 
 static void
-serve_page(evhtp_request_t *req, const struct page_handler *handler)
+serve_page(struct bg_ingress *ing, evhtp_request_t *req,
+    const struct page_handler *handler)
 {
 	struct bg_ingress_conn *conn = bg_ingress_conn_from_evhtp(req->conn);
-	struct bg_page *page = calloc(1, sizeof(*page));
+	struct bg_page *page = NULL;
 
+	if (!bg_buffers_is_full(&ing->proxy->buffers))
+		page = calloc(1, sizeof(*page));
 	if (page == NULL) {
 		bg_ingress_conn_set_busy(conn, NULL, NULL);
 		evhtp_send_reply(req, EVHTP_RES_SERVUNAVAIL);
@@ -413,7 +448,7 @@
 	struct pending_request *p;
 
 	if (handler != NULL) {
-		serve_page(req, handler);
+		serve_page(ing, req, handler);
 		return;
 	}
 	if ((p = calloc(1, sizeof(*p))) == NULL) {
@@ -435,10 +470,11 @@
 	struct bg_ingress *ing = arg;
 	struct bg_ingress_conn_options opts;
 
+	if (!bg_conn_list_make_room(&ing->connections))
+		return EVHTP_RES_ERROR;
 	opts.base = ing->proxy->base;
 	opts.body_max_bytes = ing->proxy->settings->limits.body_bytes;
-	opts.buffers = &ing->proxy->buffers;
-	opts.list_head = &ing->connections;
+	opts.list = &ing->connections;
 	return bg_ingress_conn_init(evc, &opts) == 0 ? EVHTP_RES_OK
 						     : EVHTP_RES_ERROR;
 }
@@ -477,6 +513,12 @@
 		free(ing);
 		return BG_ENOMEM;
 	}
+	if (bg_conn_list_init(&ing->connections, prx->base, &prx->buffers,
+		bg_conn_limit(prx->settings->limits.buffered_bytes,
+		    prx->settings->limits.caller_connections)) != 0) {
+		bg_ingress_free(ing);
+		return BG_ENOMEM;
+	}
 	evhtp_enable_flag(ing->http, EVHTP_FLAG_ENABLE_NODELAY);
 	evhtp_set_gencb(ing->http, on_request, ing);
 	evhtp_set_post_accept_cb(ing->http, on_accept, ing);
@@ -502,7 +544,7 @@
 	if (ing == NULL)
 		return;
 	bg_ingress_stop_listening(ing);
-	bg_ingress_conn_close_all(&ing->connections);
+	bg_conn_list_free(&ing->connections);
 	evhtp_free(ing->http);
 	free(ing);
 }
--- a/proxy/src/ingress/ingress_conn.c
+++ b/proxy/src/ingress/ingress_conn.c
@@ -1,17 +1,22 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
+#include "burdockgrade/clock.h"
+
 #include "../metrics/metrics.h"
 #include "ingress_conn.h"
+#include "rejection.h"
 
 /* Reading from the caller pauses while the bufferevent, or
- * bg_ingress_conn.pipelined, holds this much input. */
-#define INPUT_MAX_BYTES 65536
+ * bg_ingress_conn.pipelined, holds this much input. A head has to fit. */
+#define INPUT_MAX_BYTES 20480
+/* A body is stored in pieces of this size, which with its header is one that
+ * libevent allocates exactly. */
+#define BODY_BLOCK_BYTES 4000
 /* Bytes that frame the chunks of a body: at most as many for each byte of the
  * body, and this many in any case. Chunks of one byte have five. */
 #define FRAMING_MAX_RATIO 8
@@ -43,14 +48,18 @@
 	uint64_t body_left_bytes;  /* not used for a chunked body */
 	uint64_t body_input_bytes; /* of the body so far, with its framing */
 	uint64_t body_max_bytes;
+	struct bg_conn_list *list;
 	struct bg_buffers *buffers;
-	uint64_t counted_bytes; /* of the body so far, in buffers */
+	uint64_t counted_bytes;	 /* of the body so far, in buffers */
+	uint64_t input_bytes;	 /* of input and pipelined, in buffers */
+	uint64_t response_bytes; /* of the response, in buffers */
+	uint64_t progress_ms;	 /* time at which a byte last moved */
 	enum conn_state state;
-	struct bg_ingress_conn **list_head;
 	struct bg_ingress_conn *prev;
 	struct bg_ingress_conn *next;
 	void (*on_request_end)(void *arg); /* NULL: none, or already called */
 	void *on_request_end_arg;
+	int has_served;	     /* a request has ended */
 	int is_head_started; /* part of a head was received */
 	int callback_depth;  /* nested callbacks in which conn is in use */
 	int is_free_pending; /* freed when the outermost callback ends */
@@ -68,6 +77,31 @@
 	free(conn);
 }
 
+/* Replaces the number of bytes that a buffer of the connection counts for. */
+static void
+recount(struct bg_ingress_conn *conn, uint64_t *counted_bytes, uint64_t bytes)
+{
+	if (*counted_bytes == bytes)
+		return;
+	bg_buffers_remove(conn->buffers, *counted_bytes);
+	bg_buffers_add(conn->buffers, bytes);
+	*counted_bytes = bytes;
+}
+
+static void
+count_input(struct bg_ingress_conn *conn)
+{
+	recount(conn, &conn->input_bytes,
+	    evbuffer_get_length(bufferevent_get_input(conn->bev)) +
+		evbuffer_get_length(conn->pipelined));
+	/* Input that waits for its turn may not take what is left. The caller
+	 * is read on with its next request. */
+	if (conn->state == CONN_BUSY && conn->input_bytes > 0 &&
+	    bg_buffers_is_short(conn->buffers))
+		bufferevent_disable(conn->bev, EV_READ);
+	bg_conn_list_check_memory(conn->list);
+}
+
 static void
 begin_callback(struct bg_ingress_conn *conn)
 {
@@ -77,6 +111,8 @@
 static void
 end_callback(struct bg_ingress_conn *conn)
 {
+	if (!conn->is_free_pending)
+		count_input(conn);
 	if (--conn->callback_depth == 0 && conn->is_free_pending)
 		conn_free(conn);
 }
@@ -89,34 +125,11 @@
 	event_add(conn->timer, &tv);
 }
 
-static const char *
-reason_phrase(int status)
-{
-	switch (status) {
-	case 408:
-		return "Request Timeout";
-	case 413:
-		return "Content Too Large";
-	case 414:
-		return "URI Too Long";
-	case 431:
-		return "Request Header Fields Too Large";
-	case 503:
-		return "Service Unavailable";
-	case 505:
-		return "HTTP Version Not Supported";
-	default:
-		return "Bad Request";
-	}
-}
-
 /* Counts the part of a body that the connection holds. */
 static void
 count_body(struct bg_ingress_conn *conn, uint64_t bytes)
 {
-	bg_buffers_remove(conn->buffers, conn->counted_bytes);
-	bg_buffers_add(conn->buffers, bytes);
-	conn->counted_bytes = bytes;
+	recount(conn, &conn->counted_bytes, bytes);
 }
 
 /* The part of the body that has arrived. libevhtp has a request only from a
@@ -143,19 +156,16 @@
 /* Writes the response itself, because the parser of libevhtp closes the
  * connection of an invalid request without a response. */
 static void
-respond_and_close(struct bg_ingress_conn *conn, int status, const char *header,
-    const char *reason)
+respond_and_close(
+    struct bg_ingress_conn *conn, const struct bg_rejection *rejection)
 {
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
 
 	discard_body(conn);
 	conn->state = CONN_CLOSING;
 	evbuffer_drain(in, evbuffer_get_length(in));
-	evbuffer_add_printf(bufferevent_get_output(conn->bev),
-	    "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n"
-	    "Content-Length: %zu\r\nConnection: close\r\n%s"
-	    "Burdock-Outcome: not-run\r\n\r\n%s\n",
-	    status, reason_phrase(status), strlen(reason) + 1, header, reason);
+	evbuffer_drain(conn->pipelined, evbuffer_get_length(conn->pipelined));
+	bg_rejection_write(bufferevent_get_output(conn->bev), rejection);
 	bufferevent_enable(conn->bev, EV_READ);
 	set_timer(conn, LINGER_TIMEOUT_MS);
 }
@@ -163,17 +173,21 @@
 static void
 reject(struct bg_ingress_conn *conn, int status, const char *reason)
 {
+	struct bg_rejection rejection = {status, "", reason};
+
 	bg_metrics_count_invalid_request();
-	respond_and_close(conn, status, "", reason);
+	respond_and_close(conn, &rejection);
 }
 
 /* Refuses a request whose body the node has no room for. */
 static void
 refuse_body(struct bg_ingress_conn *conn)
 {
+	struct bg_rejection rejection = {
+	    503, RETRY_AFTER_HEADER, bg_refusal_text(BG_XREFUSAL_BUFFERS)};
+
 	bg_metrics_count_refused(BG_XREFUSAL_BUFFERS);
-	respond_and_close(conn, 503, RETRY_AFTER_HEADER,
-	    bg_refusal_text(BG_XREFUSAL_BUFFERS));
+	respond_and_close(conn, &rejection);
 }
 
 /* The caller is read on when its earlier requests were answered. Until then,
@@ -207,7 +221,7 @@
 		reject(conn, 413, "the body is too large");
 	else if (has_too_much_framing(conn, bytes))
 		reject(conn, 400, "the chunks are framed by too many bytes");
-	else if (!bg_buffers_can_admit(conn->buffers, added_bytes))
+	else if (!bg_buffers_can_receive(conn->buffers, bytes, added_bytes))
 		refuse_body(conn);
 	else
 		count_body(conn, bytes);
@@ -277,7 +291,8 @@
 		return;
 	}
 	conn->is_head_started = 0;
-	if (!bg_buffers_can_admit(conn->buffers, conn->head.body_bytes)) {
+	if (!bg_buffers_can_receive(
+		conn->buffers, conn->head.body_bytes, conn->head.body_bytes)) {
 		refuse_body(conn);
 		return;
 	}
@@ -311,6 +326,7 @@
 	struct bg_ingress_conn *conn = arg;
 
 	begin_callback(conn);
+	conn->progress_ms = bg_clock_now_ms();
 	handle_input(conn);
 	end_callback(conn);
 }
@@ -383,11 +399,40 @@
 {
 	void (*fn)(void *) = conn->on_request_end;
 
+	recount(conn, &conn->response_bytes, 0);
+	conn->has_served = 1;
 	conn->on_request_end = NULL;
 	if (fn != NULL)
 		fn(conn->on_request_end_arg);
 }
 
+/* libevhtp gives each piece of a body a buffer of its own, which for a small
+ * chunk takes hundreds of times its bytes. The piece is copied to the end of
+ * the body instead. */
+static evhtp_res
+on_body_piece(evhtp_request_t *req, struct evbuffer *piece, void *arg)
+{
+	char block[BODY_BLOCK_BYTES];
+	int bytes;
+
+	while ((bytes = evbuffer_remove(piece, block, sizeof(block))) > 0) {
+		if (evbuffer_add(req->buffer_in, block, (size_t)bytes) != 0)
+			return EVHTP_RES_ERROR;
+	}
+	return EVHTP_RES_OK;
+}
+
+/* Notes that the caller has read part of its response. */
+static void
+on_output_changed(
+    struct evbuffer *out, const struct evbuffer_cb_info *info, void *arg)
+{
+	struct bg_ingress_conn *conn = arg;
+
+	if (info->n_deleted > 0 || info->orig_size == 0)
+		conn->progress_ms = bg_clock_now_ms();
+}
+
 static evhtp_res
 on_request_fini(evhtp_request_t *req, void *arg)
 {
@@ -399,6 +444,32 @@
 	return EVHTP_RES_OK;
 }
 
+static void
+link_conn(struct bg_ingress_conn *conn)
+{
+	struct bg_conn_list *list = conn->list;
+
+	conn->next = list->head;
+	if (conn->next != NULL)
+		conn->next->prev = conn;
+	list->head = conn;
+	bg_metrics_set_connections(++list->count);
+}
+
+static void
+unlink_conn(struct bg_ingress_conn *conn)
+{
+	struct bg_conn_list *list = conn->list;
+
+	if (conn->prev != NULL)
+		conn->prev->next = conn->next;
+	else
+		list->head = conn->next;
+	if (conn->next != NULL)
+		conn->next->prev = conn->prev;
+	bg_metrics_set_connections(--list->count);
+}
+
 static evhtp_res
 on_connection_fini(evhtp_connection_t *evc, void *arg)
 {
@@ -410,14 +481,12 @@
 	evhtp_connection_unset_hook(evc, evhtp_hook_on_request_fini);
 	notify_request_end(conn);
 	count_body(conn, 0);
-	if (conn->prev != NULL)
-		conn->prev->next = conn->next;
-	else
-		*conn->list_head = conn->next;
-	if (conn->next != NULL)
-		conn->next->prev = conn->prev;
+	recount(conn, &conn->input_bytes, 0);
+	unlink_conn(conn);
 	conn->is_free_pending = 1;
 	event_del(conn->timer);
+	evbuffer_remove_cb(
+	    bufferevent_get_output(conn->bev), on_output_changed, conn);
 	if (conn->callback_depth == 0)
 		conn_free(conn);
 	return EVHTP_RES_OK;
@@ -435,10 +504,63 @@
 }
 
 void
-bg_ingress_conn_close_all(struct bg_ingress_conn **list_head)
+bg_ingress_conn_hold_response(struct bg_ingress_conn *conn, uint64_t bytes)
+{
+	recount(conn, &conn->response_bytes, bytes);
+	bg_conn_list_check_memory(conn->list);
+}
+
+int
+bg_ingress_conn_is_crowding(const struct bg_ingress_conn *conn)
+{
+	return bg_conn_is_crowding(
+	    conn->list->count, conn->list->limit, conn->input_bytes);
+}
+
+struct bg_ingress_conn *
+bg_ingress_conn_next(const struct bg_ingress_conn *conn)
+{
+	return conn->next;
+}
+
+static enum bg_conn_activity
+activity(const struct bg_ingress_conn *conn)
+{
+	if (conn->state == CONN_CLOSING)
+		return BG_CONN_SERVING;
+	if (evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0)
+		return BG_CONN_SENDING;
+	if (conn->state == CONN_BUSY)
+		return BG_CONN_SERVING;
+	return conn->state == CONN_READING_BODY || conn->is_head_started
+	    ? BG_CONN_RECEIVING
+	    : BG_CONN_IDLE;
+}
+
+void
+bg_ingress_conn_view(
+    struct bg_conn_view *out, const struct bg_ingress_conn *conn)
 {
-	while (*list_head != NULL)
-		evhtp_connection_free((*list_head)->evhtp_conn);
+	out->activity = activity(conn);
+	out->progress_ms = conn->progress_ms;
+	out->has_served = conn->has_served;
+}
+
+void
+bg_ingress_conn_abort(struct bg_ingress_conn *conn)
+{
+	evhtp_connection_free(conn->evhtp_conn);
+}
+
+void
+bg_ingress_conn_close(struct bg_ingress_conn *conn)
+{
+	begin_callback(conn);
+	if (activity(conn) == BG_CONN_RECEIVING)
+		refuse_body(conn);
+	else
+		bg_ingress_conn_abort(conn);
+	end_callback(conn);
 }
 
 struct bg_ingress_conn *
@@ -471,23 +593,25 @@
 	conn->evhtp_conn = evc;
 	conn->bev = evc->bev;
 	conn->body_max_bytes = opts->body_max_bytes;
-	conn->buffers = opts->buffers;
-	conn->list_head = opts->list_head;
+	conn->list = opts->list;
+	conn->buffers = opts->list->buffers;
+	conn->progress_ms = bg_clock_now_ms();
 	conn->pipelined = evbuffer_new();
 	conn->timer = event_new(opts->base, -1, 0, on_timeout, conn);
 	if (conn->pipelined == NULL || conn->timer == NULL) {
 		conn_free(conn);
 		return -1;
 	}
-	conn->next = *conn->list_head;
-	if (conn->next != NULL)
-		conn->next->prev = conn;
-	*conn->list_head = conn;
+	link_conn(conn);
+	evbuffer_add_cb(
+	    bufferevent_get_output(evc->bev), on_output_changed, conn);
 	bufferevent_getcb(evc->bev, &conn->evhtp_read, &conn->evhtp_write,
 	    &conn->evhtp_event, &conn->evhtp_arg);
 	bufferevent_setcb(evc->bev, on_read, on_write, on_event, conn);
 	bufferevent_setwatermark(evc->bev, EV_READ, 0, INPUT_MAX_BYTES);
 	bufferevent_set_timeouts(evc->bev, NULL, &write_timeout);
+	evhtp_connection_set_hook(
+	    evc, evhtp_hook_on_read, (evhtp_hook)on_body_piece, conn);
 	evhtp_connection_set_hook(
 	    evc, evhtp_hook_on_request_fini, (evhtp_hook)on_request_fini, conn);
 	evhtp_connection_set_hook(evc, evhtp_hook_on_connection_fini,
--- a/proxy/src/ingress/ingress_conn.h
+++ b/proxy/src/ingress/ingress_conn.h
@@ -11,6 +11,8 @@
 #include <evhtp/evhtp.h>
 
 #include "../limiter/buffers.h"
+#include "conn_list.h"
+#include "conn_policy.h"
 #include "request_head.h"
 
 /** Time limit for receiving a complete head, from its first byte. */
@@ -27,19 +29,26 @@
 struct bg_ingress_conn_options {
 	struct event_base *base;
 	uint64_t body_max_bytes;
-	/** Counts the part of a body that has arrived; from
-	 * bg_ingress_conn_set_busy() on, the caller counts it. */
-	struct bg_buffers *buffers;
-	/** Head of the list of open connections, to which this one is added. */
-	struct bg_ingress_conn **list_head;
+	/** The open connections, to which this one is added. Its buffers count
+	 * the input of the connection and the part of a body that has arrived;
+	 * from bg_ingress_conn_set_busy() on, the caller counts the body. */
+	struct bg_conn_list *list;
 };
 
 /** Attaches to an accepted connection, with which it is freed.
  * @return 0, or -1 if out of memory */
 int bg_ingress_conn_init(
     struct evhtp_connection *evc, const struct bg_ingress_conn_options *opts);
-/** Closes all connections of a list. */
-void bg_ingress_conn_close_all(struct bg_ingress_conn **list_head);
+/** The next connection of the list; NULL: none. */
+struct bg_ingress_conn *bg_ingress_conn_next(
+    const struct bg_ingress_conn *conn);
+void bg_ingress_conn_view(
+    struct bg_conn_view *out, const struct bg_ingress_conn *conn);
+/** Closes a connection. The sender of an unfinished request is told that it was
+ * not run. */
+void bg_ingress_conn_close(struct bg_ingress_conn *conn);
+/** Closes a connection at once, without a response. */
+void bg_ingress_conn_abort(struct bg_ingress_conn *conn);
 /** The state attached to a connection of libevhtp. */
 struct bg_ingress_conn *bg_ingress_conn_from_evhtp(
     struct evhtp_connection *evc);
@@ -56,5 +65,11 @@
  */
 void bg_ingress_conn_set_busy(struct bg_ingress_conn *conn,
     void (*on_request_end)(void *arg), void *on_request_end_arg);
+/** 1 if the connection is to be closed after the current response. */
+int bg_ingress_conn_is_crowding(const struct bg_ingress_conn *conn);
+/** Counts the bytes of a response that is about to be written, until the
+ * request ends. */
+void bg_ingress_conn_hold_response(
+    struct bg_ingress_conn *conn, uint64_t bytes);
 
 #endif
--- a/proxy/src/metrics/metrics.c
+++ b/proxy/src/metrics/metrics.c
@@ -95,8 +95,19 @@
 static struct bg_counter gate_limit =
     BG_GAUGE("burdock_gate_limit", "Adaptive limit of running calls.");
 
-static struct bg_counter buffered =
-    BG_GAUGE("burdock_buffered_bytes", "Bytes of bodies held by the node.");
+static struct bg_counter buffered = BG_GAUGE(
+    "burdock_buffered_bytes", "Bytes that the node holds for callers.");
+static struct bg_counter connections =
+    BG_GAUGE("burdock_ingress_connections", "Open connections of callers.");
+
+#define CLOSED "burdock_ingress_closed_total"
+#define CLOSED_HELP "Connections of callers closed for the sake of others."
+
+static struct bg_counter closed[BG_CLOSE_COUNT] = {
+    BG_COUNTER(CLOSED "{reason=\"stalled\"}", CLOSED_HELP),
+    BG_COUNTER(CLOSED "{reason=\"replaced\"}", CLOSED_HELP),
+    BG_COUNTER(CLOSED "{reason=\"refused\"}", CLOSED_HELP),
+};
 
 const char *
 bg_refusal_text(enum bg_xrefusal reason)
@@ -178,6 +189,18 @@
 	bg_counter_set(&buffered, (int64_t)bytes);
 }
 
+void
+bg_metrics_count_closed(enum bg_close_reason reason)
+{
+	bg_counter_add(&closed[reason], 1);
+}
+
+void
+bg_metrics_set_connections(uint32_t count)
+{
+	bg_counter_set(&connections, count);
+}
+
 void
 bg_metrics_observe_backend_time(uint64_t duration_us)
 {
--- a/proxy/src/metrics/metrics.h
+++ b/proxy/src/metrics/metrics.h
@@ -21,6 +21,14 @@
 	BG_DISCARD_COUNT,
 };
 
+/** Why a connection of a caller was closed for the sake of others. */
+enum bg_close_reason {
+	BG_CLOSE_STALLED,  /**< moved no byte while memory was short */
+	BG_CLOSE_REPLACED, /**< at the limit of connections, for a new one */
+	BG_CLOSE_REFUSED,  /**< came at the limit of connections */
+	BG_CLOSE_COUNT,
+};
+
 /** Text of a refusal for the response to the caller. */
 const char *bg_refusal_text(enum bg_xrefusal reason);
 /** Short name of a refusal for logs. */
@@ -41,11 +49,15 @@
 void bg_metrics_count_canceled(void);
 /** Counts a request that is rejected as invalid or too large. */
 void bg_metrics_count_invalid_request(void);
+/** Counts a connection that is closed for the sake of others. */
+void bg_metrics_count_closed(enum bg_close_reason reason);
+/** Sets the gauge of the open connections of callers. */
+void bg_metrics_set_connections(uint32_t count);
 /** Sets the gauges of the gatekeeper.
  * @param limit adaptive limit of running calls */
 void bg_metrics_set_gatekeeper(
     uint32_t running, uint32_t queued, uint32_t limit);
-/** Sets the gauge of the body bytes that the node holds. */
+/** Sets the gauge of the bytes that the node holds for callers. */
 void bg_metrics_set_buffered_bytes(uint64_t bytes);
 /** Records how long a call ran at the backend server. */
 void bg_metrics_observe_backend_time(uint64_t duration_us);
--- a/proxy/tests/test_limiter.c
+++ b/proxy/tests/test_limiter.c
@@ -364,6 +364,24 @@
 }
 END_TEST
 
+/* Load: large bodies that fill the memory. Guards against ordinary calls, with
+ * a small body or none, that are refused for their sake. */
+START_TEST(large_bodies_leave_room_for_small_ones)
+{
+	struct bg_buffers buf = {700000, 1000000};
+
+	ck_assert(!bg_buffers_can_receive(&buf, 100000, 1));
+	ck_assert(bg_buffers_can_receive(
+	    &buf, BG_BUFFERS_SMALL_BODY_BYTES, BG_BUFFERS_SMALL_BODY_BYTES));
+	ck_assert(bg_buffers_can_admit(&buf, 0));
+	ck_assert(bg_buffers_is_short(&buf));
+	ck_assert(!bg_buffers_is_full(&buf));
+	bg_buffers_remove(&buf, 200000);
+	ck_assert(!bg_buffers_is_short(&buf));
+	ck_assert(bg_buffers_can_receive(&buf, 100000, 100000));
+}
+END_TEST
+
 /* Queues a retried call (entry 11) and after it a new one (entry 12) in a queue
  * that has not been empty for standing_us, then frees a slot. */
 static void
@@ -443,6 +461,7 @@
 	tcase_add_test(tc, replaced_server_resets_the_limiter);
 	tcase_add_test(tc, slots_follow_the_server);
 	tcase_add_test(tc, buffers_reserve_room_for_responses);
+	tcase_add_test(tc, large_bodies_leave_room_for_small_ones);
 	tcase_add_test(tc, standing_queue_serves_new_calls_first);
 	tcase_add_test(tc, late_calls_are_refused_at_once);
 	tcase_add_test(tc, burst_serves_retried_calls_in_order);
