Admit the connection for which a stalled one is closed

Cause: at the limit of connections, a stalled one was sent a response and stayed in the list until it was read, for up to 1 s. The new connection was refused nevertheless, and each further one ended another.

Change: the stalled connection is closed at once, and the new one takes its place. hard_clients, test_new_connection_replaces_a_stalled_one: failed before (no answer to the first order), passes after.

--- a/bench/test_hard_clients.py
+++ b/bench/test_hard_clients.py
@@ -87,7 +87,8 @@
             wait_for("lookup", lambda n=node: n.send(
                 "GET", LOOKUP_PREFIX + "1")[0] == 200, ANSWER_S, 0.1)
 
-    def play(self, data, count=CROWD):
+    def crowd(self, data, count):
+        """A crowd that has sent what it can and stays."""
         address = "%s:%d" % (self.target.ip, self.target.ports["outbound"])
         crowd = Crowd(address, count, data)
         self.addCleanup(crowd.close)
@@ -96,6 +97,10 @@
         while time.monotonic() < end:
             time.sleep(0.1)
             self.check()
+        return crowd
+
+    def play(self, data, count=CROWD):
+        crowd = self.crowd(data, count)
         self.assert_answered()
         crowd.close()
         self.assert_answered()
@@ -134,6 +139,12 @@
         """Guards against heads that are held without an account."""
         self.play(half_head(PREFIX + "1", 15000), 300)
 
+    def test_new_connection_replaces_a_stalled_one(self):
+        """Guards against a new caller that is refused although there are
+        stalled connections that can be closed for it."""
+        self.crowd(half_head(PREFIX + "1", 2000), 300)
+        self.assertEqual(self.target.order()[0], 200)
+
     def test_many_connections(self):
         """Guards against connections that use up the node's descriptors."""
         self.play(b"", 600)
--- a/proxy/src/ingress/conn_list.c
+++ b/proxy/src/ingress/conn_list.c
@@ -88,11 +88,11 @@
 	if (list->count < list->limit)
 		return 1;
 	if ((conn = find_replaceable(list)) != NULL) {
+		/* With a response it would take up room until that is read. */
 		bg_metrics_count_closed(BG_CLOSE_REPLACED);
-		bg_ingress_conn_close(conn);
-	}
-	if (list->count < list->limit)
+		bg_ingress_conn_abort(conn);
 		return 1;
+	}
 	bg_metrics_count_closed(BG_CLOSE_REFUSED);
 	bg_log_info("ingress", "connection refused open=%u limit=%u",
 	    list->count, list->limit);
