Free bodies that no call reads before the response is written

Cause: the count of a body ends when the request is complete, but the body of a request to a page, or of one refused for its size or for memory, stayed until its response was written, up to 30 s for a caller who doesn't read.

Change: such a body is freed at once. test_ingress, bodies_sent_to_pages_are_freed, fails before (1.2 MB held for 12 bodies of 100 kB that count for nothing).

--- a/proxy/src/ingress/ingress.c
+++ b/proxy/src/ingress/ingress.c
@@ -353,6 +353,14 @@
 		    BG_RETRY_AFTER_MS, 0);
 }
 
+/* Frees the body of a request that makes no call. Nobody reads it, and it is
+ * not counted once it is complete. */
+static void
+drop_body(evhtp_request_t *req)
+{
+	evbuffer_drain(req->buffer_in, evbuffer_get_length(req->buffer_in));
+}
+
 static void
 admit_call(struct pending_request *p, const struct bg_request_head *head)
 {
@@ -363,9 +371,11 @@
 		/* The last piece of a chunked body, which the connection has
 		 * not checked, took it above the limit. */
 		bg_metrics_count_invalid_request();
+		drop_body(p->request);
 		send_error(p, 413, "the body is too large", 0, 1);
 	} else if (!bg_buffers_can_admit(&ing->proxy->buffers, bytes)) {
 		bg_metrics_count_refused(BG_XREFUSAL_BUFFERS);
+		drop_body(p->request);
 		send_error(p, 503, bg_refusal_text(BG_XREFUSAL_BUFFERS),
 		    BG_RETRY_AFTER_MS, 0);
 	} else
@@ -425,6 +435,7 @@
 	struct bg_ingress_conn *conn = bg_ingress_conn_from_evhtp(req->conn);
 	struct bg_page *page = NULL;
 
+	drop_body(req);
 	if (!bg_buffers_is_full(&ing->proxy->buffers))
 		page = calloc(1, sizeof(*page));
 	if (page == NULL) {
--- a/proxy/tests/test_ingress.c
+++ b/proxy/tests/test_ingress.c
@@ -172,6 +172,54 @@
 }
 END_TEST
 
+/* Of the sanitizer; NULL in other builds. */
+extern size_t __sanitizer_get_current_allocated_bytes(void)
+    __attribute__((weak));
+
+static struct bg_page *pages[SENDERS];
+static size_t page_count;
+
+static void
+begin_page(void *arg, struct bg_page *page)
+{
+	pages[page_count++] = page;
+}
+
+/* Guards against bodies that are sent to pages, which do not read them, and
+ * that are held without being counted until the response is written. */
+START_TEST(bodies_sent_to_pages_are_freed)
+{
+	static char body[BODY_MAX_BYTES];
+	struct client senders[SENDERS];
+	size_t before_bytes;
+	size_t i;
+
+	if (__sanitizer_get_current_allocated_bytes == NULL)
+		return;
+	setup();
+	memset(body, 'b', sizeof(body) - 1);
+	ck_assert_int_eq(
+	    bg_proxy_add_page(node1.proxy, "/status", begin_page, NULL), 0);
+	for (i = 0; i < SENDERS; i++)
+		client_open(&senders[i], base, bg_proxy_port(node1.proxy));
+	run_ms(100);
+	before_bytes = __sanitizer_get_current_allocated_bytes();
+	for (i = 0; i < SENDERS; i++)
+		client_send(&senders[i],
+		    "POST /status HTTP/1.1\r\nHost: x\r\n"
+		    "Content-Length: %zu\r\n\r\n%s",
+		    strlen(body), body);
+	WAIT(base, page_count == SENDERS);
+	ck_assert_uint_lt(__sanitizer_get_current_allocated_bytes(),
+	    before_bytes + SENDERS / 2 * sizeof(body));
+	for (i = 0; i < SENDERS; i++)
+		bg_page_reply(pages[i], 200, "text/plain", NULL);
+	for (i = 0; i < SENDERS; i++)
+		client_close(&senders[i]);
+	teardown();
+}
+END_TEST
+
 #define PIPELINED_BYTES 40000000
 #define PIPELINED_ANSWERED 2000
 /* What the sockets of a connection may hold. */
@@ -222,6 +270,7 @@
 	tcase_add_test(tc, body_in_chunks_of_one_byte_is_served);
 	tcase_add_loop_test(tc, bodies_that_arrive_are_limited, 0,
 	    (int)(sizeof(unfinished_heads) / sizeof(unfinished_heads[0])));
+	tcase_add_test(tc, bodies_sent_to_pages_are_freed);
 	tcase_add_test(tc, pipelined_input_is_limited);
 	return run_suite("ingress", tc);
 }
