--- a/proxy/tests/test_ingress.c
+++ b/proxy/tests/test_ingress.c
@@ -6,6 +6,7 @@
 #include "node.h"
 #include "suite.h"
 
+#include "ingress/conn_policy.h"
 #include "proxy_internal.h"
 
 #define BODY_MAX_BYTES 100000
@@ -172,6 +173,49 @@
 }
 END_TEST
 
+/* Load: bodies that stop short of their end and take more than half of the
+ * memory. Guards against such bodies that are held until their timeout. */
+START_TEST(stalled_bodies_end_while_memory_is_short)
+{
+	struct client senders[3];
+	size_t i;
+
+	setup();
+	node1.proxy->buffers.limit_bytes = 4 * (uint64_t)BODY_MAX_BYTES;
+	for (i = 0; i < 3; i++) {
+		client_open(&senders[i], base, bg_proxy_port(node1.proxy));
+		client_send(&senders[i], "%s%090000d", unfinished_heads[_i], 0);
+	}
+	WAIT(base, node1.proxy->buffers.bytes > 2 * BODY_MAX_BYTES);
+	WAIT(base, node1.proxy->buffers.bytes <= 2 * BODY_MAX_BYTES);
+	for (i = 0; i < 3; i++) {
+		ck_assert(!client_has_response(&senders[i]) ||
+		    (client_status(&senders[i]) == 503 &&
+			client_has_header(
+			    &senders[i], "Burdock-Outcome: not-run")));
+		client_close(&senders[i]);
+	}
+	ck_assert_int_eq(node1.backend.requests, 0);
+	teardown();
+}
+END_TEST
+
+/* Guards against a slow caller within the limits who is cut off although there
+ * is memory. */
+START_TEST(stalled_body_is_served_in_calm)
+{
+	setup();
+	node1.proxy->buffers.limit_bytes = 4 * (uint64_t)BODY_MAX_BYTES;
+	client_send(&cl, "%s%090000d", unfinished_heads[1], 0);
+	run_ms(3 * BG_CONN_STALL_MS / 2);
+	ck_assert(!cl.is_closed);
+	client_send(&cl, "%09000d", 0);
+	WAIT(base, client_has_response(&cl));
+	ck_assert_int_eq(client_status(&cl), 200);
+	teardown();
+}
+END_TEST
+
 /* Of the sanitizer; NULL in other builds. */
 extern size_t __sanitizer_get_current_allocated_bytes(void)
     __attribute__((weak));
@@ -220,6 +264,33 @@
 }
 END_TEST
 
+/* More than sockets hold. */
+#define UNREAD_BYTES 30000000
+
+/* Guards against a response that is held without being counted, or until its
+ * timeout, for a caller who doesn't read it. */
+START_TEST(unread_response_ends_while_memory_is_short)
+{
+	char *text = malloc(UNREAD_BYTES + 1);
+
+	setup();
+	ck_assert_ptr_nonnull(text);
+	memset(text, 't', UNREAD_BYTES);
+	text[UNREAD_BYTES] = '\0';
+	page_count = 0;
+	ck_assert_int_eq(
+	    bg_proxy_add_page(node1.proxy, "/status", begin_page, NULL), 0);
+	client_send(&cl, "GET /status HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, page_count == 1);
+	bufferevent_disable(cl.bev, EV_READ);
+	node1.proxy->buffers.limit_bytes = UNREAD_BYTES;
+	bg_page_reply(pages[0], 200, "text/plain", text);
+	ck_assert_uint_ge(node1.proxy->buffers.bytes, UNREAD_BYTES);
+	WAIT(base, node1.proxy->buffers.bytes == 0);
+	teardown();
+}
+END_TEST
+
 #define PIPELINED_BYTES 40000000
 #define PIPELINED_ANSWERED 2000
 /* What the sockets of a connection may hold. */
@@ -270,7 +341,11 @@
 	tcase_add_test(tc, body_in_chunks_of_one_byte_is_served);
 	tcase_add_loop_test(tc, bodies_that_arrive_are_limited, 0,
 	    (int)(sizeof(unfinished_heads) / sizeof(unfinished_heads[0])));
+	tcase_add_loop_test(tc, stalled_bodies_end_while_memory_is_short, 0,
+	    (int)(sizeof(unfinished_heads) / sizeof(unfinished_heads[0])));
+	tcase_add_test(tc, stalled_body_is_served_in_calm);
 	tcase_add_test(tc, bodies_sent_to_pages_are_freed);
+	tcase_add_test(tc, unread_response_ends_while_memory_is_short);
 	tcase_add_test(tc, pipelined_input_is_limited);
 	return run_suite("ingress", tc);
 }
