Share the slots of a server fairly between organisations, and keep some for urgent calls

Cause: calls of one priority were served by target time only, so an organisation that asks for several times its usual takes the room of the others, and calls of much work count like others. Short urgent calls found all slots taken by long work.

Change: start-time fair queueing by cost between the organisations of a priority, in the queue beside the server. Where all callers are of one organisation, or of none, the order is what it was. Long calls leave slots free for more urgent ones that are likely to come while they run and cannot wait for their end, by the learned rate of their arrivals.

--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -89,6 +89,8 @@
 	}
 	bg_metrics_set_gatekeeper(gk->limiter.running, gk->limiter.queue.length,
 	    (uint32_t)gk->limiter.limit);
+	bg_metrics_set_fairness(
+	    gk->limiter.queue.passed_over, gk->limiter.held_back);
 }
 
 static void
@@ -570,6 +572,8 @@
 	call->entry.priority = args->priority;
 	call->entry.is_dependency = args->is_dependency != 0;
 	call->entry.route = args->route;
+	call->entry.organisation = args->extension.organisation;
+	call->entry.cost_us = args->extension.cost_us;
 	call->next = gk->calls;
 	if (call->next != NULL)
 		call->next->prev = call;
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -104,10 +104,44 @@
 	return start_interval_us(lim) * (lim->queue.length + 1);
 }
 
+static struct bg_reserve_call
+reserve_call(const struct bg_limiter *lim, const struct bg_limiter_entry *entry,
+    uint64_t now_us)
+{
+	struct bg_reserve_call call = {entry->route, entry->priority,
+	    bg_limiter_service_us(lim, entry->route),
+	    entry->target_us > now_us ? entry->target_us - now_us : 0};
+
+	return call;
+}
+
+/* 1 if there is a slot for the call, beside those that are reserved for more
+ * urgent ones. */
+static int
+has_slot(const struct bg_limiter *lim, const struct bg_limiter_entry *entry,
+    uint64_t now_us)
+{
+	struct bg_reserve_call call;
+	uint32_t limit = running_limit(lim);
+
+	if (lim->running >= limit)
+		return 0;
+	if (entry->is_dependency)
+		return 1;
+	call = reserve_call(lim, entry, now_us);
+	return lim->running +
+	    bg_reserve_slots(&lim->reserve, &call, limit, now_us) <
+	    limit;
+}
+
 static void
 start_entry(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
+	if (entry->service_us == 0)
+		entry->service_us = bg_limiter_service_us(lim, entry->route);
+	bg_queue_charge(&lim->queue, entry);
+	bg_reserve_record_start(&lim->reserve, entry->route);
 	entry->is_running = 1;
 	entry->started_us = now_us;
 	entry->running_at_start = ++lim->running;
@@ -131,7 +165,11 @@
 bg_limiter_acquire(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	if (lim->running < running_limit(lim)) {
+	struct bg_reserve_call call = reserve_call(lim, entry, now_us);
+
+	if (!entry->is_dependency)
+		bg_reserve_record_arrival(&lim->reserve, &call, now_us);
+	if (has_slot(lim, entry, now_us)) {
 		start_entry(lim, entry, now_us);
 		return BG_LIMITER_STARTED;
 	}
@@ -143,7 +181,7 @@
 bg_limiter_is_feasible(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	if (lim->running < running_limit(lim))
+	if (has_slot(lim, entry, now_us))
 		return 1;
 	if (!try_queue(lim, entry, now_us))
 		return 0;
@@ -256,8 +294,10 @@
 		return;
 	entry->is_running = 0;
 	lim->running--;
+	bg_reserve_record_end(&lim->reserve, entry->route);
 	switch (sample) {
 	case BG_LIMITER_OK:
+		bg_queue_settle(&lim->queue, entry, now_us - entry->started_us);
 		record_service_time(
 		    lim, entry->route, now_us - entry->started_us);
 		record_result(lim, now_us, 0);
@@ -282,6 +322,10 @@
 	if (lim->queue.length == 0 || lim->running >= running_limit(lim))
 		return NULL;
 	entry = bg_queue_next(&lim->queue, now_us);
+	if (!has_slot(lim, entry, now_us)) {
+		lim->held_back++;
+		return NULL;
+	}
 	bg_queue_remove(&lim->queue, entry);
 	start_entry(lim, entry, now_us);
 	return entry;
--- a/proxy/src/limiter/limiter.h
+++ b/proxy/src/limiter/limiter.h
@@ -10,6 +10,7 @@
 
 #include "burdockgrade/contract.h"
 
+#include "../fairness/reserve.h"
 #include "queue.h"
 
 /** Routes whose service times are tracked separately. */
@@ -36,6 +37,9 @@
 	uint64_t low_load_shed_us; /**< last call that the server shed with
 					most of its slots free; 0: never */
 	struct bg_limiter_route routes[BG_LIMITER_ROUTES];
+	struct bg_reserve reserve;
+	uint64_t held_back; /**< times that a free slot was left to urgent calls
+			       that may come */
 };
 
 enum bg_limiter_admission {
--- a/proxy/src/limiter/queue.c
+++ b/proxy/src/limiter/queue.c
@@ -80,6 +80,42 @@
 	return a->target_us < b->target_us;
 }
 
+static const char *
+organisation_of(const struct bg_limiter_entry *e)
+{
+	return e->organisation == NULL ? "" : e->organisation;
+}
+
+static struct bg_fair_flow *
+flow_of(struct bg_queue *q, const struct bg_limiter_entry *e)
+{
+	return bg_fair_share_flow(&q->fair, organisation_of(e), e->priority);
+}
+
+static uint64_t
+cost_us(const struct bg_limiter_entry *e)
+{
+	return e->cost_us != 0 ? e->cost_us : e->service_us;
+}
+
+void
+bg_queue_charge(struct bg_queue *q, struct bg_limiter_entry *entry)
+{
+	if (entry->is_dependency)
+		return;
+	entry->charged_us = cost_us(entry);
+	bg_fair_share_charge(&q->fair, flow_of(q, entry), entry->charged_us);
+}
+
+void
+bg_queue_settle(
+    struct bg_queue *q, const struct bg_limiter_entry *entry, uint64_t took_us)
+{
+	if (!entry->is_dependency)
+		bg_fair_share_settle(&q->fair, organisation_of(entry),
+		    entry->priority, entry->charged_us, took_us);
+}
+
 void
 bg_queue_insert(
     struct bg_queue *q, struct bg_limiter_entry *entry, uint64_t now_us)
@@ -99,6 +135,11 @@
 	else
 		q->tail = entry;
 	entry->is_queued = 1;
+	entry->flow = NULL;
+	if (!entry->is_dependency) {
+		entry->flow = flow_of(q, entry);
+		entry->flow->queued++;
+	}
 	if (q->length++ == 0)
 		q->since_us = now_us;
 }
@@ -116,12 +157,67 @@
 		q->tail = entry->prev;
 	entry->prev = entry->next = NULL;
 	entry->is_queued = 0;
+	if (entry->flow != NULL)
+		entry->flow->queued--;
+	entry->flow = NULL;
 	if (--q->length == 0)
 		q->since_us = 0;
 }
 
-struct bg_limiter_entry *
-bg_queue_next(const struct bg_queue *q, uint64_t now_us)
+/* 1 if all entries of a level are of one organisation, or are dependencies:
+ * their order is that of the list. */
+static int
+is_of_one_flow(const struct bg_limiter_entry *first)
+{
+	const struct bg_limiter_entry *e;
+
+	for (e = first; e != NULL && is_same_level(e, first); e = e->next) {
+		if (e->flow != first->flow)
+			return 0;
+	}
+	return 1;
+}
+
+static void
+assign_virtual_starts(struct bg_limiter_entry *first, int is_on_time)
+{
+	struct bg_limiter_entry *e;
+
+	for (e = first; e != NULL && is_same_level(e, first); e = e->next) {
+		if (e->is_on_time != is_on_time)
+			continue;
+		e->virtual_us = e->flow->next_us;
+		e->flow->next_us += cost_us(e);
+	}
+}
+
+/* Computes in which order the entries of a level would be served. */
+static void
+order_level(
+    const struct bg_queue *q, struct bg_limiter_entry *first, uint64_t now_us)
+{
+	struct bg_limiter_entry *e;
+
+	for (e = first; e != NULL && is_same_level(e, first); e = e->next) {
+		e->is_on_time = meets_target(q, e, now_us, now_us);
+		e->flow->next_us = bg_fair_share_start_us(&q->fair, e->flow);
+	}
+	assign_virtual_starts(first, 1);
+	assign_virtual_starts(first, 0);
+}
+
+/* 1 if a is served before b, which follows it in the list. */
+static int
+is_served_before(
+    const struct bg_limiter_entry *a, const struct bg_limiter_entry *b)
+{
+	if (a->is_on_time != b->is_on_time)
+		return a->is_on_time;
+	return a->virtual_us <= b->virtual_us;
+}
+
+static struct bg_limiter_entry *
+next_by_target(struct bg_queue *q, uint64_t now_us)
 {
 	struct bg_limiter_entry *e;
 
@@ -132,8 +228,27 @@
 	return q->head;
 }
 
+struct bg_limiter_entry *
+bg_queue_next(struct bg_queue *q, uint64_t now_us)
+{
+	struct bg_limiter_entry *best = q->head;
+	struct bg_limiter_entry *e;
+
+	if (q->head == NULL || is_of_one_flow(q->head))
+		return next_by_target(q, now_us);
+	order_level(q, q->head, now_us);
+	for (e = q->head; e != NULL && is_same_level(e, q->head); e = e->next) {
+		if (!is_served_before(best, e))
+			best = e;
+	}
+	q->passed_over += best != next_by_target(q, now_us);
+	return best;
+}
+
 /* Entries of one level, which are served before those of the next level. */
 struct level {
+	struct bg_limiter_entry *first;
+	int is_of_one_flow;
 	uint32_t preceding;    /* entries of earlier levels */
 	uint32_t on_time;      /* entries that can meet their target */
 	uint32_t on_time_seen; /* of these, before the current entry */
@@ -142,23 +257,51 @@
 
 static void
 level_begin(struct level *lvl, const struct bg_queue *q,
-    const struct bg_limiter_entry *first, uint64_t now_us)
+    struct bg_limiter_entry *first, uint64_t now_us)
 {
 	const struct bg_limiter_entry *e;
 
+	lvl->first = first;
 	lvl->preceding += lvl->on_time_seen + lvl->late_seen;
 	lvl->on_time = lvl->on_time_seen = lvl->late_seen = 0;
 	for (e = first; e != NULL && is_same_level(e, first); e = e->next)
 		lvl->on_time += meets_target(q, e, now_us, now_us);
+	lvl->is_of_one_flow = is_of_one_flow(first);
+	if (!lvl->is_of_one_flow)
+		order_level(q, first, now_us);
+}
+
+/* Number of entries of the level that are served before one of them. */
+static uint32_t
+count_served_before(
+    const struct level *lvl, const struct bg_limiter_entry *entry)
+{
+	const struct bg_limiter_entry *e;
+	uint32_t n = 0;
+	int is_after = 0;
+
+	for (e = lvl->first; e != NULL && is_same_level(e, lvl->first);
+	     e = e->next) {
+		if (e == entry)
+			is_after = 1;
+		else if (is_after)
+			n += !is_served_before(entry, e);
+		else
+			n += is_served_before(e, entry);
+	}
+	return n;
 }
 
 /* Number of entries that are served before the next one of the level. */
 static uint32_t
-level_next(struct level *lvl, int is_on_time)
+level_next(
+    struct level *lvl, const struct bg_limiter_entry *entry, int is_on_time)
 {
-	if (is_on_time)
-		return lvl->preceding + lvl->on_time_seen++;
-	return lvl->preceding + lvl->on_time + lvl->late_seen++;
+	uint32_t in_list =
+	    is_on_time ? lvl->on_time_seen++ : lvl->on_time + lvl->late_seen++;
+
+	return lvl->preceding +
+	    (lvl->is_of_one_flow ? in_list : count_served_before(lvl, entry));
 }
 
 /* Finds an infeasible entry in one pass over the queue.
@@ -170,15 +313,14 @@
 	struct level lvl = {0};
 	struct bg_limiter_entry *e;
 	uint64_t start_us;
+	uint32_t before;
 
 	for (e = q->head; e != NULL; e = e->next) {
 		if (e->prev == NULL || !is_same_level(e, e->prev))
 			level_begin(&lvl, q, e, now_us);
-		start_us = now_us +
-		    interval_us *
-			(1 +
-			    level_next(
-				&lvl, meets_target(q, e, now_us, now_us)));
+		before =
+		    level_next(&lvl, e, meets_target(q, e, now_us, now_us));
+		start_us = now_us + interval_us * (1 + before);
 		if ((only == NULL || only == e) &&
 		    !starts_in_time(q, e, start_us, now_us))
 			return e;
--- a/proxy/src/limiter/queue.h
+++ b/proxy/src/limiter/queue.h
@@ -16,6 +16,11 @@
  * calls does not depend on which ones are served, so the slots go to those that
  * can be on time; a longer queue would only make them late as well.
  *
+ * Organisations share a priority fairly (fair_share.h): among the calls that
+ * can meet their target, and then among the others, the organisation that has
+ * got the least is served next. The order by target holds within an
+ * organisation.
+ *
  * Callers retry after a refusal. In a short burst, the target of a retried call
  * counts from its retry, because its next refusal will be final. In a standing
  * queue it counts from its first attempt.
@@ -24,22 +29,30 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "../fairness/fair_share.h"
+
 /** A call at the limiter; embedded in the owner's struct. */
 struct bg_limiter_entry {
 	struct bg_limiter_entry *prev;
 	struct bg_limiter_entry *next;
 	const char *route;
-	uint32_t priority;	  /**< 0 is served first */
-	int is_dependency;	  /**< a running request waits for this call */
-	uint64_t target_us;	  /**< time by which a response has full value;
-				       0: none */
-	uint64_t age_us;	  /**< since the caller's first attempt */
+	const char *organisation; /**< NULL or "": none */
+	uint64_t cost_us;   /**< expected work of this call; 0: service_us */
+	uint32_t priority;  /**< 0 is served first */
+	int is_dependency;  /**< a running request waits for this call */
+	uint64_t target_us; /**< time by which a response has full value;
+				 0: none */
+	uint64_t age_us;    /**< since the caller's first attempt */
 	uint64_t latest_start_us; /**< a later start is useless */
 	uint64_t service_us;	  /**< expected service time */
 	uint64_t started_us;
 	uint32_t running_at_start; /**< running calls, including this one */
 	int is_queued;
 	int is_running;
+	struct bg_fair_flow *flow; /**< while queued; NULL for a dependency */
+	uint64_t virtual_us; /**< virtual start, while the order is computed */
+	uint64_t charged_us; /**< charged to the organisation at the start */
+	int is_on_time;	     /**< while the order is computed */
 };
 
 struct bg_queue {
@@ -47,6 +60,9 @@
 	struct bg_limiter_entry *tail;
 	uint32_t length;
 	uint64_t since_us; /**< not empty since; 0: it is empty */
+	struct bg_fair_share fair;
+	uint64_t passed_over; /**< starts for which fairness has chosen another
+				 call than the order by target */
 };
 
 /** Adds an entry. */
@@ -54,8 +70,12 @@
     struct bg_queue *q, struct bg_limiter_entry *entry, uint64_t now_us);
 void bg_queue_remove(struct bg_queue *q, struct bg_limiter_entry *entry);
 /** Entry to start next; NULL if the queue is empty. */
-struct bg_limiter_entry *bg_queue_next(
-    const struct bg_queue *q, uint64_t now_us);
+struct bg_limiter_entry *bg_queue_next(struct bg_queue *q, uint64_t now_us);
+/** Charges the organisation of an entry that starts, queued or not. */
+void bg_queue_charge(struct bg_queue *q, struct bg_limiter_entry *entry);
+/** Corrects the charge of an entry that has ended. */
+void bg_queue_settle(
+    struct bg_queue *q, const struct bg_limiter_entry *entry, uint64_t took_us);
 
 /** A call that is not expected to start in time, because more urgent ones
  * precede it or the server has become slower.
--- a/proxy/src/metrics/metrics.c
+++ b/proxy/src/metrics/metrics.c
@@ -95,6 +95,14 @@
 static struct bg_counter gate_limit =
     BG_GAUGE("burdock_gate_limit", "Adaptive limit of running calls.");
 
+static struct bg_counter fair_passed_over =
+    BG_COUNTER("burdock_gate_fair_passed_over_total",
+	"Starts of a call of another organisation than the order by target "
+	"gives.");
+static struct bg_counter reserve_held_back =
+    BG_COUNTER("burdock_gate_reserved_total",
+	"Times that a free slot was left to urgent calls.");
+
 static struct bg_counter buffered = BG_GAUGE(
     "burdock_buffered_bytes", "Bytes that the node holds for callers.");
 static struct bg_counter connections =
@@ -183,6 +191,13 @@
 	bg_counter_set(&gate_limit, limit);
 }
 
+void
+bg_metrics_set_fairness(uint64_t passed_over, uint64_t held_back)
+{
+	bg_counter_set(&fair_passed_over, (int64_t)passed_over);
+	bg_counter_set(&reserve_held_back, (int64_t)held_back);
+}
+
 void
 bg_metrics_set_buffered_bytes(uint64_t bytes)
 {
--- a/proxy/src/metrics/metrics.h
+++ b/proxy/src/metrics/metrics.h
@@ -57,6 +57,10 @@
  * @param limit adaptive limit of running calls */
 void bg_metrics_set_gatekeeper(
     uint32_t running, uint32_t queued, uint32_t limit);
+/** Sets the counters of the limiter.
+ * @param passed_over starts in which fairness has chosen another call
+ * @param held_back times that a slot was left free for urgent calls */
+void bg_metrics_set_fairness(uint64_t passed_over, uint64_t held_back);
 /** Sets the gauge of the bytes that the node holds for callers. */
 void bg_metrics_set_buffered_bytes(uint64_t bytes);
 /** Records how long a call ran at the backend server. */
--- /dev/null
+++ b/proxy/tests/test_reserve.c
@@ -0,0 +1,161 @@
+/* Short urgent calls beside long patient ones at the slots of one server. */
+
+#include <string.h>
+
+#include "limiter/limiter.h"
+#include "suite.h"
+
+#define SLOTS 12
+#define URGENT_US 70000
+#define URGENT_TARGET_US 200000
+#define LONG_US 430000
+#define LONG_TARGET_US 2000000
+#define SECOND_US 1000000
+
+static const struct bg_reserve_call URGENT = {
+    "hint", 0, URGENT_US, URGENT_TARGET_US};
+static const struct bg_reserve_call LONG = {
+    "album", 2, LONG_US, LONG_TARGET_US};
+
+static struct bg_reserve rsv;
+static uint64_t now_us;
+
+static void
+setup(void)
+{
+	memset(&rsv, 0, sizeof(rsv));
+	now_us = SECOND_US;
+}
+
+static void
+arrive(const struct bg_reserve_call *call, int per_s, int seconds)
+{
+	int i;
+
+	for (i = 0; i < per_s * seconds; i++) {
+		now_us += SECOND_US / (uint64_t)per_s;
+		bg_reserve_record_arrival(&rsv, call, now_us);
+	}
+}
+
+static uint32_t
+slots_for(const struct bg_reserve_call *call)
+{
+	return bg_reserve_slots(&rsv, call, SLOTS, now_us);
+}
+
+/* Load: 20 urgent calls a second, 1.4 running on average. Guards against slots
+ * that are all taken by long calls when the next urgent one comes. */
+START_TEST(long_work_leaves_room_for_what_is_likely_to_come)
+{
+	setup();
+	arrive(&URGENT, 20, 20);
+	ck_assert_uint_eq(slots_for(&LONG), 3);
+	ck_assert_uint_eq(slots_for(&URGENT), 0);
+	bg_reserve_record_start(&rsv, URGENT.route);
+	ck_assert_uint_eq(slots_for(&LONG), 2);
+	bg_reserve_record_end(&rsv, URGENT.route);
+	ck_assert_uint_eq(slots_for(&LONG), 3);
+}
+END_TEST
+
+/* Guards against a fixed share: slots that stay free when no urgent call has
+ * come for a while, and half of the slots as the bound of a burst. */
+START_TEST(reserve_follows_the_rate)
+{
+	setup();
+	arrive(&URGENT, 400, 10);
+	ck_assert_uint_eq(slots_for(&LONG), SLOTS / 2);
+	now_us += 20 * SECOND_US;
+	ck_assert_uint_eq(slots_for(&LONG), 0);
+	arrive(&URGENT, 1, 5);
+	ck_assert_uint_eq(slots_for(&LONG), 0);
+}
+END_TEST
+
+/* Guards against a reserve in deployments without such a load: urgent calls
+ * that can wait for a long one, calls that are as long, equal priority, or no
+ * target. */
+START_TEST(nothing_is_reserved_without_need)
+{
+	static const struct bg_reserve_call OTHERS[] = {
+	    {"patient", 0, URGENT_US, URGENT_US + LONG_US},
+	    {"as-long", 0, LONG_US / 2, URGENT_TARGET_US + LONG_US / 2},
+	    {"equal", 2, URGENT_US, URGENT_TARGET_US},
+	    {"no-target", 0, URGENT_US, 0},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(OTHERS) / sizeof(OTHERS[0]); i++) {
+		setup();
+		arrive(&OTHERS[i], 50, 10);
+		ck_assert_uint_eq(slots_for(&LONG), 0);
+	}
+}
+END_TEST
+
+static struct bg_limiter lim;
+static struct bg_limiter_entry entries[64];
+
+static enum bg_limiter_admission
+acquire(int i, const struct bg_reserve_call *call)
+{
+	memset(&entries[i], 0, sizeof(entries[i]));
+	entries[i].route = call->route;
+	entries[i].priority = call->priority;
+	entries[i].target_us = now_us + call->target_us;
+	entries[i].latest_start_us = now_us + 4 * call->target_us;
+	return bg_limiter_acquire(&lim, &entries[i], now_us);
+}
+
+static void
+run_one(int i, const struct bg_reserve_call *call)
+{
+	ck_assert_int_eq(acquire(i, call), BG_LIMITER_STARTED);
+	now_us += call->service_us;
+	bg_limiter_release(&lim, &entries[i], now_us, BG_LIMITER_OK);
+}
+
+/* Load: long calls queue for slots of which some are kept for urgent ones.
+ * Guards against an urgent call that finds none, and against long calls that
+ * wait for ever for a reserve that nobody uses. */
+START_TEST(urgent_call_finds_a_slot_under_load)
+{
+	int started = 0;
+	int i;
+
+	now_us = SECOND_US;
+	bg_limiter_init(&lim, SLOTS);
+	run_one(0, &LONG);
+	for (i = 0; i < 60; i++)
+		run_one(0, &URGENT);
+	for (i = 0; i < 2 * SLOTS; i++)
+		started += acquire(i, &LONG) == BG_LIMITER_STARTED;
+	ck_assert_int_lt(started, SLOTS);
+	ck_assert_int_ge(started, SLOTS / 2);
+	ck_assert_uint_gt(lim.queue.length, 0);
+	ck_assert_int_eq(acquire(40, &URGENT), BG_LIMITER_STARTED);
+	ck_assert_int_eq(acquire(41, &URGENT), BG_LIMITER_STARTED);
+	now_us += 20 * SECOND_US;
+	for (i = 0; i < 2 * SLOTS; i++) {
+		if (entries[i].is_running)
+			bg_limiter_release(
+			    &lim, &entries[i], now_us, BG_LIMITER_IGNORED);
+	}
+	while (bg_limiter_start_next(&lim, now_us) != NULL)
+		;
+	ck_assert_uint_eq(lim.running, SLOTS);
+}
+END_TEST
+
+int
+main(void)
+{
+	TCase *tc = tcase_create("reserve");
+
+	tcase_add_test(tc, long_work_leaves_room_for_what_is_likely_to_come);
+	tcase_add_test(tc, reserve_follows_the_rate);
+	tcase_add_test(tc, nothing_is_reserved_without_need);
+	tcase_add_test(tc, urgent_call_finds_a_slot_under_load);
+	return run_suite("reserve", tc);
+}
