--- a/proxy/src/fairness/reserve.c
+++ b/proxy/src/fairness/reserve.c
@@ -12,12 +12,13 @@
 #define EXPECTED_MIN 0.1
 
 static struct bg_reserve_route *
-find(const struct bg_reserve *rsv, const char *name)
+find(const struct bg_reserve *rsv, const char *name, uint32_t priority)
 {
 	size_t i;
 
 	for (i = 0; i < BG_RESERVE_ROUTES; i++) {
 		if (rsv->routes[i].arrived_us != 0 &&
+		    rsv->routes[i].priority == priority &&
 		    strcmp(rsv->routes[i].name, name) == 0)
 			return (struct bg_reserve_route *)&rsv->routes[i];
 	}
@@ -25,10 +26,10 @@
 }
 
 static struct bg_reserve_route *
-find_or_replace(struct bg_reserve *rsv, const char *name)
+find_or_replace(struct bg_reserve *rsv, const char *name, uint32_t priority)
 {
 	struct bg_reserve_route *oldest = NULL;
-	struct bg_reserve_route *r = find(rsv, name);
+	struct bg_reserve_route *r = find(rsv, name, priority);
 	size_t i;
 
 	if (r != NULL)
@@ -40,6 +41,7 @@
 	}
 	memset(oldest, 0, sizeof(*oldest));
 	snprintf(oldest->name, sizeof(oldest->name), "%s", name);
+	oldest->priority = priority;
 	return oldest;
 }
 
@@ -54,11 +56,11 @@
 bg_reserve_record_arrival(
     struct bg_reserve *rsv, const struct bg_reserve_call *call, uint64_t now_us)
 {
-	struct bg_reserve_route *r = find_or_replace(rsv, call->route);
+	struct bg_reserve_route *r =
+	    find_or_replace(rsv, call->route, call->priority);
 
 	r->rate_per_us = decayed_rate(r, now_us) + 1 / RATE_WINDOW_US;
 	r->arrived_us = now_us;
-	r->priority = call->priority;
 	r->service_us = call->service_us;
 	r->slack_us = call->target_us > call->service_us
 	    ? call->target_us - call->service_us
@@ -66,18 +68,20 @@
 }
 
 void
-bg_reserve_record_start(struct bg_reserve *rsv, const char *route)
+bg_reserve_record_start(
+    struct bg_reserve *rsv, const char *route, uint32_t priority)
 {
-	struct bg_reserve_route *r = find(rsv, route);
+	struct bg_reserve_route *r = find(rsv, route, priority);
 
 	if (r != NULL)
 		r->running++;
 }
 
 void
-bg_reserve_record_end(struct bg_reserve *rsv, const char *route)
+bg_reserve_record_end(
+    struct bg_reserve *rsv, const char *route, uint32_t priority)
 {
-	struct bg_reserve_route *r = find(rsv, route);
+	struct bg_reserve_route *r = find(rsv, route, priority);
 
 	if (r != NULL && r->running > 0)
 		r->running--;
@@ -88,7 +92,7 @@
 is_urgent_beside(
     const struct bg_reserve_route *r, const struct bg_reserve_call *call)
 {
-	return r->arrived_us != 0 && r->priority < call->priority &&
+	return r->arrived_us != 0 && r->priority <= call->priority &&
 	    r->slack_us != 0 && r->slack_us < call->service_us &&
 	    r->service_us != 0 &&
 	    r->service_us <= call->service_us / LONG_FACTOR;
--- a/proxy/src/fairness/reserve.h
+++ b/proxy/src/fairness/reserve.h
@@ -5,22 +5,23 @@
  * Slots of a backend server that long work leaves free for short urgent work
  * that is likely to come soon. Pure; the caller passes the time.
  *
- * Load: a route of high priority with a tight target beside a route of low
+ * Load: a route with a tight target beside a route of the same or a lower
  * priority whose calls run for longer than the urgent ones can wait. Priority
- * alone does not help then, since all slots hold long work when an urgent call
- * comes. The number of slots follows from the learned rate of the urgent calls
- * and their service time (Little's law), and a margin of one standard deviation
- * of a Poisson distribution.
+ * and the order by target do not help then, since all slots hold long work when
+ * an urgent call comes. The number of slots follows from the learned rate of
+ * the urgent calls and their service time (Little's law), and a margin of one
+ * standard deviation of a Poisson distribution.
  *
- * Nothing is reserved where no route is of higher priority, or where the urgent
- * calls can wait for as long as the others run.
+ * Nothing is reserved where the urgent calls can wait for as long as the others
+ * run, or run for nearly as long.
  */
 
 #include <stdint.h>
 
 #include "burdockgrade/contract.h"
 
-/** Routes whose arrivals are tracked; the least recent one is replaced. */
+/** Pairs of route and priority whose arrivals are tracked; the least recent one
+ * is replaced. */
 #define BG_RESERVE_ROUTES 16
 
 struct bg_reserve_route {
@@ -48,8 +49,10 @@
 
 void bg_reserve_record_arrival(struct bg_reserve *rsv,
     const struct bg_reserve_call *call, uint64_t now_us);
-void bg_reserve_record_start(struct bg_reserve *rsv, const char *route);
-void bg_reserve_record_end(struct bg_reserve *rsv, const char *route);
+void bg_reserve_record_start(
+    struct bg_reserve *rsv, const char *route, uint32_t priority);
+void bg_reserve_record_end(
+    struct bg_reserve *rsv, const char *route, uint32_t priority);
 /** Number of slots that a call has to leave free.
  * @param slots slots of the server, of which at most half are reserved */
 uint32_t bg_reserve_slots(const struct bg_reserve *rsv,
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -141,7 +141,7 @@
 	if (entry->service_us == 0)
 		entry->service_us = bg_limiter_service_us(lim, entry->route);
 	bg_queue_charge(&lim->queue, entry);
-	bg_reserve_record_start(&lim->reserve, entry->route);
+	bg_reserve_record_start(&lim->reserve, entry->route, entry->priority);
 	entry->is_running = 1;
 	entry->started_us = now_us;
 	entry->running_at_start = ++lim->running;
@@ -294,7 +294,7 @@
 		return;
 	entry->is_running = 0;
 	lim->running--;
-	bg_reserve_record_end(&lim->reserve, entry->route);
+	bg_reserve_record_end(&lim->reserve, entry->route, entry->priority);
 	switch (sample) {
 	case BG_LIMITER_OK:
 		bg_queue_settle(&lim->queue, entry, now_us - entry->started_us);
