--- a/proxy/src/ingress/ingress_conn.c
+++ b/proxy/src/ingress/ingress_conn.c
@@ -8,7 +8,7 @@
 #include "burdockgrade/clock.h"
 
 #include "../metrics/metrics.h"
-#include "ingress_conn.h"
+#include "ingress_conn_internal.h"
 #include "rejection.h"
 
 /* Reading from the caller pauses while the bufferevent, or
@@ -27,44 +27,6 @@
 /* BG_RETRY_AFTER_MS, in whole seconds. */
 #define RETRY_AFTER_HEADER "Retry-After: 1\r\n"
 
-enum conn_state {
-	CONN_READING_HEAD, /* buffers input until the head is complete */
-	CONN_READING_BODY, /* forwards head and body to libevhtp */
-	CONN_BUSY,	   /* from the complete request until its response
-			      has been written */
-	CONN_CLOSING,	   /* rejected; discards input until the close */
-};
-
-struct bg_ingress_conn {
-	struct evhtp_connection *evhtp_conn;
-	struct bufferevent *bev;
-	bufferevent_data_cb evhtp_read;
-	bufferevent_data_cb evhtp_write;
-	bufferevent_event_cb evhtp_event;
-	void *evhtp_arg;
-	struct evbuffer *pipelined; /* input after the current request */
-	struct event *timer;
-	struct bg_request_head head;
-	uint64_t body_left_bytes;  /* not used for a chunked body */
-	uint64_t body_input_bytes; /* of the body so far, with its framing */
-	uint64_t body_max_bytes;
-	struct bg_conn_list *list;
-	struct bg_buffers *buffers;
-	uint64_t counted_bytes;	 /* of the body so far, in buffers */
-	uint64_t input_bytes;	 /* of input and pipelined, in buffers */
-	uint64_t response_bytes; /* of the response, in buffers */
-	uint64_t progress_ms;	 /* time at which a byte last moved */
-	enum conn_state state;
-	struct bg_ingress_conn *prev;
-	struct bg_ingress_conn *next;
-	void (*on_request_end)(void *arg); /* NULL: none, or already called */
-	void *on_request_end_arg;
-	int has_served;	     /* a request has ended */
-	int is_head_started; /* part of a head was received */
-	int callback_depth;  /* nested callbacks in which conn is in use */
-	int is_free_pending; /* freed when the outermost callback ends */
-};
-
 static void handle_input(struct bg_ingress_conn *conn);
 
 static void
@@ -77,31 +39,6 @@
 	free(conn);
 }
 
-/* Replaces the number of bytes that a buffer of the connection counts for. */
-static void
-recount(struct bg_ingress_conn *conn, uint64_t *counted_bytes, uint64_t bytes)
-{
-	if (*counted_bytes == bytes)
-		return;
-	bg_buffers_remove(conn->buffers, *counted_bytes);
-	bg_buffers_add(conn->buffers, bytes);
-	*counted_bytes = bytes;
-}
-
-static void
-count_input(struct bg_ingress_conn *conn)
-{
-	recount(conn, &conn->input_bytes,
-	    evbuffer_get_length(bufferevent_get_input(conn->bev)) +
-		evbuffer_get_length(conn->pipelined));
-	/* Input that waits for its turn may not take what is left. The caller
-	 * is read on with its next request. */
-	if (conn->state == CONN_BUSY && conn->input_bytes > 0 &&
-	    bg_buffers_is_short(conn->buffers))
-		bufferevent_disable(conn->bev, EV_READ);
-	bg_conn_list_check_memory(conn->list);
-}
-
 static void
 begin_callback(struct bg_ingress_conn *conn)
 {
@@ -112,7 +49,7 @@
 end_callback(struct bg_ingress_conn *conn)
 {
 	if (!conn->is_free_pending)
-		count_input(conn);
+		bg_conn_count_input(conn);
 	if (--conn->callback_depth == 0 && conn->is_free_pending)
 		conn_free(conn);
 }
@@ -125,13 +62,6 @@
 	event_add(conn->timer, &tv);
 }
 
-/* Counts the part of a body that the connection holds. */
-static void
-count_body(struct bg_ingress_conn *conn, uint64_t bytes)
-{
-	recount(conn, &conn->counted_bytes, bytes);
-}
-
 /* The part of the body that has arrived. libevhtp has a request only from a
  * checked head on. */
 static struct evbuffer *
@@ -150,7 +80,7 @@
 
 	if (body != NULL)
 		evbuffer_drain(body, evbuffer_get_length(body));
-	count_body(conn, 0);
+	bg_conn_recount(conn, &conn->counted_bytes, 0);
 }
 
 /* Writes the response itself, because the parser of libevhtp closes the
@@ -224,7 +154,7 @@
 	else if (!bg_buffers_can_receive(conn->buffers, bytes, added_bytes))
 		refuse_body(conn);
 	else
-		count_body(conn, bytes);
+		bg_conn_recount(conn, &conn->counted_bytes, bytes);
 }
 
 /* Forwards the input of the current request, head and body, to libevhtp. Bytes
@@ -399,7 +329,7 @@
 {
 	void (*fn)(void *) = conn->on_request_end;
 
-	recount(conn, &conn->response_bytes, 0);
+	bg_conn_recount(conn, &conn->response_bytes, 0);
 	conn->has_served = 1;
 	conn->on_request_end = NULL;
 	if (fn != NULL)
@@ -422,17 +352,6 @@
 	return EVHTP_RES_OK;
 }
 
-/* Notes that the caller has read part of its response. */
-static void
-on_output_changed(
-    struct evbuffer *out, const struct evbuffer_cb_info *info, void *arg)
-{
-	struct bg_ingress_conn *conn = arg;
-
-	if (info->n_deleted > 0 || info->orig_size == 0)
-		conn->progress_ms = bg_clock_now_ms();
-}
-
 static evhtp_res
 on_request_fini(evhtp_request_t *req, void *arg)
 {
@@ -444,32 +363,6 @@
 	return EVHTP_RES_OK;
 }
 
-static void
-link_conn(struct bg_ingress_conn *conn)
-{
-	struct bg_conn_list *list = conn->list;
-
-	conn->next = list->head;
-	if (conn->next != NULL)
-		conn->next->prev = conn;
-	list->head = conn;
-	bg_metrics_set_connections(++list->count);
-}
-
-static void
-unlink_conn(struct bg_ingress_conn *conn)
-{
-	struct bg_conn_list *list = conn->list;
-
-	if (conn->prev != NULL)
-		conn->prev->next = conn->next;
-	else
-		list->head = conn->next;
-	if (conn->next != NULL)
-		conn->next->prev = conn->prev;
-	bg_metrics_set_connections(--list->count);
-}
-
 static evhtp_res
 on_connection_fini(evhtp_connection_t *evc, void *arg)
 {
@@ -480,13 +373,11 @@
 	 * request is reported here instead. */
 	evhtp_connection_unset_hook(evc, evhtp_hook_on_request_fini);
 	notify_request_end(conn);
-	count_body(conn, 0);
-	recount(conn, &conn->input_bytes, 0);
-	unlink_conn(conn);
+	bg_conn_recount(conn, &conn->counted_bytes, 0);
+	bg_conn_recount(conn, &conn->input_bytes, 0);
+	bg_conn_unlink(conn);
 	conn->is_free_pending = 1;
 	event_del(conn->timer);
-	evbuffer_remove_cb(
-	    bufferevent_get_output(conn->bev), on_output_changed, conn);
 	if (conn->callback_depth == 0)
 		conn_free(conn);
 	return EVHTP_RES_OK;
@@ -497,55 +388,12 @@
     void (*on_request_end)(void *arg), void *on_request_end_arg)
 {
 	conn->state = CONN_BUSY;
-	count_body(conn, 0);
+	bg_conn_recount(conn, &conn->counted_bytes, 0);
 	conn->on_request_end = on_request_end;
 	conn->on_request_end_arg = on_request_end_arg;
 	event_del(conn->timer);
 }
 
-void
-bg_ingress_conn_hold_response(struct bg_ingress_conn *conn, uint64_t bytes)
-{
-	recount(conn, &conn->response_bytes, bytes);
-	bg_conn_list_check_memory(conn->list);
-}
-
-int
-bg_ingress_conn_is_crowding(const struct bg_ingress_conn *conn)
-{
-	return bg_conn_is_crowding(
-	    conn->list->count, conn->list->limit, conn->input_bytes);
-}
-
-struct bg_ingress_conn *
-bg_ingress_conn_next(const struct bg_ingress_conn *conn)
-{
-	return conn->next;
-}
-
-static enum bg_conn_activity
-activity(const struct bg_ingress_conn *conn)
-{
-	if (conn->state == CONN_CLOSING)
-		return BG_CONN_SERVING;
-	if (evbuffer_get_length(bufferevent_get_output(conn->bev)) > 0)
-		return BG_CONN_SENDING;
-	if (conn->state == CONN_BUSY)
-		return BG_CONN_SERVING;
-	return conn->state == CONN_READING_BODY || conn->is_head_started
-	    ? BG_CONN_RECEIVING
-	    : BG_CONN_IDLE;
-}
-
-void
-bg_ingress_conn_view(
-    struct bg_conn_view *out, const struct bg_ingress_conn *conn)
-{
-	out->activity = activity(conn);
-	out->progress_ms = conn->progress_ms;
-	out->has_served = conn->has_served;
-}
-
 void
 bg_ingress_conn_abort(struct bg_ingress_conn *conn)
 {
@@ -556,7 +404,7 @@
 bg_ingress_conn_close(struct bg_ingress_conn *conn)
 {
 	begin_callback(conn);
-	if (activity(conn) == BG_CONN_RECEIVING)
+	if (bg_conn_activity(conn) == BG_CONN_RECEIVING)
 		refuse_body(conn);
 	else
 		bg_ingress_conn_abort(conn);
@@ -602,9 +450,7 @@
 		conn_free(conn);
 		return -1;
 	}
-	link_conn(conn);
-	evbuffer_add_cb(
-	    bufferevent_get_output(evc->bev), on_output_changed, conn);
+	bg_conn_link(conn);
 	bufferevent_getcb(evc->bev, &conn->evhtp_read, &conn->evhtp_write,
 	    &conn->evhtp_event, &conn->evhtp_arg);
 	bufferevent_setcb(evc->bev, on_read, on_write, on_event, conn);
