Count replies that other nodes have not read

A node that reads slowly left up to 8 MiB of replies on each link that no account had. The gatekeeper adds them to the account before it admits a call.

--- a/mesh/include/burdockgrade/link.h
+++ b/mesh/include/burdockgrade/link.h
@@ -172,6 +172,8 @@
     struct bg_link_server *srv, const struct bg_rpc_handler *handler);
 /** Port in use, also if port 0 was requested. */
 uint16_t bg_link_server_port(const struct bg_link_server *srv);
+/** Bytes of replies that peers have not read yet, on all connections. */
+uint64_t bg_link_server_output_bytes(const struct bg_link_server *srv);
 /** Closes the listening socket; open connections stay open. */
 void bg_link_server_stop_listening(struct bg_link_server *srv);
 
--- a/mesh/src/link/server.c
+++ b/mesh/src/link/server.c
@@ -47,6 +47,7 @@
 	struct connection *connections;
 	struct bg_rpc_handler handlers[HANDLERS_MAX];
 	size_t handler_count;
+	uint64_t output_bytes; /* of all connections */
 	uint16_t port;
 };
 
@@ -72,11 +73,24 @@
 		fn(rpc->cancel_arg);
 }
 
+static void
+on_output_changed(
+    struct evbuffer *out, const struct evbuffer_cb_info *info, void *arg)
+{
+	struct bg_link_server *srv = arg;
+
+	srv->output_bytes += info->n_added;
+	srv->output_bytes -= info->n_deleted;
+}
+
 static void
 connection_close(struct connection *conn)
 {
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
 	struct bg_rpc *rpc;
 
+	evbuffer_remove_cb(out, on_output_changed, conn->server);
+	conn->server->output_bytes -= evbuffer_get_length(out);
 	if (conn->prev != NULL)
 		conn->prev->next = conn->next;
 	else
@@ -300,6 +314,8 @@
 		conn->next->prev = conn;
 	srv->connections = conn;
 	bg_set_nodelay(fd);
+	evbuffer_add_cb(
+	    bufferevent_get_output(conn->bev), on_output_changed, srv);
 	bufferevent_setcb(conn->bev, on_read, NULL, on_event, conn);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 }
@@ -361,6 +377,12 @@
 	return srv->port;
 }
 
+uint64_t
+bg_link_server_output_bytes(const struct bg_link_server *srv)
+{
+	return srv->output_bytes;
+}
+
 void
 bg_link_server_stop_listening(struct bg_link_server *srv)
 {
--- a/mesh/tests/test_link.c
+++ b/mesh/tests/test_link.c
@@ -151,6 +151,26 @@
 }
 END_TEST
 
+/* Guards against replies that a peer doesn't read and that nobody counts, and
+ * against a count that stays when its connection is closed. */
+START_TEST(replies_that_were_not_read_are_counted)
+{
+	struct bg_xstate_res res = {0};
+
+	setup();
+	res.refused_reason = (char *)"";
+	ck_assert_int_eq(call_state(NULL, 1000), 0);
+	run_until(&fx.calls, 1);
+	ck_assert_uint_eq(bg_link_server_output_bytes(fx.server), 0);
+	bg_rpc_reply(fx.pending_rpc, (xdrproc_t)xdr_bg_xstate_res, &res);
+	fx.pending_rpc = NULL;
+	ck_assert_uint_gt(bg_link_server_output_bytes(fx.server), 0);
+	run_until(&fx.replies, 1);
+	ck_assert_uint_eq(bg_link_server_output_bytes(fx.server), 0);
+	teardown();
+}
+END_TEST
+
 /* Guards against a refused connection that is reported as BG_EIO, which means
  * that the call may have run. */
 START_TEST(refused_connection_fails_with_unavailable)
@@ -287,6 +307,7 @@
 	TCase *tc = tcase_create("link");
 
 	tcase_add_test(tc, call_receives_its_reply);
+	tcase_add_test(tc, replies_that_were_not_read_are_counted);
 	tcase_add_test(tc, refused_connection_fails_with_unavailable);
 	tcase_add_test(tc, connection_lost_after_write_fails_with_io);
 	tcase_add_test(tc, call_without_reply_times_out);
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -43,6 +43,7 @@
 	struct event_base *base;
 	const struct bg_settings *settings;
 	struct bg_mesh *mesh;
+	const struct bg_link_server *link_server;
 	struct bg_observer *observer;
 	struct bg_backend *backend; /* NULL without a backend server */
 	struct bg_probe *probe;	    /* NULL if the server sends heartbeats */
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -68,7 +68,8 @@
 bg_gate_find_refusal(
     const struct bg_gatekeeper *gk, const struct bg_xcall_args *args)
 {
-	if (!bg_buffers_can_admit(gk->buffers, 0))
+	if (!bg_buffers_can_admit(
+		gk->buffers, bg_link_server_output_bytes(gk->link_server)))
 		return BG_XREFUSAL_BUFFERS;
 	if (strcmp(args->service, gk->settings->server.service) != 0)
 		return BG_XREFUSAL_NO_SERVER;
@@ -510,6 +511,7 @@
 	gk->base = opts->base;
 	gk->settings = opts->settings;
 	gk->mesh = opts->mesh;
+	gk->link_server = opts->link_server;
 	gk->observer = opts->observer;
 	gk->buffers = opts->buffers;
 	gk->retry = opts->retry;
