Identify callers by the keys of their organisation

A configuration may have organisations, each with keys, a priority and a cap. Until now nothing read them: every request was served, the key was passed to the backend server, and so was the name of an organisation that the caller chose itself.

Keys are decoded with the configuration and map to an organisation by one hash look-up with a seed of the process and a comparison in constant time. The table is shared by the versions whose organisations are the same. The ingress takes the key out of the request; the call is answered with 401 at once if its route needs a key and it has none, an unknown one or several different ones. The gatekeeper sets the organisation's name. Calls that a running request makes carry no key and have no organisation; one whose request is not running is answered with 503.

--- a/config/include/burdockgrade/snapshot.h
+++ b/config/include/burdockgrade/snapshot.h
@@ -185,6 +185,8 @@
 	uint32_t idle_timeout_ms;
 };
 
+struct bg_organisations;
+
 struct bg_snapshot {
 	uint32_t reference_count;
 	uint64_t version;
@@ -194,13 +196,18 @@
 	size_t rule_count;
 	struct bg_target *targets; /**< of all rules */
 	char *strings;		   /**< of all rules and targets */
-	/** Sorted by name. If there is one, callers need a key. */
+	/** Maps keys to organisations, shared by snapshots. NULL: the
+	 * configuration has no table of organisations, and callers need no
+	 * key. */
+	struct bg_organisations *organisation_set;
+	/** Sorted by name; owned by organisation_set. */
 	struct bg_organisation *organisations;
 	size_t organisation_count;
 	struct bg_caller_limits limits;
 };
 
-/** Input of bg_snapshot_assemble(), which copies all of it. */
+/** Input of bg_snapshot_assemble(), which copies all of it, apart from the
+ * organisations, to which it adds a reference. */
 struct bg_snapshot_draft {
 	uint64_t version;
 	const struct bg_service *services;
@@ -208,6 +215,7 @@
 	const struct bg_rule *rules;
 	size_t rule_count;
 	struct bg_caller_limits limits;
+	struct bg_organisations *organisations; /**< NULL: none */
 };
 
 /**
--- a/config/src/assemble.c
+++ b/config/src/assemble.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "burdockgrade/snapshot.h"
+#include "burdockgrade/organisations.h"
 
 #include "rule_order.h"
 
@@ -173,6 +173,9 @@
 	snap->reference_count = 1;
 	snap->version = draft->version;
 	snap->limits = draft->limits;
+	snap->organisation_set = bg_organisations_acquire(draft->organisations);
+	snap->organisations = bg_organisations_items(
+	    snap->organisation_set, &snap->organisation_count);
 	if (allocate(snap, draft) != 0) {
 		bg_snapshot_release(snap);
 		return out_of_memory(err);
--- a/config/src/snapshot.c
+++ b/config/src/snapshot.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "burdockgrade/snapshot.h"
+#include "burdockgrade/organisations.h"
 
 #include "contract_set.h"
 #include "rule_order.h"
@@ -223,6 +223,7 @@
 	free(snap->rules);
 	free(snap->targets);
 	free(snap->strings);
+	bg_organisations_release(snap->organisation_set);
 	free(snap);
 }
 
--- a/core/include/burdockgrade/settings.h
+++ b/core/include/burdockgrade/settings.h
@@ -31,6 +31,11 @@
 	char not_run[BG_HEADER_NAME_BYTES];
 	/** Number of calls above this one in a chain; empty name: not sent. */
 	char call_depth[BG_HEADER_NAME_BYTES];
+	/** Key by which a caller identifies its organisation; never passed
+	 * on. Empty: callers have no keys. */
+	char key[BG_HEADER_NAME_BYTES];
+	/** Organisation of the caller, set by the proxy; empty: not sent. */
+	char organisation[BG_HEADER_NAME_BYTES];
 };
 
 /** Retry budget of each service: a share of its calls plus a slack. */
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -4,6 +4,7 @@
 
 #include "burdockgrade/clock.h"
 #include "burdockgrade/log.h"
+#include "burdockgrade/organisations.h"
 
 #include "node.h"
 #include "pages.h"
@@ -239,10 +240,21 @@
 	return !node->is_stopping && bg_proxy_is_ready(node->proxy);
 }
 
+static int
+render_organisations(void *arg, char **out)
+{
+	struct bg_node *node = arg;
+
+	return bg_organisations_render(out,
+	    bg_mesh_is_synced(node->mesh) ? bg_mesh_snapshot(node->mesh)
+					  : NULL);
+}
+
 static int
 init_platform(struct bg_node *node, struct bg_error *err)
 {
-	struct bg_platform_handler handler = {on_announcement, is_ready, node};
+	struct bg_platform_handler handler = {
+	    on_announcement, is_ready, render_organisations, node};
 
 	if (!node->is_platform_managed)
 		return bg_pages_init(node);
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -51,6 +51,7 @@
 		call->next->prev = call->prev;
 	if (call->timer != NULL)
 		event_free(call->timer);
+	bg_call_erase_key(call);
 	bg_snapshot_release(call->snapshot);
 	xdr_free((xdrproc_t)xdr_bg_xcall_args, (char *)&call->args);
 	free(call);
@@ -173,7 +174,7 @@
 	const struct bg_rule *rule = call->rule;
 
 	args->slow_ms = rule->target_ms;
-	args->priority = rule->priority;
+	args->priority = bg_access_priority(call->organisation, rule);
 	args->idempotent = rule->is_idempotent != 0;
 	args->is_dependency = call->is_dependency != 0;
 	args->config_version = call->snapshot->version;
@@ -225,6 +226,8 @@
 				       : "no route has this path");
 		return;
 	}
+	if (bg_call_check_access(call) != 0)
+		return;
 	if (call->args.depth >= BG_CALL_DEPTH_MAX) {
 		bg_call_refuse(call, BG_XREFUSAL_DEPTH);
 		return;
@@ -588,10 +591,12 @@
 {
 	struct bg_call *call = calloc(1, sizeof(*call));
 
-	if (call == NULL ||
+	if (call == NULL || bg_call_copy_caller(call, &opts->caller) != 0 ||
 	    (call->timer = event_new(prx->base, -1, 0, on_timer, call)) ==
 		NULL) {
 		xdr_free((xdrproc_t)xdr_bg_xcall_args, (char *)args);
+		if (call != NULL)
+			bg_call_erase_key(call);
 		free(call);
 		return BG_ENOMEM;
 	}
--- a/proxy/src/call/call.h
+++ b/proxy/src/call/call.h
@@ -7,6 +7,8 @@
 
 #include "burdockgrade/wire_xdr.h"
 
+#include "../access/access.h"
+
 struct bg_proxy;
 struct bg_call;
 
@@ -29,9 +31,11 @@
 typedef void (*bg_call_fn)(void *arg, const struct bg_call_answer *ans);
 
 struct bg_call_options {
-	uint32_t deadline_ms; /**< time the caller has left; 0: not given */
-	int is_dependency;    /**< sent by the backend server on this VM */
-	int is_repeat;	      /**< made by a request that was repeated */
+	uint32_t deadline_ms;	 /**< time the caller has left; 0: not given */
+	int is_dependency;	 /**< sent by the backend server on this VM */
+	int is_repeat;		 /**< made by a request that was repeated */
+	struct bg_caller caller; /**< its key is copied until the call is
+				    routed */
 };
 
 /**
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -48,9 +48,20 @@
 	int is_queueing_allowed;     /**< in the current attempt */
 	uint64_t link_wait_start_us; /**< 0: not waiting for a link */
 	int is_dependency;
+	struct bg_caller caller;
+	char *key; /**< owned copy, until the call is routed */
 	char picked_version[BG_NAME_BYTES];
 };
 
+/** Copies what is known of the caller. @return 0 or BG_ENOMEM */
+int bg_call_copy_caller(struct bg_call *call, const struct bg_caller *caller);
+/** Erases the copy of the caller's key: one that is no longer needed must not
+ * stay in memory. */
+void bg_call_erase_key(struct bg_call *call);
+/** Checks the caller's key and sets the call's organisation, once its rule is
+ * known. Replies at once if the caller may not make the call.
+ * @return 0, or -1 if the call has ended */
+int bg_call_check_access(struct bg_call *call);
 /** Replies to the caller and frees the call. */
 void bg_call_reply(struct bg_call *call, const struct bg_call_answer *ans);
 /** Replies with a plain-text reason instead of a body and frees the call. */
--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "burdockgrade/clock.h"
 #include "burdockgrade/log.h"
@@ -30,7 +31,7 @@
  * usual service time. */
 #define SILENT_FACTOR 4
 /* Maximum number of headers that the gatekeeper adds to a request. */
-#define ADDED_HEADERS 4
+#define ADDED_HEADERS 5
 
 void
 bg_gate_call_free(struct bg_gate_call *call)
@@ -375,6 +376,24 @@
 	char depth[16];
 };
 
+/* Copies the headers of the call. A node of an earlier build passes on what the
+ * caller sent as its key or as the name of an organisation. */
+static uint32_t
+copy_headers(struct bg_xheader *out, const struct bg_xcall_args *args,
+    const struct bg_header_names *names)
+{
+	const struct bg_xheader *header = args->headers.headers_val;
+	const struct bg_xheader *end = header + args->headers.headers_len;
+	uint32_t n = 0;
+
+	for (; header < end; header++) {
+		if (strcasecmp(header->name, names->key) != 0 &&
+		    strcasecmp(header->name, names->organisation) != 0)
+			out[n++] = *header;
+	}
+	return n;
+}
+
 static uint32_t
 add_headers(struct bg_xheader *out, struct bg_gate_call *call,
     struct added_headers *values, uint32_t left_ms)
@@ -382,9 +401,8 @@
 	const struct bg_xcall_args *args = call->args;
 	struct bg_gatekeeper *gk = call->gatekeeper;
 	const struct bg_header_names *names = &gk->settings->headers;
-	uint32_t n = args->headers.headers_len;
+	uint32_t n = copy_headers(out, args, names);
 
-	memcpy(out, args->headers.headers_val, n * sizeof(*out));
 	snprintf(values->deadline, sizeof(values->deadline), "%u", left_ms);
 	out[n].name = (char *)names->deadline_ms;
 	out[n++].value = values->deadline;
@@ -394,6 +412,11 @@
 		out[n].name = (char *)names->caller_service;
 		out[n++].value = args->caller_service;
 	}
+	if (names->organisation[0] != '\0' &&
+	    args->extension.organisation[0] != '\0') {
+		out[n].name = (char *)names->organisation;
+		out[n++].value = args->extension.organisation;
+	}
 	if (names->call_depth[0] != '\0') {
 		snprintf(values->depth, sizeof(values->depth), "%u",
 		    args->depth + 1);
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -231,6 +231,7 @@
 	if (call == NULL)
 		return 0;
 	out->is_repeat = call->args->is_repeat != 0;
+	out->has_same_id = strcmp(call->args->request_id, request_id) == 0;
 	return 1;
 }
 
--- a/proxy/src/gatekeeper/gatekeeper.h
+++ b/proxy/src/gatekeeper/gatekeeper.h
@@ -62,7 +62,8 @@
  * own.
  */
 struct bg_gate_parent {
-	int is_repeat; /**< another backend server received it before */
+	int is_repeat;	 /**< another backend server received it before */
+	int has_same_id; /**< the call's id does not extend its own */
 };
 
 /**
--- a/proxy/src/gatekeeper/headers.c
+++ b/proxy/src/gatekeeper/headers.c
@@ -28,7 +28,7 @@
 {
 	const char *const set_by_proxy[] = {"Host", "Content-Length", "Expect",
 	    names->call_depth, names->deadline_ms, names->caller_service,
-	    names->expected_server};
+	    names->expected_server, names->key, names->organisation};
 	size_t i;
 
 	for (i = 0; i < sizeof(set_by_proxy) / sizeof(set_by_proxy[0]); i++) {
--- a/proxy/src/ingress/ingress.c
+++ b/proxy/src/ingress/ingress.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/socket.h>
 
 #include "burdockgrade/clock.h"
@@ -11,6 +12,7 @@
 #include "../call/call.h"
 #include "../call/deadline.h"
 #include "../gatekeeper/headers.h"
+#include "../http/syntax.h"
 #include "../metrics/metrics.h"
 #include "ingress.h"
 #include "ingress_conn.h"
@@ -19,7 +21,7 @@
 #define PAGES_MAX 16
 #define REQUEST_ID_BYTES 128
 /* Header slots that are left free for the gatekeeper to add its own. */
-#define RESERVED_HEADERS 4
+#define RESERVED_HEADERS 5
 
 struct page_handler {
 	const char *path;
@@ -285,6 +287,35 @@
 	return 0;
 }
 
+/* Removes the blanks around a value, which are not part of it (RFC 9110,
+ * section 5.5). libevhtp keeps them. @return within text */
+static char *
+trim(char *text)
+{
+	char *end = text + strlen(text);
+
+	while (end > text && bg_http_is_blank(end[-1]))
+		*--end = '\0';
+	while (bg_http_is_blank(*text))
+		text++;
+	return text;
+}
+
+/* Collects the keys of the request, which stay valid as long as it. */
+static void
+find_keys(struct bg_caller *out, const struct pending_request *p)
+{
+	const char *name = header_names(p->ingress)->key;
+	evhtp_header_t *header;
+
+	TAILQ_FOREACH(header, p->request->headers_in, next)
+	{
+		if (strcasecmp(header->key, name) == 0)
+			bg_caller_add_key(
+			    out, header->val == NULL ? "" : trim(header->val));
+	}
+}
+
 /* Recognizes a call that the backend server on this VM makes while it runs
  * another one. */
 static void
@@ -293,11 +324,13 @@
 {
 	struct bg_gate_parent parent = {0};
 
-	out->is_dependency =
-	    bg_gatekeeper_find_parent(
-		&parent, p->ingress->proxy->gatekeeper, args->request_id) ||
-	    args->depth > 0;
+	int has_parent = bg_gatekeeper_find_parent(
+	    &parent, p->ingress->proxy->gatekeeper, args->request_id);
+
+	out->is_dependency = has_parent || args->depth > 0;
 	out->is_repeat = parent.is_repeat;
+	out->caller.origin = bg_access_origin(
+	    args->request_id, has_parent && !parent.has_same_id);
 }
 
 static void
@@ -305,7 +338,7 @@
 {
 	evhtp_request_t *req = p->request;
 	struct bg_ingress *ing = p->ingress;
-	struct bg_call_options opts;
+	struct bg_call_options opts = {0};
 	struct bg_xcall_args args;
 
 	p->buffered_bytes = evbuffer_get_length(req->buffer_in);
@@ -319,6 +352,7 @@
 	    evhtp_header_find(req->headers_in, header_names(ing)->deadline_ms),
 	    0);
 	fill_origin(&opts, p, &args);
+	find_keys(&opts.caller, p);
 	if (bg_call_start(
 		&p->call, ing->proxy, &args, &opts, on_call_done, p) != 0)
 		send_error(p, 503, bg_refusal_text(BG_XREFUSAL_BUFFERS),
