--- a/cli/src/cli.h
+++ b/cli/src/cli.h
@@ -72,7 +72,7 @@
 int bg_cli_cmd_watch(struct bg_cli *cli, int argc, char **argv);
 int bg_cli_cmd_history(struct bg_cli *cli, int argc, char **argv);
 int bg_cli_cmd_report(struct bg_cli *cli, int argc, char **argv);
-int bg_cli_cmd_organisations(struct bg_cli *cli, int argc, char **argv);
+int bg_cli_cmd_keys(struct bg_cli *cli, int argc, char **argv);
 int bg_cli_cmd_explain(struct bg_cli *cli, int argc, char **argv);
 
 /**
--- a/cli/src/organisations.c
+++ b/cli/src/keys.c
@@ -1,4 +1,4 @@
-/* Subcommand organisations: prints the organisations in force at a node. */
+/* Subcommand keys: prints the organisations in force at a node. */
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -100,15 +100,13 @@
 	size_t i;
 
 	if (!json_is_true(json_object_get(doc, "synced"))) {
-		fputs("burdockgrade organisations: the node is not synced\n",
-		    stderr);
+		fputs("burdockgrade keys: the node is not synced\n", stderr);
 		return BG_EXIT_FAILED;
 	}
 	for (i = 0; i < cli->arg_count; i++) {
 		if (is_listed(list, cli->args[i]))
 			continue;
-		fprintf(stderr,
-		    "burdockgrade organisations: %s is not in force\n",
+		fprintf(stderr, "burdockgrade keys: %s is not in force\n",
 		    cli->args[i]);
 		code = BG_EXIT_FAILED;
 	}
@@ -135,7 +133,7 @@
 }
 
 int
-bg_cli_cmd_organisations(struct bg_cli *cli, int argc, char **argv)
+bg_cli_cmd_keys(struct bg_cli *cli, int argc, char **argv)
 {
 	struct bg_error err = {0};
 	json_t *doc;
--- a/cli/src/main.c
+++ b/cli/src/main.c
@@ -33,12 +33,13 @@
 	"all nodes given by --node (separated by commas). If a node does not "
 	"respond, the report names it and the exit code is 1.",
 	1, 1, bg_cli_cmd_report},
-    {"organisations", "[NAME...]",
-	"Print the organisations in force at a node, with key counts\n\n"
+    {"keys", "[NAME...]",
+	"Print the organisations and their numbers of keys\n\nShows what is in "
+	"force at a node. "
 	"--node is the address of the node's metrics. Keys are never shown. "
 	"Organisations that are named and not in force are reported, and the "
 	"exit code is 1.",
-	0, BG_CLI_ARGS_MAX, bg_cli_cmd_organisations},
+	0, BG_CLI_ARGS_MAX, bg_cli_cmd_keys},
     {"explain", "ID FILE...",
 	"Trace a request through the logs of nodes\n\nPrints the log lines of "
 	"the request with this id in causal order. If there are none, prints "
@@ -99,7 +100,7 @@
 		return (char *)text;
 	fputs("Commands:\n", fp);
 	for (cmd = BG_CLI_COMMANDS; cmd->name != NULL; cmd++)
-		fprintf(fp, "  %-13s %-15s  %.*s\n", cmd->name, cmd->args_doc,
+		fprintf(fp, "  %-9s %-15s  %.*s\n", cmd->name, cmd->args_doc,
 		    (int)strcspn(cmd->doc, "\n"), cmd->doc);
 	fputs("\nburdockgrade COMMAND --help explains the options. Exit codes: "
 	      "0 ok, 1 failed,\n2 bad usage or input, 3 conflict, 4 platform "
--- a/cli/tests/test_cli.c
+++ b/cli/tests/test_cli.c
@@ -413,6 +413,41 @@
 }
 END_TEST
 
+/* Guards against organisations that are missing from the output or are shown
+ * although they were not named, and against exit code 0 for one that is not in
+ * force. */
+START_TEST(organisations_of_a_node)
+{
+	static const char *const page[] = {
+	    "{\"synced\":true,\"version\":7,\"keys_needed\":true,"
+	    "\"organisations\":["
+	    "{\"name\":\"alpha\",\"keys\":0,\"rate_per_s\":0.0,\"burst\":0},"
+	    "{\"name\":\"beta\",\"keys\":3,\"rate_per_s\":2.5,\"burst\":9,"
+	    "\"priority\":1}]}",
+	    NULL};
+	static const char *const invalid[] = {
+	    "{\"synced\":true,\"organisations\":[{\"name\":7}]}", NULL};
+	struct node_stub stub;
+
+	stub_start(&stub, page);
+	EXPECT(0, "alpha keys=0 priority=route rate=unlimited\n", "keys",
+	    "--node", stub.address);
+	ck_assert_ptr_nonnull(strstr(output, "version 7: callers need a key"));
+	EXPECT(0, "beta keys=3 priority=1 rate=2.500/s burst=9\n", "keys",
+	    "beta", "--node", stub.address);
+	ck_assert_ptr_null(strstr(output, "alpha"));
+	EXPECT(
+	    0, "\"keys\": 3", "keys", "beta", "--json", "--node", stub.address);
+	ck_assert_ptr_null(strstr(output, "alpha"));
+	EXPECT(1, "gamma is not in force", "keys", "gamma", "--node",
+	    stub.address);
+	stub_stop(&stub);
+	stub_start(&stub, invalid);
+	EXPECT(1, "cannot parse", "keys", "--node", stub.address);
+	stub_stop(&stub);
+}
+END_TEST
+
 /* Guards against a status that fails because the first of several nodes is
  * down. */
 START_TEST(status_uses_first_responding_node)
@@ -570,6 +605,7 @@
 	tcase_add_test(tc, unreachable_platform_exits_with_4);
 	tcase_add_test(tc, lost_write_responses_are_resolved);
 	tcase_add_test(tc, status_of_named_services);
+	tcase_add_test(tc, organisations_of_a_node);
 	tcase_add_test(tc, status_uses_first_responding_node);
 	tcase_add_loop_test(tc, page_with_a_broken_status_is_not_printed, 0, 4);
 	tcase_add_test(tc, watch_waits_for_the_config_version);
