Say nothing of keys for a node that is not synced

Such a node was printed as "version 0: callers need no key". The text is left out now; the report on stderr and exit code 1 stay. organisations_of_a_node guards it.

--- a/cli/src/keys.c
+++ b/cli/src/keys.c
@@ -43,12 +43,15 @@
 	return 0;
 }
 
+/* Prints nothing if the node is not synced: it cannot tell who needs a key. */
 static int
 print_text(const struct bg_cli *cli, json_t *doc, const json_t *list)
 {
 	json_t *value;
 	size_t i;
 
+	if (!json_is_true(json_object_get(doc, "synced")))
+		return 0;
 	printf("version %lld: %s\n",
 	    (long long)json_integer_value(json_object_get(doc, "version")),
 	    json_is_true(json_object_get(doc, "keys_needed"))
--- a/cli/tests/test_cli.c
+++ b/cli/tests/test_cli.c
@@ -414,8 +414,9 @@
 END_TEST
 
 /* Guards against organisations that are missing from the output or are shown
- * although they were not named, and against exit code 0 for one that is not in
- * force. */
+ * although they were not named, against exit code 0 for one that is not in
+ * force, and against a node without a configuration that seems to need no key.
+ */
 START_TEST(organisations_of_a_node)
 {
 	static const char *const page[] = {
@@ -427,6 +428,10 @@
 	    NULL};
 	static const char *const invalid[] = {
 	    "{\"synced\":true,\"organisations\":[{\"name\":7}]}", NULL};
+	static const char *const unsynced[] = {
+	    "{\"synced\":false,\"version\":0,\"keys_needed\":false,"
+	    "\"organisations\":[]}",
+	    NULL};
 	struct node_stub stub;
 
 	stub_start(&stub, page);
@@ -445,6 +450,10 @@
 	stub_start(&stub, invalid);
 	EXPECT(1, "cannot parse", "keys", "--node", stub.address);
 	stub_stop(&stub);
+	stub_start(&stub, unsynced);
+	EXPECT(1, "not synced", "keys", "--node", stub.address);
+	ck_assert_ptr_null(strstr(output, "need no key"));
+	stub_stop(&stub);
 }
 END_TEST
 
