Recognize a repeated call of a server beside its first attempt

If the first attempt at a call ran at the VM of the request that made it, the repetition found the attempt, whose id is the same, in place of the request, and got 503 for lack of a key. A request that the id extends goes first now. repeated_call_of_a_server_carries_no_key fails without the change (503).

Also test what a CALL carries, the two directions of a mixed fleet, and names with a blank before the colon.

--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -209,17 +209,23 @@
 	    (call_id[bytes] == '\0' || call_id[bytes] == '.');
 }
 
+/* A request that the id extends goes before one with the same id, which may be
+ * an earlier attempt at this call that came back to this VM. */
 static struct bg_gate_call *
 find_parent(const struct bg_gatekeeper *gk, const char *request_id)
 {
+	struct bg_gate_call *same = NULL;
 	struct bg_gate_call *call;
 
 	for (call = gk->calls; call != NULL; call = call->next) {
-		if (call->entry.is_running &&
-		    is_made_by(request_id, call->args->request_id))
+		if (!call->entry.is_running ||
+		    !is_made_by(request_id, call->args->request_id))
+			continue;
+		if (strcmp(request_id, call->args->request_id) != 0)
 			return call;
+		same = call;
 	}
-	return NULL;
+	return same;
 }
 
 int
--- a/proxy/src/ingress/ingress.c
+++ b/proxy/src/ingress/ingress.c
@@ -323,7 +323,6 @@
     const struct bg_xcall_args *args)
 {
 	struct bg_gate_parent parent = {0};
-
 	int has_parent = bg_gatekeeper_find_parent(
 	    &parent, p->ingress->proxy->gatekeeper, args->request_id);
 
--- a/proxy/tests/test_keys.c
+++ b/proxy/tests/test_keys.c
@@ -9,11 +9,15 @@
 #include "burdockgrade/log.h"
 #include "burdockgrade/organisations.h"
 
+#include "call/call_internal.h"
+#include "gatekeeper/headers.h"
 #include "node.h"
 #include "suite.h"
 
 #define KEY "alpha-secret"
 #define OTHER_KEY "beta-secret"
+/* Rank of alpha. It differs from that of each rule. */
+#define ALPHA_PRIORITY 7
 
 static struct event_base *base;
 static struct node node1;
@@ -28,7 +32,7 @@
 {
 	static struct bg_service services[1];
 	struct bg_organisation_draft orgs[] = {
-	    {{"alpha", 0, 0, 0, 0}, &alpha_key, alpha_key != NULL},
+	    {{"alpha", 1, ALPHA_PRIORITY, 0, 0}, &alpha_key, alpha_key != NULL},
 	    {{"beta", 0, 0, 0, 0}, &beta_key, beta_key != NULL},
 	};
 	struct bg_rule rules[] = {
@@ -158,6 +162,70 @@
 }
 END_TEST
 
+/* 1 if the call that node1 has sent on carries the header. */
+static int
+is_in_call(const char *name)
+{
+	const struct bg_xcall_args *args = &node1.proxy->calls->args;
+
+	return bg_header_find(args->headers.headers_val,
+		   args->headers.headers_len, name) != NULL;
+}
+
+/* Guards against a key that is passed on to another node or kept after it was
+ * checked, and against a gatekeeper that orders calls by the rank of the rule
+ * although the organisation has one. */
+START_TEST(call_has_the_organisation_and_no_key)
+{
+	setup();
+	node2.backend.mode = BACKEND_HOLD;
+	client_send(&cl,
+	    "GET /lookup/1 HTTP/1.1\r\nHost: x\r\nX-Key: " KEY "\r\n"
+	    "X-Organisation: beta\r\n\r\n");
+	WAIT(base, node2.backend.held == 1);
+	ck_assert_str_eq(
+	    node1.proxy->calls->args.extension.organisation, "alpha");
+	ck_assert_uint_eq(node1.proxy->calls->args.priority, ALPHA_PRIORITY);
+	ck_assert(!is_in_call("X-Key"));
+	ck_assert(!is_in_call("X-Organisation"));
+	ck_assert_ptr_null(node1.proxy->calls->key);
+	backend_release_held(&node2.backend, BACKEND_OK);
+	WAIT(base, client_has_response(&cl));
+	teardown();
+}
+END_TEST
+
+/* Guards against a key, or an organisation that the caller chose, that reaches
+ * the server by way of a node of an earlier build: one that received the
+ * request, or one that runs beside the server. */
+START_TEST(earlier_builds_pass_on_no_key)
+{
+	struct node *earlier = _i == 0 ? &node1 : &node2;
+
+	setup();
+	earlier->settings.headers.key[0] = '\0';
+	earlier->settings.headers.organisation[0] = '\0';
+	ck_assert_int_eq(
+	    get("/open/1", "X-Key: " KEY "\r\nX-Organisation: beta\r\n"), 200);
+	ck_assert_uint_eq(count_in_head("secret"), 0);
+	ck_assert_uint_eq(count_in_head("X-Organisation"), 0);
+	teardown();
+}
+END_TEST
+
+/* Guards against a name that the node does not recognize and the server does.
+ */
+START_TEST(malformed_names_are_refused)
+{
+	setup();
+	ck_assert_int_eq(
+	    get("/lookup/1", "X-Key: " KEY "\r\nX-Organisation : beta\r\n"),
+	    400);
+	ck_assert_int_eq(node2.backend.requests, 0);
+	teardown();
+}
+END_TEST
+
 static const char *const REFUSED[] = {
     "",
     "X-Key:\r\n",
@@ -315,6 +383,35 @@
 }
 END_TEST
 
+/* Guards against a server that repeats a call and is refused, because the first
+ * attempt runs at the same VM as the request that made it. */
+START_TEST(repeated_call_of_a_server_carries_no_key)
+{
+	struct client clients[2];
+	size_t i;
+
+	setup_nodes(0);
+	node1.backend.mode = BACKEND_HOLD;
+	for (i = 0; i < 2; i++) {
+		client_open(&clients[i], base, bg_proxy_port(node1.proxy));
+		client_send(&clients[i],
+		    "GET /lookup/1 HTTP/1.1\r\nHost: x\r\nX-Request-Id: %s\r\n"
+		    "\r\n",
+		    i == 0 ? "p1\r\nX-Key: " KEY : "p1.1");
+		WAIT(base, node1.backend.held == (int)i + 1);
+	}
+	node1.backend.mode = BACKEND_OK;
+	ck_assert_int_eq(get("/lookup/1", "X-Request-Id: p1.1\r\n"), 200);
+	ck_assert_int_eq(get("/lookup/1", "X-Request-Id: p1\r\n"), 401);
+	backend_release_held(&node1.backend, BACKEND_OK);
+	for (i = 0; i < 2; i++) {
+		WAIT(base, client_has_response(&clients[i]));
+		client_close(&clients[i]);
+	}
+	teardown();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -327,6 +424,9 @@
 	tcase_set_timeout(tc, 20);
 	tcase_add_loop_test(tc, server_gets_the_organisation_and_no_key, 0,
 	    sizeof(GRANTED) / sizeof(GRANTED[0]));
+	tcase_add_test(tc, call_has_the_organisation_and_no_key);
+	tcase_add_loop_test(tc, earlier_builds_pass_on_no_key, 0, 2);
+	tcase_add_test(tc, malformed_names_are_refused);
 	tcase_add_loop_test(tc, request_without_a_valid_key_is_refused, 0,
 	    sizeof(REFUSED) / sizeof(REFUSED[0]));
 	tcase_add_test(tc, refusal_is_logged_with_its_reason);
@@ -336,5 +436,6 @@
 	tcase_add_test(tc, each_request_on_a_connection_is_checked);
 	tcase_add_test(tc, node_without_a_configuration_answers_503);
 	tcase_add_test(tc, calls_of_servers_carry_no_key);
+	tcase_add_test(tc, repeated_call_of_a_server_carries_no_key);
 	return run_suite("keys", tc);
 }
