--- a/proxy/tests/test_keys.c
+++ b/proxy/tests/test_keys.c
@@ -21,6 +21,8 @@
 static struct client cl;
 static int log_fds[2];
 
+static int has_organisations;
+
 /* Builds the next version, in which each organisation has the key, or none for
  * NULL. */
 static void
@@ -45,8 +47,10 @@
 	draft.service_count = 1;
 	draft.rules = rules;
 	draft.rule_count = sizeof(rules) / sizeof(rules[0]);
-	ck_assert_int_eq(
-	    bg_organisations_init(&draft.organisations, orgs, 2, NULL), 0);
+	if (has_organisations)
+		ck_assert_int_eq(
+		    bg_organisations_init(&draft.organisations, orgs, 2, NULL),
+		    0);
 	ck_assert_int_eq(bg_snapshot_assemble(&snapshot, &draft, NULL), 0);
 	bg_organisations_release(draft.organisations);
 }
@@ -79,6 +83,7 @@
 	struct node *server = is_remote ? &node2 : &node1;
 
 	base = event_base_new();
+	has_organisations = 1;
 	build_version(1, KEY, OTHER_KEY);
 	start_node(&node1);
 	start_node(&node2);
@@ -276,6 +281,45 @@
 }
 END_TEST
 
+/* Guards against a connection that stays open to all after the first
+ * organisation came, or closed to all after the table was removed. */
+START_TEST(first_organisation_comes_and_the_table_goes)
+{
+	setup();
+	has_organisations = 0;
+	apply_version(2, NULL, NULL);
+	ck_assert_int_eq(get("/lookup/1", "X-Organisation: beta\r\n"), 200);
+	ck_assert_uint_eq(count_in_head("X-Organisation"), 0);
+	has_organisations = 1;
+	apply_version(3, KEY, NULL);
+	ck_assert_int_eq(get("/lookup/1", ""), 401);
+	ck_assert_int_eq(get("/lookup/1", "X-Key: " KEY "\r\n"), 200);
+	has_organisations = 0;
+	apply_version(4, NULL, NULL);
+	ck_assert_int_eq(get("/lookup/1", "X-Key: " KEY "\r\n"), 200);
+	ck_assert_uint_eq(count_in_head("secret"), 0);
+	teardown();
+}
+END_TEST
+
+/* Guards against headers that a node of an earlier build passes on, and that
+ * its peer sends to the server. */
+START_TEST(gatekeeper_removes_what_an_earlier_build_passes_on)
+{
+	setup();
+	has_organisations = 0;
+	apply_version(2, NULL, NULL);
+	node1.settings.headers.key[0] = '\0';
+	node1.settings.headers.organisation[0] = '\0';
+	ck_assert_int_eq(
+	    get("/lookup/1", "x-KEY: " KEY "\r\nx-organisation: beta\r\n"),
+	    200);
+	ck_assert_uint_eq(count_in_head("secret"), 0);
+	ck_assert_uint_eq(count_in_head("X-Organisation"), 0);
+	teardown();
+}
+END_TEST
+
 /* Guards against a 401 of a node that knows no configuration, and so cannot
  * tell whether the key is valid. */
 START_TEST(node_without_a_configuration_answers_503)
@@ -334,6 +378,8 @@
 	tcase_add_test(tc, key_in_a_trailer_does_not_count);
 	tcase_add_test(tc, public_route_needs_no_key);
 	tcase_add_test(tc, each_request_on_a_connection_is_checked);
+	tcase_add_test(tc, first_organisation_comes_and_the_table_goes);
+	tcase_add_test(tc, gatekeeper_removes_what_an_earlier_build_passes_on);
 	tcase_add_test(tc, node_without_a_configuration_answers_503);
 	tcase_add_test(tc, calls_of_servers_carry_no_key);
 	return run_suite("keys", tc);
