--- a/proxy/tests/test_keys.c
+++ b/proxy/tests/test_keys.c
@@ -320,6 +320,22 @@
 }
 END_TEST
 
+/* Guards against a key that the ingress sends to another node, whose gatekeeper
+ * would remove it as well. */
+START_TEST(key_does_not_leave_the_node)
+{
+	setup();
+	node2.settings.headers.key[0] = '\0';
+	node2.settings.headers.organisation[0] = '\0';
+	ck_assert_int_eq(
+	    get("/lookup/1", "x-KEY: " KEY "\r\nx-organisation: beta\r\n"),
+	    200);
+	ck_assert_uint_eq(count_in_head("secret"), 0);
+	ck_assert_uint_eq(count_in_head("X-Organisation"), 0);
+	teardown();
+}
+END_TEST
+
 /* Guards against a 401 of a node that knows no configuration, and so cannot
  * tell whether the key is valid. */
 START_TEST(node_without_a_configuration_answers_503)
@@ -380,6 +396,7 @@
 	tcase_add_test(tc, each_request_on_a_connection_is_checked);
 	tcase_add_test(tc, first_organisation_comes_and_the_table_goes);
 	tcase_add_test(tc, gatekeeper_removes_what_an_earlier_build_passes_on);
+	tcase_add_test(tc, key_does_not_leave_the_node);
 	tcase_add_test(tc, node_without_a_configuration_answers_503);
 	tcase_add_test(tc, calls_of_servers_carry_no_key);
 	return run_suite("keys", tc);
