Test that a table without an organisation needs keys

A check of the number of organisations in place of the table let every caller in, and test_keys stayed green. empty_table_needs_keys guards the rule.

--- a/proxy/tests/test_access.c
+++ b/proxy/tests/test_access.c
@@ -91,6 +91,26 @@
 }
 END_TEST
 
+/* Guards against a table that lost its last organisation and lets every caller
+ * in. */
+START_TEST(empty_table_needs_keys)
+{
+	const struct bg_organisation *org;
+	struct bg_caller caller = {0};
+
+	memset(&rule, 0, sizeof(rule));
+	memset(&snap, 0, sizeof(snap));
+	ck_assert_int_eq(
+	    bg_organisations_init(&snap.organisation_set, NULL, 0, NULL), 0);
+	ck_assert_int_eq(
+	    bg_access_decide(&org, &snap, &rule, &caller), BG_ACCESS_NO_KEY);
+	bg_caller_add_key(&caller, "alpha-key");
+	ck_assert_int_eq(bg_access_decide(&org, &snap, &rule, &caller),
+	    BG_ACCESS_UNKNOWN_KEY);
+	bg_organisations_release(snap.organisation_set);
+}
+END_TEST
+
 /* Guards against a customer that passes for a server by its id, and against a
  * call of a request that has ended and is taken for a forbidden one. */
 START_TEST(only_a_running_request_needs_no_key)
@@ -137,6 +157,7 @@
 	tcase_add_loop_test(tc, key_decides_the_organisation, 0,
 	    sizeof(REQUESTS) / sizeof(REQUESTS[0]));
 	tcase_add_test(tc, calls_without_need_for_a_key_are_granted);
+	tcase_add_test(tc, empty_table_needs_keys);
 	tcase_add_test(tc, only_a_running_request_needs_no_key);
 	tcase_add_test(tc, rank_of_the_organisation_goes_first);
 	return run_suite("access", tc);
