Empty data centres: no new calls to their backend servers

An operator names a data centre in the store, and until the object is removed no new call may reach a server there. The node that reads the store exactly watches these objects and pushes changes; they are items of the replicated table, ordered by the store's revision. The router leaves the servers out, and the gatekeeper beside them refuses calls that have not started. A node that has just started or was paused refuses until it knows. The status shows emptied data centres and the calls that still run there. Followed only where the settings ask for it.

--- a/cli/src/node.h
+++ b/cli/src/node.h
@@ -38,6 +38,9 @@
 	struct bg_cli_status_line *items;
 	size_t count;
 	int is_synced; /**< 0: the node has no configuration yet */
+	/** Emptied data centres: an array of lines, or of JSON objects. NULL:
+	 * the node tells of none. */
+	json_t *emptied;
 };
 
 /**
--- a/cli/src/status.c
+++ b/cli/src/status.c
@@ -50,6 +50,8 @@
 	json_t *services = json_array();
 	size_t i;
 
+	for (i = 0; !cli->is_json && i < json_array_size(lines->emptied); i++)
+		puts(json_string_value(json_array_get(lines->emptied, i)));
 	for (i = 0; i < lines->count; i++) {
 		if (!is_selected(cli, lines->items[i].service))
 			continue;
@@ -60,8 +62,9 @@
 			puts(lines->items[i].text);
 	}
 	if (cli->is_json)
-		bg_cli_print_json(json_pack("{s:b, s:o}", "synced",
-		    lines->is_synced, "services", services));
+		bg_cli_print_json(json_pack("{s:b, s:o, s:O*}", "synced",
+		    lines->is_synced, "services", services, "emptied",
+		    lines->emptied));
 	else
 		json_decref(services);
 }
--- a/cli/src/status_lines.c
+++ b/cli/src/status_lines.c
@@ -7,6 +7,9 @@
 /* The states defined in docs/status-text.md. */
 static const char *const STATES[] = {"done", "in progress", "rolled back"};
 
+/* Begins a comment on an emptied data centre, as in docs/status-text.md. */
+#define EMPTIED_COMMENT "# emptied "
+
 static const char *
 match_state(const char *text, size_t *out_len)
 {
@@ -71,6 +74,17 @@
 								    : 0;
 }
 
+/* Keeps a comment on an emptied data centre. @return 0 or BG_ENOMEM */
+static int
+add_emptied(struct bg_cli_status_lines *out, const char *text)
+{
+	json_t *line = json_string(text);
+
+	if (out->emptied == NULL)
+		out->emptied = json_array();
+	return json_array_append_new(out->emptied, line) == 0 ? 0 : BG_ENOMEM;
+}
+
 static int
 parse_text(struct bg_cli_status_lines *out, const char *body)
 {
@@ -82,8 +96,11 @@
 	out->is_synced = 1;
 	for (text = copy == NULL ? NULL : strtok_r(copy, "\n", &save);
 	     text != NULL && error == 0; text = strtok_r(NULL, "\n", &save)) {
-		if (text[0] == '#')
-			out->is_synced = strstr(text, "not synced") == NULL;
+		if (strncmp(text, EMPTIED_COMMENT, strlen(EMPTIED_COMMENT)) ==
+		    0)
+			error = add_emptied(out, text);
+		else if (text[0] == '#')
+			out->is_synced &= strstr(text, "not synced") == NULL;
 		else
 			error = parse_line(out, text);
 	}
@@ -127,6 +144,7 @@
 	int error = json_is_array(services) ? 0 : BG_EPROTO;
 
 	out->is_synced = json_is_true(json_object_get(root, "synced"));
+	out->emptied = json_incref(json_object_get(root, "emptied"));
 	for (i = 0; error == 0 && i < json_array_size(services); i++)
 		error = parse_service(out, json_array_get(services, i));
 	json_decref(root);
@@ -156,6 +174,7 @@
 		free(lines->items[i].text);
 	}
 	free(lines->items);
+	json_decref(lines->emptied);
 	memset(lines, 0, sizeof(*lines));
 }
 
--- a/core/include/burdockgrade/settings.h
+++ b/core/include/burdockgrade/settings.h
@@ -60,6 +60,9 @@
 	struct {
 		char address[BG_SETTING_BYTES]; /**< "ip:port" */
 		uint32_t timeout_ms;		/**< time limit of a call */
+		/** Data centres that operators empty in the store get no new
+		 * calls; 0: the store is not asked for any. */
+		int follows_emptied;
 	} platform;
 	struct {
 		/** "ip:port"; empty if the node has no backend server. */
--- a/core/src/settings.c
+++ b/core/src/settings.c
@@ -331,6 +331,7 @@
 	const struct bg_toml_table *limits;
 	const struct bg_toml_table *retry;
 	const struct bg_toml_table *moves;
+	const struct bg_toml_table *emptying;
 	const struct bg_toml_table *log;
 	int level;
 
@@ -352,6 +353,10 @@
 	moves = bg_toml_subtable(doc, root, "moves", BG_TOML_OPTIONAL);
 	if (moves != NULL)
 		read_moves(&set->move, doc, moves);
+	emptying = bg_toml_subtable(doc, root, "emptying", BG_TOML_OPTIONAL);
+	if (emptying != NULL)
+		bg_toml_bool(&set->platform.follows_emptied, doc, emptying,
+		    "follow", BG_TOML_OPTIONAL);
 	log = bg_toml_subtable(doc, root, "log", BG_TOML_OPTIONAL);
 	if (bg_toml_enum(
 		&level, doc, log, "level", LOG_LEVELS, BG_TOML_OPTIONAL))
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -131,6 +131,10 @@
 						: bg_contracts_source();
 	opts.server = node->link_server;
 	opts.links = node->link_pool;
+	if (node->settings.platform.follows_emptied)
+		opts.emptied_kind = node->is_platform_managed
+		    ? bg_platform_emptied_kind()
+		    : BG_EMPTIED_KIND;
 	return bg_mesh_init(&node->mesh, &opts, err);
 }
 
--- a/daemon/src/pages.c
+++ b/daemon/src/pages.c
@@ -64,6 +64,7 @@
 	in.moves = node->moves;
 	in.summaries = summaries;
 	in.summary_count = count;
+	in.emptied = bg_mesh_emptied(node->mesh);
 	in.now_wall_ms = bg_clock_wall_ms();
 	error = req->is_json ? bg_status_render_json(&text, &in)
 			     : bg_status_render(&text, &in);
--- a/mesh/include/burdockgrade/mesh.h
+++ b/mesh/include/burdockgrade/mesh.h
@@ -12,6 +12,7 @@
 
 #include <event2/event.h>
 
+#include "burdockgrade/emptied.h"
 #include "burdockgrade/link.h"
 #include "burdockgrade/members.h"
 #include "burdockgrade/settings.h"
@@ -74,12 +75,16 @@
 	struct bg_config_source *config;
 	struct bg_link_server *server; /**< gets the SYNC and STATE handlers */
 	struct bg_link_pool *links;    /**< to the peers */
+	/** Kind of the objects in the store that are named after emptied data
+	 * centres; NULL: none are followed. */
+	const char *emptied_kind;
 };
 
-#define BG_MESH_OPTIONS_VERSION 2
-#define BG_MESH_OPTIONS_INIT                                                \
-	{                                                                   \
-		BG_MESH_OPTIONS_VERSION, NULL, NULL, NULL, NULL, NULL, NULL \
+#define BG_MESH_OPTIONS_VERSION 3
+#define BG_MESH_OPTIONS_INIT                                                 \
+	{                                                                    \
+		BG_MESH_OPTIONS_VERSION, NULL, NULL, NULL, NULL, NULL, NULL, \
+		    NULL                                                     \
 	}
 
 /** Creates the mesh task. It does not take ownership of the objects in opts.
@@ -116,6 +121,18 @@
 /** 1 while this node reads the store exactly for the others. */
 int bg_mesh_is_reading(const struct bg_mesh *mesh);
 
+/** What this node knows of emptied data centres. Empty if they are not
+ * followed. Valid until the mesh is freed; its contents change. */
+const struct bg_emptied_set *bg_mesh_emptied(const struct bg_mesh *mesh);
+/** Whether the backend server beside this node may get new calls. */
+enum bg_admission {
+	BG_ADMISSION_OPEN,
+	BG_ADMISSION_EMPTIED, /**< its data centre is emptied */
+	BG_ADMISSION_UNKNOWN, /**< whether that is so has to be learned first,
+				   after a start or a pause of the process */
+};
+enum bg_admission bg_mesh_admission(const struct bg_mesh *mesh);
+
 /** State of the local backend server, as announced to other nodes. */
 struct bg_server_announcement {
 	enum bg_member_state state;
@@ -157,6 +174,11 @@
  */
 void bg_mesh_withdraw(struct bg_mesh *mesh, void (*done)(void *arg), void *arg);
 
+/** Sets what counts the calls that run at the backend server beside this node,
+ * for the state polls of all nodes. Without it they count as none. */
+void bg_mesh_set_running_calls(
+    struct bg_mesh *mesh, uint32_t (*count)(void *arg), void *arg);
+
 /** Configuration versions held by the reachable nodes of one data centre. */
 struct bg_state_summary {
 	char data_centre[BG_NAME_BYTES];
@@ -168,6 +190,8 @@
 	char refused_by[BG_ADDRESS_BYTES]; /**< node that refused it */
 	char refused_reason[BG_REASON_BYTES];
 	uint64_t written_ms; /**< wall clock of the first response */
+	uint32_t running_calls; /**< at the backend servers of the nodes that
+				   responded */
 };
 
 /** Maximum number of data centres in a state poll. */
--- a/mesh/include/burdockgrade/table.h
+++ b/mesh/include/burdockgrade/table.h
@@ -21,6 +21,8 @@
 	BG_ITEM_CONFIG = 1,
 	BG_ITEM_MEMBER = 2, /**< key: address; major: incarnation; minor: seq */
 	BG_ITEM_MOVE = 3,   /**< key: service; value: the move in the store */
+	BG_ITEM_EMPTIED = 4, /**< key: data centre; major: revision of the
+				  store; see emptied.h */
 };
 
 struct bg_item {
--- a/mesh/include/burdockgrade/wire_xdr.h
+++ b/mesh/include/burdockgrade/wire_xdr.h
@@ -142,12 +142,20 @@
 	u_int cold_starts_left;
 };
 typedef struct bg_xload_extension bg_xload_extension;
+
+struct bg_xstate_extension {
+	u_int running_calls;
+};
+typedef struct bg_xstate_extension bg_xstate_extension;
 typedef struct bg_xcall_extension bg_xoptional_call_extension;
 typedef struct bg_xload_extension bg_xoptional_load_extension;
+typedef struct bg_xstate_extension bg_xoptional_state_extension;
 bool_t xdr_bg_xoptional_call_extension(
  XDR *xdrs, bg_xoptional_call_extension *out);
 bool_t xdr_bg_xoptional_load_extension(
  XDR *xdrs, bg_xoptional_load_extension *out);
+bool_t xdr_bg_xoptional_state_extension(
+ XDR *xdrs, bg_xoptional_state_extension *out);
 
 struct bg_xcall_args {
 	char *request_id;
@@ -239,6 +247,7 @@
 	u_quad_t held_version;
 	u_quad_t refused_version;
 	char *refused_reason;
+	bg_xoptional_state_extension extension;
 };
 typedef struct bg_xstate_res bg_xstate_res;
 
@@ -311,6 +320,7 @@
 extern  bool_t xdr_bg_xrefusal (XDR *, bg_xrefusal*);
 extern  bool_t xdr_bg_xcall_extension (XDR *, bg_xcall_extension*);
 extern  bool_t xdr_bg_xload_extension (XDR *, bg_xload_extension*);
+extern  bool_t xdr_bg_xstate_extension (XDR *, bg_xstate_extension*);
 extern  bool_t xdr_bg_xcall_args (XDR *, bg_xcall_args*);
 extern  bool_t xdr_bg_xbody_args (XDR *, bg_xbody_args*);
 extern  bool_t xdr_bg_xload (XDR *, bg_xload*);
@@ -333,6 +343,7 @@
 extern bool_t xdr_bg_xrefusal ();
 extern bool_t xdr_bg_xcall_extension ();
 extern bool_t xdr_bg_xload_extension ();
+extern bool_t xdr_bg_xstate_extension ();
 extern bool_t xdr_bg_xcall_args ();
 extern bool_t xdr_bg_xbody_args ();
 extern bool_t xdr_bg_xload ();
--- a/mesh/src/mesh/gossip.c
+++ b/mesh/src/mesh/gossip.c
@@ -393,6 +393,7 @@
 	struct bg_gossip *gsp = arg;
 
 	schedule_round(gsp);
+	bg_emptying_tick(gsp->mesh);
 	compare(gsp, 0);
 }
 
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -20,6 +20,7 @@
 
 struct bg_known_node;
 struct bg_durable_wait;
+struct bg_emptying;
 struct bg_gossip;
 struct bg_packed;
 struct bg_reader;
@@ -84,8 +85,12 @@
 					    has not begun */
 
 	struct bg_gossip *gossip;
+	struct bg_emptying *emptying; /**< NULL: emptied data centres are not
+					   followed */
 	struct bg_reader *reader;
 	struct bg_state_poll *state_poll;
+	uint32_t (*running_calls)(void *arg); /**< NULL: none */
+	void *running_calls_arg;
 };
 
 /* mesh.c */
@@ -196,6 +201,20 @@
 void bg_reader_start(struct bg_reader *rdr);
 void bg_reader_free(struct bg_reader *rdr);
 
+/* emptying.c; without effect where mesh->emptying is NULL */
+/** @param kind of the objects in the store; NULL: mesh->emptying stays NULL
+ * @return 0, BG_ELIMIT or BG_ENOMEM */
+int bg_emptying_init(struct bg_mesh *mesh, const char *kind);
+/** Reads the store once. */
+void bg_emptying_start(struct bg_mesh *mesh);
+void bg_emptying_free(struct bg_emptying *emp);
+/** Handles an item of the table. */
+void bg_emptying_handle_item(struct bg_mesh *mesh, const struct bg_item *item);
+/** The process runs; called with each round of comparisons. */
+void bg_emptying_tick(struct bg_mesh *mesh);
+/** The table was compared with that of a peer, in both directions. */
+void bg_emptying_handle_comparison(struct bg_mesh *mesh);
+
 /* state_poll.c */
 /** @return 0 or BG_ENOMEM */
 int bg_state_poll_init(struct bg_state_poll **out, struct bg_mesh *mesh);
--- a/mesh/src/mesh/mesh.c
+++ b/mesh/src/mesh/mesh.c
@@ -75,6 +75,8 @@
 	bg_item_view(&item, x);
 	if (item.kind == BG_ITEM_CONFIG)
 		bg_mesh_config_handle_item(mesh, &item);
+	if (item.kind == BG_ITEM_EMPTIED)
+		bg_emptying_handle_item(mesh, &item);
 	notify_item(mesh, &item);
 }
 
@@ -129,6 +131,7 @@
 	if (mesh->change_event == NULL || bg_table_init(&mesh->table) != 0 ||
 	    bg_mesh_self_init(mesh) != 0 || bg_mesh_recovery_init(mesh) != 0 ||
 	    bg_gossip_init(&mesh->gossip, mesh) != 0 ||
+	    bg_emptying_init(mesh, opts->emptied_kind) != 0 ||
 	    bg_reader_init(&mesh->reader, mesh) != 0 ||
 	    bg_state_poll_init(&mesh->state_poll, mesh) != 0) {
 		bg_mesh_free(mesh);
@@ -147,6 +150,7 @@
 	bg_mesh_durable_free(mesh);
 	bg_state_poll_free(mesh->state_poll);
 	bg_reader_free(mesh->reader);
+	bg_emptying_free(mesh->emptying);
 	bg_gossip_free(mesh->gossip);
 	bg_mesh_nodes_free(mesh);
 	bg_mesh_config_free(mesh);
@@ -178,6 +182,7 @@
 	if (mesh->store != NULL &&
 	    (bg_mesh_config_init(mesh) != 0 || bg_mesh_nodes_init(mesh) != 0))
 		bg_log_error("mesh", "store not watched reason=memory");
+	bg_emptying_start(mesh);
 	bg_gossip_start(mesh->gossip);
 	bg_reader_start(mesh->reader);
 	bg_mesh_recovery_handle_store(mesh);
--- a/mesh/src/mesh/recovery.c
+++ b/mesh/src/mesh/recovery.c
@@ -115,6 +115,7 @@
 bg_mesh_recovery_handle_comparison(struct bg_mesh *mesh)
 {
 	mesh->has_compared = 1;
+	bg_emptying_handle_comparison(mesh);
 	bg_mesh_recovery_handle_store(mesh);
 }
 
--- a/mesh/src/mesh/state_poll.c
+++ b/mesh/src/mesh/state_poll.c
@@ -74,6 +74,7 @@
 	sum->refused_by[0] = '\0';
 	sum->refused_reason[0] = '\0';
 	sum->written_ms = now_wall_ms;
+	sum->running_calls = 0;
 }
 
 static void
@@ -89,6 +90,7 @@
 	    now_wall_ms - sum->written_ms > POLL_TIMEOUT_MS + CACHE_TTL_MS)
 		reset_summary(sum, now_wall_ms);
 	sum->member_count++;
+	sum->running_calls += res->extension.running_calls;
 	sum->synced_count += res->held_version != 0;
 	if (res->held_version < sum->confirmed_version)
 		sum->confirmed_version = res->held_version;
@@ -160,6 +162,17 @@
 	out->held_version = bg_mesh_config_version(mesh);
 	out->refused_version = mesh->refused_version;
 	out->refused_reason = mesh->refused_reason;
+	out->extension.running_calls = mesh->running_calls == NULL
+	    ? 0
+	    : mesh->running_calls(mesh->running_calls_arg);
+}
+
+void
+bg_mesh_set_running_calls(
+    struct bg_mesh *mesh, uint32_t (*count)(void *arg), void *arg)
+{
+	mesh->running_calls = count;
+	mesh->running_calls_arg = arg;
 }
 
 static void
--- a/mesh/src/wire/wire_optional.c
+++ b/mesh/src/wire/wire_optional.c
@@ -28,3 +28,12 @@
 	memset(out, 0, sizeof(*out));
 	return TRUE;
 }
+
+bool_t
+xdr_bg_xoptional_state_extension(XDR *xdrs, bg_xoptional_state_extension *out)
+{
+	if (!is_absent(xdrs))
+		return xdr_bg_xstate_extension(xdrs, out);
+	memset(out, 0, sizeof(*out));
+	return TRUE;
+}
--- a/mesh/src/wire/wire_xdr.c
+++ b/mesh/src/wire/wire_xdr.c
@@ -253,6 +253,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bg_xstate_extension (XDR *xdrs, bg_xstate_extension *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->running_calls))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bg_xcall_args (XDR *xdrs, bg_xcall_args *objp)
 {
@@ -616,5 +626,7 @@
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->refused_reason, 128))
 		 return FALSE;
+	 if (!xdr_bg_xoptional_state_extension (xdrs, &objp->extension))
+		 return FALSE;
 	return TRUE;
 }
--- a/mesh/src/wire/wire_xdr.x
+++ b/mesh/src/wire/wire_xdr.x
@@ -124,15 +124,24 @@
 	unsigned int cold_starts_left; /* calls that may start now */
 };
 
+/* What nodes of earlier builds neither send nor expect in the reply to a STATE.
+ */
+struct bg_xstate_extension {
+	unsigned int running_calls; /* at the backend server of the node */
+};
+
 /* The extensions end their messages and are absent in those of earlier builds:
  * wire_optional.c. */
 #ifdef RPC_HDR
 %typedef struct bg_xcall_extension bg_xoptional_call_extension;
 %typedef struct bg_xload_extension bg_xoptional_load_extension;
+%typedef struct bg_xstate_extension bg_xoptional_state_extension;
 %bool_t xdr_bg_xoptional_call_extension(
 %    XDR *xdrs, bg_xoptional_call_extension *out);
 %bool_t xdr_bg_xoptional_load_extension(
 %    XDR *xdrs, bg_xoptional_load_extension *out);
+%bool_t xdr_bg_xoptional_state_extension(
+%    XDR *xdrs, bg_xoptional_state_extension *out);
 #endif
 
 /* CALL: an ingress asks a gatekeeper to run a request. deadline_ms, target_ms
@@ -223,6 +232,7 @@
 					 * since held_version came into force;
 					 * 0: none or unknown */
 	string refused_reason<128>;
+	bg_xoptional_state_extension extension;
 };
 
 program BG_MESH {
--- a/moves/include/burdockgrade/moves.h
+++ b/moves/include/burdockgrade/moves.h
@@ -102,6 +102,7 @@
 	/** One for each data centre. */
 	const struct bg_state_summary *summaries;
 	size_t summary_count;
+	const struct bg_emptied_set *emptied; /**< NULL: none */
 	/** Time of the report by the wall clock. Only the ages of the summaries
 	 * are computed from it; the age of a service's line is that of the
 	 * oldest summary. */
--- a/moves/src/status/render.c
+++ b/moves/src/status/render.c
@@ -6,6 +6,7 @@
 
 #include "burdockgrade/clock.h"
 
+#include "emptied.h"
 #include "status.h"
 
 /* Replaces spaces and unprintable characters by '_', so that scripts can split
@@ -83,6 +84,7 @@
 	    &view, in->summaries, in->summary_count, in->now_wall_ms);
 	if (snap == NULL)
 		fputs("# not synced: this node knows no version yet\n", fp);
+	bg_status_print_emptied(fp, in);
 	for (i = 0; snap != NULL && i < snap->service_count; i++) {
 		build_line(&line, &copy, &snap->services[i], &view, in->moves);
 		print_line(fp, &line);
@@ -134,9 +136,10 @@
 	for (i = 0; i < view.summary_count; i++)
 		json_array_append_new(
 		    centres, summary_json(&view.summaries[i]));
-	root = json_pack("{s:b,s:I,s:o,s:o}", "synced", snap != NULL, "version",
-	    (json_int_t)(snap == NULL ? 0 : snap->version), "services",
-	    services, "data_centres", centres);
+	root = json_pack("{s:b,s:I,s:o,s:o,s:o}", "synced", snap != NULL,
+	    "version", (json_int_t)(snap == NULL ? 0 : snap->version),
+	    "services", services, "data_centres", centres, "emptied",
+	    bg_status_emptied_json(in));
 	*out = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return *out == NULL ? BG_ENOMEM : 0;
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "burdockgrade/clock.h"
+#include "burdockgrade/counter.h"
 #include "burdockgrade/log.h"
 
 #include "call_internal.h"
@@ -34,6 +35,14 @@
 /* Lower bound of Retry-After: an earlier retry would meet the same load. */
 #define RETRY_AFTER_MIN_MS 50
 #define RETRY_AFTER_MAX_MS 2000
+/* Retry-After while operators have emptied the data centres of the only
+ * servers. They are taken back after seconds or minutes, so that earlier
+ * retries would only add load. */
+#define RETRY_AFTER_EMPTIED_MS 1000
+
+static struct bg_counter emptied_calls =
+    BG_COUNTER("burdock_emptied_calls_refused_total",
+	"Calls refused because the data centres of all servers are emptied.");
 
 static void step_pick(struct bg_call *call);
 static void step_send(struct bg_call *call, const struct bg_pick *pick);
@@ -113,6 +122,8 @@
 		base_ms = RETRY_AFTER_MIN_MS;
 	if (call->busy_wait_us != 0)
 		base_ms = call->busy_wait_us / 1000;
+	else if (refusal == BG_XREFUSAL_NO_SERVER && bg_call_is_emptied(call))
+		base_ms = RETRY_AFTER_EMPTIED_MS;
 	if (base_ms < RETRY_AFTER_MIN_MS)
 		base_ms = RETRY_AFTER_MIN_MS;
 	ms = base_ms + bg_rand_below(&call->proxy->router.rand, base_ms);
@@ -262,6 +273,18 @@
 	arm_timer(call, LINK_POLL_MS * 1000);
 }
 
+static void
+refuse_without_server(struct bg_call *call)
+{
+	if (bg_call_is_emptied(call)) {
+		bg_counter_add(&emptied_calls, 1);
+		bg_log_warn("call",
+		    "no server left request=%s service=%s reason=emptied",
+		    call->args.request_id, call->service);
+	}
+	bg_call_refuse(call, BG_XREFUSAL_NO_SERVER);
+}
+
 static void
 step_pick(struct bg_call *call)
 {
@@ -280,7 +303,7 @@
 		wait_for_link(call);
 		break;
 	default:
-		bg_call_refuse(call, BG_XREFUSAL_NO_SERVER);
+		refuse_without_server(call);
 		break;
 	}
 }
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -62,6 +62,9 @@
 
 /** Picks the server of the next attempt. @return as bg_router_pick */
 int bg_call_pick_server(struct bg_pick *out, struct bg_call *call);
+/** 1 if ready servers of the call's service are not picked, because operators
+ * have emptied their data centre. */
+int bg_call_is_emptied(const struct bg_call *call);
 /** Excludes a server from further attempts. */
 void bg_call_avoid(struct bg_call *call, const char *address);
 /** Records the result of the current attempt in the router's state. */
--- a/proxy/src/call/pick.c
+++ b/proxy/src/call/pick.c
@@ -65,6 +65,7 @@
 		avoid[i] = call->avoid[i];
 	q.avoid = avoid;
 	q.avoid_count = call->avoid_count;
+	q.emptied = bg_mesh_emptied(prx->mesh);
 	q.now_ms = bg_clock_now_ms();
 	q.left_us = bg_call_left_us(call);
 	q.target_us = q.left_us;
@@ -101,6 +102,26 @@
 	return pick(out, call, &fallback);
 }
 
+int
+bg_call_is_emptied(const struct bg_call *call)
+{
+	struct bg_mesh *mesh = call->proxy->mesh;
+	const struct bg_emptied_set *emptied = bg_mesh_emptied(mesh);
+	const struct bg_member *m;
+	size_t count;
+	size_t i;
+
+	if (emptied->count == 0 || call->service == NULL)
+		return 0;
+	count = bg_roster_service(&m, bg_mesh_roster(mesh), call->service);
+	for (i = 0; i < count; i++) {
+		if (m[i].state == BG_MEMBER_READY &&
+		    bg_emptied_set_contains(emptied, m[i].data_centre))
+			return 1;
+	}
+	return 0;
+}
+
 void
 bg_call_avoid(struct bg_call *call, const char *address)
 {
--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -10,6 +10,7 @@
 
 #include "../call/deadline.h"
 #include "body.h"
+#include "emptying.h"
 #include "gate_call.h"
 #include "headers.h"
 
@@ -216,6 +217,7 @@
 	    call->args->attempt);
 	report_observation(call, asmt, res->own_time_us);
 	deliver(call, res);
+	bg_gate_emptying_handle_end(gk);
 	bg_gate_start_queued(gk);
 }
 
@@ -335,6 +337,7 @@
 may_resend(const struct bg_gate_call *call)
 {
 	return call->args->idempotent && !call->is_resent &&
+	    bg_gate_emptying_refusal(call->gatekeeper) == BG_XREFUSAL_NONE &&
 	    bg_retry_take(call->gatekeeper->retry, call->args->service,
 		bg_clock_now_ms());
 }
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -65,6 +65,7 @@
 	int is_recovered; /* what an earlier process announced is known */
 	int is_suspended; /* the server's version was judged bad */
 	int is_draining;  /* the node is stopping */
+	int is_emptied;	  /* emptying.c: so is the data centre */
 };
 
 /** @return 0 or BG_ENOMEM */
@@ -86,6 +87,8 @@
  * BG_XREFUSAL_NONE. */
 enum bg_xrefusal bg_gate_find_refusal(
     const struct bg_gatekeeper *gk, const struct bg_xcall_args *args);
+/** Refuses the calls that wait for a slot. */
+void bg_gate_refuse_queued(struct bg_gatekeeper *gk);
 /** Cancel callback of the calls of other nodes; arg is the call. */
 void bg_gate_on_rpc_cancel(void *arg);
 /** 1 if calls may be sent to the backend server now. */
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -6,6 +6,7 @@
 #include "burdockgrade/log.h"
 
 #include "body.h"
+#include "emptying.h"
 #include "gate_call.h"
 
 /* A leaving server accepts calls for this long, since some are on their way to
@@ -36,6 +37,7 @@
 bg_gate_accepts_calls(const struct bg_gatekeeper *gk)
 {
 	return gk->backend != NULL &&
+	    bg_mesh_admission(gk->mesh) == BG_ADMISSION_OPEN &&
 	    bg_server_accepts_calls(
 		&gk->server, DRAIN_GRACE_MS, bg_clock_now_ms());
 }
@@ -68,10 +70,14 @@
 bg_gate_find_refusal(
     const struct bg_gatekeeper *gk, const struct bg_xcall_args *args)
 {
+	enum bg_xrefusal why;
+
 	if (!bg_buffers_can_admit(gk->buffers, 0))
 		return BG_XREFUSAL_BUFFERS;
 	if (strcmp(args->service, gk->settings->server.service) != 0)
 		return BG_XREFUSAL_NO_SERVER;
+	if ((why = bg_gate_emptying_refusal(gk)) != BG_XREFUSAL_NONE)
+		return why;
 	if (!bg_gate_accepts_calls(gk))
 		return gk->server.leaving_since_ms != 0 ? BG_XREFUSAL_DRAINING
 							: BG_XREFUSAL_NO_SERVER;
@@ -254,15 +260,11 @@
 		    &call->dependency, bg_clock_now_us(), is_failed);
 }
 
-/* Refuses the calls that are still queued when the grace period ends. */
-static void
-on_drain_timer(evutil_socket_t fd, short what, void *arg)
+void
+bg_gate_refuse_queued(struct bg_gatekeeper *gk)
 {
-	struct bg_gatekeeper *gk = arg;
 	struct bg_gate_call *call;
 
-	if (bg_gate_accepts_calls(gk))
-		return;
 	for (call = gk->calls; call != NULL; call = call->next) {
 		if (!call->entry.is_queued)
 			continue;
@@ -272,6 +274,16 @@
 	}
 }
 
+/* The grace period in which a leaving server accepts calls has ended. */
+static void
+on_drain_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct bg_gatekeeper *gk = arg;
+
+	if (!bg_gate_accepts_calls(gk))
+		bg_gate_refuse_queued(gk);
+}
+
 /* 1 if a server that reports to be ready may be one that left while an earlier
  * process ran. What that process announced has to be known first. */
 static int
--- a/proxy/src/gatekeeper/gatekeeper.h
+++ b/proxy/src/gatekeeper/gatekeeper.h
@@ -110,9 +110,14 @@
  * running calls are not affected. Of the backend server, only that it leaves is
  * still announced to the mesh. */
 void bg_gatekeeper_drain(struct bg_gatekeeper *gk);
+/** The data centre of the node may have been emptied or taken back. Queued
+ * calls are refused then, running ones are finished. */
+void bg_gatekeeper_handle_emptying(struct bg_gatekeeper *gk);
 /** Applies the connection and slot limits of a new snapshot. */
 void bg_gatekeeper_apply_snapshot(
     struct bg_gatekeeper *gk, const struct bg_snapshot *snap);
+/** Calls that run at the backend server. */
+uint32_t bg_gatekeeper_running(const struct bg_gatekeeper *gk);
 /** Calls that are not answered yet, running or queued. */
 uint32_t bg_gatekeeper_in_flight(const struct bg_gatekeeper *gk);
 
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -37,6 +37,15 @@
 	bg_retry_set_nodes(&prx->retry, (uint32_t)ros->member_count);
 }
 
+static void
+on_item(void *arg, const struct bg_item *item)
+{
+	struct bg_proxy *prx = arg;
+
+	if (item->kind == BG_ITEM_EMPTIED)
+		bg_gatekeeper_handle_emptying(prx->gatekeeper);
+}
+
 static void
 on_recovered(void *arg, const struct bg_member *earlier)
 {
@@ -54,6 +63,14 @@
 	bg_gatekeeper_restore(prx->gatekeeper, &record);
 }
 
+static uint32_t
+count_running_calls(void *arg)
+{
+	const struct bg_proxy *prx = arg;
+
+	return bg_gatekeeper_running(prx->gatekeeper);
+}
+
 static int
 init_gatekeeper(struct bg_proxy *prx, const struct bg_proxy_options *opts,
     struct bg_error *err)
@@ -75,7 +92,7 @@
     struct bg_error *err)
 {
 	struct bg_mesh_listener listener = {
-	    on_snapshot, on_roster, NULL, on_recovered, NULL, NULL};
+	    on_snapshot, on_roster, on_item, on_recovered, NULL, NULL};
 	struct bg_proxy *prx;
 	int error;
 
@@ -98,6 +115,7 @@
 		bg_proxy_free(prx);
 		return error;
 	}
+	bg_mesh_set_running_calls(opts->mesh, count_running_calls, prx);
 	*out = prx;
 	return 0;
 }
--- a/proxy/src/router/router.h
+++ b/proxy/src/router/router.h
@@ -7,6 +7,7 @@
  */
 
 #include "burdockgrade/clock.h"
+#include "burdockgrade/emptied.h"
 #include "burdockgrade/members.h"
 
 #include "endpoint.h"
@@ -44,6 +45,8 @@
 	void *arg;
 	const char *const *avoid; /**< addresses that are not picked */
 	size_t avoid_count;
+	/** Servers in these data centres are not picked; NULL: none. */
+	const struct bg_emptied_set *emptied;
 	uint64_t now_ms;
 	uint64_t target_us; /**< see struct bg_value_input */
 	uint64_t left_us;   /**< see struct bg_value_input */
--- a/proxy/tests/stub_mesh.h
+++ b/proxy/tests/stub_mesh.h
@@ -17,6 +17,8 @@
 	char version[BG_NAME_BYTES];
 	char server_id[BG_NAME_BYTES];
 	enum bg_member_state state;
+	struct bg_emptied_set emptied;
+	enum bg_admission admission;
 	int is_leaving;
 	int is_synced;
 };
@@ -58,6 +60,24 @@
 	return mesh->is_synced;
 }
 
+const struct bg_emptied_set *
+bg_mesh_emptied(const struct bg_mesh *mesh)
+{
+	return &mesh->emptied;
+}
+
+enum bg_admission
+bg_mesh_admission(const struct bg_mesh *mesh)
+{
+	return mesh->admission;
+}
+
+void
+bg_mesh_set_running_calls(
+    struct bg_mesh *mesh, uint32_t (*count)(void *arg), void *arg)
+{
+}
+
 const struct bg_roster *
 bg_mesh_roster(const struct bg_mesh *mesh)
 {
