--- a/cli/src/burn.h
+++ b/cli/src/burn.h
@@ -68,6 +68,8 @@
 	struct bg_cli_burn_move *moves; /**< sorted by start time */
 	size_t move_count;
 	const struct bg_cli_nodes *nodes; /**< borrowed */
+	const json_t *emptied; /**< borrowed; data centres, see emptied.h.
+				    NULL: unknown */
 };
 
 struct bg_cli_burn_input {
--- a/cli/src/report.c
+++ b/cli/src/report.c
@@ -10,6 +10,7 @@
 
 #include "accepted.h"
 #include "burn.h"
+#include "emptied.h"
 
 #define PATH_BURN "/burn"
 #define OPTION_HTML 'H'
@@ -25,6 +26,7 @@
 	struct bg_burn *counts;
 	struct bg_cli_accepted accepted;
 	struct bg_history history;
+	json_t *emptied; /* NULL: unknown */
 };
 
 static error_t
@@ -88,6 +90,18 @@
 	return merge_counts(data, err);
 }
 
+/* Without them the report is as useful, so an error is only named. */
+static void
+fetch_emptied(const struct report_options *opts, struct report_data *data)
+{
+	struct bg_error err = {0};
+
+	if (bg_cli_emptied_fetch(&data->emptied, &opts->cli, &err) != 0)
+		fprintf(stderr,
+		    "burdockgrade report: emptied data centres unknown: %s\n",
+		    err.message);
+}
+
 static int
 write_file(const char *path, const char *text, struct bg_error *err)
 {
@@ -159,6 +173,7 @@
 		bg_error_set(&err, BG_ENOMEM, "report", NULL, "out of memory");
 		return bg_cli_fail(&opts->cli, &err, NULL);
 	}
+	rep.emptied = data->emptied;
 	if (print_report(opts, &rep, &err) != 0)
 		code = bg_cli_fail(&opts->cli, &err, NULL);
 	else
@@ -191,8 +206,11 @@
 	    bg_read_history(&data.history, &factory, &err) != 0 ||
 	    fetch_counts(&data, &err) != 0)
 		code = bg_cli_fail(&opts.cli, &err, NULL);
-	else
+	else {
+		fetch_emptied(&opts, &data);
 		code = create_report(&opts, &data);
+	}
+	json_decref(data.emptied);
 	bg_history_free(&data.history);
 	bg_cli_accepted_free(&data.accepted);
 	bg_burn_free(data.counts);
--- a/cli/tests/test_lines.c
+++ b/cli/tests/test_lines.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "diff.h"
+#include "emptied.h"
 #include "node.h"
 
 #include "suite.h"
@@ -37,6 +38,36 @@
 }
 END_TEST
 
+/* Guards against a comment on an emptied data centre that is lost, or hides
+ * that the node is not synced. */
+START_TEST(emptied_data_centres_are_kept)
+{
+	static const char text[] =
+	    "# not synced: this node knows no version yet\n"
+	    "# emptied data_centre=bureau since=T running=3 nodes=2\n";
+	static const char json[] =
+	    "{\"synced\":true,\"services\":[],\"emptied\":["
+	    "{\"data_centre\":\"bureau\",\"since_ms\":0,\"running\":3}]}";
+	char *printed = NULL;
+	size_t bytes;
+	FILE *fp;
+
+	ck_assert_int_eq(bg_cli_status_lines_parse(&lines, text, 0), 0);
+	ck_assert_int_eq(lines.is_synced, 0);
+	ck_assert_uint_eq(json_array_size(lines.emptied), 1);
+	bg_cli_status_lines_free(&lines);
+	ck_assert_int_eq(bg_cli_status_lines_parse(&lines, json, 1), 0);
+	fp = open_memstream(&printed, &bytes);
+	bg_cli_emptied_print(fp, lines.emptied, "<", ">");
+	fclose(fp);
+	ck_assert_str_eq(printed,
+	    "<data centre bureau is emptied since 1970-01-01T00:00:00Z, "
+	    "3 calls run>");
+	free(printed);
+	bg_cli_status_lines_free(&lines);
+}
+END_TEST
+
 /* Guards against treating a node without a configuration like one without
  * services, and an empty page like one of an unsynced node. */
 START_TEST(unsynced_node_is_detected)
@@ -220,6 +251,7 @@
 	TCase *tc = tcase_create("lines");
 
 	tcase_add_test(tc, two_word_states_are_parsed);
+	tcase_add_test(tc, emptied_data_centres_are_kept);
 	tcase_add_test(tc, unsynced_node_is_detected);
 	tcase_add_test(tc, json_comparison_ignores_age);
 	tcase_add_loop_test(tc, malformed_status_is_rejected, 0,
--- a/mesh/tests/test_emptying_process.c
+++ b/mesh/tests/test_emptying_process.c
@@ -96,11 +96,29 @@
 	}
 }
 
+/* Waits until the status of a node has a text. */
+static void
+wait_status(const struct cluster_node *node, const char *text)
+{
+	static char page[CLUSTER_TEXT_BYTES];
+	uint64_t end_ms = bg_clock_now_ms() + CLUSTER_WAIT_MS;
+
+	do {
+		cluster_http(node->ip, node->customer_port,
+		    "GET /status HTTP/1.1\r\nHost: x\r\n"
+		    "Connection: close\r\n\r\n",
+		    page, sizeof(page));
+	} while (strstr(page, text) == NULL && bg_clock_now_ms() < end_ms);
+	ck_assert_msg(strstr(page, text) != NULL, "%s", page);
+}
+
 START_TEST(emptying_and_taking_back_reach_every_node)
 {
 	start_nodes(2, 3, 0);
 	empty("dc2");
 	cluster_wait_metric(&cl, EMPTIED, 1);
+	wait_status(&cl.nodes[0], "# emptied data_centre=dc2 since=");
+	wait_status(&cl.nodes[0], " running=0 nodes=3\n");
 	empty("dc1");
 	cluster_wait_metric(&cl, EMPTIED, 2);
 	take_back("dc2");
--- a/moves/tests/test_status.c
+++ b/moves/tests/test_status.c
@@ -136,6 +136,42 @@
 }
 END_TEST
 
+/* Guards against an emptied data centre that the operators do not see, and
+ * calls that seem to have ended there because no node answered. */
+START_TEST(emptied_data_centres_are_shown)
+{
+	struct bg_emptied_set emptied = {0};
+	struct bg_status_input in = {0};
+	char *text;
+
+	setup(BG_MOVE_DONE);
+	view.summaries[0].member_count = 2;
+	view.summaries[0].running_calls = 3;
+	emptied.count = 3;
+	emptied.reports[0].is_emptied = emptied.reports[1].is_emptied = 1;
+	snprintf(emptied.reports[0].data_centre, BG_NAME_BYTES, "bureau");
+	snprintf(emptied.reports[1].data_centre, BG_NAME_BYTES, "entrepot");
+	snprintf(emptied.reports[2].data_centre, BG_NAME_BYTES, "taken-back");
+	in.summaries = view.summaries;
+	in.summary_count = view.summary_count;
+	in.emptied = &emptied;
+	ck_assert_int_eq(bg_status_render(&text, &in), 0);
+	ck_assert_ptr_nonnull(strstr(text,
+	    "# emptied data_centre=bureau since=1970-01-01T00:00:00Z "
+	    "running=3 nodes=2\n"));
+	ck_assert_ptr_nonnull(strstr(text,
+	    "# emptied data_centre=entrepot since=1970-01-01T00:00:00Z "
+	    "running=unknown nodes=0\n"));
+	ck_assert_ptr_null(strstr(text, "taken-back"));
+	free(text);
+	ck_assert_int_eq(bg_status_render_json(&text, &in), 0);
+	ck_assert_ptr_nonnull(strstr(text,
+	    "\"emptied\":[{\"data_centre\":\"bureau\",\"since_ms\":0,"
+	    "\"running\":3,\"nodes\":2}"));
+	free(text);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -149,5 +185,6 @@
 	tcase_add_test(tc, bad_generation_ends_done);
 	tcase_add_test(tc, withdrawn_configuration_is_rolled_back);
 	tcase_add_test(tc, refusal_is_shown_with_its_reason);
+	tcase_add_test(tc, emptied_data_centres_are_shown);
 	return run_suite("status", tc);
 }
--- a/proxy/src/router/router.c
+++ b/proxy/src/router/router.c
@@ -53,9 +53,10 @@
 static int
 is_eligible(const struct bg_pick_query *q, const struct bg_member *m)
 {
-	if (m->state != BG_MEMBER_READY || is_avoided(q, m->address) ||
-	    (q->emptied != NULL &&
-		bg_emptied_set_contains(q->emptied, m->data_centre)))
+	if (m->state != BG_MEMBER_READY || is_avoided(q, m->address))
+		return 0;
+	if (q->emptied != NULL &&
+	    bg_emptied_set_contains(q->emptied, m->data_centre))
 		return 0;
 	if (q->only_version != NULL &&
 	    strcmp(q->only_version, m->server_version) != 0)
--- a/proxy/tests/test_gate_emptying.c
+++ b/proxy/tests/test_gate_emptying.c
@@ -76,6 +76,17 @@
 	}
 }
 
+/* Opens the link to node 2, and sends the following calls to node 1. */
+static void
+prefer_node1(void)
+{
+	learn(&node1, "a", 1);
+	get_many(1);
+	learn(&node1, "a", 0);
+	learn(&node1, "b", 1);
+	node2.backend.requests = 0;
+}
+
 /* Callers in an emptied data centre go on being served, by servers elsewhere,
  * and its own servers get calls again once it is taken back. */
 START_TEST(calls_go_to_servers_elsewhere)
@@ -124,7 +135,7 @@
 	struct client others[SLOTS];
 	int i;
 
-	learn(&node1, "b", 1);
+	prefer_node1();
 	node1.backend.mode = BACKEND_HOLD;
 	for (i = 0; i < SLOTS; i++) {
 		client_open(&others[i], base, bg_proxy_port(node1.proxy));
@@ -155,7 +166,7 @@
  * sees as a new one. */
 START_TEST(lookup_is_not_resent_to_an_emptied_server)
 {
-	learn(&node1, "b", 1);
+	prefer_node1();
 	get_many(1);
 	node1.backend.mode = BACKEND_HOLD;
 	client_send(&cl, "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
--- a/proxy/tests/test_router.c
+++ b/proxy/tests/test_router.c
@@ -126,6 +126,28 @@
 }
 END_TEST
 
+/* Guards against a new call to a server of an emptied data centre. */
+START_TEST(emptied_data_centres_are_left_out)
+{
+	struct bg_emptied_set emptied = {0};
+	struct bg_pick pick;
+
+	set_data_centre(0, "b");
+	set_data_centre(1, "b");
+	emptied.count = 1;
+	emptied.reports[0].is_emptied = 1;
+	snprintf(emptied.reports[0].data_centre, BG_NAME_BYTES, "a");
+	q.emptied = &emptied;
+	pick_many(PICKS);
+	ck_assert_int_eq(picked[0] + picked[1], PICKS);
+	set_data_centre(0, "a");
+	set_data_centre(1, "a");
+	ck_assert_int_eq(bg_router_pick(&pick, &rtr, &q), BG_ENOTFOUND);
+	emptied.reports[0].is_emptied = 0;
+	pick_many(PICKS);
+}
+END_TEST
+
 /* A server that drains, leaves or starts must not get new calls (P8). */
 START_TEST(only_ready_servers_are_used)
 {
@@ -401,6 +423,7 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, calls_spread_evenly);
 	tcase_add_test(tc, empty_member_list_is_not_found);
+	tcase_add_test(tc, emptied_data_centres_are_left_out);
 	tcase_add_test(tc, only_ready_servers_are_used);
 	tcase_add_test(tc, full_server_gets_no_calls);
 	tcase_add_test(tc, stale_load_report_is_ignored);
