Follow emptied data centres by a cheap watch of every node too

Only the node that reads the store exactly followed them. If that is one of an earlier build, nobody heard of an emptying: news_pass_by_a_data_centre_that_knows_neither failed where the reader was in data centre 3. Every node now has a cheap watch of 10 s besides. The new case puts such a reader in place each time.

--- a/mesh/src/mesh/emptying.c
+++ b/mesh/src/mesh/emptying.c
@@ -4,8 +4,9 @@
  *  2. The node that reads the store exactly for the others (reader.c) watches
  *     these objects and pushes each change to peers, which forward it.
  *  3. What the pushes miss comes with the comparison of tables (gossip.c).
- * Every node reads the objects once, when it starts; watches of all nodes would
- * cost the store more calls and bring the news no sooner. */
+ *  4. Every node lists the objects when it starts, and has a cheap watch with a
+ *     long wait. It may be seconds late, but needs neither peers nor a reader
+ *     that follows these objects, which one of an earlier build does not. */
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -23,6 +24,10 @@
 /* Wait of the exact watch. With the time limit of its answer, a connection that
  * has gone silent costs 2.5 s of the 5 s in which the news must be known. */
 #define EXACT_WAIT_MS 2000
+/* Wait of the cheap watches. Their changes come from peers as well, so that a
+ * connection that has gone silent matters less than the number of calls. It
+ * stays below the store's shortest history of 20 s. */
+#define CHEAP_WAIT_MS 10000
 /* Peers whose tables are compared at once after a pause: one of them may be
  * unreachable, or have paused too. */
 #define CONFIRMING_PEERS 3
@@ -47,11 +52,10 @@
 	const char *kind;
 	struct bg_emptied_set set;
 	struct bg_trust trust;
-	struct listing first;	    /* at the start */
-	struct listing exact;	    /* while this node reads for the others */
-	struct event *listed_event; /* the first list is complete */
-	uint64_t revision; /* up to which the store was read exactly; 0: it was
-			      not */
+	struct listing cheap;
+	struct listing exact; /* while this node reads for the others */
+	uint64_t revision;    /* up to which the store was read exactly; 0: it
+				 was not */
 };
 
 const struct bg_emptied_set *
@@ -204,6 +208,16 @@
 	lst->count = 0;
 }
 
+static void
+confirm_by_store(const struct listing *lst)
+{
+	struct bg_emptying *emp = lst->emptying;
+
+	if (emp->revision < bg_watcher_revision(lst->watcher))
+		emp->revision = bg_watcher_revision(lst->watcher);
+	bg_trust_confirm_by_store(&emp->trust);
+}
+
 /* Takes back the data centres whose objects the list lacks: they were removed
  * while no watch was open. Emptyings after the list are kept. */
 static void
@@ -224,19 +238,17 @@
 		    emp->set.reports[i].data_centre);
 		handle_stored(emp, &report);
 	}
-	if (lst == &emp->first)
-		event_active(emp->listed_event, EV_TIMEOUT, 0);
+	confirm_by_store(lst);
 }
 
+/* Changes up to now were reported, if the watch is exact. */
 static void
 on_contact(void *arg)
 {
 	struct listing *lst = arg;
-	struct bg_emptying *emp = lst->emptying;
 
-	if (emp->revision < bg_watcher_revision(lst->watcher))
-		emp->revision = bg_watcher_revision(lst->watcher);
-	bg_trust_confirm_by_store(&emp->trust);
+	if (lst == &lst->emptying->exact)
+		confirm_by_store(lst);
 }
 
 static void
@@ -249,8 +261,9 @@
 	opts.store = emp->mesh->store;
 	opts.kind = emp->kind;
 	opts.coalesce_ms = COALESCE_MS;
-	opts.is_exact = 1;
+	opts.wait_ms = CHEAP_WAIT_MS;
 	if (lst == &emp->exact) {
+		opts.is_exact = 1;
 		opts.since_revision = emp->revision;
 		opts.wait_ms = EXACT_WAIT_MS;
 		opts.timeout_ms = BG_WATCHER_EXACT_TIMEOUT_MS;
@@ -271,14 +284,6 @@
 	lst->watcher = NULL;
 }
 
-static void
-on_listed(evutil_socket_t fd, short what, void *arg)
-{
-	struct bg_emptying *emp = arg;
-
-	stop_listing(&emp->first);
-}
-
 static void
 on_reading(void *arg, int is_reading)
 {
@@ -289,12 +294,11 @@
 		start_listing(&emp->exact);
 }
 
-/* 0 once the first list has failed, until it is read. */
 static int
 is_store_reachable(const struct bg_emptying *emp)
 {
-	return emp->first.watcher != NULL &&
-	    bg_watcher_is_reachable(emp->first.watcher);
+	return emp->cheap.watcher != NULL &&
+	    bg_watcher_is_reachable(emp->cheap.watcher);
 }
 
 static int
@@ -350,11 +354,8 @@
 	mesh->emptying = emp;
 	emp->mesh = mesh;
 	emp->kind = kind;
-	emp->first.emptying = emp->exact.emptying = emp;
+	emp->cheap.emptying = emp->exact.emptying = emp;
 	listener.arg = emp;
-	emp->listed_event = event_new(mesh->base, -1, 0, on_listed, emp);
-	if (emp->listed_event == NULL)
-		return BG_ENOMEM;
 	return bg_mesh_add_listener(mesh, &listener);
 }
 
@@ -367,7 +368,7 @@
 		return;
 	bg_trust_init(&emp->trust, bg_clock_now_ms());
 	if (mesh->store != NULL)
-		start_listing(&emp->first);
+		start_listing(&emp->cheap);
 }
 
 void
@@ -375,9 +376,7 @@
 {
 	if (emp == NULL)
 		return;
-	stop_listing(&emp->first);
+	stop_listing(&emp->cheap);
 	stop_listing(&emp->exact);
-	if (emp->listed_event != NULL)
-		event_free(emp->listed_event);
 	free(emp);
 }
--- a/mesh/src/mesh/internal.h
+++ b/mesh/src/mesh/internal.h
@@ -205,7 +205,7 @@
 /** @param kind of the objects in the store; NULL: mesh->emptying stays NULL
  * @return 0, BG_ELIMIT or BG_ENOMEM */
 int bg_emptying_init(struct bg_mesh *mesh, const char *kind);
-/** Reads the store once. */
+/** Starts to follow the objects in the store. */
 void bg_emptying_start(struct bg_mesh *mesh);
 void bg_emptying_free(struct bg_emptying *emp);
 /** Handles an item of the table. */
--- a/mesh/tests/test_emptying_process.c
+++ b/mesh/tests/test_emptying_process.c
@@ -147,6 +147,41 @@
 }
 END_TEST
 
+static struct cluster_node *
+wait_reader(void)
+{
+	uint64_t end_ms = bg_clock_now_ms() + CLUSTER_WAIT_MS;
+	size_t i = 0;
+
+	while (node_metric(&cl.nodes[i], "burdock_config_reader") != 1 &&
+	    bg_clock_now_ms() < end_ms)
+		i = (i + 1) % cl.node_count;
+	return &cl.nodes[i];
+}
+
+/* Guards against an emptying that nobody reads, since the node that reads the
+ * store for the others is of an earlier build. */
+START_TEST(reader_knows_no_emptied_data_centres)
+{
+	struct cluster_node *reader;
+	struct cluster_node *aware;
+
+	start_nodes(1, 3, 1);
+	reader = wait_reader();
+	aware = reader == &cl.nodes[0] ? &cl.nodes[1] : &cl.nodes[0];
+	node_kill(aware);
+	snprintf(aware->extra_settings, sizeof(aware->extra_settings),
+	    "[emptying]\nfollow = true\n");
+	node_start(&cl, aware);
+	node_wait_metric(aware, "burdock_config_version", 1);
+	ck_assert_ptr_eq(wait_reader(), reader);
+	empty("dc1");
+	node_wait_metric(aware, EMPTIED, 1);
+	take_back("dc1");
+	node_wait_metric(aware, EMPTIED, 0);
+}
+END_TEST
+
 /* Guards against members that are dropped on the hearsay of a side that cannot
  * reach them. */
 START_TEST(bridge_cut_drops_no_members)
@@ -234,6 +269,7 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, emptying_and_taking_back_reach_every_node);
 	tcase_add_test(tc, news_pass_by_a_data_centre_that_knows_neither);
+	tcase_add_test(tc, reader_knows_no_emptied_data_centres);
 	tcase_add_test(tc, bridge_cut_drops_no_members);
 	tcase_add_test(tc, node_is_killed_after_it_learned);
 	tcase_add_test(tc, pause_of_6_s_over_an_emptying);
