--- a/proxy/src/fairness/reserve.c
+++ b/proxy/src/fairness/reserve.c
@@ -8,8 +8,6 @@
 #define RATE_WINDOW_US 3000000.0
 /* Work is long beside work that takes this part of its time or less. */
 #define LONG_FACTOR 3
-/* Expected number of urgent calls below which nothing is reserved for them. */
-#define EXPECTED_MIN 0.1
 
 static struct bg_reserve_route *
 find(const struct bg_reserve *rsv, const char *name, uint32_t priority)
@@ -115,9 +113,8 @@
 		expected += decayed_rate(r, now_us) * (double)r->service_us;
 		running += r->running;
 	}
-	if (expected < EXPECTED_MIN)
-		return 0;
-	reserved = (uint32_t)ceil(expected + sqrt(expected));
+	/* Rounded down, since a slot that is kept in vain costs long work. */
+	reserved = (uint32_t)(expected + sqrt(expected));
 	if (reserved > slots / 2)
 		reserved = slots / 2;
 	return reserved > running ? reserved - running : 0;
