--- a/cli/src/status.c
+++ b/cli/src/status.c
@@ -62,9 +62,9 @@
 			puts(lines->items[i].text);
 	}
 	if (cli->is_json)
-		bg_cli_print_json(json_pack("{s:b, s:o, s:O*}", "synced",
-		    lines->is_synced, "services", services, "emptied",
-		    lines->emptied));
+		bg_cli_print_json(
+		    json_pack("{s:b, s:o, s:O*}", "synced", lines->is_synced,
+			"services", services, "emptied", lines->emptied));
 	else
 		json_decref(services);
 }
--- a/mesh/include/burdockgrade/mesh.h
+++ b/mesh/include/burdockgrade/mesh.h
@@ -189,7 +189,7 @@
 				       0 */
 	char refused_by[BG_ADDRESS_BYTES]; /**< node that refused it */
 	char refused_reason[BG_REASON_BYTES];
-	uint64_t written_ms; /**< wall clock of the first response */
+	uint64_t written_ms;	/**< wall clock of the first response */
 	uint32_t running_calls; /**< at the backend servers of the nodes that
 				   responded */
 };
--- a/moves/src/status/emptied.c
+++ b/moves/src/status/emptied.c
@@ -50,8 +50,7 @@
 }
 
 static json_t *
-one_json(
-    const struct bg_emptied *report, const struct bg_state_summary *sum)
+one_json(const struct bg_emptied *report, const struct bg_state_summary *sum)
 {
 	return json_pack("{s:s,s:I,s:o,s:i}", "data_centre",
 	    report->data_centre, "since_ms", (json_int_t)report->since_ms,
@@ -71,8 +70,8 @@
 		report = &in->emptied->reports[i];
 		if (report->is_emptied)
 			json_array_append_new(out,
-			    one_json(report,
-				find_summary(in, report->data_centre)));
+			    one_json(
+				report, find_summary(in, report->data_centre)));
 	}
 	return out;
 }
--- a/proxy/tests/test_gate_emptying.c
+++ b/proxy/tests/test_gate_emptying.c
@@ -44,8 +44,9 @@
 static void
 learn(struct node *nd, const char *data_centre, int is_emptied)
 {
-	static uint64_t revision;
-	struct bg_emptied report = {.revision = ++revision,
+	static uint64_t last_revision;
+	uint64_t revision = ++last_revision;
+	struct bg_emptied report = {.revision = revision,
 	    .is_emptied = is_emptied,
 	    .since_ms = is_emptied ? 1 : 0};
 	enum bg_emptied_change change;
