--- a/proxy/src/gatekeeper/emptying.c
+++ b/proxy/src/gatekeeper/emptying.c
@@ -46,6 +46,9 @@
 	    gk->server.id, gk->limiter.running, gk->limiter.queue.length);
 	if (is_emptied)
 		bg_gate_refuse_queued(gk);
+	else
+		/* The server may have been restarted meanwhile. */
+		bg_gatekeeper_doubt_warmth(gk, "taken-back");
 }
 
 uint32_t
--- a/proxy/src/metrics/metrics.h
+++ b/proxy/src/metrics/metrics.h
@@ -61,6 +61,15 @@
  * @param passed_over starts in which fairness has chosen another call
  * @param held_back times that a slot was left free for urgent calls */
 void bg_metrics_set_fairness(uint64_t passed_over, uint64_t held_back);
+/** Sets the time for which the backend server stays cold, in ms; 0: it is warm,
+ * or its service has no rate for cold servers. */
+void bg_metrics_set_cold_left(uint32_t left_ms);
+/** Counts that the backend server turned cold. */
+void bg_metrics_count_cold_period(void);
+/** Counts a call that is refused at the gatekeeper of a cold server. */
+void bg_metrics_count_cold_refused(void);
+/** Counts a call that is refused at the ingress since all servers are cold. */
+void bg_metrics_count_cold_unsent(void);
 /** Sets the gauge of the bytes that the node holds for callers. */
 void bg_metrics_set_buffered_bytes(uint64_t bytes);
 /** Records how long a call ran at the backend server. */
