--- a/proxy/src/metrics/metrics.c
+++ b/proxy/src/metrics/metrics.c
@@ -206,47 +206,58 @@
 {
 	bg_counter_set(&fair_passed_over, (int64_t)passed_over);
 	bg_counter_set(&reserve_held_back, (int64_t)held_back);
-	bg_metrics_set_cold_left(uint32_t left_ms)
-	{
-		bg_counter_set(&cold_left, left_ms);
-	}
+}
 
-	void bg_metrics_count_cold_period(void)
-	{
-		bg_counter_add(&cold_periods, 1);
-	}
+void
+bg_metrics_set_cold_left(uint32_t left_ms)
+{
+	bg_counter_set(&cold_left, left_ms);
+}
 
-	void bg_metrics_count_cold_refused(void)
-	{
-		bg_counter_add(&cold_refused, 1);
-	}
+void
+bg_metrics_count_cold_period(void)
+{
+	bg_counter_add(&cold_periods, 1);
+}
 
-	void bg_metrics_count_cold_unsent(void)
-	{
-		bg_counter_add(&cold_unsent, 1);
-	}
+void
+bg_metrics_count_cold_refused(void)
+{
+	bg_counter_add(&cold_refused, 1);
+}
 
-	void bg_metrics_set_buffered_bytes(uint64_t bytes)
-	{
-		bg_counter_set(&buffered, (int64_t)bytes);
-	}
+void
+bg_metrics_count_cold_unsent(void)
+{
+	bg_counter_add(&cold_unsent, 1);
+}
 
-	void bg_metrics_count_closed(enum bg_close_reason reason)
-	{
-		bg_counter_add(&closed[reason], 1);
-	}
+void
+bg_metrics_set_buffered_bytes(uint64_t bytes)
+{
+	bg_counter_set(&buffered, (int64_t)bytes);
+}
 
-	void bg_metrics_set_connections(uint32_t count)
-	{
-		bg_counter_set(&connections, count);
-	}
+void
+bg_metrics_count_closed(enum bg_close_reason reason)
+{
+	bg_counter_add(&closed[reason], 1);
+}
 
-	void bg_metrics_observe_backend_time(uint64_t duration_us)
-	{
-		observe_duration(backend_time, duration_us);
-	}
+void
+bg_metrics_set_connections(uint32_t count)
+{
+	bg_counter_set(&connections, count);
+}
 
-	void bg_metrics_observe_queue_time(uint64_t duration_us)
-	{
-		observe_duration(queue_time, duration_us);
-	}
+void
+bg_metrics_observe_backend_time(uint64_t duration_us)
+{
+	observe_duration(backend_time, duration_us);
+}
+
+void
+bg_metrics_observe_queue_time(uint64_t duration_us)
+{
+	observe_duration(queue_time, duration_us);
+}
