Let only urgent calls start past a call that is held back

Cause: where the next queued call had to leave the free slots for urgent ones, nothing behind it was started, so an urgent call that had to queue did not get the slot that was reserved for it. A call that arrived took a free slot if its own route had nothing to leave free, also a less urgent or a patient one; such calls could starve the long ones.

Change: past a held back call, queued or arriving, only calls of higher priority and of the routes that the slots are reserved for start. Where nothing is held back, the order is what it was. Peeking at the queue no longer counts as a choice of fairness.

queued_urgent_call_takes_the_reserved_slot and other_calls_do_not_take_reserved_slots fail on the code before.

--- a/proxy/src/fairness/reserve.c
+++ b/proxy/src/fairness/reserve.c
@@ -98,6 +98,15 @@
 	    r->service_us <= call->service_us / LONG_FACTOR;
 }
 
+int
+bg_reserve_is_for(const struct bg_reserve *rsv, const char *route,
+    uint32_t priority, const struct bg_reserve_call *call)
+{
+	const struct bg_reserve_route *r = find(rsv, route, priority);
+
+	return r != NULL && is_urgent_beside(r, call);
+}
+
 uint32_t
 bg_reserve_slots(const struct bg_reserve *rsv,
     const struct bg_reserve_call *call, uint32_t slots, uint64_t now_us)
--- a/proxy/src/fairness/reserve.h
+++ b/proxy/src/fairness/reserve.h
@@ -53,6 +53,10 @@
     struct bg_reserve *rsv, const char *route, uint32_t priority);
 void bg_reserve_record_end(
     struct bg_reserve *rsv, const char *route, uint32_t priority);
+/** 1 if calls of a route are among those for which another call leaves slots
+ * free. */
+int bg_reserve_is_for(const struct bg_reserve *rsv, const char *route,
+    uint32_t priority, const struct bg_reserve_call *call);
 /** Number of slots that a call has to leave free.
  * @param slots slots of the server, of which at most half are reserved */
 uint32_t bg_reserve_slots(const struct bg_reserve *rsv,
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -134,6 +134,44 @@
 	    limit;
 }
 
+/* A queued call that must not take the free slots, since they are reserved. */
+struct held_call {
+	const struct bg_limiter *lim;
+	struct bg_reserve_call call;
+	uint64_t now_us;
+};
+
+static int
+may_pass(const void *arg, const struct bg_limiter_entry *entry)
+{
+	const struct held_call *held = arg;
+
+	return bg_reserve_is_for(&held->lim->reserve, entry->route,
+		   entry->priority, &held->call) &&
+	    has_slot(held->lim, entry, held->now_us);
+}
+
+/* 1 if there is a slot for a call that is not queued. While a queued call is
+ * held back, the free slots are for calls that precede it by priority and for
+ * those that they are reserved for. */
+static int
+can_start(const struct bg_limiter *lim, const struct bg_limiter_entry *entry,
+    uint64_t now_us)
+{
+	const struct bg_limiter_entry *first;
+	struct held_call held = {lim, {0}, now_us};
+
+	if (!has_slot(lim, entry, now_us))
+		return 0;
+	if (lim->queue.length == 0 || entry->is_dependency)
+		return 1;
+	first = bg_queue_next(&lim->queue, now_us);
+	if (entry->priority < first->priority || has_slot(lim, first, now_us))
+		return 1;
+	held.call = reserve_call(lim, first, now_us);
+	return may_pass(&held, entry);
+}
+
 static void
 start_entry(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
@@ -169,7 +207,7 @@
 
 	if (!entry->is_dependency)
 		bg_reserve_record_arrival(&lim->reserve, &call, now_us);
-	if (has_slot(lim, entry, now_us)) {
+	if (can_start(lim, entry, now_us)) {
 		start_entry(lim, entry, now_us);
 		return BG_LIMITER_STARTED;
 	}
@@ -181,7 +219,7 @@
 bg_limiter_is_feasible(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	if (has_slot(lim, entry, now_us))
+	if (can_start(lim, entry, now_us))
 		return 1;
 	if (!try_queue(lim, entry, now_us))
 		return 0;
@@ -314,18 +352,29 @@
 	}
 }
 
+/* The queued call to start next, if there is a slot for one. */
+static struct bg_limiter_entry *
+next_startable(struct bg_limiter *lim, uint64_t now_us)
+{
+	struct bg_limiter_entry *first = bg_queue_next(&lim->queue, now_us);
+	struct held_call held = {lim, {0}, now_us};
+
+	if (has_slot(lim, first, now_us))
+		return first;
+	lim->held_back++;
+	held.call = reserve_call(lim, first, now_us);
+	return bg_queue_next_of(&lim->queue, may_pass, &held, now_us);
+}
+
 struct bg_limiter_entry *
 bg_limiter_start_next(struct bg_limiter *lim, uint64_t now_us)
 {
 	struct bg_limiter_entry *entry;
 
-	if (lim->queue.length == 0 || lim->running >= running_limit(lim))
+	if (lim->queue.length == 0 || lim->running >= running_limit(lim) ||
+	    (entry = next_startable(lim, now_us)) == NULL)
 		return NULL;
-	entry = bg_queue_next(&lim->queue, now_us);
-	if (!has_slot(lim, entry, now_us)) {
-		lim->held_back++;
-		return NULL;
-	}
+	bg_queue_record_choice(&lim->queue, entry, now_us);
 	bg_queue_remove(&lim->queue, entry);
 	start_entry(lim, entry, now_us);
 	return entry;
--- a/proxy/src/limiter/queue.c
+++ b/proxy/src/limiter/queue.c
@@ -216,35 +216,65 @@
 	return a->virtual_us <= b->virtual_us;
 }
 
+/* Filter that all entries pass. */
+static int
+is_any(const void *arg, const struct bg_limiter_entry *entry)
+{
+	return 1;
+}
+
 static struct bg_limiter_entry *
-next_by_target(struct bg_queue *q, uint64_t now_us)
+next_by_target(const struct bg_queue *q, bg_queue_filter filter,
+    const void *arg, uint64_t now_us)
 {
+	struct bg_limiter_entry *first = NULL;
 	struct bg_limiter_entry *e;
 
 	for (e = q->head; e != NULL && is_same_level(e, q->head); e = e->next) {
+		if (!filter(arg, e))
+			continue;
 		if (meets_target(q, e, now_us, now_us))
 			return e;
+		if (first == NULL)
+			first = e;
 	}
-	return q->head;
+	return first;
 }
 
 struct bg_limiter_entry *
-bg_queue_next(struct bg_queue *q, uint64_t now_us)
+bg_queue_next_of(const struct bg_queue *q, bg_queue_filter filter,
+    const void *arg, uint64_t now_us)
 {
-	struct bg_limiter_entry *best = q->head;
+	struct bg_limiter_entry *best = NULL;
 	struct bg_limiter_entry *e;
 
 	if (q->head == NULL || is_of_one_flow(q->head))
-		return next_by_target(q, now_us);
+		return next_by_target(q, filter, arg, now_us);
 	order_level(q, q->head, now_us);
 	for (e = q->head; e != NULL && is_same_level(e, q->head); e = e->next) {
-		if (!is_served_before(best, e))
+		if (filter(arg, e) &&
+		    (best == NULL || !is_served_before(best, e)))
 			best = e;
 	}
-	q->passed_over += best != next_by_target(q, now_us);
 	return best;
 }
 
+struct bg_limiter_entry *
+bg_queue_next(const struct bg_queue *q, uint64_t now_us)
+{
+	return bg_queue_next_of(q, is_any, NULL, now_us);
+}
+
+void
+bg_queue_record_choice(
+    struct bg_queue *q, const struct bg_limiter_entry *entry, uint64_t now_us)
+{
+	const struct bg_limiter_entry *by_target =
+	    next_by_target(q, is_any, NULL, now_us);
+
+	q->passed_over += entry->flow != by_target->flow;
+}
+
 /* Entries of one level, which are served before those of the next level. */
 struct level {
 	struct bg_limiter_entry *first;
--- a/proxy/src/limiter/queue.h
+++ b/proxy/src/limiter/queue.h
@@ -69,8 +69,22 @@
 void bg_queue_insert(
     struct bg_queue *q, struct bg_limiter_entry *entry, uint64_t now_us);
 void bg_queue_remove(struct bg_queue *q, struct bg_limiter_entry *entry);
+/** 1 if the entry may be chosen. */
+typedef int (*bg_queue_filter)(
+    const void *arg, const struct bg_limiter_entry *entry);
+
 /** Entry to start next; NULL if the queue is empty. */
-struct bg_limiter_entry *bg_queue_next(struct bg_queue *q, uint64_t now_us);
+struct bg_limiter_entry *bg_queue_next(
+    const struct bg_queue *q, uint64_t now_us);
+/** The first one, in the same order, of those entries of the most urgent level
+ * that pass the filter.
+ * @return NULL if there is none */
+struct bg_limiter_entry *bg_queue_next_of(const struct bg_queue *q,
+    bg_queue_filter filter, const void *arg, uint64_t now_us);
+/** Counts the start of a queued entry if the order by target gives one of
+ * another organisation. Called before the entry is removed. */
+void bg_queue_record_choice(
+    struct bg_queue *q, const struct bg_limiter_entry *entry, uint64_t now_us);
 /** Charges the organisation of an entry that starts, queued or not. */
 void bg_queue_charge(struct bg_queue *q, struct bg_limiter_entry *entry);
 /** Corrects the charge of an entry that has ended. */
--- a/proxy/tests/test_reserve.c
+++ b/proxy/tests/test_reserve.c
@@ -115,16 +115,23 @@
 static struct bg_limiter_entry entries[64];
 
 static enum bg_limiter_admission
-acquire(int i, const struct bg_reserve_call *call)
+acquire_for(int i, const struct bg_reserve_call *call, const char *organisation)
 {
 	memset(&entries[i], 0, sizeof(entries[i]));
 	entries[i].route = call->route;
+	entries[i].organisation = organisation;
 	entries[i].priority = call->priority;
 	entries[i].target_us = now_us + call->target_us;
 	entries[i].latest_start_us = now_us + 4 * call->target_us;
 	return bg_limiter_acquire(&lim, &entries[i], now_us);
 }
 
+static enum bg_limiter_admission
+acquire(int i, const struct bg_reserve_call *call)
+{
+	return acquire_for(i, call, "");
+}
+
 static void
 run_one(int i, const struct bg_reserve_call *call)
 {
@@ -165,6 +172,64 @@
 }
 END_TEST
 
+/* Starts long calls of one organisation and queues one of another, which is
+ * held back by the reserve. */
+static void
+hold_back_a_long_call(const struct bg_reserve_call *urgent)
+{
+	int i;
+
+	now_us = SECOND_US;
+	bg_limiter_init(&lim, SLOTS);
+	run_one(0, &LONG);
+	for (i = 0; i < 60; i++)
+		run_one(0, urgent);
+	for (i = 0; acquire_for(i, &LONG, "a") == BG_LIMITER_STARTED; i++)
+		;
+	bg_limiter_release(&lim, &entries[i], now_us, BG_LIMITER_IGNORED);
+	ck_assert_int_lt(i, SLOTS);
+	ck_assert_int_eq(acquire_for(i, &LONG, "c"), BG_LIMITER_QUEUED);
+}
+
+/* Load: urgent and long calls of one priority wait in one queue. Guards against
+ * a reserved slot that stays free because the long call, which is next in the
+ * queue, must not take it. */
+START_TEST(queued_urgent_call_takes_the_reserved_slot)
+{
+	struct bg_reserve_call urgent = URGENT;
+	int i = 20;
+
+	urgent.priority = LONG.priority;
+	hold_back_a_long_call(&urgent);
+	while (acquire_for(i, &urgent, "b") == BG_LIMITER_STARTED)
+		i++;
+	ck_assert(entries[i].is_queued);
+	ck_assert_uint_eq(lim.running, SLOTS);
+	now_us += URGENT_US;
+	bg_limiter_release(&lim, &entries[20], now_us, BG_LIMITER_OK);
+	ck_assert_ptr_eq(bg_limiter_start_next(&lim, now_us), &entries[i]);
+}
+END_TEST
+
+/* Load: short calls that can wait, beside long ones that are held back for
+ * urgent ones. Guards against slots that are reserved for urgent calls and
+ * taken by others, which starves the long calls. */
+START_TEST(other_calls_do_not_take_reserved_slots)
+{
+	static const struct bg_reserve_call SHORT[] = {
+	    {"patient", 2, URGENT_US, LONG_TARGET_US},
+	    {"lower", 3, URGENT_US, URGENT_TARGET_US},
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(SHORT) / sizeof(SHORT[0]); i++) {
+		hold_back_a_long_call(&URGENT);
+		ck_assert_int_ne(acquire(40, &SHORT[i]), BG_LIMITER_STARTED);
+		ck_assert_int_eq(acquire(41, &URGENT), BG_LIMITER_STARTED);
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -175,5 +240,7 @@
 	tcase_add_test(tc, reserve_follows_the_rate);
 	tcase_add_test(tc, nothing_is_reserved_without_need);
 	tcase_add_test(tc, urgent_call_finds_a_slot_under_load);
+	tcase_add_test(tc, queued_urgent_call_takes_the_reserved_slot);
+	tcase_add_test(tc, other_calls_do_not_take_reserved_slots);
 	return run_suite("reserve", tc);
 }
