Sort a queue of several organisations instead of comparing all pairs

Cause: each admission counted, for each queued call, the calls of its level that are served before it, the square of the queue. cost_of_an_arrival_is_linear has calls of one organisation only, where the order is that of the list.

Change: the calls of a level are ranked by a merge sort of the list.

cost_of_an_arrival_is_low_with_organisations runs into the time limit of the test on the code before.

--- a/proxy/src/limiter/queue.c
+++ b/proxy/src/limiter/queue.c
@@ -216,6 +216,55 @@
 	return a->virtual_us <= b->virtual_us;
 }
 
+/* Merges two lists linked by order_next, of which the entries of a precede
+ * those of b in the queue. */
+static struct bg_limiter_entry *
+merge(struct bg_limiter_entry *a, struct bg_limiter_entry *b)
+{
+	struct bg_limiter_entry *first = NULL;
+	struct bg_limiter_entry **end = &first;
+	struct bg_limiter_entry **from;
+
+	while (a != NULL && b != NULL) {
+		from = is_served_before(a, b) ? &a : &b;
+		*end = *from;
+		end = &(*from)->order_next;
+		*from = *end;
+	}
+	*end = a != NULL ? a : b;
+	return first;
+}
+
+/* Sorts the first n entries of a part of the queue by their order of service.
+ * @return the first one, linked by order_next */
+static struct bg_limiter_entry *
+sort(struct bg_limiter_entry *first, uint32_t n)
+{
+	struct bg_limiter_entry *half = first;
+	uint32_t i;
+
+	if (n == 1) {
+		first->order_next = NULL;
+		return first;
+	}
+	for (i = 0; i < n / 2; i++)
+		half = half->next;
+	return merge(sort(first, n / 2), sort(half, n - n / 2));
+}
+
+static void
+rank_level(struct bg_limiter_entry *first)
+{
+	struct bg_limiter_entry *e;
+	uint32_t n = 0;
+
+	for (e = first; e != NULL && is_same_level(e, first); e = e->next)
+		n++;
+	e = sort(first, n);
+	for (n = 0; e != NULL; e = e->order_next)
+		e->rank = n++;
+}
+
 /* Filter that all entries pass. */
 static int
 is_any(const void *arg, const struct bg_limiter_entry *entry)
@@ -277,7 +326,6 @@
 
 /* Entries of one level, which are served before those of the next level. */
 struct level {
-	struct bg_limiter_entry *first;
 	int is_of_one_flow;
 	uint32_t preceding;    /* entries of earlier levels */
 	uint32_t on_time;      /* entries that can meet their target */
@@ -291,35 +339,15 @@
 {
 	const struct bg_limiter_entry *e;
 
-	lvl->first = first;
 	lvl->preceding += lvl->on_time_seen + lvl->late_seen;
 	lvl->on_time = lvl->on_time_seen = lvl->late_seen = 0;
 	for (e = first; e != NULL && is_same_level(e, first); e = e->next)
 		lvl->on_time += meets_target(q, e, now_us, now_us);
 	lvl->is_of_one_flow = is_of_one_flow(first);
-	if (!lvl->is_of_one_flow)
+	if (!lvl->is_of_one_flow) {
 		order_level(q, first, now_us);
-}
-
-/* Number of entries of the level that are served before one of them. */
-static uint32_t
-count_served_before(
-    const struct level *lvl, const struct bg_limiter_entry *entry)
-{
-	const struct bg_limiter_entry *e;
-	uint32_t n = 0;
-	int is_after = 0;
-
-	for (e = lvl->first; e != NULL && is_same_level(e, lvl->first);
-	     e = e->next) {
-		if (e == entry)
-			is_after = 1;
-		else if (is_after)
-			n += !is_served_before(entry, e);
-		else
-			n += is_served_before(e, entry);
+		rank_level(first);
 	}
-	return n;
 }
 
 /* Number of entries that are served before the next one of the level. */
@@ -330,8 +358,7 @@
 	uint32_t in_list =
 	    is_on_time ? lvl->on_time_seen++ : lvl->on_time + lvl->late_seen++;
 
-	return lvl->preceding +
-	    (lvl->is_of_one_flow ? in_list : count_served_before(lvl, entry));
+	return lvl->preceding + (lvl->is_of_one_flow ? in_list : entry->rank);
 }
 
 /* Finds an infeasible entry in one pass over the queue.
--- a/proxy/src/limiter/queue.h
+++ b/proxy/src/limiter/queue.h
@@ -53,6 +53,8 @@
 	uint64_t virtual_us; /**< virtual start, while the order is computed */
 	uint64_t charged_us; /**< charged to the organisation at the start */
 	int is_on_time;	     /**< while the order is computed */
+	struct bg_limiter_entry *order_next; /**< while the order is computed */
+	uint32_t rank; /**< in its level, while the order is computed */
 };
 
 struct bg_queue {
--- a/proxy/tests/test_queue.c
+++ b/proxy/tests/test_queue.c
@@ -142,6 +142,30 @@
 }
 END_TEST
 
+/* Pattern: thousands of calls of many organisations wait. Guards against the
+ * same cost where the order by target is not the order of service. */
+START_TEST(cost_of_an_arrival_is_low_with_organisations)
+{
+	static const char *const NAMES[] = {"a", "b", "c", "d", "e"};
+	struct bg_limiter_entry *e;
+	int round;
+	int i;
+
+	for (i = 0; i < ENTRIES; i++) {
+		e = insert(i, (uint32_t)i % 3, 0);
+		bg_queue_remove(&queue, e);
+		e->organisation = NAMES[i % 5];
+		bg_queue_insert(&queue, e, now_us);
+	}
+	for (round = 0; round < 1000; round++) {
+		e = bg_queue_next(&queue, now_us);
+		bg_queue_remove(&queue, e);
+		bg_queue_insert(&queue, e, now_us);
+		ck_assert_ptr_null(bg_queue_find_infeasible(&queue, 1, now_us));
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -155,5 +179,6 @@
 	tcase_add_test(tc, dependency_waits_past_its_target);
 	tcase_add_test(tc, earliest_target_is_served_first);
 	tcase_add_test(tc, cost_of_an_arrival_is_linear);
+	tcase_add_test(tc, cost_of_an_arrival_is_low_with_organisations);
 	return run_suite_forked("queue", tc);
 }
