Average the time that an urgent route can wait

Cause: a route was taken as urgent or not by its last arrival. Attempts after the first come with less time left to the target, so one of them made a patient route urgent, also in deployments that have no urgent one, and one past its target ended the reserve of an urgent route.

Change: the slack of a route is averaged over its arrivals.

late_attempt_does_not_make_a_route_urgent fails on the code before.

--- a/proxy/src/fairness/reserve.c
+++ b/proxy/src/fairness/reserve.c
@@ -8,6 +8,9 @@
 #define RATE_WINDOW_US 3000000.0
 /* Work is long beside work that takes this part of its time or less. */
 #define LONG_FACTOR 3
+/* Part by which an arrival changes the slack of its route. Single attempts that
+ * come late do not make a route urgent. */
+#define SLACK_WEIGHT 0.1
 /* Expected number of urgent calls below which nothing is reserved for them. */
 #define EXPECTED_MIN 0.1
 
@@ -52,6 +55,14 @@
 	    exp(-(double)(now_us - r->arrived_us) / RATE_WINDOW_US);
 }
 
+static double
+slack_of(const struct bg_reserve_call *call)
+{
+	return call->target_us > call->service_us
+	    ? (double)(call->target_us - call->service_us)
+	    : 0;
+}
+
 void
 bg_reserve_record_arrival(
     struct bg_reserve *rsv, const struct bg_reserve_call *call, uint64_t now_us)
@@ -59,12 +70,12 @@
 	struct bg_reserve_route *r =
 	    find_or_replace(rsv, call->route, call->priority);
 
+	if (r->arrived_us == 0)
+		r->slack_us = slack_of(call);
+	r->slack_us += (slack_of(call) - r->slack_us) * SLACK_WEIGHT;
 	r->rate_per_us = decayed_rate(r, now_us) + 1 / RATE_WINDOW_US;
 	r->arrived_us = now_us;
 	r->service_us = call->service_us;
-	r->slack_us = call->target_us > call->service_us
-	    ? call->target_us - call->service_us
-	    : 0;
 }
 
 void
@@ -93,7 +104,7 @@
     const struct bg_reserve_route *r, const struct bg_reserve_call *call)
 {
 	return r->arrived_us != 0 && r->priority <= call->priority &&
-	    r->slack_us != 0 && r->slack_us < call->service_us &&
+	    r->slack_us >= 1 && r->slack_us < (double)call->service_us &&
 	    r->service_us != 0 &&
 	    r->service_us <= call->service_us / LONG_FACTOR;
 }
--- a/proxy/src/fairness/reserve.h
+++ b/proxy/src/fairness/reserve.h
@@ -30,8 +30,8 @@
 	double rate_per_us;  /**< of arrivals, averaged */
 	uint64_t arrived_us; /**< last arrival; 0: not in use */
 	uint64_t service_us; /**< expected at the last arrival */
-	uint64_t slack_us;   /**< longest useful wait at the last arrival; 0: no
-				target */
+	double slack_us;     /**< longest useful wait, averaged over arrivals;
+				below 1: no target */
 	uint32_t running;
 };
 
--- a/proxy/tests/test_reserve.c
+++ b/proxy/tests/test_reserve.c
@@ -111,6 +111,22 @@
 }
 END_TEST
 
+/* Load: a route that can wait for long calls, with single late attempts that
+ * cannot. Guards against a reserve for the whole route because of the last
+ * one. */
+START_TEST(late_attempt_does_not_make_a_route_urgent)
+{
+	struct bg_reserve_call patient = URGENT;
+
+	setup();
+	patient.target_us = LONG_TARGET_US;
+	arrive(&patient, 50, 10);
+	patient.target_us = URGENT_TARGET_US;
+	bg_reserve_record_arrival(&rsv, &patient, now_us);
+	ck_assert_uint_eq(slots_for(&LONG), 0);
+}
+END_TEST
+
 static struct bg_limiter lim;
 static struct bg_limiter_entry entries[64];
 
@@ -239,6 +255,7 @@
 	tcase_add_test(tc, each_priority_is_counted_by_itself);
 	tcase_add_test(tc, reserve_follows_the_rate);
 	tcase_add_test(tc, nothing_is_reserved_without_need);
+	tcase_add_test(tc, late_attempt_does_not_make_a_route_urgent);
 	tcase_add_test(tc, urgent_call_finds_a_slot_under_load);
 	tcase_add_test(tc, queued_urgent_call_takes_the_reserved_slot);
 	tcase_add_test(tc, other_calls_do_not_take_reserved_slots);
