Share state of fair queueing only within a priority

Cause: while all flows were in use, an organisation without one shared the flow that its hash gave, also of another priority. Its calls were then ordered by the virtual time of that priority, and advanced it.

Change: it shares a flow of its own priority, or the one that is kept for this.

shared_state_is_of_the_same_priority fails on the code before.

--- a/proxy/src/fairness/fair_share.c
+++ b/proxy/src/fairness/fair_share.c
@@ -38,6 +38,23 @@
 	return NULL;
 }
 
+/* Flow of an organisation while all are active: as in stochastic fair queueing,
+ * it shares that of another one, of the same level. */
+static struct bg_fair_flow *
+shared_flow(struct bg_fair_share *fair, uint64_t key, uint32_t level)
+{
+	struct bg_fair_flow *flow;
+	size_t i;
+
+	for (i = 0; i < BG_FAIR_FLOWS_MAX; i++) {
+		flow = &fair->flows[((key >> 1) + i) % BG_FAIR_FLOWS_MAX];
+		if (flow->level == level)
+			return flow;
+	}
+	fair->shared[level].level = level;
+	return &fair->shared[level];
+}
+
 struct bg_fair_flow *
 bg_fair_share_flow(
     struct bg_fair_share *fair, const char *organisation, uint32_t priority)
@@ -58,8 +75,7 @@
 		flow->level = level;
 		return flow;
 	}
-	/* All are active: as in stochastic fair queueing, two share one. */
-	return &fair->flows[(key >> 1) % BG_FAIR_FLOWS_MAX];
+	return shared_flow(fair, key, level);
 }
 
 uint64_t
--- a/proxy/src/fairness/fair_share.h
+++ b/proxy/src/fairness/fair_share.h
@@ -14,7 +14,7 @@
  *
  * An organisation that has no queued call and whose virtual finish has passed
  * keeps no state. While more organisations are active than there is state for,
- * some share theirs.
+ * some of one priority share theirs.
  */
 
 #include <stdint.h>
@@ -37,7 +37,9 @@
 
 struct bg_fair_share {
 	struct bg_fair_flow flows[BG_FAIR_FLOWS_MAX];
-	uint64_t virtual_us[BG_FAIR_LEVELS_MAX]; /**< by level */
+	struct bg_fair_flow shared[BG_FAIR_LEVELS_MAX]; /**< by level, while all
+				flows are of other levels */
+	uint64_t virtual_us[BG_FAIR_LEVELS_MAX];	/**< by level */
 };
 
 /** Finds the flow of an organisation, or begins a new one.
--- a/proxy/tests/test_fair_share.c
+++ b/proxy/tests/test_fair_share.c
@@ -248,6 +248,29 @@
 }
 END_TEST
 
+/* Load: more active organisations than there is state for, of two priorities.
+ * Guards against one that is ordered by the virtual time of another priority,
+ * and advances it. */
+START_TEST(shared_state_is_of_the_same_priority)
+{
+	static struct bg_fair_share fair;
+	struct bg_fair_flow *flow;
+	char name[16];
+	int i;
+
+	memset(&fair, 0, sizeof(fair));
+	for (i = 0; i < 2 * BG_FAIR_FLOWS_MAX; i++) {
+		snprintf(name, sizeof(name), "org-%d", i);
+		bg_fair_share_flow(&fair, name, (uint32_t)i % 2)->queued++;
+	}
+	for (i = 0; i < 100; i++) {
+		snprintf(name, sizeof(name), "late-%d", i);
+		flow = bg_fair_share_flow(&fair, name, (uint32_t)i % 3);
+		ck_assert_uint_eq(flow->level, (uint32_t)i % 3);
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -259,5 +282,6 @@
 	tcase_add_test(tc, work_is_shared_by_cost);
 	tcase_add_test(tc, idle_organisations_keep_no_state);
 	tcase_add_test(tc, too_many_active_organisations_share_state);
+	tcase_add_test(tc, shared_state_is_of_the_same_priority);
 	return run_suite("fair share", tc);
 }
