Charge organisations for the time of failed calls

Cause: only calls that succeeded were corrected to what they took. One that held its slot until its deadline and failed was charged its expected cost, and one that the server refused at once as much, though it took nothing.

failed_calls_are_charged_for_their_time fails on the code before.

--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -333,9 +333,9 @@
 	entry->is_running = 0;
 	lim->running--;
 	bg_reserve_record_end(&lim->reserve, entry->route, entry->priority);
+	bg_queue_settle(&lim->queue, entry, now_us - entry->started_us);
 	switch (sample) {
 	case BG_LIMITER_OK:
-		bg_queue_settle(&lim->queue, entry, now_us - entry->started_us);
 		record_service_time(
 		    lim, entry->route, now_us - entry->started_us);
 		record_result(lim, now_us, 0);
--- a/proxy/tests/test_fair_share.c
+++ b/proxy/tests/test_fair_share.c
@@ -271,6 +271,26 @@
 }
 END_TEST
 
+/* Load: an organisation whose calls hold their slots until the deadline and
+ * fail. Guards against a charge of only what they were expected to take. */
+START_TEST(failed_calls_are_charged_for_their_time)
+{
+	struct bg_limiter_entry e;
+	struct bg_fair_flow *flow;
+
+	memset(&e, 0, sizeof(e));
+	bg_limiter_init(&lim, SLOTS);
+	e.route = "read";
+	e.organisation = "slow";
+	e.cost_us = SERVICE_US;
+	bg_limiter_acquire(&lim, &e, 1000000);
+	bg_limiter_release(
+	    &lim, &e, 1000000 + 10 * SERVICE_US, BG_LIMITER_FAILED);
+	flow = bg_fair_share_flow(&lim.queue.fair, "slow", 0);
+	ck_assert_uint_eq(flow->finish_us, 10 * SERVICE_US);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -283,5 +303,6 @@
 	tcase_add_test(tc, idle_organisations_keep_no_state);
 	tcase_add_test(tc, too_many_active_organisations_share_state);
 	tcase_add_test(tc, shared_state_is_of_the_same_priority);
+	tcase_add_test(tc, failed_calls_are_charged_for_their_time);
 	return run_suite("fair share", tc);
 }
