Test that dependency calls reserve nothing and are not held back

Reason: no test failed when dependency calls were counted as arrivals of urgent calls, which are those that most deployments have, nor when they or calls of a higher priority were held back by the reserve.

--- a/proxy/tests/test_reserve.c
+++ b/proxy/tests/test_reserve.c
@@ -246,6 +246,53 @@
 }
 END_TEST
 
+static enum bg_limiter_admission
+acquire_dependency(int i, const struct bg_reserve_call *call)
+{
+	memset(&entries[i], 0, sizeof(entries[i]));
+	entries[i].route = call->route;
+	entries[i].priority = call->priority;
+	entries[i].is_dependency = 1;
+	entries[i].target_us = now_us + call->target_us;
+	entries[i].latest_start_us = now_us + 4 * call->target_us;
+	return bg_limiter_acquire(&lim, &entries[i], now_us);
+}
+
+/* Load: short calls with tight targets that running requests wait for, beside
+ * long work. They are served first, and most deployments have them. Guards
+ * against a reserve for them. */
+START_TEST(dependency_calls_reserve_nothing)
+{
+	int i;
+
+	now_us = SECOND_US;
+	bg_limiter_init(&lim, SLOTS);
+	run_one(0, &LONG);
+	for (i = 0; i < 100; i++) {
+		ck_assert_int_eq(
+		    acquire_dependency(0, &URGENT), BG_LIMITER_STARTED);
+		now_us += URGENT_US;
+		bg_limiter_release(&lim, &entries[0], now_us, BG_LIMITER_OK);
+	}
+	for (i = 0; i < SLOTS; i++)
+		ck_assert_int_eq(acquire(i, &LONG), BG_LIMITER_STARTED);
+}
+END_TEST
+
+/* Load: long calls are held back. Guards against a dependency call or one of a
+ * higher priority that is held back as well. */
+START_TEST(preceding_calls_take_reserved_slots)
+{
+	static const struct bg_reserve_call BRIEF = {
+	    "brief", 1, URGENT_US, LONG_TARGET_US};
+
+	hold_back_a_long_call(&URGENT);
+	ck_assert_int_eq(acquire_dependency(40, &LONG), BG_LIMITER_STARTED);
+	hold_back_a_long_call(&URGENT);
+	ck_assert_int_eq(acquire(40, &BRIEF), BG_LIMITER_STARTED);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -259,5 +306,7 @@
 	tcase_add_test(tc, urgent_call_finds_a_slot_under_load);
 	tcase_add_test(tc, queued_urgent_call_takes_the_reserved_slot);
 	tcase_add_test(tc, other_calls_do_not_take_reserved_slots);
+	tcase_add_test(tc, dependency_calls_reserve_nothing);
+	tcase_add_test(tc, preceding_calls_take_reserved_slots);
 	return run_suite("reserve", tc);
 }
