--- a/proxy/src/fairness/reserve.c
+++ b/proxy/src/fairness/reserve.c
@@ -11,8 +11,6 @@
 /* Part by which an arrival changes the slack of its route. Single attempts that
  * come late do not make a route urgent. */
 #define SLACK_WEIGHT 0.1
-/* Expected number of urgent calls below which nothing is reserved for them. */
-#define EXPECTED_MIN 0.1
 
 static struct bg_reserve_route *
 find(const struct bg_reserve *rsv, const char *name, uint32_t priority)
@@ -135,9 +133,8 @@
 		expected += decayed_rate(r, now_us) * (double)r->service_us;
 		running += r->running;
 	}
-	if (expected < EXPECTED_MIN)
-		return 0;
-	reserved = (uint32_t)ceil(expected + sqrt(expected));
+	/* Rounded down, since a slot that is kept in vain costs long work. */
+	reserved = (uint32_t)(expected + sqrt(expected));
 	if (reserved > slots / 2)
 		reserved = slots / 2;
 	return reserved > running ? reserved - running : 0;
