--- a/cli/src/main.c
+++ b/cli/src/main.c
@@ -33,6 +33,13 @@
 	"all nodes given by --node (separated by commas). If a node does not "
 	"respond, the report names it and the exit code is 1.",
 	1, 1, bg_cli_cmd_report},
+    {"keys", "[NAME...]",
+	"Print the organisations and their numbers of keys\n\nShows what is in "
+	"force at a node. "
+	"--node is the address of the node's metrics. Keys are never shown. "
+	"Organisations that are named and not in force are reported, and the "
+	"exit code is 1.",
+	0, BG_CLI_ARGS_MAX, bg_cli_cmd_keys},
     {"explain", "ID FILE...",
 	"Trace a request through the logs of nodes\n\nPrints the log lines of "
 	"the request with this id in causal order. If there are none, prints "
--- a/core/src/settings.c
+++ b/core/src/settings.c
@@ -285,6 +285,7 @@
 	    {"server_id", out->server_id},
 	    {"not_run", out->not_run},
 	    {"call_depth", out->call_depth},
+	    {"warmup_left", out->warmup_left},
 	};
 	size_t i;
 
@@ -333,6 +334,7 @@
 	const struct bg_toml_table *limits;
 	const struct bg_toml_table *retry;
 	const struct bg_toml_table *moves;
+	const struct bg_toml_table *emptying;
 	const struct bg_toml_table *log;
 	int level;
 
@@ -354,6 +356,10 @@
 	moves = bg_toml_subtable(doc, root, "moves", BG_TOML_OPTIONAL);
 	if (moves != NULL)
 		read_moves(&set->move, doc, moves);
+	emptying = bg_toml_subtable(doc, root, "emptying", BG_TOML_OPTIONAL);
+	if (emptying != NULL)
+		bg_toml_bool(&set->platform.follows_emptied, doc, emptying,
+		    "follow", BG_TOML_OPTIONAL);
 	log = bg_toml_subtable(doc, root, "log", BG_TOML_OPTIONAL);
 	if (bg_toml_enum(
 		&level, doc, log, "level", LOG_LEVELS, BG_TOML_OPTIONAL))
--- a/moves/include/burdockgrade/moves.h
+++ b/moves/include/burdockgrade/moves.h
@@ -99,9 +99,11 @@
 struct bg_status_input {
 	const struct bg_snapshot *snapshot; /**< NULL: not synced */
 	const struct bg_moves *moves;
+	const struct bg_roster *roster; /**< NULL: cold servers are not named */
 	/** One for each data centre. */
 	const struct bg_state_summary *summaries;
 	size_t summary_count;
+	const struct bg_emptied_set *emptied; /**< NULL: none */
 	/** Time of the report by the wall clock. Only the ages of the summaries
 	 * are computed from it; the age of a service's line is that of the
 	 * oldest summary. */
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -6,9 +6,11 @@
 #include <string.h>
 
 #include "burdockgrade/clock.h"
+#include "burdockgrade/counter.h"
 #include "burdockgrade/log.h"
 
 #include "call_internal.h"
+#include "cold_call.h"
 
 #define STATUS_NOT_FOUND 404
 #define STATUS_BAD_METHOD 405
@@ -34,6 +36,14 @@
 /* Lower bound of Retry-After: an earlier retry would meet the same load. */
 #define RETRY_AFTER_MIN_MS 50
 #define RETRY_AFTER_MAX_MS 2000
+/* Retry-After while operators have emptied the data centres of the only
+ * servers. They are taken back after seconds or minutes, so that earlier
+ * retries would only add load. */
+#define RETRY_AFTER_EMPTIED_MS 1000
+
+static struct bg_counter emptied_calls =
+    BG_COUNTER("burdock_emptied_calls_refused_total",
+	"Calls refused because the data centres of all servers are emptied.");
 
 static void step_pick(struct bg_call *call);
 static void step_send(struct bg_call *call, const struct bg_pick *pick);
@@ -51,6 +61,7 @@
 		call->next->prev = call->prev;
 	if (call->timer != NULL)
 		event_free(call->timer);
+	bg_call_erase_key(call);
 	bg_snapshot_release(call->snapshot);
 	xdr_free((xdrproc_t)xdr_bg_xcall_args, (char *)&call->args);
 	free(call);
@@ -113,9 +124,16 @@
 		base_ms = RETRY_AFTER_MIN_MS;
 	if (call->busy_wait_us != 0)
 		base_ms = call->busy_wait_us / 1000;
+	else if (refusal == BG_XREFUSAL_NO_SERVER && bg_call_is_emptied(call))
+		base_ms = RETRY_AFTER_EMPTIED_MS;
 	if (base_ms < RETRY_AFTER_MIN_MS)
 		base_ms = RETRY_AFTER_MIN_MS;
-	ms = base_ms + bg_rand_below(&call->proxy->router.rand, base_ms);
+	if (call->cold_left_ms != 0)
+		ms = bg_cold_call_retry_ms(
+		    &call->proxy->router.rand, base_ms, call->cold_left_ms);
+	else
+		ms =
+		    base_ms + bg_rand_below(&call->proxy->router.rand, base_ms);
 	return ms > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS : (uint32_t)ms;
 }
 
@@ -173,7 +191,7 @@
 	const struct bg_rule *rule = call->rule;
 
 	args->slow_ms = rule->target_ms;
-	args->priority = rule->priority;
+	args->priority = bg_access_priority(call->organisation, rule);
 	args->idempotent = rule->is_idempotent != 0;
 	args->is_dependency = call->is_dependency != 0;
 	args->config_version = call->snapshot->version;
@@ -225,6 +243,8 @@
 				       : "no route has this path");
 		return;
 	}
+	if (bg_call_check_access(call) != 0)
+		return;
 	if (call->args.depth >= BG_CALL_DEPTH_MAX) {
 		bg_call_refuse(call, BG_XREFUSAL_DEPTH);
 		return;
@@ -262,6 +282,41 @@
 	arm_timer(call, LINK_POLL_MS * 1000);
 }
 
+/* 1 if the best server is cold and would refuse the call. */
+static int
+is_hopeless(struct bg_call *call, const struct bg_pick *pick)
+{
+	uint64_t now_us = bg_clock_now_us();
+	uint64_t useful_us = bg_call_left_us(call);
+
+	/* A running request waits for a dependency call, so a late answer is
+	 * better than none. */
+	if (!call->is_dependency && call->target_us > now_us)
+		useful_us = call->target_us - now_us;
+	if (!bg_cold_call_is_hopeless(pick, call->picks, useful_us))
+		return 0;
+	call->cold_left_ms = pick->cold_left_ms;
+	bg_metrics_count_cold_unsent();
+	bg_log_info("call",
+	    "not sent request=%s reason=cold service=%s picks=%u wait_us=%llu "
+	    "cold_left_ms=%u",
+	    call->args.request_id, call->service, call->picks,
+	    (unsigned long long)pick->wait_us, pick->cold_left_ms);
+	return 1;
+}
+
+static void
+refuse_without_server(struct bg_call *call)
+{
+	if (bg_call_is_emptied(call)) {
+		bg_counter_add(&emptied_calls, 1);
+		bg_log_warn("call",
+		    "no server left request=%s service=%s reason=emptied",
+		    call->args.request_id, call->service);
+	}
+	bg_call_refuse(call, BG_XREFUSAL_NO_SERVER);
+}
+
 static void
 step_pick(struct bg_call *call)
 {
@@ -274,13 +329,16 @@
 	switch (bg_call_pick_server(&pick, call)) {
 	case 0:
 		call->link_wait_start_us = 0;
-		step_send(call, &pick);
+		if (is_hopeless(call, &pick))
+			bg_call_refuse(call, BG_XREFUSAL_BUSY);
+		else
+			step_send(call, &pick);
 		break;
 	case BG_EUNAVAILABLE:
 		wait_for_link(call);
 		break;
 	default:
-		bg_call_refuse(call, BG_XREFUSAL_NO_SERVER);
+		refuse_without_server(call);
 		break;
 	}
 }
@@ -294,11 +352,13 @@
 	step_result(call, code, res);
 }
 
-/* 1 if the call may queue at the server, 0 if it needs a free slot. */
+/* 1 if the call may queue at the server, 0 if it needs a free slot. A cold
+ * server is picked if no warm one is better, and starts calls one by one. */
 static int
 allows_queueing(const struct bg_call *call, const struct bg_pick *pick)
 {
-	return pick->wait_us != 0 || call->picks >= QUEUE_FROM_PICK;
+	return pick->wait_us != 0 || pick->cold_left_ms != 0 ||
+	    call->picks >= QUEUE_FROM_PICK;
 }
 
 /* Longest time the call may queue at the picked server. */
@@ -445,6 +505,8 @@
 		/* None of the servers left could run the call in time. */
 		if (pick.wait_us != 0 && allowed_wait_ms(call, &pick) == 0)
 			return -1;
+		if (is_hopeless(call, &pick))
+			return -1;
 		step_send(call, &pick);
 		return 0;
 	case BG_EUNAVAILABLE:
@@ -466,6 +528,8 @@
 	if (code == 0 && res->refusal == BG_XREFUSAL_BUSY &&
 	    (call->busy_wait_us == 0 || res->load.wait_us < call->busy_wait_us))
 		call->busy_wait_us = res->load.wait_us + 1;
+	if (code == 0)
+		call->cold_left_ms = res->load_extension.cold_left_ms;
 	if (call->picks >= BG_CALL_PICKS_MAX ||
 	    bg_call_left_us(call) < BG_DEADLINE_MIN_MS * 1000)
 		return -1;
@@ -588,10 +652,12 @@
 {
 	struct bg_call *call = calloc(1, sizeof(*call));
 
-	if (call == NULL ||
+	if (call == NULL || bg_call_copy_caller(call, &opts->caller) != 0 ||
 	    (call->timer = event_new(prx->base, -1, 0, on_timer, call)) ==
 		NULL) {
 		xdr_free((xdrproc_t)xdr_bg_xcall_args, (char *)args);
+		if (call != NULL)
+			bg_call_erase_key(call);
 		free(call);
 		return BG_ENOMEM;
 	}
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -43,14 +43,27 @@
 	uint64_t target_us;    /**< 0: no target */
 	uint64_t busy_wait_us; /**< shortest reported by a busy gatekeeper; 0:
 				  none */
+	uint32_t cold_left_ms; /**< of the server that refused it last, or
+				  would have; 0: it was warm */
 	uint32_t caller_deadline_ms;
 	int is_started;
 	int is_queueing_allowed;     /**< in the current attempt */
 	uint64_t link_wait_start_us; /**< 0: not waiting for a link */
 	int is_dependency;
+	struct bg_caller caller;
+	char *key; /**< owned copy, until the call is routed */
 	char picked_version[BG_NAME_BYTES];
 };
 
+/** Copies what is known of the caller. @return 0 or BG_ENOMEM */
+int bg_call_copy_caller(struct bg_call *call, const struct bg_caller *caller);
+/** Erases the copy of the caller's key: one that is no longer needed must not
+ * stay in memory. */
+void bg_call_erase_key(struct bg_call *call);
+/** Checks the caller's key and sets the call's organisation, once its rule is
+ * known. Replies at once if the caller may not make the call.
+ * @return 0, or -1 if the call has ended */
+int bg_call_check_access(struct bg_call *call);
 /** Replies to the caller and frees the call. */
 void bg_call_reply(struct bg_call *call, const struct bg_call_answer *ans);
 /** Replies with a plain-text reason instead of a body and frees the call. */
@@ -62,6 +75,9 @@
 
 /** Picks the server of the next attempt. @return as bg_router_pick */
 int bg_call_pick_server(struct bg_pick *out, struct bg_call *call);
+/** 1 if ready servers of the call's service are not picked, because operators
+ * have emptied their data centre. */
+int bg_call_is_emptied(const struct bg_call *call);
 /** Excludes a server from further attempts. */
 void bg_call_avoid(struct bg_call *call, const char *address);
 /** Records the result of the current attempt in the router's state. */
--- a/proxy/src/call/pick.c
+++ b/proxy/src/call/pick.c
@@ -40,6 +40,7 @@
 {
 	struct bg_proxy *prx = call->proxy;
 	const char *avoid[BG_CALL_AVOID_MAX];
+	const struct bg_service *svc;
 	struct bg_pick_query q;
 	uint64_t now_us = bg_clock_now_us();
 	size_t i;
@@ -65,7 +66,14 @@
 		avoid[i] = call->avoid[i];
 	q.avoid = avoid;
 	q.avoid_count = call->avoid_count;
+	q.emptied = bg_mesh_emptied(prx->mesh);
 	q.now_ms = bg_clock_now_ms();
+	q.wall_ms = bg_clock_wall_ms();
+	svc = bg_snapshot_service(call->snapshot, call->service);
+	if (svc != NULL) {
+		q.cold.duration_ms = svc->warmup_ms;
+		q.cold.rate_milli_per_s = svc->warmup_milli_per_s;
+	}
 	q.left_us = bg_call_left_us(call);
 	q.target_us = q.left_us;
 	if (call->target_us != 0)
@@ -101,6 +109,26 @@
 	return pick(out, call, &fallback);
 }
 
+int
+bg_call_is_emptied(const struct bg_call *call)
+{
+	struct bg_mesh *mesh = call->proxy->mesh;
+	const struct bg_emptied_set *emptied = bg_mesh_emptied(mesh);
+	const struct bg_member *m;
+	size_t count;
+	size_t i;
+
+	if (emptied->count == 0 || call->service == NULL)
+		return 0;
+	count = bg_roster_service(&m, bg_mesh_roster(mesh), call->service);
+	for (i = 0; i < count; i++) {
+		if (m[i].state == BG_MEMBER_READY &&
+		    bg_emptied_set_contains(emptied, m[i].data_centre))
+			return 1;
+	}
+	return 0;
+}
+
 void
 bg_call_avoid(struct bg_call *call, const char *address)
 {
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -55,8 +55,10 @@
 	struct event *drain_timer; /* end of the grace period in which a leaving
 				      server accepts calls */
 	uint32_t in_flight;
-	uint32_t connect_failures; /* consecutive */
-	uint64_t warmup_end_ms;	   /* the server is slow until then */
+	uint32_t connect_failures;  /* consecutive */
+	struct event *warmup_timer; /* next change of a cold server's limit */
+	uint64_t limited_since_us;  /* valid while is_limited */
+	int is_limited;		    /* starts of the cold server are limited */
 	struct bg_buffers *buffers;
 	struct bg_retry_budget *retry;
 	struct bg_announcement
@@ -66,6 +68,7 @@
 	int is_recovered; /* what an earlier process announced is known */
 	int is_suspended; /* the server's version was judged bad */
 	int is_draining;  /* the node is stopping */
+	int is_emptied;	  /* emptying.c: so is the data centre */
 };
 
 /** @return 0 or BG_ENOMEM */
@@ -87,6 +90,8 @@
  * BG_XREFUSAL_NONE. */
 enum bg_xrefusal bg_gate_find_refusal(
     const struct bg_gatekeeper *gk, const struct bg_xcall_args *args);
+/** Refuses the calls that wait for a slot. */
+void bg_gate_refuse_queued(struct bg_gatekeeper *gk);
 /** Cancel callback of the calls of other nodes; arg is the call. */
 void bg_gate_on_rpc_cancel(void *arg);
 /** 1 if calls may be sent to the backend server now. */
--- a/proxy/src/metrics/metrics.c
+++ b/proxy/src/metrics/metrics.c
@@ -116,6 +116,16 @@
     BG_COUNTER(CLOSED "{reason=\"replaced\"}", CLOSED_HELP),
     BG_COUNTER(CLOSED "{reason=\"refused\"}", CLOSED_HELP),
 };
+static struct bg_counter cold_left = BG_GAUGE(
+    "burdock_server_cold_left_ms", "Time until the backend server is warm.");
+static struct bg_counter cold_periods = BG_COUNTER(
+    "burdock_server_cold_total", "Times that the backend server turned cold.");
+static struct bg_counter cold_refused =
+    BG_COUNTER("burdock_cold_refused_total{at=\"gatekeeper\"}",
+	"Calls refused since the servers are cold.");
+static struct bg_counter cold_unsent =
+    BG_COUNTER("burdock_cold_refused_total{at=\"ingress\"}",
+	"Calls refused since the servers are cold.");
 
 const char *
 bg_refusal_text(enum bg_xrefusal reason)
@@ -198,6 +208,30 @@
 	bg_counter_set(&reserve_held_back, (int64_t)held_back);
 }
 
+void
+bg_metrics_set_cold_left(uint32_t left_ms)
+{
+	bg_counter_set(&cold_left, left_ms);
+}
+
+void
+bg_metrics_count_cold_period(void)
+{
+	bg_counter_add(&cold_periods, 1);
+}
+
+void
+bg_metrics_count_cold_refused(void)
+{
+	bg_counter_add(&cold_refused, 1);
+}
+
+void
+bg_metrics_count_cold_unsent(void)
+{
+	bg_counter_add(&cold_unsent, 1);
+}
+
 void
 bg_metrics_set_buffered_bytes(uint64_t bytes)
 {
