--- a/proxy/src/fairness/reserve.c
+++ b/proxy/src/fairness/reserve.c
@@ -8,6 +8,9 @@
 #define RATE_WINDOW_US 3000000.0
 /* Work is long beside work that takes this part of its time or less. */
 #define LONG_FACTOR 3
+/* Part by which an arrival changes the slack of its route. Single attempts that
+ * come late do not make a route urgent. */
+#define SLACK_WEIGHT 0.1
 
 static struct bg_reserve_route *
 find(const struct bg_reserve *rsv, const char *name, uint32_t priority)
@@ -50,6 +53,14 @@
 	    exp(-(double)(now_us - r->arrived_us) / RATE_WINDOW_US);
 }
 
+static double
+slack_of(const struct bg_reserve_call *call)
+{
+	return call->target_us > call->service_us
+	    ? (double)(call->target_us - call->service_us)
+	    : 0;
+}
+
 void
 bg_reserve_record_arrival(
     struct bg_reserve *rsv, const struct bg_reserve_call *call, uint64_t now_us)
@@ -57,12 +68,12 @@
 	struct bg_reserve_route *r =
 	    find_or_replace(rsv, call->route, call->priority);
 
+	if (r->arrived_us == 0)
+		r->slack_us = slack_of(call);
+	r->slack_us += (slack_of(call) - r->slack_us) * SLACK_WEIGHT;
 	r->rate_per_us = decayed_rate(r, now_us) + 1 / RATE_WINDOW_US;
 	r->arrived_us = now_us;
 	r->service_us = call->service_us;
-	r->slack_us = call->target_us > call->service_us
-	    ? call->target_us - call->service_us
-	    : 0;
 }
 
 void
@@ -91,11 +102,20 @@
     const struct bg_reserve_route *r, const struct bg_reserve_call *call)
 {
 	return r->arrived_us != 0 && r->priority <= call->priority &&
-	    r->slack_us != 0 && r->slack_us < call->service_us &&
+	    r->slack_us >= 1 && r->slack_us < (double)call->service_us &&
 	    r->service_us != 0 &&
 	    r->service_us <= call->service_us / LONG_FACTOR;
 }
 
+int
+bg_reserve_is_for(const struct bg_reserve *rsv, const char *route,
+    uint32_t priority, const struct bg_reserve_call *call)
+{
+	const struct bg_reserve_route *r = find(rsv, route, priority);
+
+	return r != NULL && is_urgent_beside(r, call);
+}
+
 uint32_t
 bg_reserve_slots(const struct bg_reserve *rsv,
     const struct bg_reserve_call *call, uint32_t slots, uint64_t now_us)
