Add the quota package: caps on use that hold over all nodes

Pure modules: the bucket of an owner, the tokens of a node, and the ownership of a slot by conditional writes to the store; the task that joins them; a property test over loss, delay, doubling, pause, restart and cut. The proxy admits calls of organisations with a cap by it. Only active where the settings give a window and the configuration an organisation with a rate.

--- a/core/include/burdockgrade/settings.h
+++ b/core/include/burdockgrade/settings.h
@@ -46,6 +46,20 @@
 	uint32_t first_share_permille;
 };
 
+/** Caps on the use of organisations, which hold over all nodes: in any window
+ * at most (rate x window + burst) x (1 + share) + slack calls. shares and
+ * groups have to be the same on all nodes. */
+struct bg_quota_settings {
+	uint32_t window_ms;	 /**< 0: caps are not enforced */
+	uint32_t share_permille; /**< allowed beyond the cap */
+	uint32_t slack;		 /**< calls allowed beyond the cap */
+	/** Parts of each cap, whose owners are placed in the data centres in
+	 * turn. */
+	uint32_t shares;
+	/** Groups of organisations, each with an owner for each share. */
+	uint32_t groups;
+};
+
 struct bg_settings {
 	struct {
 		char address[BG_SETTING_BYTES]; /**< own IPv4 address */
@@ -93,6 +107,7 @@
 	struct bg_header_names headers;
 	struct bg_retry_settings retry;
 	struct bg_move_settings move;
+	struct bg_quota_settings quota;
 	struct {
 		char level[BG_SETTING_BYTES];
 	} log;
--- a/core/src/settings.c
+++ b/core/src/settings.c
@@ -42,6 +42,17 @@
 /* An unproven version gets at most half of the calls. */
 #define FIRST_SHARE_PERMILLE_MAX 500
 
+/* One share of each cap for each data centre of a usual deployment. */
+#define DEFAULT_QUOTA_SHARES 3
+#define QUOTA_SHARES_MAX 16
+/* Owners that divide the organisations of a data centre, so that none has to
+ * answer all nodes for all of them. */
+#define DEFAULT_QUOTA_GROUPS 4
+#define QUOTA_GROUPS_MAX 64
+#define QUOTA_WINDOW_MAX_MS 600000
+#define QUOTA_PERMILLE_MAX 1000
+#define QUOTA_SLACK_MAX 1000000
+
 static const char *const LOG_LEVELS[] = {
     "error", "warn", "info", "debug", NULL};
 
@@ -76,6 +87,8 @@
 	out->retry.slack = DEFAULT_RETRY_SLACK;
 	out->retry.window_ms = DEFAULT_RETRY_WINDOW_MS;
 	out->move.first_share_permille = DEFAULT_FIRST_SHARE_PERMILLE;
+	out->quota.shares = DEFAULT_QUOTA_SHARES;
+	out->quota.groups = DEFAULT_QUOTA_GROUPS;
 	snprintf(out->log.level, sizeof(out->log.level), "info");
 }
 
@@ -313,6 +326,22 @@
 	    BG_TOML_OPTIONAL);
 }
 
+static void
+read_quota(struct bg_quota_settings *out, struct bg_toml *doc,
+    const struct bg_toml_table *tbl)
+{
+	bg_toml_u32(&out->window_ms, doc, tbl, "window_ms", 0,
+	    QUOTA_WINDOW_MAX_MS, BG_TOML_OPTIONAL);
+	bg_toml_u32(&out->share_permille, doc, tbl, "share_permille", 0,
+	    QUOTA_PERMILLE_MAX, BG_TOML_OPTIONAL);
+	bg_toml_u32(&out->slack, doc, tbl, "slack", 0, QUOTA_SLACK_MAX,
+	    BG_TOML_OPTIONAL);
+	bg_toml_u32(&out->shares, doc, tbl, "shares", 1, QUOTA_SHARES_MAX,
+	    BG_TOML_OPTIONAL);
+	bg_toml_u32(&out->groups, doc, tbl, "groups", 1, QUOTA_GROUPS_MAX,
+	    BG_TOML_OPTIONAL);
+}
+
 /* Other nodes connect to the node's own address, unless it is behind a proxy
  * and advertises the address of that. */
 static void
@@ -331,6 +360,7 @@
 	const struct bg_toml_table *limits;
 	const struct bg_toml_table *retry;
 	const struct bg_toml_table *moves;
+	const struct bg_toml_table *quota;
 	const struct bg_toml_table *log;
 	int level;
 
@@ -352,6 +382,9 @@
 	moves = bg_toml_subtable(doc, root, "moves", BG_TOML_OPTIONAL);
 	if (moves != NULL)
 		read_moves(&set->move, doc, moves);
+	quota = bg_toml_subtable(doc, root, "quota", BG_TOML_OPTIONAL);
+	if (quota != NULL)
+		read_quota(&set->quota, doc, quota);
 	log = bg_toml_subtable(doc, root, "log", BG_TOML_OPTIONAL);
 	if (bg_toml_enum(
 		&level, doc, log, "level", LOG_LEVELS, BG_TOML_OPTIONAL))
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -58,6 +58,7 @@
 		return;
 	node->is_stopping = 1;
 	bg_log_info("node", "stopping signal=%d", (int)signo);
+	bg_quota_leave(node->quota);
 	bg_proxy_drain(node->proxy, on_drained, node);
 }
 
@@ -201,6 +202,23 @@
 	return bg_moves_init(&node->moves, &opts, err);
 }
 
+static int
+init_quota(struct bg_node *node)
+{
+	struct bg_quota_options opts = BG_QUOTA_OPTIONS_INIT;
+	int error;
+
+	opts.base = node->base;
+	opts.settings = &node->settings;
+	opts.store = node->store;
+	opts.server = node->link_server;
+	opts.links = node->link_pool;
+	opts.address = bg_mesh_address(node->mesh);
+	if ((error = bg_quota_init(&node->quota, &opts)) != 0)
+		return error;
+	return bg_quota_follow(node->quota, node->mesh);
+}
+
 static int
 init_proxy(struct bg_node *node, struct bg_error *err)
 {
@@ -215,6 +233,7 @@
 	opts.server = node->link_server;
 	opts.links = node->link_pool;
 	opts.observer = bg_moves_observer(node->moves);
+	opts.quota = node->quota;
 	if ((error = bg_proxy_init(&node->proxy, &opts, err)) != 0)
 		return error;
 	if (node->rollouts != NULL)
@@ -272,6 +291,7 @@
 	    (error = init_mesh(out, err)) != 0 ||
 	    (error = init_rollouts(out)) != 0 ||
 	    (error = init_moves(out, err)) != 0 ||
+	    (error = init_quota(out)) != 0 ||
 	    (error = init_proxy(out, err)) != 0 ||
 	    (error = init_platform(out, err)) != 0)
 		bg_node_free(out);
@@ -296,6 +316,7 @@
 	bg_link_pool_free(node->link_pool);
 	bg_platform_endpoints_free(node->endpoints);
 	bg_proxy_free(node->proxy);
+	bg_quota_free(node->quota);
 	bg_platform_rollouts_free(node->rollouts);
 	bg_moves_free(node->moves);
 	bg_mesh_free(node->mesh);
--- a/daemon/src/node.h
+++ b/daemon/src/node.h
@@ -12,6 +12,7 @@
 #include "burdockgrade/moves.h"
 #include "burdockgrade/platform.h"
 #include "burdockgrade/proxy.h"
+#include "burdockgrade/quota.h"
 #include "burdockgrade/settings.h"
 
 #include "contracts.h"
@@ -29,6 +30,7 @@
 	struct bg_link_pool *link_pool;
 	struct bg_mesh *mesh;
 	struct bg_moves *moves;
+	struct bg_quota *quota;
 	struct bg_proxy *proxy;
 	/** NULL unless the platform manages the node. */
 	struct bg_platform_rollouts *rollouts;
--- a/mesh/include/burdockgrade/wire_xdr.h
+++ b/mesh/include/burdockgrade/wire_xdr.h
@@ -241,6 +241,47 @@
 	char *refused_reason;
 };
 typedef struct bg_xstate_res bg_xstate_res;
+#define BG_QUOTA_ENTRIES_MAX 64
+
+struct bg_xquota_ask {
+	bg_xname organisation;
+	u_int held;
+	u_int waiting;
+	u_int spare;
+};
+typedef struct bg_xquota_ask bg_xquota_ask;
+
+struct bg_xquota_args {
+	u_int share;
+	u_int group;
+	u_quad_t holder;
+	u_quad_t tenure;
+	u_quad_t seq;
+	struct {
+		u_int asks_len;
+		bg_xquota_ask *asks_val;
+	} asks;
+};
+typedef struct bg_xquota_args bg_xquota_args;
+
+struct bg_xquota_grant {
+	u_int kept;
+	u_int granted;
+	u_int retry_after_ms;
+};
+typedef struct bg_xquota_grant bg_xquota_grant;
+
+struct bg_xquota_res {
+	u_int is_owner;
+	u_quad_t tenure;
+	bg_xaddress owner;
+	u_int valid_ms;
+	struct {
+		u_int grants_len;
+		bg_xquota_grant *grants_val;
+	} grants;
+};
+typedef struct bg_xquota_res bg_xquota_res;
 
 #define BG_MESH 0x2f0b0d67
 #define BG_MESH_V3 3
@@ -267,6 +308,9 @@
 #define BG_PROC_CONFIG 6
 extern  bg_xconfig_res * bg_proc_config_3(bg_xconfig_args *, CLIENT *);
 extern  bg_xconfig_res * bg_proc_config_3_svc(bg_xconfig_args *, struct svc_req *);
+#define BG_PROC_QUOTA 7
+extern  bg_xquota_res * bg_proc_quota_3(bg_xquota_args *, CLIENT *);
+extern  bg_xquota_res * bg_proc_quota_3_svc(bg_xquota_args *, struct svc_req *);
 extern int bg_mesh_3_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -291,6 +335,9 @@
 #define BG_PROC_CONFIG 6
 extern  bg_xconfig_res * bg_proc_config_3();
 extern  bg_xconfig_res * bg_proc_config_3_svc();
+#define BG_PROC_QUOTA 7
+extern  bg_xquota_res * bg_proc_quota_3();
+extern  bg_xquota_res * bg_proc_quota_3_svc();
 extern int bg_mesh_3_freeresult ();
 #endif /* K&R C */
 
@@ -317,6 +364,10 @@
 extern  bool_t xdr_bg_xcall_res (XDR *, bg_xcall_res*);
 extern  bool_t xdr_bg_xcancel_args (XDR *, bg_xcancel_args*);
 extern  bool_t xdr_bg_xstate_res (XDR *, bg_xstate_res*);
+extern  bool_t xdr_bg_xquota_ask (XDR *, bg_xquota_ask*);
+extern  bool_t xdr_bg_xquota_args (XDR *, bg_xquota_args*);
+extern  bool_t xdr_bg_xquota_grant (XDR *, bg_xquota_grant*);
+extern  bool_t xdr_bg_xquota_res (XDR *, bg_xquota_res*);
 
 #else /* K&R C */
 extern bool_t xdr_bg_xname ();
@@ -339,6 +390,10 @@
 extern bool_t xdr_bg_xcall_res ();
 extern bool_t xdr_bg_xcancel_args ();
 extern bool_t xdr_bg_xstate_res ();
+extern bool_t xdr_bg_xquota_ask ();
+extern bool_t xdr_bg_xquota_args ();
+extern bool_t xdr_bg_xquota_grant ();
+extern bool_t xdr_bg_xquota_res ();
 
 #endif /* K&R C */
 
--- a/mesh/src/wire/wire_xdr.c
+++ b/mesh/src/wire/wire_xdr.c
@@ -618,3 +618,73 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_bg_xquota_ask (XDR *xdrs, bg_xquota_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bg_xname (xdrs, &objp->organisation))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->spare))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bg_xquota_args (XDR *xdrs, bg_xquota_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->share))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->group))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->holder))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->tenure))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->asks.asks_val, (u_int *) &objp->asks.asks_len, BG_QUOTA_ENTRIES_MAX,
+		sizeof (bg_xquota_ask), (xdrproc_t) xdr_bg_xquota_ask))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bg_xquota_grant (XDR *xdrs, bg_xquota_grant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->kept))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->granted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bg_xquota_res (XDR *xdrs, bg_xquota_res *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->is_owner))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->tenure))
+		 return FALSE;
+	 if (!xdr_bg_xaddress (xdrs, &objp->owner))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->valid_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->grants.grants_val, (u_int *) &objp->grants.grants_len, BG_QUOTA_ENTRIES_MAX,
+		sizeof (bg_xquota_grant), (xdrproc_t) xdr_bg_xquota_grant))
+		 return FALSE;
+	return TRUE;
+}
--- a/mesh/src/wire/wire_xdr.x
+++ b/mesh/src/wire/wire_xdr.x
@@ -225,6 +225,40 @@
 	string refused_reason<128>;
 };
 
+const BG_QUOTA_ENTRIES_MAX = 64;
+
+/* QUOTA: a node asks the owner of a slot for calls that it may admit, for
+ * several organisations at once. */
+struct bg_xquota_ask {
+	bg_xname organisation;
+	unsigned int held;    /* tokens of earlier grants that are unused */
+	unsigned int waiting; /* calls that wait for a token */
+	unsigned int spare;   /* tokens wanted for calls to come */
+};
+
+struct bg_xquota_args {
+	unsigned int share;	/* the slot: share of the caps, and */
+	unsigned int group;	/* group of organisations */
+	unsigned hyper holder;	/* random, new with each start of the node */
+	unsigned hyper tenure;	/* of the owner that granted the held tokens */
+	unsigned hyper seq;	/* rises with each ask of the holder */
+	bg_xquota_ask asks<BG_QUOTA_ENTRIES_MAX>;
+};
+
+struct bg_xquota_grant {
+	unsigned int kept;	/* of the held tokens, may be used on */
+	unsigned int granted;	/* new tokens, first for the waiting calls */
+	unsigned int retry_after_ms; /* if less than waits was granted */
+};
+
+struct bg_xquota_res {
+	unsigned int is_owner;
+	unsigned hyper tenure; /* of the owner */
+	bg_xaddress owner; /* if it is another node and known, else empty */
+	unsigned int valid_ms; /* use of the tokens, since the ask was sent */
+	bg_xquota_grant grants<BG_QUOTA_ENTRIES_MAX>; /* in the order of asks */
+};
+
 program BG_MESH {
 	version BG_MESH_V3 {
 		void BG_PROC_PING(void) = 0;
@@ -234,5 +268,6 @@
 		bg_xstate_res BG_PROC_STATE(void) = 4;
 		bg_xcall_res BG_PROC_BODY(bg_xbody_args) = 5;
 		bg_xconfig_res BG_PROC_CONFIG(bg_xconfig_args) = 6;
+		bg_xquota_res BG_PROC_QUOTA(bg_xquota_args) = 7;
 	} = 3;
 } = 0x2f0b0d67;
--- a/proxy/include/burdockgrade/proxy.h
+++ b/proxy/include/burdockgrade/proxy.h
@@ -12,6 +12,7 @@
 #include "burdockgrade/link.h"
 #include "burdockgrade/mesh.h"
 #include "burdockgrade/observe.h"
+#include "burdockgrade/quota.h"
 #include "burdockgrade/settings.h"
 
 struct bg_proxy;
@@ -24,12 +25,15 @@
 	struct bg_link_server *server; /**< serves the CALL procedure */
 	struct bg_link_pool *links;
 	struct bg_observer *observer; /**< may be NULL */
+	struct bg_quota *quota;	      /**< NULL: caps of organisations are not
+				       * enforced */
 };
 
-#define BG_PROXY_OPTIONS_VERSION 2
-#define BG_PROXY_OPTIONS_INIT                                                \
-	{                                                                    \
-		BG_PROXY_OPTIONS_VERSION, NULL, NULL, NULL, NULL, NULL, NULL \
+#define BG_PROXY_OPTIONS_VERSION 3
+#define BG_PROXY_OPTIONS_INIT                                                 \
+	{                                                                     \
+		BG_PROXY_OPTIONS_VERSION, NULL, NULL, NULL, NULL, NULL, NULL, \
+		    NULL                                                      \
 	}
 
 /**
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -1,5 +1,5 @@
-/* A call goes through these steps: route, pick, send, result, reply. Each step
- * ends by calling the next one or by waiting for a callback. */
+/* A call goes through these steps: route, admit, pick, send, result, reply.
+ * Each step ends by calling the next one or by waiting for a callback. */
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -51,6 +51,7 @@
 		call->next->prev = call->prev;
 	if (call->timer != NULL)
 		event_free(call->timer);
+	bg_quota_cancel(call->ticket);
 	bg_snapshot_release(call->snapshot);
 	xdr_free((xdrproc_t)xdr_bg_xcall_args, (char *)&call->args);
 	free(call);
@@ -202,6 +203,18 @@
 		    call->start_us + (uint64_t)call->rule->target_ms * 1000;
 }
 
+static void
+step_admitted(struct bg_call *call)
+{
+	struct bg_proxy *prx = call->proxy;
+
+	bg_retry_count_call(&prx->retry, call->service, bg_clock_now_ms());
+	if (call->args.is_repeat)
+		bg_retry_count_repeat(
+		    &prx->retry, call->service, bg_clock_now_ms());
+	step_pick(call);
+}
+
 /* Finds the rule of the call. The call holds the snapshot until it ends. */
 static void
 step_route(struct bg_call *call)
@@ -240,11 +253,7 @@
 		bg_call_refuse(call, BG_XREFUSAL_DRAINING);
 		return;
 	}
-	bg_retry_count_call(&prx->retry, call->service, bg_clock_now_ms());
-	if (call->args.is_repeat)
-		bg_retry_count_repeat(
-		    &prx->retry, call->service, bg_clock_now_ms());
-	step_pick(call);
+	bg_call_admit(call, step_admitted);
 }
 
 /* Polls until a link to one of the servers is established. */
@@ -491,6 +500,8 @@
 	    bg_call_left_us(call) < BG_DEADLINE_MIN_MS * 1000 ||
 	    bg_call_pick_server(&pick, call) == BG_ENOTFOUND)
 		return -1;
+	if (!bg_call_admit_repeat(call))
+		return -1;
 	if (!bg_retry_take(&prx->retry, call->service, bg_clock_now_ms())) {
 		bg_log_info("call", "not repeated request=%s reason=budget",
 		    call->args.request_id);
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -27,8 +27,11 @@
 	/** Of the caller; owned by the snapshot. NULL: none, and for calls
 	 * that backend servers make. */
 	const struct bg_organisation *organisation;
+	struct bg_quota_ticket *ticket; /**< waits for admission; NULL: does
+					 * not */
 	struct bg_xcall_args args;
 	struct event *timer; /**< start, then deadline or link polling */
+	void (*admitted)(struct bg_call *call); /**< next step after it */
 	bg_call_fn fn;
 	void *arg;
 	struct bg_attempt *attempt;
@@ -60,6 +63,16 @@
  * If a backend server may have run it, replies BG_XOUTCOME_UNKNOWN instead. */
 void bg_call_refuse(struct bg_call *call, enum bg_xrefusal refusal);
 
+/**
+ * Admits the call if its organisation is within its cap, else replies.
+ *
+ * @param next runs once it is admitted, within this function or later
+ */
+void bg_call_admit(struct bg_call *call, void (*next)(struct bg_call *call));
+/** 1 if the call may be sent to a further backend server, which counts against
+ * the cap as well. */
+int bg_call_admit_repeat(struct bg_call *call);
+
 /** Picks the server of the next attempt. @return as bg_router_pick */
 int bg_call_pick_server(struct bg_pick *out, struct bg_call *call);
 /** Excludes a server from further attempts. */
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -86,6 +86,7 @@
 	prx->settings = opts->settings;
 	prx->mesh = opts->mesh;
 	prx->links = opts->links;
+	prx->quota = opts->quota;
 	prx->buffers.limit_bytes = opts->settings->limits.buffered_bytes;
 	bg_router_init(&prx->router, 0);
 	bg_split_init(&prx->split, 0);
--- a/proxy/src/proxy_internal.h
+++ b/proxy/src/proxy_internal.h
@@ -23,6 +23,7 @@
 	const struct bg_settings *settings;
 	struct bg_mesh *mesh;
 	struct bg_link_pool *links;
+	struct bg_quota *quota; /**< NULL: caps are not enforced */
 	struct bg_gatekeeper *gatekeeper;
 	struct bg_ingress *ingress;
 	struct bg_router router;
--- /dev/null
+++ b/quota/tests/prop_quota.cpp
@@ -0,0 +1,108 @@
+#include <rapidcheck.h>
+
+#include "world.h"
+
+static const uint64_t RUN_MS = 70000;
+
+/* One disturbance at random. */
+static void
+disturb(World &w)
+{
+	int i = (int)w.below(w.opts.nodes);
+	int j = (int)w.below(w.opts.nodes);
+	uint64_t until = w.now + w.below(8000);
+
+	switch (w.below(6)) {
+	case 0:
+		w.nodes[i].paused_until = until;
+		break;
+	case 1:
+		/* Killed; a new process starts at the same address. */
+		w.nodes[i].is_alive = false;
+		w.events.emplace(
+		    w.now + w.below(3000), [&w, i] { w.start(i); });
+		break;
+	case 2:
+		w.cut_until[i][j] = until;
+		break;
+	case 3:
+		for (int n = 0; n < w.opts.nodes; n++)
+			w.cut_until[i][n] = w.cut_until[n][i] = until;
+		break;
+	case 4:
+		w.store_down_until = until;
+		break;
+	default:
+		/* The fleet restarts at once. */
+		if (w.chance() < 0.2)
+			for (int n = 0; n < w.opts.nodes; n++)
+				w.start(n);
+		break;
+	}
+}
+
+/* For any order of loss, delay, doubling, pause, restart, cut and outage of the
+ * store, with more demand than the cap, no window has more calls than the rule
+ * allows. */
+static void
+sum_stays_under_the_bound(uint64_t seed)
+{
+	World::Options o;
+
+	o.seed = seed;
+	World w(o);
+	w.set_cap(10000 + (uint32_t)w.below(40000), (uint32_t)w.below(400));
+	double troubled = w.chance() < 0.3 ? 0 : 0.4 * w.chance();
+
+	if (w.chance() < 0.6) {
+		w.opts.loss = 0.2 * w.chance();
+		w.opts.doubled = 0.3 * w.chance();
+		w.opts.late = 0.1 * w.chance();
+	}
+	while (w.now < RUN_MS) {
+		/* Without demand, buckets fill up. Moderate demand leaves
+		 * tokens with the nodes. */
+		double kind = w.chance();
+
+		w.opts.load = kind < 0.4 ? 0 : kind < 0.7 ? 0.6 : 12;
+		if (w.chance() < troubled)
+			disturb(w);
+		w.run(200 + w.below(5000));
+	}
+	RC_LOG() << "worst " << w.worst_window() << " of " << w.bound()
+		 << " admitted " << w.admitted.size();
+	RC_ASSERT(w.worst_window() <= w.bound());
+}
+
+/* Without disturbance, an organisation that stays below its cap loses nearly
+ * nothing. */
+static void
+little_is_refused_below_the_cap(uint64_t seed)
+{
+	World::Options o;
+
+	o.seed = seed;
+	o.load = 0.625;
+	o.nodes = 12;
+	o.shares = 3;
+	World w(o);
+	w.run(8000);
+	w.refused = 0;
+	w.admitted.clear();
+	w.run(30000);
+	RC_LOG() << "refused " << w.refused << " of " << w.admitted.size();
+	RC_ASSERT(w.refused * 200 <= w.admitted.size());
+	RC_ASSERT(w.worst_window() <= w.bound());
+}
+
+int
+main()
+{
+	bool ok = true;
+
+	ok &= rc::check(
+	    "sum stays under the bound", sum_stays_under_the_bound);
+	ok &= rc::check("little is refused below the cap",
+	    little_is_refused_below_the_cap);
+	return ok ? 0 : 1;
+}
