--- a/quota/src/bucket/bucket.c
+++ b/quota/src/bucket/bucket.c
@@ -18,7 +18,7 @@
 #define RETRY_MIN_MS 150
 #define RETRY_MAX_MS 2000
 /* Below this part of its capacity a bucket is nearly empty. */
-#define SCARCE_DIVISOR 4
+#define SCARCE_DIVISOR 8
 #define LEASES_FIRST 8
 
 void
--- a/quota/src/bucket/bucket.h
+++ b/quota/src/bucket/bucket.h
@@ -17,10 +17,10 @@
 /** Tokens are counted in millionths of a call, so that a rate in thousandths of
  * a call a second times milliseconds is a whole number. */
 #define BG_QUOTA_MICRO 1000000ULL
-/** Time for which a node may use tokens of a lease that it holds. Longer than
- * the interval between two asks of a node with steady load; an owner that
- * starts gives nothing out for as long. */
-#define BG_QUOTA_LEASE_MS 1000
+/** Time for which a node may use tokens of a lease that it holds. An owner that
+ * starts gives nothing out for as long; a node with steady load asks again
+ * within half of it. */
+#define BG_QUOTA_LEASE_MS 600
 /** The same while the bucket is nearly empty. Tokens that were used count as
  * leased until then, and would otherwise keep it from being refilled. */
 #define BG_QUOTA_SHORT_LEASE_MS 250
@@ -78,8 +78,8 @@
 };
 
 struct bg_bucket_grant {
-	uint32_t kept;		 /**< of the held tokens, may be used on */
-	uint32_t granted;	 /**< new tokens, first for the waiting calls */
+	uint32_t kept;	  /**< of the held tokens, may be used on */
+	uint32_t granted; /**< new tokens, first for the waiting calls */
 	/** Use of the tokens, from when the ask was sent. */
 	uint32_t valid_ms;
 	uint32_t retry_after_ms; /**< if less was granted than waits: time
--- a/quota/src/wallet/wallet.c
+++ b/quota/src/wallet/wallet.c
@@ -10,7 +10,7 @@
  * of it, the next ask is answered. */
 #define AHEAD_S 0.5
 /* Below this rate, tokens held ahead would mostly end unused. */
-#define STEADY_PER_S 2.0
+#define STEADY_PER_S 1.0
 #define MS_PER_S 1000.0
 
 static uint32_t
