--- a/quota/src/bucket/bucket.c
+++ b/quota/src/bucket/bucket.c
@@ -7,9 +7,13 @@
 
 #define MICRO_PER_MILLI 1000
 #define PERMILLE 1000
-/* Part of the capacity that is used, in thousandths: clocks of nodes differ in
- * rate, and requests are counted at other moments than here. */
-#define CAPACITY_USED_PERMILLE 900
+/* Parts of what the rule allows in a window beyond the rate, in thousandths.
+ * One part raises the rate, so that an organisation that is over its cap all
+ * the time gets it as well, the other one is the capacity. The rest is left:
+ * clocks of nodes differ in rate, and requests are counted at other moments
+ * than here. */
+#define EXTRA_RATE_PERMILLE 400
+#define EXTRA_CAPACITY_PERMILLE 500
 /* A node gets at most this part of the bucket for calls to come, so that the
  * last tokens go to nodes that have calls waiting. */
 #define SPARE_DIVISOR 4
@@ -31,9 +35,12 @@
 
 	extra += burst_micro / PERMILLE * (PERMILLE + rule->share_permille);
 	extra += (uint64_t)rule->slack * BG_QUOTA_MICRO;
-	out->rate_milli_per_s = rate_milli_per_s / rule->shares;
+	out->rate_milli_per_s =
+	    (rate_milli_per_s +
+		extra / PERMILLE * EXTRA_RATE_PERMILLE / rule->window_ms) /
+	    rule->shares;
 	out->capacity_micro =
-	    extra / PERMILLE * CAPACITY_USED_PERMILLE / rule->shares;
+	    extra / PERMILLE * EXTRA_CAPACITY_PERMILLE / rule->shares;
 }
 
 void
--- a/quota/src/bucket/bucket.h
+++ b/quota/src/bucket/bucket.h
@@ -43,8 +43,9 @@
 	uint32_t shares; /**< buckets that divide the cap */
 };
 
-/** Share of a cap that each bucket gets. The capacity is what the rule allows
- * in a window beyond the rate. */
+/** Part of a cap that each bucket gets: in a window, the rates and capacities
+ * of all shares together stay within the rule. @param rule window_ms and shares
+ * are not 0 */
 void bg_bucket_limits_init(struct bg_bucket_limits *out,
     const struct bg_quota_rule *rule, uint32_t rate_milli_per_s,
     uint32_t burst);
--- a/quota/src/task/owner.c
+++ b/quota/src/task/owner.c
@@ -133,8 +133,14 @@
 		if (org == NULL || org->rate_milli_per_s == 0)
 			continue;
 		set_limits(&limits, slot->quota, org);
-		if (memcmp(&limits, &acc->bucket.limits, sizeof(limits)) != 0)
-			bg_bucket_set_limits(&acc->bucket, &limits, now_ms);
+		if (memcmp(&limits, &acc->bucket.limits, sizeof(limits)) == 0)
+			continue;
+		bg_log_info("quota",
+		    "cap changed organisation=%s share=%u rate_milli_per_s=%u "
+		    "burst=%u",
+		    acc->organisation, slot->share, org->rate_milli_per_s,
+		    org->burst);
+		bg_bucket_set_limits(&acc->bucket, &limits, now_ms);
 	}
 }
 
