--- a/core/tests/test_settings.c
+++ b/core/tests/test_settings.c
@@ -44,6 +44,12 @@
 			       "window_ms = 5000\n"
 			       "[moves]\n"
 			       "first_share_permille = 100\n"
+			       "[quota]\n"
+			       "window_ms = 4000\n"
+			       "share_permille = 110\n"
+			       "slack = 21\n"
+			       "shares = 6\n"
+			       "groups = 16\n"
 			       "[log]\n"
 			       "level = \"debug\"\n";
 
@@ -143,6 +149,11 @@
 	ck_assert_uint_eq(set.retry.slack, 60);
 	ck_assert_uint_eq(set.retry.window_ms, 5000);
 	ck_assert_uint_eq(set.move.first_share_permille, 100);
+	ck_assert_uint_eq(set.quota.window_ms, 4000);
+	ck_assert_uint_eq(set.quota.share_permille, 110);
+	ck_assert_uint_eq(set.quota.slack, 21);
+	ck_assert_uint_eq(set.quota.shares, 6);
+	ck_assert_uint_eq(set.quota.groups, 16);
 	ck_assert_str_eq(set.log.level, "debug");
 }
 END_TEST
@@ -163,6 +174,9 @@
 	ck_assert_uint_eq(set.retry.slack, 30);
 	ck_assert_uint_eq(set.retry.window_ms, 10000);
 	ck_assert_uint_eq(set.move.first_share_permille, 50);
+	ck_assert_uint_eq(set.quota.window_ms, 0);
+	ck_assert_uint_eq(set.quota.shares, 3);
+	ck_assert_uint_eq(set.quota.groups, 4);
 	ck_assert_uint_eq(set.limits.body_bytes, 1024 * 1024);
 	ck_assert_uint_eq(set.limits.buffered_bytes, 64 * 1024 * 1024);
 	ck_assert_uint_eq(set.limits.drain_ms, 30000);
--- a/quota/include/burdockgrade/quota.h
+++ b/quota/include/burdockgrade/quota.h
@@ -79,8 +79,9 @@
     const struct bg_organisation *org, bg_quota_fn fn, void *arg);
 /** Withdraws a call that waits for its verdict. NULL is ignored. */
 void bg_quota_cancel(struct bg_quota_ticket *ticket);
-/** Uses a token that is held, for a repeat of an admitted call. @return 1, or 0
- * if none is */
+/** Counts a repeat of an admitted call at a further server. It does not wait:
+ * without a token in hand, the next ask pays for it. @return 1, or 0 if it may
+ * not be made, since the organisation is at its cap */
 int bg_quota_take(struct bg_quota *quota, const struct bg_organisation *org);
 /** Gives up the slots of this node, before it stops. */
 void bg_quota_leave(struct bg_quota *quota);
--- a/quota/src/task/internal.h
+++ b/quota/src/task/internal.h
@@ -38,6 +38,7 @@
 	struct bg_quota_ticket *first; /**< waiting calls */
 	struct bg_quota_ticket *last;
 	uint32_t waiting_count;
+	uint32_t debt; /**< repeats that were made without a token */
 	UT_hash_handle hh;
 };
 
@@ -74,9 +75,10 @@
 	uint64_t asked_ms; /**< when the last ask was sent */
 	int is_asking;
 	int has_send_failed;
-	int is_settling;	      /**< the reply is being processed */
-	struct event *local_event;    /**< ask to this node itself, or one that
-				       * could not be sent */
+	int is_settling;	   /**< the reply is being processed */
+	struct event *local_event; /**< ask to this node itself, or one that
+				    * could not be sent */
+	char asked_address[BG_ADDRESS_BYTES]; /**< empty: this node */
 	char owner[BG_ADDRESS_BYTES]; /**< as last known; empty: unknown */
 	uint32_t rank;		      /**< candidate to ask if it is unknown */
 	uint64_t down_end_ms;	      /**< not asked until then */
@@ -139,6 +141,9 @@
 enum bg_quota_verdict bg_client_advance(struct bg_quota_ticket *ticket);
 /** Uses a token in hand. @return 1, or 0 if none is */
 int bg_client_take(struct bg_quota *quota, const char *organisation);
+/** Lets a repeat be made without a token, which the next ask pays for. @return
+ * 1, or 0 if the organisation is at its cap or owes too much */
+int bg_client_owe(struct bg_quota *quota, const char *organisation);
 /** Time until one of the empty shares has room. */
 uint32_t bg_client_retry_after_ms(
     struct bg_quota *quota, const char *organisation);
--- a/quota/src/task/quota.c
+++ b/quota/src/task/quota.c
@@ -334,7 +334,8 @@
 {
 	if (quota->rule.window_ms == 0 || org->rate_milli_per_s == 0)
 		return 1;
-	return bg_client_take(quota, org->name);
+	return bg_client_take(quota, org->name) ||
+	    bg_client_owe(quota, org->name);
 }
 
 void
