--- a/quota/src/bucket/bucket.c
+++ b/quota/src/bucket/bucket.c
@@ -154,7 +154,7 @@
 
 /* Room that the end of a lease makes is refilled from that moment only. */
 static void
-advance(struct bg_bucket *bucket, uint64_t now_ms)
+advance_leases(struct bg_bucket *bucket, uint64_t now_ms)
 {
 	uint64_t end_ms;
 
@@ -166,22 +166,52 @@
 	end_leases(bucket, now_ms);
 }
 
-void
-bg_bucket_set_limits(struct bg_bucket *bucket,
-    const struct bg_bucket_limits *limits, uint64_t now_ms)
+static void
+use_limits(struct bg_bucket *bucket, const struct bg_bucket_limits *limits)
 {
-	uint64_t leased;
-	uint64_t room;
+	uint64_t leased = leased_micro(bucket);
+	uint64_t room = leased < limits->capacity_micro
+	    ? limits->capacity_micro - leased
+	    : 0;
 
-	advance(bucket, now_ms);
 	bucket->limits = *limits;
-	leased = leased_micro(bucket);
-	room = leased < limits->capacity_micro ? limits->capacity_micro - leased
-					       : 0;
+	bucket->lower_due_ms = 0;
 	if (bucket->level_micro > room)
 		bucket->level_micro = room;
 }
 
+static void
+advance(struct bg_bucket *bucket, uint64_t now_ms)
+{
+	if (bucket->lower_due_ms != 0 && now_ms >= bucket->lower_due_ms) {
+		advance_leases(bucket, bucket->lower_due_ms);
+		use_limits(bucket, &bucket->lower);
+	}
+	advance_leases(bucket, now_ms);
+}
+
+void
+bg_bucket_set_limits(struct bg_bucket *bucket,
+    const struct bg_bucket_limits *limits, uint32_t delay_ms, uint64_t now_ms)
+{
+	advance(bucket, now_ms);
+	if (limits->rate_milli_per_s >= bucket->limits.rate_milli_per_s &&
+	    limits->capacity_micro >= bucket->limits.capacity_micro) {
+		use_limits(bucket, limits);
+		return;
+	}
+	bucket->lower = *limits;
+	if (bucket->lower_due_ms == 0)
+		bucket->lower_due_ms = now_ms + delay_ms;
+	advance(bucket, now_ms);
+}
+
+const struct bg_bucket_limits *
+bg_bucket_last_limits(const struct bg_bucket *bucket)
+{
+	return bucket->lower_due_ms != 0 ? &bucket->lower : &bucket->limits;
+}
+
 static struct bg_lease *
 find_lease(struct bg_bucket *bucket, uint64_t holder)
 {
--- a/quota/src/bucket/bucket.h
+++ b/quota/src/bucket/bucket.h
@@ -62,6 +62,8 @@
 
 struct bg_bucket {
 	struct bg_bucket_limits limits;
+	struct bg_bucket_limits lower; /**< that will hold from lower_due_ms */
+	uint64_t lower_due_ms;	       /**< 0: there are none */
 	uint64_t level_micro;
 	uint64_t refilled_ms;
 	struct bg_lease *leases;
@@ -104,9 +106,16 @@
     const struct bg_bucket_limits *limits, uint32_t window_ms,
     uint64_t clean_ms, uint64_t now_ms);
 void bg_bucket_free(struct bg_bucket *bucket);
-/** Changes the limits. A smaller capacity takes tokens away at once. */
+/**
+ * Changes the limits. A raised cap is used at once. A lowered one binds after a
+ * delay, since calls are owed by the old one until all nodes can know of the
+ * new one; tokens beyond the new capacity are then taken away.
+ */
 void bg_bucket_set_limits(struct bg_bucket *bucket,
-    const struct bg_bucket_limits *limits, uint64_t now_ms);
+    const struct bg_bucket_limits *limits, uint32_t delay_ms, uint64_t now_ms);
+/** The limits that were set last, also if they do not hold yet. */
+const struct bg_bucket_limits *bg_bucket_last_limits(
+    const struct bg_bucket *bucket);
 /**
  * Grants tokens, and extends the lease of the kept ones.
  *
--- a/quota/src/task/owner.c
+++ b/quota/src/task/owner.c
@@ -133,20 +133,24 @@
 		if (org == NULL || org->rate_milli_per_s == 0)
 			continue;
 		set_limits(&limits, slot->quota, org);
-		if (memcmp(&limits, &acc->bucket.limits, sizeof(limits)) == 0)
+		if (memcmp(&limits, bg_bucket_last_limits(&acc->bucket),
+			sizeof(limits)) == 0)
 			continue;
 		bg_log_info("quota",
 		    "cap changed organisation=%s share=%u rate_milli_per_s=%u "
 		    "burst=%u",
 		    acc->organisation, slot->share, org->rate_milli_per_s,
 		    org->burst);
-		bg_bucket_set_limits(&acc->bucket, &limits, now_ms);
+		bg_bucket_set_limits(
+		    &acc->bucket, &limits, slot->quota->rule.window_ms, now_ms);
 	}
 }
 
 static void
 free_account(struct bg_quota_slot *slot, struct bg_account *acc)
 {
+	/* The analyzer does not know that acc is in the table. */
+	/* NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
 	HASH_DEL(slot->accounts, acc);
 	bg_bucket_free(&acc->bucket);
 	free(acc);
--- a/quota/src/tenure/tenure.c
+++ b/quota/src/tenure/tenure.c
@@ -7,6 +7,10 @@
 #define LEASE_MARGIN_MS 2000
 /* Interval at which candidates look for an owner that is gone. */
 #define POLL_MS 3000
+/* A slot that never had an owner is taken this long after the start of the
+ * process: while a fleet starts, rosters are incomplete, and its owner would
+ * not be among the candidates later. */
+#define SETTLE_MS 2000
 /* After a failed call to the store. */
 #define RETRY_MS 500
 /* A candidate leaves this much time to each one before it. */
@@ -44,6 +48,9 @@
 	/* The process that had this address before has ended. */
 	if (is_own_address(tnr))
 		return tnr->seen_ms;
+	if (tnr->record.revision == 0 &&
+	    tnr->seen_ms < tnr->process_start_ms + SETTLE_MS)
+		return tnr->process_start_ms + SETTLE_MS + delay_ms;
 	if (tnr->record.revision == 0 || tnr->record.is_released)
 		return tnr->seen_ms + delay_ms;
 	return tnr->seen_ms + BG_TENURE_LEASE_MS + LEASE_MARGIN_MS + delay_ms;
@@ -52,11 +59,13 @@
 static enum bg_tenure_action
 next_of_owner(const struct bg_tenure *tnr, uint64_t now_ms)
 {
+	uint64_t due_ms =
+	    tnr->lease_end_ms - BG_TENURE_LEASE_MS + BG_TENURE_RENEW_MS;
+
 	if (!tnr->is_read)
 		return now_ms >= tnr->read_ms + RETRY_MS ? BG_TENURE_READ
 							 : BG_TENURE_WAIT;
-	return now_ms >= tnr->read_ms + BG_TENURE_RENEW_MS ? BG_TENURE_WRITE
-							   : BG_TENURE_WAIT;
+	return now_ms >= due_ms ? BG_TENURE_WRITE : BG_TENURE_WAIT;
 }
 
 enum bg_tenure_action
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -17,5 +17,5 @@
     --library=tools/cppcheck.cfg \
     --suppress=missingInclude --suppress=normalCheckLevelMaxBranches \
     -I core/include -I config/include -I store/include -I mesh/include \
-    -I proxy/include -I moves/include -I platform/include $sources
+    -I quota/include -I proxy/include -I moves/include -I platform/include $sources
 echo "lint: clean"
