--- a/quota/src/tenure/tenure.c
+++ b/quota/src/tenure/tenure.c
@@ -6,7 +6,7 @@
 /* Added to the lease of another owner, for clocks that differ in rate. */
 #define LEASE_MARGIN_MS 2000
 /* Interval at which candidates look for an owner that is gone. */
-#define POLL_MS 3000
+#define POLL_MS 5000
 /* A slot that never had an owner is taken this long after the start of the
  * process: while a fleet starts, rosters are incomplete, and its owner would
  * not be among the candidates later. */
--- a/quota/src/tenure/tenure.h
+++ b/quota/src/tenure/tenure.h
@@ -21,7 +21,7 @@
  * outages of the store that caps have to outlast. */
 #define BG_TENURE_LEASE_MS 20000
 /** Interval at which the owner renews it. */
-#define BG_TENURE_RENEW_MS 5000
+#define BG_TENURE_RENEW_MS 7000
 
 /** The object of a slot, as read from the store. */
 struct bg_tenure_record {
