Route by expected cost, work left and present slowness of servers

Cause: a request's cost varies by a factor of 7 within a route, and servers differ in speed and turn slow several times a second, but the router knew only the mean time of a route and a count of calls.

Change: callers learn what predicts cost (route, organisation, path, size) and its distribution; the gatekeeper decodes the fourth figure of the load header, learns the server's speed apart from its present slowness, and reports both with the work left. The router weighs the chance of an answer in time by the learned distribution and compares two random servers of equal value. The gatekeeper hands back a call that a momentarily slow machine would make late. A reset by a server that reports waiting calls counts as load. Nothing changes for servers without the fourth figure.

--- a/core/include/burdockgrade/settings.h
+++ b/core/include/burdockgrade/settings.h
@@ -29,6 +29,10 @@
 	char server_id[BG_HEADER_NAME_BYTES];
 	/** Present if the backend server did not run the call. */
 	char not_run[BG_HEADER_NAME_BYTES];
+	/** Load of a backend server: calls running, calls waiting, slots and,
+	 * from some servers, the time that work takes at this moment, in
+	 * percent of the usual; empty name: not read. */
+	char server_load[BG_HEADER_NAME_BYTES];
 	/** Number of calls above this one in a chain; empty name: not sent. */
 	char call_depth[BG_HEADER_NAME_BYTES];
 };
--- a/core/src/settings.c
+++ b/core/src/settings.c
@@ -56,6 +56,7 @@
 	    "Burdock-Expected-Server");
 	snprintf(out->server_id, sizeof(out->server_id), "Burdock-Server-Id");
 	snprintf(out->not_run, sizeof(out->not_run), "X-Shed");
+	snprintf(out->server_load, sizeof(out->server_load), "X-Server-Load");
 	snprintf(out->call_depth, sizeof(out->call_depth), "X-Call-Depth");
 }
 
@@ -282,6 +283,7 @@
 	    {"expected_server", out->expected_server},
 	    {"server_id", out->server_id},
 	    {"not_run", out->not_run},
+	    {"server_load", out->server_load},
 	    {"call_depth", out->call_depth},
 	};
 	size_t i;
--- a/core/tests/test_settings.c
+++ b/core/tests/test_settings.c
@@ -37,6 +37,7 @@
 			       "expected_server = \"A-Expected\"\n"
 			       "server_id = \"A-Server\"\n"
 			       "not_run = \"A-Not-Run\"\n"
+			       "server_load = \"A-Load\"\n"
 			       "call_depth = \"A-Depth\"\n"
 			       "[retry]\n"
 			       "share_permille = 200\n"
@@ -138,6 +139,7 @@
 	ck_assert_str_eq(set.headers.expected_server, "A-Expected");
 	ck_assert_str_eq(set.headers.server_id, "A-Server");
 	ck_assert_str_eq(set.headers.not_run, "A-Not-Run");
+	ck_assert_str_eq(set.headers.server_load, "A-Load");
 	ck_assert_str_eq(set.headers.call_depth, "A-Depth");
 	ck_assert_uint_eq(set.retry.share_permille, 200);
 	ck_assert_uint_eq(set.retry.slack, 60);
--- a/proxy/src/call/attempt.h
+++ b/proxy/src/call/attempt.h
@@ -19,6 +19,9 @@
 /** The gatekeeper enforces the deadline; the ingress waits this much longer for
  * its answer to arrive. */
 #define BG_ATTEMPT_GRACE_MS 30
+/** Queueing time allowed where a free slot is expected. A gatekeeper that turns
+ * out to be busy refuses, and the call tries another one. */
+#define BG_ATTEMPT_FREE_SLOT_WAIT_MS 5
 
 struct bg_proxy;
 struct bg_attempt;
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -8,6 +8,7 @@
 #include "burdockgrade/clock.h"
 #include "burdockgrade/log.h"
 
+#include "call_cost.h"
 #include "call_internal.h"
 
 #define STATUS_NOT_FOUND 404
@@ -22,9 +23,6 @@
 /* The queueing time of a call is limited so that this multiple of its expected
  * service time is left for running it. */
 #define SERVICE_TIME_MARGIN 1.2
-/* Queueing time allowed where a free slot is expected. A gatekeeper that turns
- * out to be busy refuses, and the call tries another one. */
-#define FREE_SLOT_WAIT_MS 5
 /* From this pick on, a call may queue at the picked server, which is the one
  * expected to run it soonest. */
 #define QUEUE_FROM_PICK 3
@@ -235,6 +233,7 @@
 		return;
 	}
 	set_deadlines(call);
+	bg_call_predict_cost(call);
 	if (!bg_drain_accepts_call(&prx->drain,
 		(uint32_t)(bg_call_left_us(call) / 1000), bg_clock_now_ms())) {
 		bg_call_refuse(call, BG_XREFUSAL_DRAINING);
@@ -309,7 +308,7 @@
 	double left_us = (double)bg_call_left_us(call) - margin_us;
 
 	if (!allows_queueing(call, pick))
-		return FREE_SLOT_WAIT_MS;
+		return BG_ATTEMPT_FREE_SLOT_WAIT_MS;
 	return left_us <= 0 ? 0 : (uint32_t)(left_us / 1000);
 }
 
@@ -358,14 +357,17 @@
 	bg_log_info("call",
 	    "sent request=%s route=%s service=%s config=%llu to=%s server=%s "
 	    "version=%s pick=%u value=%.3f wait_us=%llu service_us=%u load=%u "
-	    "load_age_ms=%lld wait_allowed_ms=%u left_ms=%u age_ms=%u",
+	    "load_age_ms=%lld wait_allowed_ms=%u left_ms=%u age_ms=%u "
+	    "cost_us=%u cost_by=%s slowness=%u work_left_us=%llu",
 	    call->args.request_id, call->rule->name, call->service,
 	    (unsigned long long)call->snapshot->version, pick->member->address,
 	    pick->member->server_id, call->picked_version, call->picks,
 	    pick->value, (unsigned long long)pick->wait_us, pick->service_us,
 	    bg_endpoint_load(pick->endpoint, bg_clock_now_ms()),
 	    load_age_ms(pick->endpoint), call->args.wait_ms,
-	    call->args.deadline_ms, call->args.age_ms);
+	    call->args.deadline_ms, call->args.age_ms,
+	    call->args.extension.cost_us, bg_cost_trait_name(call->cost_trait),
+	    pick->slowness_permille, (unsigned long long)pick->work_left_us);
 	arm_deadline(call);
 	/* The gatekeeper checks the version only for services with a move.
 	 * Without one, a server that was just replaced may have another
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -48,6 +48,9 @@
 	int is_queueing_allowed;     /**< in the current attempt */
 	uint64_t link_wait_start_us; /**< 0: not waiting for a link */
 	int is_dependency;
+	uint32_t cost_permille; /**< expected cost, of the route's mean; 0:
+				     unknown */
+	int cost_trait;		/**< as in struct bg_cost_prediction */
 	char picked_version[BG_NAME_BYTES];
 };
 
--- a/proxy/src/call/pick.c
+++ b/proxy/src/call/pick.c
@@ -4,6 +4,7 @@
 #include "burdockgrade/clock.h"
 #include "burdockgrade/log.h"
 
+#include "call_cost.h"
 #include "call_internal.h"
 
 /* The gatekeeper of this node is called without a link. */
@@ -71,6 +72,7 @@
 	if (call->target_us != 0)
 		q.target_us =
 		    call->target_us > now_us ? call->target_us - now_us : 0;
+	bg_call_fill_cost(&q, call);
 	return bg_router_pick(out, &prx->router, &q);
 }
 
@@ -137,6 +139,7 @@
 	    res->load_extension.cold_starts_milli_per_s;
 	load.cold_starts_left = res->load_extension.cold_starts_left;
 	bg_endpoint_answered(call->endpoint, call->rule->name, &load, now_ms);
+	bg_call_learn_cost(call, res);
 	if (res->outcome != BG_XOUTCOME_NOT_RUN)
 		return;
 	switch (res->refusal) {
--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -9,8 +9,10 @@
 #include "burdockgrade/log.h"
 
 #include "../call/deadline.h"
+#include "../cost/cost_metrics.h"
 #include "body.h"
 #include "gate_call.h"
+#include "gate_work.h"
 #include "headers.h"
 
 #define STATUS_MISDIRECTED 421
@@ -122,6 +124,7 @@
 	res->server_version = gk->server.version;
 	res->server_id = gk->server.id;
 	fill_load(&res->load, call);
+	bg_gate_work_fill_load(res, call);
 	bg_gate_call_free(call);
 	if (rpc != NULL)
 		bg_rpc_reply(rpc, (xdrproc_t)xdr_bg_xcall_res, res);
@@ -183,7 +186,8 @@
 	obs.route = args->route;
 	obs.server_version = gk->server.version;
 	obs.is_failed = asmt->is_failed;
-	obs.is_slow = is_slow(args, own_us);
+	obs.is_slow = is_slow(args,
+	    (uint32_t)bg_gate_work_own_us(call, own_us, bg_clock_now_us()));
 	obs.is_dependency_fault =
 	    call->dependency.has_failed && (obs.is_failed || obs.is_slow);
 	obs.is_cold = bg_clock_now_ms() < gk->warmup_end_ms;
@@ -201,6 +205,8 @@
 	uint64_t own_us = bg_dependency_own_us(
 	    &call->dependency, call->entry.started_us, now_us);
 
+	if (asmt->sample == BG_LIMITER_OK)
+		bg_gate_work_ended(call, own_us, now_us);
 	bg_metrics_observe_backend_time(now_us - call->entry.started_us);
 	bg_limiter_release(&gk->limiter, &call->entry, now_us, asmt->sample);
 	res->own_time_us = own_us > UINT32_MAX ? UINT32_MAX : (uint32_t)own_us;
@@ -239,6 +245,25 @@
 	finish(call, &res, &asmt);
 }
 
+/* A server that has no room resets the connection, of an idle connection as of
+ * a new one. This is load and no fault of the version; whether the call ran is
+ * unknown, and a new connection would meet the same load. */
+static void
+finish_reset_by_full_server(struct bg_gate_call *call)
+{
+	struct assessment asmt = {0, BG_LIMITER_SHED};
+	struct bg_xcall_res res;
+
+	bg_cost_metrics_count_full_reset();
+	bg_log_warn("gatekeeper", "reset by a full server request=%s server=%s",
+	    call->args->request_id, call->gatekeeper->server.id);
+	memset(&res, 0, sizeof(res));
+	res.outcome = BG_XOUTCOME_UNKNOWN;
+	res.http_status = STATUS_BAD_GATEWAY;
+	res.reason = (char *)"the backend server was full";
+	finish(call, &res, &asmt);
+}
+
 /* Ends a call that was not sent to the backend server. */
 static void
 finish_not_run(struct bg_gate_call *call, enum bg_xrefusal why)
@@ -348,9 +373,15 @@
 	call->exchange = NULL;
 	if (rsp->code == 0) {
 		gk->connect_failures = 0;
+		bg_gate_work_response(call, rsp);
 		finish_done(call, rsp);
 		return;
 	}
+	if (rsp->code == BG_EIO && !rsp->has_received &&
+	    bg_gate_work_is_full(gk)) {
+		finish_reset_by_full_server(call);
+		return;
+	}
 	/* The reused connection may have been dead before the call was sent, so
 	 * an idempotent call is sent again on a new one. */
 	if (rsp->is_reused && !rsp->has_received && may_resend(call)) {
@@ -488,6 +519,7 @@
 		return;
 	}
 	call->is_resent = needs_new_connection;
+	bg_gate_work_started(call);
 	bg_gate_set_timer(call, connection_timeout_us(call));
 }
 
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -6,6 +6,7 @@
  * gatekeeper.
  */
 
+#include "../cost/work.h"
 #include "../intake/intake.h"
 #include "../limiter/limiter.h"
 #include "../metrics/metrics.h"
@@ -32,6 +33,8 @@
 	uint64_t id; /* identifies the call in BODY messages */
 	uint64_t admitted_us;
 	uint64_t deadline_us;
+	uint32_t start_slowness_permille; /* of the server's machine; 0:
+					     unknown */
 	uint64_t buffered_bytes; /* body of a call from another node; the
 				    ingress accounts for those of this one */
 	int is_refused;		 /* the timer delivers the refusal */
@@ -48,6 +51,7 @@
 	struct bg_probe *probe;	    /* NULL if the server sends heartbeats */
 	struct bg_server server;
 	struct bg_limiter limiter;
+	struct bg_work work; /* what calls cost and how fast the server is */
 	struct bg_intake intake;
 	struct bg_gate_call *calls;
 	uint64_t last_call_id;
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -7,6 +7,7 @@
 
 #include "body.h"
 #include "gate_call.h"
+#include "gate_work.h"
 
 /* A leaving server accepts calls for this long, since some are on their way to
  * it. Nodes that know that it is leaving send it no more calls. */
@@ -107,6 +108,12 @@
 		bg_gate_refuse(call, why);
 		return;
 	}
+	if (bg_gate_work_hands_back(call)) {
+		bg_gate_work_log_hand_back(call);
+		bg_gate_refuse(call, BG_XREFUSAL_BUSY);
+		return;
+	}
+	bg_gate_work_prepare(call);
 	switch (
 	    bg_limiter_acquire(&gk->limiter, &call->entry, bg_clock_now_us())) {
 	case BG_LIMITER_STARTED:
@@ -343,6 +350,7 @@
     struct bg_gatekeeper *gk, const struct bg_announcement *ann)
 {
 	bg_limiter_reset(&gk->limiter);
+	memset(&gk->work, 0, sizeof(gk->work));
 	bg_backend_close_idle(gk->backend);
 	gk->warmup_end_ms = bg_clock_now_ms() + ann->warmup_left_ms;
 }
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -51,6 +51,7 @@
 	lim->service_us = 0;
 	lim->failure_ratio = 0;
 	lim->low_load_shed_us = 0;
+	lim->start_interval_us = 0;
 	memset(lim->routes, 0, sizeof(lim->routes));
 }
 
@@ -86,6 +87,15 @@
 	return (uint64_t)(r == NULL ? lim->service_us : r->service_us);
 }
 
+static uint64_t
+entry_service_us(
+    const struct bg_limiter *lim, const struct bg_limiter_entry *entry)
+{
+	return entry->own_service_us != 0
+	    ? entry->own_service_us
+	    : bg_limiter_service_us(lim, entry->route);
+}
+
 /* Expected time between two starts while all slots are taken. */
 static uint64_t
 start_interval_us(const struct bg_limiter *lim)
@@ -93,6 +103,8 @@
 	double service_us =
 	    lim->service_us == 0 ? DEFAULT_SERVICE_US : lim->service_us;
 
+	if (lim->start_interval_us != 0)
+		return lim->start_interval_us;
 	return (uint64_t)(service_us / running_limit(lim));
 }
 
@@ -118,7 +130,7 @@
 try_queue(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	entry->service_us = bg_limiter_service_us(lim, entry->route);
+	entry->service_us = entry_service_us(lim, entry);
 	bg_queue_insert(&lim->queue, entry, now_us);
 	if (!bg_queue_is_infeasible(
 		&lim->queue, entry, start_interval_us(lim), now_us))
@@ -155,7 +167,7 @@
 bg_limiter_useful_start_us(const struct bg_limiter *lim,
     struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	entry->service_us = bg_limiter_service_us(lim, entry->route);
+	entry->service_us = entry_service_us(lim, entry);
 	return bg_queue_useful_start_us(entry, now_us);
 }
 
--- a/proxy/src/limiter/limiter.h
+++ b/proxy/src/limiter/limiter.h
@@ -36,6 +36,9 @@
 	uint64_t low_load_shed_us; /**< last call that the server shed with
 					most of its slots free; 0: never */
 	struct bg_limiter_route routes[BG_LIMITER_ROUTES];
+	uint64_t start_interval_us; /**< time between two starts while all slots
+					 are taken, if the owner knows it better
+					 than from service_us; else 0 */
 };
 
 enum bg_limiter_admission {
--- a/proxy/src/limiter/queue.h
+++ b/proxy/src/limiter/queue.h
@@ -36,6 +36,8 @@
 	uint64_t age_us;	  /**< since the caller's first attempt */
 	uint64_t latest_start_us; /**< a later start is useless */
 	uint64_t service_us;	  /**< expected service time */
+	uint64_t own_service_us;  /**< the same if the owner knows it better
+				       than the route's mean; else 0 */
 	uint64_t started_us;
 	uint32_t running_at_start; /**< running calls, including this one */
 	int is_queued;
--- a/proxy/src/proxy_internal.h
+++ b/proxy/src/proxy_internal.h
@@ -8,6 +8,7 @@
 #include "burdockgrade/proxy.h"
 
 #include "call/request_age.h"
+#include "cost/predictor.h"
 #include "drain/drain.h"
 #include "gatekeeper/gatekeeper.h"
 #include "limiter/buffers.h"
@@ -30,6 +31,7 @@
 	struct bg_versions versions;
 	struct bg_retry_budget retry;
 	struct bg_age_estimator age_estimator;
+	struct bg_predictor predictor; /**< of the cost of calls */
 	struct bg_drain drain;
 	struct bg_buffers buffers;
 	struct event *drain_timer;
--- a/proxy/src/router/endpoint.c
+++ b/proxy/src/router/endpoint.c
@@ -117,6 +117,9 @@
 	ep->not_ready_until_ms = 0;
 	if (load->service_us != 0)
 		record_service_time(ep, route, load->service_us);
+	if (load->slowness_age_ms <= now_ms)
+		bg_slowness_report(&ep->slowness, load->slowness_permille,
+		    now_ms - load->slowness_age_ms);
 }
 
 static void
--- a/proxy/src/router/endpoint.h
+++ b/proxy/src/router/endpoint.h
@@ -13,6 +13,8 @@
 
 #include "burdockgrade/contract.h"
 
+#include "../cost/pace.h"
+
 /** Consecutive calls without an answer after which an endpoint is ejected. */
 #define BG_EJECT_FAILURES 3
 /** Duration of the first ejection; each further one is longer by the same time,
@@ -57,6 +59,7 @@
 	uint32_t reported_outstanding; /**< at the last load report */
 	uint64_t reported_ms; /**< time of the last load report; 0: never */
 	struct bg_load load;
+	struct bg_slowness slowness; /**< of its server's machine */
 	struct bg_endpoint_route routes[BG_ENDPOINT_ROUTES];
 	uint32_t failures; /**< consecutive calls without an answer */
 	uint32_t ejections;
--- a/proxy/src/router/router.c
+++ b/proxy/src/router/router.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "finish.h"
 #include "router.h"
 #include "value.h"
 
@@ -98,6 +99,31 @@
 	    : (uint32_t)((double)q->left_us * SERVICE_DEFAULT_SHARE) + 1;
 }
 
+/* What is expected of a server of which nothing is known. */
+struct usual {
+	uint32_t service_us;
+	double slowness_permille;
+};
+
+/* Mean slowness of the machines whose servers report it. */
+static double
+usual_slowness_permille(struct bg_router *rtr, const struct bg_pick_query *q)
+{
+	const struct bg_endpoint *ep;
+	double sum = 0;
+	uint32_t n = 0;
+	size_t i;
+
+	for (i = 0; i < q->member_count; i++) {
+		ep = bg_endpoint_get(&rtr->endpoints, q->members[i].address);
+		if (ep == NULL || !bg_finish_is_known(ep))
+			continue;
+		sum += ep->slowness.usual_permille;
+		n++;
+	}
+	return n == 0 ? BG_SLOWNESS_USUAL_PERMILLE : sum / n;
+}
+
 static uint32_t
 expected_service_us(const struct bg_endpoint *ep, const struct bg_pick_query *q,
     uint32_t typical_us)
@@ -136,16 +162,40 @@
 	return bg_endpoint_body_us(ep, q->body_bytes, q->now_ms);
 }
 
+/* Replaces the times by those that allow for the call's cost, the slowness of
+ * the server's machine and the work left there. */
+static void
+evaluate_finish(struct bg_pick *out, const struct bg_member *m,
+    const struct bg_pick_query *q, const struct usual *usual)
+{
+	const struct bg_endpoint *ep = out->endpoint;
+	uint32_t slots = ep->load.slots != 0 ? ep->load.slots : m->slots;
+
+	out->service_us = bg_finish_service_us(ep, out->service_us,
+	    usual->slowness_permille, q->cost_permille, q->now_ms);
+	out->wait_us = bg_finish_wait_us(ep, slots, out->service_us, q->now_ms);
+	out->slowness_permille = (uint32_t)bg_slowness_permille_of(
+	    &ep->slowness, usual->slowness_permille, q->now_ms);
+	out->work_left_us =
+	    bg_finish_work_left_us(ep, slots, out->service_us, q->now_ms);
+}
+
 static void
 evaluate(struct bg_pick *out, struct bg_endpoint *ep, const struct bg_member *m,
-    const struct bg_pick_query *q, uint32_t typical_us)
+    const struct bg_pick_query *q, const struct usual *usual)
 {
 	struct bg_value_input in = {0};
 
+	memset(out, 0, sizeof(*out));
 	out->member = m;
 	out->endpoint = ep;
-	out->service_us = expected_service_us(ep, q, typical_us);
+	out->service_us = expected_service_us(ep, q, usual->service_us);
 	out->wait_us = expected_wait_us(ep, m, out->service_us, q->now_ms);
+	if (bg_finish_is_known(ep)) {
+		evaluate_finish(out, m, q, usual);
+		in.shape = q->shape;
+		in.shape_mean = q->shape_mean;
+	}
 	in.service_us = out->service_us;
 	in.is_remote = strcmp(m->data_centre, q->data_centre) != 0;
 	in.delay_us = out->wait_us + body_delay_us(ep, q) +
@@ -160,11 +210,41 @@
 
 struct search {
 	struct bg_pick best;
+	struct bg_pick other; /* a second random one of equal value, with
+				 finish_ties */
+	int finish_ties; /* servers of equal value whose work left is known */
 	int is_found;
 	int ties;
 	int has_eligible;
 };
 
+/* Keeps a random one of the servers of equal value whose work left is known. */
+static void
+update_other(
+    struct search *search, struct bg_router *rtr, const struct bg_pick *pick)
+{
+	if (pick->work_left_us == 0)
+		return;
+	search->finish_ties++;
+	if (bg_rand_below(&rtr->rand, (uint64_t)search->finish_ties) == 0)
+		search->other = *pick;
+}
+
+/* Of two random servers of equal value, prefers the one that will end the call
+ * first and then have less work left. With more than two choices, all nodes
+ * would send to the same server until they learn of its new load. */
+static void
+choose_of_two(struct search *search)
+{
+	const struct bg_pick *a = &search->best;
+	const struct bg_pick *b = &search->other;
+
+	if (search->finish_ties == 0 || a->work_left_us == 0)
+		return;
+	if (b->work_left_us + b->service_us < a->work_left_us + a->service_us)
+		search->best = *b;
+}
+
 static void
 update_best(struct search *search, struct bg_router *rtr,
     const struct bg_pick *pick, int is_unavailable)
@@ -178,10 +258,13 @@
 		search->best = *pick;
 		search->is_found = 1;
 		search->ties = 1;
+		search->finish_ties = 0;
+		update_other(search, rtr, pick);
 		return;
 	}
 	if (gain < -VALUE_NOISE)
 		return;
+	update_other(search, rtr, pick);
 	search->ties++;
 	if (bg_rand_below(&rtr->rand, (uint64_t)search->ties) == 0)
 		search->best = *pick;
@@ -191,7 +274,8 @@
 search_members(struct search *search, struct bg_router *rtr,
     const struct bg_pick_query *q, int include_unavailable)
 {
-	uint32_t typical_us = typical_service_us(rtr, q);
+	struct usual usual = {
+	    typical_service_us(rtr, q), usual_slowness_permille(rtr, q)};
 	const struct bg_member *m;
 	struct bg_endpoint *ep;
 	struct bg_pick pick;
@@ -209,7 +293,7 @@
 		if (q->is_reachable != NULL &&
 		    !q->is_reachable(q->arg, m->address))
 			continue;
-		evaluate(&pick, ep, m, q, typical_us);
+		evaluate(&pick, ep, m, q, &usual);
 		update_best(search, rtr, &pick,
 		    !include_unavailable &&
 			bg_endpoint_is_unavailable(ep, q->now_ms));
@@ -227,6 +311,7 @@
 		search_members(&search, rtr, q, 1);
 	if (!search.is_found)
 		return search.has_eligible ? BG_EUNAVAILABLE : BG_ENOTFOUND;
+	choose_of_two(&search);
 	*out = search.best;
 	out->baseline_us =
 	    average_service_us(rtr, q, out->member->server_version);
--- a/proxy/src/router/router.h
+++ b/proxy/src/router/router.h
@@ -45,18 +45,26 @@
 	const char *const *avoid; /**< addresses that are not picked */
 	size_t avoid_count;
 	uint64_t now_ms;
-	uint64_t target_us; /**< see struct bg_value_input */
-	uint64_t left_us;   /**< see struct bg_value_input */
+	uint64_t target_us;	/**< see struct bg_value_input */
+	uint64_t left_us;	/**< see struct bg_value_input */
+	uint32_t cost_permille; /**< expected cost of the call, of the route's
+				     mean; 0: unknown */
+	const struct bg_shape *shape; /**< distribution of the service times
+					   where servers report their slowness;
+					   NULL: unknown */
+	double shape_mean;	      /**< as from bg_shape_mean */
 };
 
 struct bg_pick {
 	const struct bg_member *member;
 	struct bg_endpoint *endpoint;
-	uint64_t wait_us;     /**< expected queueing time there */
-	uint32_t service_us;  /**< expected service time there */
-	uint32_t baseline_us; /**< mean service time at servers of other
-				versions than the picked one; 0: unknown */
-	double value;	      /**< as from bg_expected_value */
+	uint64_t wait_us;	    /**< expected queueing time there */
+	uint32_t service_us;	    /**< expected service time there */
+	uint32_t baseline_us;	    /**< mean service time at servers of other
+				      versions than the picked one; 0: unknown */
+	double value;		    /**< as from bg_expected_value */
+	uint32_t slowness_permille; /**< expected there; 0: unknown */
+	uint64_t work_left_us;	    /**< for each slot there; 0: unknown */
 };
 
 /** Picks the server of a call. @return 0, BG_ENOTFOUND if no server may serve
--- a/proxy/src/router/value.c
+++ b/proxy/src/router/value.c
@@ -1,4 +1,5 @@
 #include <math.h>
+#include <stddef.h>
 
 #include "value.h"
 
@@ -22,8 +23,12 @@
 static double
 answer_probability(const struct bg_value_input *in, uint64_t time_us)
 {
-	return probability_within(
-	    (double)time_us - (double)in->delay_us, (double)in->service_us);
+	double left_us = (double)time_us - (double)in->delay_us;
+
+	if (in->shape != NULL)
+		return bg_shape_share_within(in->shape,
+		    left_us / (double)in->service_us * in->shape_mean);
+	return probability_within(left_us, (double)in->service_us);
 }
 
 double
--- a/proxy/src/router/value.h
+++ b/proxy/src/router/value.h
@@ -8,6 +8,8 @@
 
 #include <stdint.h>
 
+#include "../cost/shape.h"
+
 /** Inputs of the estimate for one server. */
 struct bg_value_input {
 	uint32_t service_us;   /**< mean service time of the call there */
@@ -18,6 +20,9 @@
 	uint64_t left_us;      /**< time left until the deadline */
 	uint32_t bad_permille; /**< share of calls that fail there */
 	int is_remote;	       /**< in another data centre */
+	const struct bg_shape *shape; /**< distribution of service times; NULL:
+					   unknown, a log-normal one */
+	double shape_mean;	      /**< as from bg_shape_mean */
 };
 
 /** Value of an answer after its target. */
--- a/proxy/tests/test_router.c
+++ b/proxy/tests/test_router.c
@@ -359,7 +359,7 @@
 value_of(uint32_t service_us, uint64_t delay_us, uint32_t bad, int is_remote)
 {
 	struct bg_value_input in = {
-	    service_us, delay_us, 400000, 1500000, bad, is_remote};
+	    service_us, delay_us, 400000, 1500000, bad, is_remote, NULL, 0};
 
 	return bg_expected_value(&in);
 }
@@ -393,6 +393,70 @@
 }
 END_TEST
 
+/* Reports a server with free slots whose machine is as slow as given. */
+static void
+report_slowness(int i, uint32_t permille, uint32_t work_left_us)
+{
+	struct bg_load ld = {.running = 2,
+	    .slots = 10,
+	    .service_us = SERVICE_US,
+	    .work_left_us = work_left_us,
+	    .slowness_permille = permille};
+
+	bg_endpoint_sent(endpoint(i));
+	bg_endpoint_answered(endpoint(i), "lookup", &ld, q.now_ms);
+}
+
+/* Guards against calls to a machine that is slow now, and against keeping away
+ * from it on news of the past. */
+START_TEST(slow_machine_is_avoided_while_the_news_is_fresh)
+{
+	int i;
+
+	for (i = 0; i < 4; i++)
+		report_slowness(i, i == 0 ? 4000 : 1000, 20000);
+	pick_many(100);
+	ck_assert_int_eq(picked[0], 0);
+	q.now_ms += 2500;
+	pick_many(PICKS);
+	ck_assert_int_gt(picked[0], PICKS / 8);
+}
+END_TEST
+
+/* Guards against a herd: the server with the least work left must be preferred,
+ * but not by every call. */
+START_TEST(least_work_is_preferred_of_two)
+{
+	int i;
+
+	for (i = 0; i < 4; i++)
+		report_slowness(i, 1000, i == 0 ? 1000 : 90000);
+	pick_many(PICKS);
+	ck_assert_int_gt(picked[0], PICKS * 3 / 8);
+	ck_assert_int_lt(picked[0], PICKS / 2);
+}
+END_TEST
+
+/* Guards against calls to a server on which the few expensive ones would miss
+ * the deadline, although its mean time is well within the target. */
+START_TEST(expensive_calls_count_by_their_distribution)
+{
+	struct bg_shape shape;
+	int i;
+
+	memset(&shape, 0, sizeof(shape));
+	for (i = 0; i < 400; i++)
+		bg_shape_record(&shape, i % 20 == 0 ? 7 : 0.7);
+	q.shape = &shape;
+	q.shape_mean = bg_shape_mean(&shape);
+	q.left_us = 1000000;
+	for (i = 0; i < 4; i++)
+		report_slowness(i, i == 0 ? 600 : 1600, 20000);
+	pick_many(100);
+	ck_assert_int_eq(picked[0], 100);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -420,5 +484,8 @@
 	tcase_add_test(tc, server_with_bad_verdict_is_excluded);
 	tcase_add_test(tc, value_falls_with_each_penalty);
 	tcase_add_test(tc, short_local_queue_beats_remote_slot);
+	tcase_add_test(tc, slow_machine_is_avoided_while_the_news_is_fresh);
+	tcase_add_test(tc, least_work_is_preferred_of_two);
+	tcase_add_test(tc, expensive_calls_count_by_their_distribution);
 	return run_suite("router", tc);
 }
