Test hand-back and resets by full servers through two real nodes

The backend server of the tests reports its load. reset_by_a_full_server and call_is_handed_back guard against a reset that blames the version and opens a new connection, and against calls that run on a machine which has just turned slow.

--- a/proxy/tests/backend.h
+++ b/proxy/tests/backend.h
@@ -51,6 +51,7 @@
 	const char *raw; /* response of BACKEND_RAW */
 	size_t raw_bytes;
 	const char *version; /* sent as X-Version; NULL: none */
+	const char *load;    /* sent as X-Server-Load; NULL: none */
 	char last_head[8192];
 	char last_body[256];
 	size_t last_body_bytes;
@@ -119,6 +120,9 @@
 		evbuffer_add_printf(out, "X-Request-Id: %s\r\n", id);
 	if (version != NULL)
 		evbuffer_add_printf(out, "X-Version: %s\r\n", version);
+	if (conn->backend->load != NULL)
+		evbuffer_add_printf(
+		    out, "X-Server-Load: %s\r\n", conn->backend->load);
 	switch (mode) {
 	case BACKEND_TRUNCATED:
 		evbuffer_add_printf(out, "Content-Length: 500\r\n\r\nhello");
