--- a/proxy/src/call/call_cost.c
+++ b/proxy/src/call/call_cost.c
@@ -85,6 +85,7 @@
 	struct bg_cost_query q = cost_query(call);
 	u_int slowness = res->load_extension.slowness_permille;
 
+	call->is_server_uneven |= slowness != 0;
 	if (res->outcome != BG_XOUTCOME_DONE || slowness == 0 ||
 	    (res->http_status >= STATUS_ERROR_MIN &&
 		res->http_status != STATUS_TIMEOUT))
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -50,6 +50,7 @@
 	int is_dependency;
 	uint32_t cost_permille; /**< expected cost, of the route's mean; 0:
 				     unknown */
+	int is_server_uneven;	/**< a server reported its slowness */
 	int cost_trait;		/**< as in struct bg_cost_prediction */
 	char picked_version[BG_NAME_BYTES];
 };
--- a/proxy/src/proxy_internal.h
+++ b/proxy/src/proxy_internal.h
@@ -7,6 +7,7 @@
 
 #include "burdockgrade/proxy.h"
 
+#include "call/crest.h"
 #include "call/request_age.h"
 #include "cost/predictor.h"
 #include "drain/drain.h"
@@ -31,6 +32,7 @@
 	struct bg_versions versions;
 	struct bg_retry_budget retry;
 	struct bg_age_estimator age_estimator;
+	struct bg_crest crest;	       /**< share of refused calls */
 	struct bg_predictor predictor; /**< of the cost of calls */
 	struct bg_drain drain;
 	struct bg_buffers buffers;
--- a/proxy/src/router/value.c
+++ b/proxy/src/router/value.c
@@ -23,12 +23,23 @@
 static double
 answer_probability(const struct bg_value_input *in, uint64_t time_us)
 {
-	double left_us = (double)time_us - (double)in->delay_us;
+	return probability_within(
+	    (double)time_us - (double)in->delay_us, (double)in->service_us);
+}
+
+/* Probability of an answer by the deadline. Whether the few expensive calls end
+ * by then is seen in the distribution only. The target is left to the
+ * log-normal one: by a distribution in which nearly all calls are well within
+ * it, servers of different speed would be equal. */
+static double
+deadline_probability(const struct bg_value_input *in)
+{
+	double left_us = (double)in->left_us - (double)in->delay_us;
 
-	if (in->shape != NULL)
-		return bg_shape_share_within(in->shape,
-		    left_us / (double)in->service_us * in->shape_mean);
-	return probability_within(left_us, (double)in->service_us);
+	if (in->shape == NULL)
+		return answer_probability(in, in->left_us);
+	return bg_shape_share_within(
+	    in->shape, left_us / (double)in->service_us * in->shape_mean);
 }
 
 double
@@ -41,8 +52,10 @@
 
 	if (target_us > in->left_us)
 		target_us = in->left_us;
-	answered = answer_probability(in, in->left_us);
+	answered = deadline_probability(in);
 	on_time = target_us == 0 ? 0 : answer_probability(in, target_us);
+	if (on_time > answered)
+		on_time = answered;
 	value = on_time + (answered - on_time) * BG_VALUE_LATE;
 	value *= 1 - in->bad_permille / 1000.0;
 	return in->is_remote ? value - BG_VALUE_REMOTE_COST : value;
