Wait by the gatekeeper's own limit where it is below the slots

Cause: a gatekeeper whose server sheds calls sends it less than its slots. The router took the slots above the limit for free, asked for one of them, and was refused, three times at the same server.

Change: the wait that the gatekeeper reported counts, less the time since. reached_limit_is_full_below_the_slots was red before.

--- a/proxy/src/router/finish.c
+++ b/proxy/src/router/finish.c
@@ -28,20 +28,38 @@
 	    now_ms - ep->reported_ms <= BG_LOAD_MAX_AGE_MS;
 }
 
+static uint32_t
+sent_since_report(const struct bg_endpoint *ep)
+{
+	return ep->outstanding > ep->reported_outstanding
+	    ? ep->outstanding - ep->reported_outstanding
+	    : 0;
+}
+
+/* Wait by a report of a gatekeeper whose limit was reached, which may be below
+ * the slots of its server. The queue has moved on since the report. */
+static uint64_t
+reported_wait_us(const struct bg_endpoint *ep, uint64_t now_ms)
+{
+	uint64_t interval_us = ep->load.wait_us / (ep->load.queued + 1) + 1;
+	uint64_t wait_us =
+	    ep->load.wait_us + interval_us * sent_since_report(ep);
+	uint64_t age_us = (now_ms - ep->reported_ms) * 1000;
+
+	return wait_us > age_us ? wait_us - age_us : 0;
+}
+
 uint64_t
 bg_finish_wait_us(const struct bg_endpoint *ep, uint32_t slots,
     uint32_t service_us, uint64_t now_ms)
 {
 	uint32_t load = bg_endpoint_load(ep, now_ms);
-	uint64_t interval_us;
 
+	if (is_recent(ep, now_ms) && ep->load.wait_us != 0)
+		return reported_wait_us(ep, now_ms);
 	if (slots == 0 || load < slots)
 		return 0;
-	interval_us = service_us / slots + 1;
-	/* The gatekeeper knows how long the running calls have run. */
-	if (is_recent(ep, now_ms) && ep->load.wait_us != 0)
-		interval_us = ep->load.wait_us / (ep->load.queued + 1) + 1;
-	return interval_us * (load - slots + 1);
+	return (uint64_t)service_us * (load - slots + 1) / slots;
 }
 
 uint64_t
@@ -55,8 +73,6 @@
 		return 0;
 	done_us = (now_ms - ep->reported_ms) * 1000;
 	left_us = left_us > done_us ? left_us - done_us : 0;
-	if (ep->outstanding > ep->reported_outstanding)
-		left_us += (uint64_t)service_us *
-		    (ep->outstanding - ep->reported_outstanding) / slots;
+	left_us += (uint64_t)service_us * sent_since_report(ep) / slots;
 	return left_us + 1;
 }
--- a/proxy/tests/test_router.c
+++ b/proxy/tests/test_router.c
@@ -437,6 +437,29 @@
 }
 END_TEST
 
+/* Guards against calls that a gatekeeper refuses again and again: it sends its
+ * server less than the slots, because the server sheds calls. */
+START_TEST(reached_limit_is_full_below_the_slots)
+{
+	struct bg_load ld = {.running = 5,
+	    .slots = 10,
+	    .wait_us = 50000,
+	    .service_us = SERVICE_US,
+	    .slowness_permille = 600};
+	int i;
+
+	for (i = 1; i < 4; i++)
+		report_slowness(i, 1000, 20000);
+	bg_endpoint_sent(endpoint(0));
+	bg_endpoint_answered(endpoint(0), "lookup", &ld, q.now_ms);
+	pick_many(100);
+	ck_assert_int_eq(picked[0], 0);
+	q.now_ms += 60;
+	pick_many(100);
+	ck_assert_int_gt(picked[0], 0);
+}
+END_TEST
+
 static double
 value_by_shape(const struct bg_shape *shape, uint64_t left_us)
 {
@@ -493,6 +516,7 @@
 	tcase_add_test(tc, value_falls_with_each_penalty);
 	tcase_add_test(tc, short_local_queue_beats_remote_slot);
 	tcase_add_test(tc, slow_machine_is_avoided_while_the_news_is_fresh);
+	tcase_add_test(tc, reached_limit_is_full_below_the_slots);
 	tcase_add_test(tc, least_work_is_preferred_of_two);
 	tcase_add_test(tc, expensive_calls_count_by_their_distribution);
 	return run_suite("router", tc);
