--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -73,9 +73,7 @@
 	    ans->outcome != BG_XOUTCOME_DONE || ans->http_status >= 500;
 
 	bg_metrics_count_call(ans->outcome, elapsed_us);
-	if (call->service != NULL)
-		bg_crest_record(&call->proxy->crest, call->service,
-		    ans->outcome == BG_XOUTCOME_NOT_RUN, bg_clock_now_ms());
+	bg_call_record_crest(call, ans->outcome);
 	/* Refusals and failures are warnings: the log drops those last. */
 	bg_log(is_failed ? BG_LOG_WARN : BG_LOG_INFO, "call",
 	    "ended request=%s status=%u outcome=%d took_us=%llu picks=%u "
@@ -102,24 +100,6 @@
 	bg_call_reply(call, &ans);
 }
 
-/* Retry-After where servers report their slowness: allows for the share of the
- * service's calls that are refused at present. */
-static uint32_t
-come_back_ms(struct bg_call *call, uint32_t room_ms)
-{
-	uint64_t now_us = bg_clock_now_us();
-	uint64_t elapsed_ms = (now_us - call->start_us) / 1000;
-	struct bg_come_back in = {room_ms, 0, call->rule->priority,
-	    bg_crest_refused_share(
-		&call->proxy->crest, call->service, now_us / 1000)};
-
-	if (elapsed_ms < call->caller_deadline_ms)
-		in.left_ms = call->caller_deadline_ms - (uint32_t)elapsed_ms;
-	if (in.room_ms > RETRY_AFTER_MAX_MS)
-		in.room_ms = RETRY_AFTER_MAX_MS;
-	return bg_come_back_ms(&in, &call->proxy->router.rand);
-}
-
 /* Estimates when a slot will be free. Jitter keeps callers that were refused
  * together from retrying together. */
 static uint32_t
@@ -135,7 +115,7 @@
 	if (base_ms < RETRY_AFTER_MIN_MS)
 		base_ms = RETRY_AFTER_MIN_MS;
 	if (call->is_server_uneven)
-		return come_back_ms(call, (uint32_t)base_ms);
+		return bg_call_come_back_ms(call, (uint32_t)base_ms);
 	ms = base_ms + bg_rand_below(&call->proxy->router.rand, base_ms);
 	return ms > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS : (uint32_t)ms;
 }
--- a/proxy/src/call/call_cost.c
+++ b/proxy/src/call/call_cost.c
@@ -1,3 +1,5 @@
+#include "burdockgrade/clock.h"
+
 #include "call_cost.h"
 
 /* Above and below these, the cost of a call is taken as that part of its
@@ -5,6 +7,8 @@
 #define COST_MIN_PERMILLE 250
 #define COST_MAX_PERMILLE 8000
 #define PERMILLE 1000
+/* A longer wait is that of a queue which callers do not wait out. */
+#define ROOM_MAX_MS 2000
 #define STATUS_ERROR_MIN 400
 #define STATUS_TIMEOUT 504
 /* A call that was ended at its deadline would have taken longer; it counts as
@@ -96,3 +100,28 @@
 	bg_predictor_record(&call->proxy->predictor, &q,
 	    (uint64_t)res->own_time_us * BG_SLOWNESS_USUAL_PERMILLE / slowness);
 }
+
+void
+bg_call_record_crest(struct bg_call *call, enum bg_xoutcome outcome)
+{
+	if (call->service != NULL)
+		bg_crest_record(&call->proxy->crest, call->service,
+		    outcome == BG_XOUTCOME_NOT_RUN, bg_clock_now_ms());
+}
+
+uint32_t
+bg_call_come_back_ms(struct bg_call *call, uint32_t room_ms)
+{
+	uint64_t now_us = bg_clock_now_us();
+	uint64_t elapsed_ms = (now_us - call->start_us) / 1000;
+	struct bg_come_back in = {room_ms, 0, call->rule->priority,
+	    bg_crest_refused_share(
+		&call->proxy->crest, call->service, now_us / 1000),
+	    call->rule->timeout_ms};
+
+	if (elapsed_ms < call->caller_deadline_ms)
+		in.left_ms = call->caller_deadline_ms - (uint32_t)elapsed_ms;
+	if (in.room_ms > ROOM_MAX_MS)
+		in.room_ms = ROOM_MAX_MS;
+	return bg_come_back_ms(&in, &call->proxy->router.rand);
+}
--- a/proxy/src/call/crest.c
+++ b/proxy/src/call/crest.c
@@ -99,8 +99,12 @@
 bg_come_back_ms(const struct bg_come_back *in, struct bg_rand *rnd)
 {
 	uint32_t longest_ms = in->left_ms / WAIT_DIVISOR;
+	uint32_t spare_ms =
+	    in->left_ms > in->needs_ms ? in->left_ms - in->needs_ms : 0;
 	uint32_t end_ms = 2 * in->room_ms;
 
+	if (longest_ms > spare_ms)
+		longest_ms = spare_ms;
 	if (longest_ms > COME_BACK_MAX_MS)
 		longest_ms = COME_BACK_MAX_MS;
 	if (longest_ms > end_ms)
--- a/proxy/src/call/crest.h
+++ b/proxy/src/call/crest.h
@@ -39,6 +39,8 @@
 	uint32_t left_ms;  /**< time that the caller has left */
 	uint32_t priority; /**< of the call; 0 is the highest */
 	double refused_share;
+	uint32_t needs_ms; /**< time that the call may take when it comes back;
+				it is left to it */
 };
 
 /** Chooses the delay after which a refused caller is to come back. Callers of a
--- a/proxy/tests/test_crest.c
+++ b/proxy/tests/test_crest.c
@@ -36,7 +36,7 @@
  * later than they would come back. */
 START_TEST(crest_spreads_over_the_time_that_callers_allow)
 {
-	struct bg_come_back in = {50, 8000, 2, 0.5};
+	struct bg_come_back in = {50, 8000, 2, 0.5, 1000};
 	uint32_t longest;
 	uint32_t mean;
 
@@ -53,7 +53,7 @@
  * and take their room. */
 START_TEST(higher_priority_comes_back_first)
 {
-	struct bg_come_back in = {50, 6000, 0, 0.5};
+	struct bg_come_back in = {50, 6000, 0, 0.5, 1000};
 	uint32_t longest;
 	uint32_t high;
 	uint32_t low;
@@ -69,13 +69,26 @@
  * has no time left. */
 START_TEST(caller_without_time_is_asked_back_at_once)
 {
-	struct bg_come_back in = {50, 0, 2, 1};
+	struct bg_come_back in = {50, 0, 2, 1, 1000};
 
 	ck_assert_uint_ge(bg_come_back_ms(&in, &rnd), 50);
 	ck_assert_uint_le(bg_come_back_ms(&in, &rnd), 100);
 }
 END_TEST
 
+/* Guards against callers that come back so late that their call is cut off by
+ * their own time limit. */
+START_TEST(time_to_run_is_left)
+{
+	struct bg_come_back in = {50, 1500, 2, 0.5, 1200};
+	uint32_t longest;
+	uint32_t mean;
+
+	longest_and_mean(&longest, &mean, in);
+	ck_assert_uint_le(longest, 300);
+}
+END_TEST
+
 /* Guards against a crest that is seen long after it ended, and in other
  * services. */
 START_TEST(refusals_are_forgotten)
@@ -104,6 +117,7 @@
 	tcase_add_test(tc, crest_spreads_over_the_time_that_callers_allow);
 	tcase_add_test(tc, higher_priority_comes_back_first);
 	tcase_add_test(tc, caller_without_time_is_asked_back_at_once);
+	tcase_add_test(tc, time_to_run_is_left);
 	tcase_add_test(tc, refusals_are_forgotten);
 	return run_suite("crest", tc);
 }
