--- a/proxy/tests/test_limiter.c
+++ b/proxy/tests/test_limiter.c
@@ -421,6 +421,23 @@
 }
 END_TEST
 
+/* Guards against calls that queue in vain behind heavy ones: the owner, which
+ * knows what runs, expects fewer starts than the mean time says. */
+START_TEST(expectations_of_the_owner_replace_the_means)
+{
+	int i;
+
+	for (i = 0; i < SLOTS; i++)
+		acquire(i);
+	lim.start_interval_us = 300000;
+	ck_assert_uint_eq(bg_limiter_wait_us(&lim), 300000);
+	ck_assert_int_eq(
+	    acquire_with(SLOTS, 1, 200000, 0), BG_LIMITER_REJECTED);
+	lim.start_interval_us = 0;
+	ck_assert_int_eq(acquire_with(SLOTS, 1, 200000, 0), BG_LIMITER_QUEUED);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -446,5 +463,6 @@
 	tcase_add_test(tc, standing_queue_serves_new_calls_first);
 	tcase_add_test(tc, late_calls_are_refused_at_once);
 	tcase_add_test(tc, burst_serves_retried_calls_in_order);
+	tcase_add_test(tc, expectations_of_the_owner_replace_the_means);
 	return run_suite("limiter", tc);
 }
