Count a reached limit in the value only, not as a queue

Change: the reported wait lowers the value of the server; whether the call may queue there depends on its slots, as before.

--- a/proxy/src/router/finish.c
+++ b/proxy/src/router/finish.c
@@ -36,16 +36,16 @@
 	    : 0;
 }
 
-/* Wait by a report of a gatekeeper whose limit was reached, which may be below
- * the slots of its server. The queue has moved on since the report. */
-static uint64_t
-reported_wait_us(const struct bg_endpoint *ep, uint64_t now_ms)
+uint64_t
+bg_finish_reported_wait_us(const struct bg_endpoint *ep, uint64_t now_ms)
 {
 	uint64_t interval_us = ep->load.wait_us / (ep->load.queued + 1) + 1;
 	uint64_t wait_us =
 	    ep->load.wait_us + interval_us * sent_since_report(ep);
 	uint64_t age_us = (now_ms - ep->reported_ms) * 1000;
 
+	if (!is_recent(ep, now_ms) || ep->load.wait_us == 0)
+		return 0;
 	return wait_us > age_us ? wait_us - age_us : 0;
 }
 
@@ -54,12 +54,15 @@
     uint32_t service_us, uint64_t now_ms)
 {
 	uint32_t load = bg_endpoint_load(ep, now_ms);
+	uint64_t interval_us;
 
-	if (is_recent(ep, now_ms) && ep->load.wait_us != 0)
-		return reported_wait_us(ep, now_ms);
 	if (slots == 0 || load < slots)
 		return 0;
-	return (uint64_t)service_us * (load - slots + 1) / slots;
+	interval_us = service_us / slots + 1;
+	/* The gatekeeper knows how long the running calls have run. */
+	if (is_recent(ep, now_ms) && ep->load.wait_us != 0)
+		interval_us = ep->load.wait_us / (ep->load.queued + 1) + 1;
+	return interval_us * (load - slots + 1);
 }
 
 uint64_t
--- a/proxy/src/router/finish.h
+++ b/proxy/src/router/finish.h
@@ -22,6 +22,11 @@
  * @param slots of the server; 0: unknown */
 uint64_t bg_finish_wait_us(const struct bg_endpoint *ep, uint32_t slots,
     uint32_t service_us, uint64_t now_ms);
+/** The same by the gatekeeper's last report, less the time since. Its limit of
+ * running calls may be below the slots of its server. @return 0 if the report
+ * is old or the limit was not reached */
+uint64_t bg_finish_reported_wait_us(
+    const struct bg_endpoint *ep, uint64_t now_ms);
 /** Work that is left there for each slot, by the last report, the time since
  * and the calls that this node sent since; 0: unknown.
  * @param slots of the server; 0: unknown */
--- a/proxy/src/router/router.c
+++ b/proxy/src/router/router.c
@@ -185,26 +185,33 @@
     const struct bg_pick_query *q, const struct usual *usual)
 {
 	struct bg_value_input in = {0};
+	uint64_t wait_us;
 
 	memset(out, 0, sizeof(*out));
 	out->member = m;
 	out->endpoint = ep;
 	out->service_us = expected_service_us(ep, q, usual->service_us);
 	out->wait_us = expected_wait_us(ep, m, out->service_us, q->now_ms);
+	wait_us = out->wait_us;
 	if (bg_finish_is_known(ep)) {
 		evaluate_finish(out, m, q, usual);
+		/* The call still asks for a free slot there if the slots are
+		 * not all taken: the limit may have risen since. */
+		wait_us = bg_finish_reported_wait_us(ep, q->now_ms);
+		if (wait_us < out->wait_us)
+			wait_us = out->wait_us;
 		in.shape = q->shape;
 		in.shape_mean = q->shape_mean;
 	}
 	in.service_us = out->service_us;
 	in.is_remote = strcmp(m->data_centre, q->data_centre) != 0;
-	in.delay_us = out->wait_us + body_delay_us(ep, q) +
+	in.delay_us = wait_us + body_delay_us(ep, q) +
 	    (in.is_remote ? BG_REMOTE_DELAY_US : 0);
 	in.target_us = q->target_us;
 	in.left_us = q->left_us;
 	in.bad_permille = ep->load.bad_permille;
 	out->value = bg_expected_value(&in);
-	if (out->wait_us > 0)
+	if (wait_us > 0)
 		out->value -= VALUE_QUEUE_PENALTY;
 }
 
