Take a server that has not reported yet for a usual one

Cause: the learned distribution and the usual slowness applied to servers that had reported their slowness only, so one that had not, such as one that died before it answered, had a higher value: in the test it got all 4,000 calls.

Change: both apply to all servers of a service once one has reported. unknown_server_is_a_usual_one was red before.

--- a/proxy/src/router/router.c
+++ b/proxy/src/router/router.c
@@ -102,12 +102,14 @@
 /* What is expected of a server of which nothing is known. */
 struct usual {
 	uint32_t service_us;
+	int has_slowness; /* servers of the service report their slowness */
 	double slowness_permille;
 };
 
-/* Mean slowness of the machines whose servers report it. */
-static double
-usual_slowness_permille(struct bg_router *rtr, const struct bg_pick_query *q)
+/* Finds the mean slowness of the machines whose servers report it. */
+static void
+find_usual_slowness(
+    struct usual *out, struct bg_router *rtr, const struct bg_pick_query *q)
 {
 	const struct bg_endpoint *ep;
 	double sum = 0;
@@ -121,7 +123,9 @@
 		sum += ep->slowness.usual_permille;
 		n++;
 	}
-	return n == 0 ? BG_SLOWNESS_USUAL_PERMILLE : sum / n;
+	out->has_slowness = n > 0;
+	if (n > 0)
+		out->slowness_permille = sum / n;
 }
 
 static uint32_t
@@ -193,7 +197,9 @@
 	out->service_us = expected_service_us(ep, q, usual->service_us);
 	out->wait_us = expected_wait_us(ep, m, out->service_us, q->now_ms);
 	wait_us = out->wait_us;
-	if (bg_finish_is_known(ep)) {
+	/* A server that has not reported yet is taken for a usual one, and not
+	 * for a better one than those that are known. */
+	if (usual->has_slowness) {
 		evaluate_finish(out, m, q, usual);
 		/* The call still asks for a free slot there if the slots are
 		 * not all taken: the limit may have risen since. */
@@ -281,14 +287,14 @@
 search_members(struct search *search, struct bg_router *rtr,
     const struct bg_pick_query *q, int include_unavailable)
 {
-	struct usual usual = {
-	    typical_service_us(rtr, q), usual_slowness_permille(rtr, q)};
+	struct usual usual = {typical_service_us(rtr, q), 0, 0};
 	const struct bg_member *m;
 	struct bg_endpoint *ep;
 	struct bg_pick pick;
 	uint32_t eligible = 0;
 	size_t i;
 
+	find_usual_slowness(&usual, rtr, q);
 	for (i = 0; i < q->member_count; i++) {
 		m = &q->members[i];
 		if (!is_eligible(q, m) ||
--- a/proxy/tests/test_router.c
+++ b/proxy/tests/test_router.c
@@ -423,6 +423,27 @@
 }
 END_TEST
 
+/* Guards against calls that prefer servers which have not reported yet, such as
+ * those that have just died, to known ones. */
+START_TEST(unknown_server_is_a_usual_one)
+{
+	struct bg_shape shape;
+	int i;
+
+	memset(&shape, 0, sizeof(shape));
+	for (i = 0; i < 400; i++)
+		bg_shape_record(&shape, i % 10 == 0 ? 7 : 0.7);
+	q.shape = &shape;
+	q.shape_mean = bg_shape_mean(&shape);
+	q.left_us = 500000;
+	for (i = 1; i < 4; i++)
+		report_slowness(i, 1000, 20000);
+	pick_many(PICKS);
+	ck_assert_int_lt(picked[0], PICKS / 2);
+	ck_assert_int_gt(picked[0], PICKS / 8);
+}
+END_TEST
+
 /* Guards against a herd: the server with the least work left must be preferred,
  * but not by every call. */
 START_TEST(least_work_is_preferred_of_two)
@@ -517,6 +538,7 @@
 	tcase_add_test(tc, short_local_queue_beats_remote_slot);
 	tcase_add_test(tc, slow_machine_is_avoided_while_the_news_is_fresh);
 	tcase_add_test(tc, reached_limit_is_full_below_the_slots);
+	tcase_add_test(tc, unknown_server_is_a_usual_one);
 	tcase_add_test(tc, least_work_is_preferred_of_two);
 	tcase_add_test(tc, expensive_calls_count_by_their_distribution);
 	return run_suite("router", tc);
