--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -54,7 +54,11 @@
 	uint64_t link_wait_start_us; /**< 0: not waiting for a link */
 	int is_dependency;
 	struct bg_caller caller;
-	char *key; /**< owned copy, until the call is routed */
+	char *key;		/**< owned copy, until the call is routed */
+	uint32_t cost_permille; /**< expected cost, of the route's mean; 0:
+				     unknown */
+	int is_server_uneven;	/**< a server reported its slowness */
+	int cost_trait;		/**< as in struct bg_cost_prediction */
 	char picked_version[BG_NAME_BYTES];
 };
 
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -9,6 +9,7 @@
 #include "emptying.h"
 #include "gate_call.h"
 #include "gate_warmup.h"
+#include "gate_work.h"
 
 /* A leaving server accepts calls for this long, since some are on their way to
  * it. Nodes that know that it is leaving send it no more calls. */
@@ -112,6 +113,12 @@
 		bg_gate_refuse(call, why);
 		return;
 	}
+	if (bg_gate_work_hands_back(call)) {
+		bg_gate_work_log_hand_back(call);
+		bg_gate_refuse(call, BG_XREFUSAL_BUSY);
+		return;
+	}
+	bg_gate_work_prepare(call);
 	switch (
 	    bg_limiter_acquire(&gk->limiter, &call->entry, bg_clock_now_us())) {
 	case BG_LIMITER_STARTED:
@@ -365,6 +372,7 @@
 reset_for_new_server(struct bg_gatekeeper *gk)
 {
 	bg_limiter_reset(&gk->limiter);
+	memset(&gk->work, 0, sizeof(gk->work));
 	bg_backend_close_idle(gk->backend);
 }
 
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -51,6 +51,7 @@
 	lim->service_us = 0;
 	lim->failure_ratio = 0;
 	lim->low_load_shed_us = 0;
+	lim->start_interval_us = 0;
 	memset(lim->routes, 0, sizeof(lim->routes));
 }
 
@@ -86,6 +87,15 @@
 	return (uint64_t)(r == NULL ? lim->service_us : r->service_us);
 }
 
+static uint64_t
+entry_service_us(
+    const struct bg_limiter *lim, const struct bg_limiter_entry *entry)
+{
+	return entry->own_service_us != 0
+	    ? entry->own_service_us
+	    : bg_limiter_service_us(lim, entry->route);
+}
+
 /* Expected time between two starts while calls have to wait for them. */
 static uint64_t
 start_interval_us(const struct bg_limiter *lim, uint64_t now_us)
@@ -95,6 +105,8 @@
 	uint64_t slot_us = (uint64_t)(service_us / running_limit(lim));
 	uint64_t warmup_us = bg_warmup_interval_us(&lim->warmup, now_us);
 
+	if (lim->start_interval_us != 0)
+		slot_us = lim->start_interval_us;
 	return slot_us > warmup_us ? slot_us : warmup_us;
 }
 
@@ -216,7 +228,7 @@
 try_queue(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	entry->service_us = bg_limiter_service_us(lim, entry->route);
+	entry->service_us = entry_service_us(lim, entry);
 	bg_queue_insert(&lim->queue, entry, now_us);
 	if (!bg_queue_is_infeasible(
 		&lim->queue, entry, start_interval_us(lim, now_us), now_us))
@@ -257,7 +269,7 @@
 bg_limiter_useful_start_us(const struct bg_limiter *lim,
     struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	entry->service_us = bg_limiter_service_us(lim, entry->route);
+	entry->service_us = entry_service_us(lim, entry);
 	return bg_queue_useful_start_us(entry, now_us);
 }
 
--- a/proxy/src/limiter/limiter.h
+++ b/proxy/src/limiter/limiter.h
@@ -41,7 +41,10 @@
 	struct bg_reserve reserve;
 	uint64_t held_back; /**< times that a free slot was left to urgent calls
 			       that may come */
-	struct bg_warmup warmup; /**< limits the starts of a cold server */
+	struct bg_warmup warmup;    /**< limits the starts of a cold server */
+	uint64_t start_interval_us; /**< time between two starts while all slots
+					 are taken, if the owner knows it better
+					 than from service_us; else 0 */
 };
 
 enum bg_limiter_admission {
