--- a/core/include/burdockgrade/settings.h
+++ b/core/include/burdockgrade/settings.h
@@ -29,8 +29,17 @@
 	char server_id[BG_HEADER_NAME_BYTES];
 	/** Present if the backend server did not run the call. */
 	char not_run[BG_HEADER_NAME_BYTES];
+	/** Load of a backend server: calls running, calls waiting, slots and,
+	 * from some servers, the time that work takes at this moment, in
+	 * percent of the usual; empty name: not read. */
+	char server_load[BG_HEADER_NAME_BYTES];
 	/** Number of calls above this one in a chain; empty name: not sent. */
 	char call_depth[BG_HEADER_NAME_BYTES];
+	/** Key by which a caller identifies its organisation; never passed
+	 * on. Empty: callers have no keys. */
+	char key[BG_HEADER_NAME_BYTES];
+	/** Organisation of the caller, set by the proxy; empty: not sent. */
+	char organisation[BG_HEADER_NAME_BYTES];
 	/** Remaining time for which a backend server is cold, in ms, in the
 	 * responses to probes; empty name: not read. */
 	char warmup_left[BG_HEADER_NAME_BYTES];
@@ -56,6 +65,20 @@
 	uint32_t excess_starts;	  /**< calls, whatever the rate */
 };
 
+/** Caps on the use of organisations, which hold over all nodes: in any window
+ * at most (rate x window + burst) x (1 + share) + slack calls. shares and
+ * groups have to be the same on all nodes. */
+struct bg_quota_settings {
+	uint32_t window_ms;	 /**< 0: caps are not enforced */
+	uint32_t share_permille; /**< allowed beyond the cap */
+	uint32_t slack;		 /**< calls allowed beyond the cap */
+	/** Parts of each cap, whose owners are placed in the data centres in
+	 * turn. */
+	uint32_t shares;
+	/** Groups of organisations, each with an owner for each share. */
+	uint32_t groups;
+};
+
 struct bg_settings {
 	struct {
 		char address[BG_SETTING_BYTES]; /**< own IPv4 address */
@@ -70,6 +93,9 @@
 	struct {
 		char address[BG_SETTING_BYTES]; /**< "ip:port" */
 		uint32_t timeout_ms;		/**< time limit of a call */
+		/** Data centres that operators empty in the store get no new
+		 * calls; 0: the store is not asked for any. */
+		int follows_emptied;
 	} platform;
 	struct {
 		/** "ip:port"; empty if the node has no backend server. */
@@ -89,6 +115,9 @@
 		uint32_t body_bytes;
 		/** Memory for all bodies that the node buffers. */
 		uint64_t buffered_bytes;
+		/** Largest number of connections of callers; 0: bounded by
+		 * buffered_bytes only. */
+		uint32_t caller_connections;
 		/** Rate of the VM's link, in Mbit/s; 0: unknown. */
 		uint32_t link_mbps;
 		/** Longest duration of a graceful stop. */
@@ -104,6 +133,7 @@
 	struct bg_retry_settings retry;
 	struct bg_move_settings move;
 	struct bg_warmup_settings warmup;
+	struct bg_quota_settings quota;
 	struct {
 		char level[BG_SETTING_BYTES];
 	} log;
--- a/core/tests/test_settings.c
+++ b/core/tests/test_settings.c
@@ -37,6 +37,7 @@
 			       "expected_server = \"A-Expected\"\n"
 			       "server_id = \"A-Server\"\n"
 			       "not_run = \"A-Not-Run\"\n"
+			       "server_load = \"A-Load\"\n"
 			       "call_depth = \"A-Depth\"\n"
 			       "warmup_left = \"A-Warmup\"\n"
 			       "[retry]\n"
@@ -45,6 +46,12 @@
 			       "window_ms = 5000\n"
 			       "[moves]\n"
 			       "first_share_permille = 100\n"
+			       "[quota]\n"
+			       "window_ms = 4000\n"
+			       "share_permille = 110\n"
+			       "slack = 21\n"
+			       "shares = 6\n"
+			       "groups = 16\n"
 			       "[log]\n"
 			       "level = \"debug\"\n";
 
@@ -139,12 +146,18 @@
 	ck_assert_str_eq(set.headers.expected_server, "A-Expected");
 	ck_assert_str_eq(set.headers.server_id, "A-Server");
 	ck_assert_str_eq(set.headers.not_run, "A-Not-Run");
+	ck_assert_str_eq(set.headers.server_load, "A-Load");
 	ck_assert_str_eq(set.headers.call_depth, "A-Depth");
 	ck_assert_str_eq(set.headers.warmup_left, "A-Warmup");
 	ck_assert_uint_eq(set.retry.share_permille, 200);
 	ck_assert_uint_eq(set.retry.slack, 60);
 	ck_assert_uint_eq(set.retry.window_ms, 5000);
 	ck_assert_uint_eq(set.move.first_share_permille, 100);
+	ck_assert_uint_eq(set.quota.window_ms, 4000);
+	ck_assert_uint_eq(set.quota.share_permille, 110);
+	ck_assert_uint_eq(set.quota.slack, 21);
+	ck_assert_uint_eq(set.quota.shares, 6);
+	ck_assert_uint_eq(set.quota.groups, 16);
 	ck_assert_str_eq(set.log.level, "debug");
 }
 END_TEST
@@ -165,6 +178,9 @@
 	ck_assert_uint_eq(set.retry.slack, 30);
 	ck_assert_uint_eq(set.retry.window_ms, 10000);
 	ck_assert_uint_eq(set.move.first_share_permille, 50);
+	ck_assert_uint_eq(set.quota.window_ms, 0);
+	ck_assert_uint_eq(set.quota.shares, 3);
+	ck_assert_uint_eq(set.quota.groups, 4);
 	ck_assert_uint_eq(set.limits.body_bytes, 1024 * 1024);
 	ck_assert_uint_eq(set.limits.buffered_bytes, 64 * 1024 * 1024);
 	ck_assert_uint_eq(set.limits.drain_ms, 30000);
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -4,6 +4,7 @@
 
 #include "burdockgrade/clock.h"
 #include "burdockgrade/log.h"
+#include "burdockgrade/organisations.h"
 
 #include "node.h"
 #include "pages.h"
@@ -58,6 +59,7 @@
 		return;
 	node->is_stopping = 1;
 	bg_log_info("node", "stopping signal=%d", (int)signo);
+	bg_quota_leave(node->quota);
 	bg_proxy_drain(node->proxy, on_drained, node);
 }
 
@@ -131,6 +133,10 @@
 						: bg_contracts_source();
 	opts.server = node->link_server;
 	opts.links = node->link_pool;
+	if (node->settings.platform.follows_emptied)
+		opts.emptied_kind = node->is_platform_managed
+		    ? bg_platform_emptied_kind()
+		    : BG_EMPTIED_KIND;
 	return bg_mesh_init(&node->mesh, &opts, err);
 }
 
@@ -201,6 +207,23 @@
 	return bg_moves_init(&node->moves, &opts, err);
 }
 
+static int
+init_quota(struct bg_node *node)
+{
+	struct bg_quota_options opts = BG_QUOTA_OPTIONS_INIT;
+	int error;
+
+	opts.base = node->base;
+	opts.settings = &node->settings;
+	opts.store = node->store;
+	opts.server = node->link_server;
+	opts.links = node->link_pool;
+	opts.address = bg_mesh_address(node->mesh);
+	if ((error = bg_quota_init(&node->quota, &opts)) != 0)
+		return error;
+	return bg_quota_follow(node->quota, node->mesh);
+}
+
 static int
 init_proxy(struct bg_node *node, struct bg_error *err)
 {
@@ -215,6 +238,7 @@
 	opts.server = node->link_server;
 	opts.links = node->link_pool;
 	opts.observer = bg_moves_observer(node->moves);
+	opts.quota = node->quota;
 	if ((error = bg_proxy_init(&node->proxy, &opts, err)) != 0)
 		return error;
 	if (node->rollouts != NULL)
@@ -239,10 +263,21 @@
 	return !node->is_stopping && bg_proxy_is_ready(node->proxy);
 }
 
+static int
+render_organisations(void *arg, char **out)
+{
+	struct bg_node *node = arg;
+
+	return bg_organisations_render(out,
+	    bg_mesh_is_synced(node->mesh) ? bg_mesh_snapshot(node->mesh)
+					  : NULL);
+}
+
 static int
 init_platform(struct bg_node *node, struct bg_error *err)
 {
-	struct bg_platform_handler handler = {on_announcement, is_ready, node};
+	struct bg_platform_handler handler = {
+	    on_announcement, is_ready, render_organisations, node};
 
 	if (!node->is_platform_managed)
 		return bg_pages_init(node);
@@ -272,6 +307,7 @@
 	    (error = init_mesh(out, err)) != 0 ||
 	    (error = init_rollouts(out)) != 0 ||
 	    (error = init_moves(out, err)) != 0 ||
+	    (error = init_quota(out)) != 0 ||
 	    (error = init_proxy(out, err)) != 0 ||
 	    (error = init_platform(out, err)) != 0)
 		bg_node_free(out);
@@ -296,6 +332,7 @@
 	bg_link_pool_free(node->link_pool);
 	bg_platform_endpoints_free(node->endpoints);
 	bg_proxy_free(node->proxy);
+	bg_quota_free(node->quota);
 	bg_platform_rollouts_free(node->rollouts);
 	bg_moves_free(node->moves);
 	bg_mesh_free(node->mesh);
--- a/mesh/include/burdockgrade/wire_xdr.h
+++ b/mesh/include/burdockgrade/wire_xdr.h
@@ -142,12 +142,20 @@
 	u_int cold_starts_left;
 };
 typedef struct bg_xload_extension bg_xload_extension;
+
+struct bg_xstate_extension {
+	u_int running_calls;
+};
+typedef struct bg_xstate_extension bg_xstate_extension;
 typedef struct bg_xcall_extension bg_xoptional_call_extension;
 typedef struct bg_xload_extension bg_xoptional_load_extension;
+typedef struct bg_xstate_extension bg_xoptional_state_extension;
 bool_t xdr_bg_xoptional_call_extension(
  XDR *xdrs, bg_xoptional_call_extension *out);
 bool_t xdr_bg_xoptional_load_extension(
  XDR *xdrs, bg_xoptional_load_extension *out);
+bool_t xdr_bg_xoptional_state_extension(
+ XDR *xdrs, bg_xoptional_state_extension *out);
 
 struct bg_xcall_args {
 	char *request_id;
@@ -239,8 +247,50 @@
 	u_quad_t held_version;
 	u_quad_t refused_version;
 	char *refused_reason;
+	bg_xoptional_state_extension extension;
 };
 typedef struct bg_xstate_res bg_xstate_res;
+#define BG_QUOTA_ENTRIES_MAX 64
+
+struct bg_xquota_ask {
+	bg_xname organisation;
+	u_int held;
+	u_int waiting;
+	u_int spare;
+};
+typedef struct bg_xquota_ask bg_xquota_ask;
+
+struct bg_xquota_args {
+	u_int share;
+	u_int group;
+	u_quad_t holder;
+	u_quad_t tenure;
+	u_quad_t seq;
+	struct {
+		u_int asks_len;
+		bg_xquota_ask *asks_val;
+	} asks;
+};
+typedef struct bg_xquota_args bg_xquota_args;
+
+struct bg_xquota_grant {
+	u_int kept;
+	u_int granted;
+	u_int valid_ms;
+	u_int retry_after_ms;
+};
+typedef struct bg_xquota_grant bg_xquota_grant;
+
+struct bg_xquota_res {
+	u_int is_owner;
+	u_quad_t tenure;
+	bg_xaddress owner;
+	struct {
+		u_int grants_len;
+		bg_xquota_grant *grants_val;
+	} grants;
+};
+typedef struct bg_xquota_res bg_xquota_res;
 
 #define BG_MESH 0x2f0b0d67
 #define BG_MESH_V3 3
@@ -267,6 +317,9 @@
 #define BG_PROC_CONFIG 6
 extern  bg_xconfig_res * bg_proc_config_3(bg_xconfig_args *, CLIENT *);
 extern  bg_xconfig_res * bg_proc_config_3_svc(bg_xconfig_args *, struct svc_req *);
+#define BG_PROC_QUOTA 7
+extern  bg_xquota_res * bg_proc_quota_3(bg_xquota_args *, CLIENT *);
+extern  bg_xquota_res * bg_proc_quota_3_svc(bg_xquota_args *, struct svc_req *);
 extern int bg_mesh_3_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -291,6 +344,9 @@
 #define BG_PROC_CONFIG 6
 extern  bg_xconfig_res * bg_proc_config_3();
 extern  bg_xconfig_res * bg_proc_config_3_svc();
+#define BG_PROC_QUOTA 7
+extern  bg_xquota_res * bg_proc_quota_3();
+extern  bg_xquota_res * bg_proc_quota_3_svc();
 extern int bg_mesh_3_freeresult ();
 #endif /* K&R C */
 
@@ -311,12 +367,17 @@
 extern  bool_t xdr_bg_xrefusal (XDR *, bg_xrefusal*);
 extern  bool_t xdr_bg_xcall_extension (XDR *, bg_xcall_extension*);
 extern  bool_t xdr_bg_xload_extension (XDR *, bg_xload_extension*);
+extern  bool_t xdr_bg_xstate_extension (XDR *, bg_xstate_extension*);
 extern  bool_t xdr_bg_xcall_args (XDR *, bg_xcall_args*);
 extern  bool_t xdr_bg_xbody_args (XDR *, bg_xbody_args*);
 extern  bool_t xdr_bg_xload (XDR *, bg_xload*);
 extern  bool_t xdr_bg_xcall_res (XDR *, bg_xcall_res*);
 extern  bool_t xdr_bg_xcancel_args (XDR *, bg_xcancel_args*);
 extern  bool_t xdr_bg_xstate_res (XDR *, bg_xstate_res*);
+extern  bool_t xdr_bg_xquota_ask (XDR *, bg_xquota_ask*);
+extern  bool_t xdr_bg_xquota_args (XDR *, bg_xquota_args*);
+extern  bool_t xdr_bg_xquota_grant (XDR *, bg_xquota_grant*);
+extern  bool_t xdr_bg_xquota_res (XDR *, bg_xquota_res*);
 
 #else /* K&R C */
 extern bool_t xdr_bg_xname ();
@@ -333,12 +394,17 @@
 extern bool_t xdr_bg_xrefusal ();
 extern bool_t xdr_bg_xcall_extension ();
 extern bool_t xdr_bg_xload_extension ();
+extern bool_t xdr_bg_xstate_extension ();
 extern bool_t xdr_bg_xcall_args ();
 extern bool_t xdr_bg_xbody_args ();
 extern bool_t xdr_bg_xload ();
 extern bool_t xdr_bg_xcall_res ();
 extern bool_t xdr_bg_xcancel_args ();
 extern bool_t xdr_bg_xstate_res ();
+extern bool_t xdr_bg_xquota_ask ();
+extern bool_t xdr_bg_xquota_args ();
+extern bool_t xdr_bg_xquota_grant ();
+extern bool_t xdr_bg_xquota_res ();
 
 #endif /* K&R C */
 
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -1,13 +1,15 @@
-/* A call goes through these steps: route, pick, send, result, reply. Each step
- * ends by calling the next one or by waiting for a callback. */
+/* A call goes through these steps: route, admit, pick, send, result, reply.
+ * Each step ends by calling the next one or by waiting for a callback. */
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "burdockgrade/clock.h"
+#include "burdockgrade/counter.h"
 #include "burdockgrade/log.h"
 
+#include "call_cost.h"
 #include "call_internal.h"
 #include "cold_call.h"
 
@@ -23,9 +25,6 @@
 /* The queueing time of a call is limited so that this multiple of its expected
  * service time is left for running it. */
 #define SERVICE_TIME_MARGIN 1.2
-/* Queueing time allowed where a free slot is expected. A gatekeeper that turns
- * out to be busy refuses, and the call tries another one. */
-#define FREE_SLOT_WAIT_MS 5
 /* From this pick on, a call may queue at the picked server, which is the one
  * expected to run it soonest. */
 #define QUEUE_FROM_PICK 3
@@ -35,6 +34,14 @@
 /* Lower bound of Retry-After: an earlier retry would meet the same load. */
 #define RETRY_AFTER_MIN_MS 50
 #define RETRY_AFTER_MAX_MS 2000
+/* Retry-After while operators have emptied the data centres of the only
+ * servers. They are taken back after seconds or minutes, so that earlier
+ * retries would only add load. */
+#define RETRY_AFTER_EMPTIED_MS 1000
+
+static struct bg_counter emptied_calls =
+    BG_COUNTER("burdock_emptied_calls_refused_total",
+	"Calls refused because the data centres of all servers are emptied.");
 
 static void step_pick(struct bg_call *call);
 static void step_send(struct bg_call *call, const struct bg_pick *pick);
@@ -52,6 +59,8 @@
 		call->next->prev = call->prev;
 	if (call->timer != NULL)
 		event_free(call->timer);
+	bg_quota_cancel(call->ticket);
+	bg_call_erase_key(call);
 	bg_snapshot_release(call->snapshot);
 	xdr_free((xdrproc_t)xdr_bg_xcall_args, (char *)&call->args);
 	free(call);
@@ -76,6 +85,7 @@
 	    ans->outcome != BG_XOUTCOME_DONE || ans->http_status >= 500;
 
 	bg_metrics_count_call(ans->outcome, elapsed_us);
+	bg_call_record_crest(call, ans->outcome);
 	/* Refusals and failures are warnings: the log drops those last. */
 	bg_log(is_failed ? BG_LOG_WARN : BG_LOG_INFO, "call",
 	    "ended request=%s status=%u outcome=%d took_us=%llu picks=%u "
@@ -114,11 +124,15 @@
 		base_ms = RETRY_AFTER_MIN_MS;
 	if (call->busy_wait_us != 0)
 		base_ms = call->busy_wait_us / 1000;
+	else if (refusal == BG_XREFUSAL_NO_SERVER && bg_call_is_emptied(call))
+		base_ms = RETRY_AFTER_EMPTIED_MS;
 	if (base_ms < RETRY_AFTER_MIN_MS)
 		base_ms = RETRY_AFTER_MIN_MS;
 	if (call->cold_left_ms != 0)
 		ms = bg_cold_call_retry_ms(&call->proxy->router.rand, base_ms,
 		    call->cold_left_ms, RETRY_AFTER_MAX_MS);
+	else if (call->is_server_uneven)
+		return bg_call_come_back_ms(call, (uint32_t)base_ms);
 	else
 		ms =
 		    base_ms + bg_rand_below(&call->proxy->router.rand, base_ms);
@@ -179,7 +193,7 @@
 	const struct bg_rule *rule = call->rule;
 
 	args->slow_ms = rule->target_ms;
-	args->priority = rule->priority;
+	args->priority = bg_access_priority(call->organisation, rule);
 	args->idempotent = rule->is_idempotent != 0;
 	args->is_dependency = call->is_dependency != 0;
 	args->config_version = call->snapshot->version;
@@ -208,6 +222,18 @@
 		    call->start_us + (uint64_t)call->rule->target_ms * 1000;
 }
 
+static void
+step_admitted(struct bg_call *call)
+{
+	struct bg_proxy *prx = call->proxy;
+
+	bg_retry_count_call(&prx->retry, call->service, bg_clock_now_ms());
+	if (call->args.is_repeat)
+		bg_retry_count_repeat(
+		    &prx->retry, call->service, bg_clock_now_ms());
+	step_pick(call);
+}
+
 /* Finds the rule of the call. The call holds the snapshot until it ends. */
 static void
 step_route(struct bg_call *call)
@@ -231,6 +257,8 @@
 				       : "no route has this path");
 		return;
 	}
+	if (bg_call_check_access(call) != 0)
+		return;
 	if (call->args.depth >= BG_CALL_DEPTH_MAX) {
 		bg_call_refuse(call, BG_XREFUSAL_DEPTH);
 		return;
@@ -241,16 +269,13 @@
 		return;
 	}
 	set_deadlines(call);
+	bg_call_predict_cost(call);
 	if (!bg_drain_accepts_call(&prx->drain,
 		(uint32_t)(bg_call_left_us(call) / 1000), bg_clock_now_ms())) {
 		bg_call_refuse(call, BG_XREFUSAL_DRAINING);
 		return;
 	}
-	bg_retry_count_call(&prx->retry, call->service, bg_clock_now_ms());
-	if (call->args.is_repeat)
-		bg_retry_count_repeat(
-		    &prx->retry, call->service, bg_clock_now_ms());
-	step_pick(call);
+	bg_call_admit(call, step_admitted);
 }
 
 /* Polls until a link to one of the servers is established. */
@@ -291,6 +316,18 @@
 	return 1;
 }
 
+static void
+refuse_without_server(struct bg_call *call)
+{
+	if (bg_call_is_emptied(call)) {
+		bg_counter_add(&emptied_calls, 1);
+		bg_log_warn("call",
+		    "no server left request=%s service=%s reason=emptied",
+		    call->args.request_id, call->service);
+	}
+	bg_call_refuse(call, BG_XREFUSAL_NO_SERVER);
+}
+
 static void
 step_pick(struct bg_call *call)
 {
@@ -312,7 +349,7 @@
 		wait_for_link(call);
 		break;
 	default:
-		bg_call_refuse(call, BG_XREFUSAL_NO_SERVER);
+		refuse_without_server(call);
 		break;
 	}
 }
@@ -343,7 +380,7 @@
 	double left_us = (double)bg_call_left_us(call) - margin_us;
 
 	if (!allows_queueing(call, pick))
-		return FREE_SLOT_WAIT_MS;
+		return BG_ATTEMPT_FREE_SLOT_WAIT_MS;
 	return left_us <= 0 ? 0 : (uint32_t)(left_us / 1000);
 }
 
@@ -392,14 +429,17 @@
 	bg_log_info("call",
 	    "sent request=%s route=%s service=%s config=%llu to=%s server=%s "
 	    "version=%s pick=%u value=%.3f wait_us=%llu service_us=%u load=%u "
-	    "load_age_ms=%lld wait_allowed_ms=%u left_ms=%u age_ms=%u",
+	    "load_age_ms=%lld wait_allowed_ms=%u left_ms=%u age_ms=%u "
+	    "cost_us=%u cost_by=%s slowness=%u work_left_us=%llu",
 	    call->args.request_id, call->rule->name, call->service,
 	    (unsigned long long)call->snapshot->version, pick->member->address,
 	    pick->member->server_id, call->picked_version, call->picks,
 	    pick->value, (unsigned long long)pick->wait_us, pick->service_us,
 	    bg_endpoint_load(pick->endpoint, bg_clock_now_ms()),
 	    load_age_ms(pick->endpoint), call->args.wait_ms,
-	    call->args.deadline_ms, call->args.age_ms);
+	    call->args.deadline_ms, call->args.age_ms,
+	    call->args.extension.cost_us, bg_cost_trait_name(call->cost_trait),
+	    pick->slowness_permille, (unsigned long long)pick->work_left_us);
 	arm_deadline(call);
 	/* The gatekeeper checks the version only for services with a move.
 	 * Without one, a server that was just replaced may have another
@@ -529,6 +569,8 @@
 	    bg_call_left_us(call) < BG_DEADLINE_MIN_MS * 1000 ||
 	    bg_call_pick_server(&pick, call) == BG_ENOTFOUND)
 		return -1;
+	if (!bg_call_admit_repeat(call))
+		return -1;
 	if (!bg_retry_take(&prx->retry, call->service, bg_clock_now_ms())) {
 		bg_log_info("call", "not repeated request=%s reason=budget",
 		    call->args.request_id);
@@ -626,10 +668,12 @@
 {
 	struct bg_call *call = calloc(1, sizeof(*call));
 
-	if (call == NULL ||
+	if (call == NULL || bg_call_copy_caller(call, &opts->caller) != 0 ||
 	    (call->timer = event_new(prx->base, -1, 0, on_timer, call)) ==
 		NULL) {
 		xdr_free((xdrproc_t)xdr_bg_xcall_args, (char *)args);
+		if (call != NULL)
+			bg_call_erase_key(call);
 		free(call);
 		return BG_ENOMEM;
 	}
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -27,8 +27,11 @@
 	/** Of the caller; owned by the snapshot. NULL: none, and for calls
 	 * that backend servers make. */
 	const struct bg_organisation *organisation;
+	struct bg_quota_ticket *ticket; /**< waits for admission; NULL: does
+					 * not */
 	struct bg_xcall_args args;
 	struct event *timer; /**< start, then deadline or link polling */
+	void (*admitted)(struct bg_call *call); /**< next step after it */
 	bg_call_fn fn;
 	void *arg;
 	struct bg_attempt *attempt;
@@ -50,9 +53,24 @@
 	int is_queueing_allowed;     /**< in the current attempt */
 	uint64_t link_wait_start_us; /**< 0: not waiting for a link */
 	int is_dependency;
+	struct bg_caller caller;
+	char *key;		/**< owned copy, until the call is routed */
+	uint32_t cost_permille; /**< expected cost, of the route's mean; 0:
+				     unknown */
+	int is_server_uneven;	/**< a server reported its slowness */
+	int cost_trait;		/**< as in struct bg_cost_prediction */
 	char picked_version[BG_NAME_BYTES];
 };
 
+/** Copies what is known of the caller. @return 0 or BG_ENOMEM */
+int bg_call_copy_caller(struct bg_call *call, const struct bg_caller *caller);
+/** Erases the copy of the caller's key: one that is no longer needed must not
+ * stay in memory. */
+void bg_call_erase_key(struct bg_call *call);
+/** Checks the caller's key and sets the call's organisation, once its rule is
+ * known. Replies at once if the caller may not make the call.
+ * @return 0, or -1 if the call has ended */
+int bg_call_check_access(struct bg_call *call);
 /** Replies to the caller and frees the call. */
 void bg_call_reply(struct bg_call *call, const struct bg_call_answer *ans);
 /** Replies with a plain-text reason instead of a body and frees the call. */
@@ -62,8 +80,21 @@
  * If a backend server may have run it, replies BG_XOUTCOME_UNKNOWN instead. */
 void bg_call_refuse(struct bg_call *call, enum bg_xrefusal refusal);
 
+/**
+ * Admits the call if its organisation is within its cap, else replies.
+ *
+ * @param next runs once it is admitted, within this function or later
+ */
+void bg_call_admit(struct bg_call *call, void (*next)(struct bg_call *call));
+/** 1 if the call may be sent to a further backend server, which counts against
+ * the cap as well. */
+int bg_call_admit_repeat(struct bg_call *call);
+
 /** Picks the server of the next attempt. @return as bg_router_pick */
 int bg_call_pick_server(struct bg_pick *out, struct bg_call *call);
+/** 1 if ready servers of the call's service are not picked, because operators
+ * have emptied their data centre. */
+int bg_call_is_emptied(const struct bg_call *call);
 /** Excludes a server from further attempts. */
 void bg_call_avoid(struct bg_call *call, const char *address);
 /** Records the result of the current attempt in the router's state. */
--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -4,14 +4,18 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "burdockgrade/clock.h"
 #include "burdockgrade/log.h"
 
 #include "../call/deadline.h"
+#include "../cost/cost_metrics.h"
 #include "body.h"
+#include "emptying.h"
 #include "gate_call.h"
 #include "gate_warmup.h"
+#include "gate_work.h"
 #include "headers.h"
 
 #define STATUS_MISDIRECTED 421
@@ -31,7 +35,7 @@
  * usual service time. */
 #define SILENT_FACTOR 4
 /* Maximum number of headers that the gatekeeper adds to a request. */
-#define ADDED_HEADERS 4
+#define ADDED_HEADERS 5
 
 void
 bg_gate_call_free(struct bg_gate_call *call)
@@ -90,6 +94,8 @@
 	}
 	bg_metrics_set_gatekeeper(gk->limiter.running, gk->limiter.queue.length,
 	    (uint32_t)gk->limiter.limit);
+	bg_metrics_set_fairness(
+	    gk->limiter.queue.passed_over, gk->limiter.held_back);
 	bg_gate_warmup_schedule(gk);
 }
 
@@ -125,6 +131,7 @@
 	res->server_id = gk->server.id;
 	fill_load(&res->load, call);
 	bg_gate_warmup_fill(&res->load_extension, gk);
+	bg_gate_work_fill_load(res, call);
 	bg_gate_call_free(call);
 	if (rpc != NULL)
 		bg_rpc_reply(rpc, (xdrproc_t)xdr_bg_xcall_res, res);
@@ -188,7 +195,8 @@
 	obs.route = args->route;
 	obs.server_version = gk->server.version;
 	obs.is_failed = asmt->is_failed;
-	obs.is_slow = is_slow(args, own_us);
+	obs.is_slow = is_slow(args,
+	    (uint32_t)bg_gate_work_own_us(call, own_us, bg_clock_now_us()));
 	obs.is_dependency_fault =
 	    call->dependency.has_failed && (obs.is_failed || obs.is_slow);
 	obs.is_cold = bg_warmup_is_cold(&gk->limiter.warmup, bg_clock_now_us());
@@ -206,6 +214,8 @@
 	uint64_t own_us = bg_dependency_own_us(
 	    &call->dependency, call->entry.started_us, now_us);
 
+	if (asmt->sample == BG_LIMITER_OK)
+		bg_gate_work_ended(call, own_us, now_us);
 	bg_metrics_observe_backend_time(now_us - call->entry.started_us);
 	bg_limiter_release(&gk->limiter, &call->entry, now_us, asmt->sample);
 	res->own_time_us = own_us > UINT32_MAX ? UINT32_MAX : (uint32_t)own_us;
@@ -221,6 +231,7 @@
 	    call->args->attempt);
 	report_observation(call, asmt, res->own_time_us);
 	deliver(call, res);
+	bg_gate_emptying_handle_end(gk);
 	bg_gate_start_queued(gk);
 }
 
@@ -244,6 +255,25 @@
 	finish(call, &res, &asmt);
 }
 
+/* A server that has no room resets the connection, of an idle connection as of
+ * a new one. This is load and no fault of the version; whether the call ran is
+ * unknown, and a new connection would meet the same load. */
+static void
+finish_reset_by_full_server(struct bg_gate_call *call)
+{
+	struct assessment asmt = {0, BG_LIMITER_SHED};
+	struct bg_xcall_res res;
+
+	bg_cost_metrics_count_full_reset();
+	bg_log_warn("gatekeeper", "reset by a full server request=%s server=%s",
+	    call->args->request_id, call->gatekeeper->server.id);
+	memset(&res, 0, sizeof(res));
+	res.outcome = BG_XOUTCOME_UNKNOWN;
+	res.http_status = STATUS_BAD_GATEWAY;
+	res.reason = (char *)"the backend server was full";
+	finish(call, &res, &asmt);
+}
+
 /* Ends a call that was not sent to the backend server. */
 static void
 finish_not_run(struct bg_gate_call *call, enum bg_xrefusal why)
@@ -346,6 +376,7 @@
 	struct bg_warmup *wu = &gk->limiter.warmup;
 
 	if (!call->args->idempotent || call->is_resent ||
+	    bg_gate_emptying_refusal(gk) != BG_XREFUSAL_NONE ||
 	    !bg_warmup_may_start(wu, bg_clock_now_us()) ||
 	    !bg_retry_take(gk->retry, call->args->service, bg_clock_now_ms()))
 		return 0;
@@ -362,9 +393,15 @@
 	call->exchange = NULL;
 	if (rsp->code == 0) {
 		gk->connect_failures = 0;
+		bg_gate_work_response(call, rsp);
 		finish_done(call, rsp);
 		return;
 	}
+	if (rsp->code == BG_EIO && !rsp->has_received &&
+	    bg_gate_work_is_full(gk)) {
+		finish_reset_by_full_server(call);
+		return;
+	}
 	/* The reused connection may have been dead before the call was sent, so
 	 * an idempotent call is sent again on a new one. */
 	if (rsp->is_reused && !rsp->has_received && may_resend(call)) {
@@ -389,6 +426,24 @@
 	char depth[16];
 };
 
+/* Copies the headers of the call. A node of an earlier build passes on what the
+ * caller sent as its key or as the name of an organisation. */
+static uint32_t
+copy_headers(struct bg_xheader *out, const struct bg_xcall_args *args,
+    const struct bg_header_names *names)
+{
+	const struct bg_xheader *header = args->headers.headers_val;
+	const struct bg_xheader *end = header + args->headers.headers_len;
+	uint32_t n = 0;
+
+	for (; header < end; header++) {
+		if (strcasecmp(header->name, names->key) != 0 &&
+		    strcasecmp(header->name, names->organisation) != 0)
+			out[n++] = *header;
+	}
+	return n;
+}
+
 static uint32_t
 add_headers(struct bg_xheader *out, struct bg_gate_call *call,
     struct added_headers *values, uint32_t left_ms)
@@ -396,9 +451,8 @@
 	const struct bg_xcall_args *args = call->args;
 	struct bg_gatekeeper *gk = call->gatekeeper;
 	const struct bg_header_names *names = &gk->settings->headers;
-	uint32_t n = args->headers.headers_len;
+	uint32_t n = copy_headers(out, args, names);
 
-	memcpy(out, args->headers.headers_val, n * sizeof(*out));
 	snprintf(values->deadline, sizeof(values->deadline), "%u", left_ms);
 	out[n].name = (char *)names->deadline_ms;
 	out[n++].value = values->deadline;
@@ -408,6 +462,11 @@
 		out[n].name = (char *)names->caller_service;
 		out[n++].value = args->caller_service;
 	}
+	if (names->organisation[0] != '\0' &&
+	    args->extension.organisation[0] != '\0') {
+		out[n].name = (char *)names->organisation;
+		out[n++].value = args->extension.organisation;
+	}
 	if (names->call_depth[0] != '\0') {
 		snprintf(values->depth, sizeof(values->depth), "%u",
 		    args->depth + 1);
@@ -502,6 +561,7 @@
 		return;
 	}
 	call->is_resent = needs_new_connection;
+	bg_gate_work_started(call);
 	bg_gate_set_timer(call, connection_timeout_us(call));
 }
 
@@ -584,6 +644,8 @@
 	call->entry.priority = args->priority;
 	call->entry.is_dependency = args->is_dependency != 0;
 	call->entry.route = args->route;
+	call->entry.organisation = args->extension.organisation;
+	call->entry.cost_us = args->extension.cost_us;
 	call->next = gk->calls;
 	if (call->next != NULL)
 		call->next->prev = call;
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -6,6 +6,7 @@
  * gatekeeper.
  */
 
+#include "../cost/work.h"
 #include "../intake/intake.h"
 #include "../limiter/limiter.h"
 #include "../metrics/metrics.h"
@@ -32,6 +33,8 @@
 	uint64_t id; /* identifies the call in BODY messages */
 	uint64_t admitted_us;
 	uint64_t deadline_us;
+	uint32_t start_slowness_permille; /* of the server's machine; 0:
+					     unknown */
 	uint64_t buffered_bytes; /* body of a call from another node; the
 				    ingress accounts for those of this one */
 	int is_refused;		 /* the timer delivers the refusal */
@@ -43,11 +46,13 @@
 	struct event_base *base;
 	const struct bg_settings *settings;
 	struct bg_mesh *mesh;
+	const struct bg_link_server *link_server;
 	struct bg_observer *observer;
 	struct bg_backend *backend; /* NULL without a backend server */
 	struct bg_probe *probe;	    /* NULL if the server sends heartbeats */
 	struct bg_server server;
 	struct bg_limiter limiter;
+	struct bg_work work; /* what calls cost and how fast the server is */
 	struct bg_intake intake;
 	struct bg_gate_call *calls;
 	uint64_t last_call_id;
@@ -67,6 +72,7 @@
 	int is_recovered; /* what an earlier process announced is known */
 	int is_suspended; /* the server's version was judged bad */
 	int is_draining;  /* the node is stopping */
+	int is_emptied;	  /* emptying.c: so is the data centre */
 };
 
 /** @return 0 or BG_ENOMEM */
@@ -90,6 +96,8 @@
  * BG_XREFUSAL_NONE. */
 enum bg_xrefusal bg_gate_find_refusal(
     const struct bg_gatekeeper *gk, const struct bg_xcall_args *args);
+/** Refuses the calls that wait for a slot. */
+void bg_gate_refuse_queued(struct bg_gatekeeper *gk);
 /** Cancel callback of the calls of other nodes; arg is the call. */
 void bg_gate_on_rpc_cancel(void *arg);
 /** 1 if calls may be sent to the backend server now. */
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -6,8 +6,10 @@
 #include "burdockgrade/log.h"
 
 #include "body.h"
+#include "emptying.h"
 #include "gate_call.h"
 #include "gate_warmup.h"
+#include "gate_work.h"
 
 /* A leaving server accepts calls for this long, since some are on their way to
  * it. Nodes that know that it is leaving send it no more calls. */
@@ -34,6 +36,7 @@
 bg_gate_accepts_calls(const struct bg_gatekeeper *gk)
 {
 	return gk->backend != NULL &&
+	    bg_mesh_admission(gk->mesh) == BG_ADMISSION_OPEN &&
 	    bg_server_accepts_calls(
 		&gk->server, DRAIN_GRACE_MS, bg_clock_now_ms());
 }
@@ -66,10 +69,15 @@
 bg_gate_find_refusal(
     const struct bg_gatekeeper *gk, const struct bg_xcall_args *args)
 {
-	if (!bg_buffers_can_admit(gk->buffers, 0))
+	enum bg_xrefusal why;
+
+	if (!bg_buffers_can_admit(
+		gk->buffers, bg_link_server_output_bytes(gk->link_server)))
 		return BG_XREFUSAL_BUFFERS;
 	if (strcmp(args->service, gk->settings->server.service) != 0)
 		return BG_XREFUSAL_NO_SERVER;
+	if ((why = bg_gate_emptying_refusal(gk)) != BG_XREFUSAL_NONE)
+		return why;
 	if (!bg_gate_accepts_calls(gk))
 		return gk->server.leaving_since_ms != 0 ? BG_XREFUSAL_DRAINING
 							: BG_XREFUSAL_NO_SERVER;
@@ -105,6 +113,12 @@
 		bg_gate_refuse(call, why);
 		return;
 	}
+	if (bg_gate_work_hands_back(call)) {
+		bg_gate_work_log_hand_back(call);
+		bg_gate_refuse(call, BG_XREFUSAL_BUSY);
+		return;
+	}
+	bg_gate_work_prepare(call);
 	switch (
 	    bg_limiter_acquire(&gk->limiter, &call->entry, bg_clock_now_us())) {
 	case BG_LIMITER_STARTED:
@@ -208,17 +222,23 @@
 	    (call_id[bytes] == '\0' || call_id[bytes] == '.');
 }
 
+/* A request that the id extends goes before one with the same id, which may be
+ * an earlier attempt at this call that came back to this VM. */
 static struct bg_gate_call *
 find_parent(const struct bg_gatekeeper *gk, const char *request_id)
 {
+	struct bg_gate_call *same = NULL;
 	struct bg_gate_call *call;
 
 	for (call = gk->calls; call != NULL; call = call->next) {
-		if (call->entry.is_running &&
-		    is_made_by(request_id, call->args->request_id))
+		if (!call->entry.is_running ||
+		    !is_made_by(request_id, call->args->request_id))
+			continue;
+		if (strcmp(request_id, call->args->request_id) != 0)
 			return call;
+		same = call;
 	}
-	return NULL;
+	return same;
 }
 
 int
@@ -230,6 +250,7 @@
 	if (call == NULL)
 		return 0;
 	out->is_repeat = call->args->is_repeat != 0;
+	out->has_same_id = strcmp(call->args->request_id, request_id) == 0;
 	return 1;
 }
 
@@ -253,15 +274,11 @@
 		    &call->dependency, bg_clock_now_us(), is_failed);
 }
 
-/* Refuses the calls that are still queued when the grace period ends. */
-static void
-on_drain_timer(evutil_socket_t fd, short what, void *arg)
+void
+bg_gate_refuse_queued(struct bg_gatekeeper *gk)
 {
-	struct bg_gatekeeper *gk = arg;
 	struct bg_gate_call *call;
 
-	if (bg_gate_accepts_calls(gk))
-		return;
 	for (call = gk->calls; call != NULL; call = call->next) {
 		if (!call->entry.is_queued)
 			continue;
@@ -271,6 +288,16 @@
 	}
 }
 
+/* The grace period in which a leaving server accepts calls has ended. */
+static void
+on_drain_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct bg_gatekeeper *gk = arg;
+
+	if (!bg_gate_accepts_calls(gk))
+		bg_gate_refuse_queued(gk);
+}
+
 /* 1 if a server that reports to be ready may be one that left while an earlier
  * process ran. What that process announced has to be known first. */
 static int
@@ -345,6 +372,7 @@
 reset_for_new_server(struct bg_gatekeeper *gk)
 {
 	bg_limiter_reset(&gk->limiter);
+	memset(&gk->work, 0, sizeof(gk->work));
 	bg_backend_close_idle(gk->backend);
 }
 
@@ -495,7 +523,7 @@
 	    set->server.connections == 0
 		? DEFAULT_CONNECTIONS
 		: usable_connections(set->server.connections),
-	    set->limits.body_bytes};
+	    set->limits.body_bytes, gk->buffers};
 	int error;
 
 	if (set->server.address[0] == '\0')
@@ -524,6 +552,7 @@
 	gk->base = opts->base;
 	gk->settings = opts->settings;
 	gk->mesh = opts->mesh;
+	gk->link_server = opts->link_server;
 	gk->observer = opts->observer;
 	gk->buffers = opts->buffers;
 	gk->retry = opts->retry;
--- a/proxy/src/ingress/ingress_conn.c
+++ b/proxy/src/ingress/ingress_conn.c
@@ -1,17 +1,22 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
+#include "burdockgrade/clock.h"
+
 #include "../metrics/metrics.h"
-#include "ingress_conn.h"
+#include "ingress_conn_internal.h"
+#include "rejection.h"
 
 /* Reading from the caller pauses while the bufferevent, or
- * bg_ingress_conn.pipelined, holds this much input. */
-#define INPUT_MAX_BYTES 65536
+ * bg_ingress_conn.pipelined, holds this much input. A head has to fit. */
+#define INPUT_MAX_BYTES 20480
+/* A body is stored in pieces of this size, which with its header is one that
+ * libevent allocates exactly. */
+#define BODY_BLOCK_BYTES 4000
 /* Bytes that frame the chunks of a body: at most as many for each byte of the
  * body, and this many in any case. Chunks of one byte have five. */
 #define FRAMING_MAX_RATIO 8
@@ -22,40 +27,6 @@
 /* BG_RETRY_AFTER_MS, in whole seconds. */
 #define RETRY_AFTER_HEADER "Retry-After: 1\r\n"
 
-enum conn_state {
-	CONN_READING_HEAD, /* buffers input until the head is complete */
-	CONN_READING_BODY, /* forwards head and body to libevhtp */
-	CONN_BUSY,	   /* from the complete request until its response
-			      has been written */
-	CONN_CLOSING,	   /* rejected; discards input until the close */
-};
-
-struct bg_ingress_conn {
-	struct evhtp_connection *evhtp_conn;
-	struct bufferevent *bev;
-	bufferevent_data_cb evhtp_read;
-	bufferevent_data_cb evhtp_write;
-	bufferevent_event_cb evhtp_event;
-	void *evhtp_arg;
-	struct evbuffer *pipelined; /* input after the current request */
-	struct event *timer;
-	struct bg_request_head head;
-	uint64_t body_left_bytes;  /* not used for a chunked body */
-	uint64_t body_input_bytes; /* of the body so far, with its framing */
-	uint64_t body_max_bytes;
-	struct bg_buffers *buffers;
-	uint64_t counted_bytes; /* of the body so far, in buffers */
-	enum conn_state state;
-	struct bg_ingress_conn **list_head;
-	struct bg_ingress_conn *prev;
-	struct bg_ingress_conn *next;
-	void (*on_request_end)(void *arg); /* NULL: none, or already called */
-	void *on_request_end_arg;
-	int is_head_started; /* part of a head was received */
-	int callback_depth;  /* nested callbacks in which conn is in use */
-	int is_free_pending; /* freed when the outermost callback ends */
-};
-
 static void handle_input(struct bg_ingress_conn *conn);
 
 static void
@@ -63,6 +34,7 @@
 {
 	if (conn->pipelined != NULL)
 		evbuffer_free(conn->pipelined);
+	bg_chunked_input_free(&conn->chunks);
 	if (conn->timer != NULL)
 		event_free(conn->timer);
 	free(conn);
@@ -77,6 +49,8 @@
 static void
 end_callback(struct bg_ingress_conn *conn)
 {
+	if (!conn->is_free_pending)
+		bg_conn_count_input(conn);
 	if (--conn->callback_depth == 0 && conn->is_free_pending)
 		conn_free(conn);
 }
@@ -89,36 +63,6 @@
 	event_add(conn->timer, &tv);
 }
 
-static const char *
-reason_phrase(int status)
-{
-	switch (status) {
-	case 408:
-		return "Request Timeout";
-	case 413:
-		return "Content Too Large";
-	case 414:
-		return "URI Too Long";
-	case 431:
-		return "Request Header Fields Too Large";
-	case 503:
-		return "Service Unavailable";
-	case 505:
-		return "HTTP Version Not Supported";
-	default:
-		return "Bad Request";
-	}
-}
-
-/* Counts the part of a body that the connection holds. */
-static void
-count_body(struct bg_ingress_conn *conn, uint64_t bytes)
-{
-	bg_buffers_remove(conn->buffers, conn->counted_bytes);
-	bg_buffers_add(conn->buffers, bytes);
-	conn->counted_bytes = bytes;
-}
-
 /* The part of the body that has arrived. libevhtp has a request only from a
  * checked head on. */
 static struct evbuffer *
@@ -137,25 +81,23 @@
 
 	if (body != NULL)
 		evbuffer_drain(body, evbuffer_get_length(body));
-	count_body(conn, 0);
+	bg_conn_recount(conn, &conn->counted_bytes, 0);
 }
 
 /* Writes the response itself, because the parser of libevhtp closes the
  * connection of an invalid request without a response. */
 static void
-respond_and_close(struct bg_ingress_conn *conn, int status, const char *header,
-    const char *reason)
+respond_and_close(
+    struct bg_ingress_conn *conn, const struct bg_rejection *rejection)
 {
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
 
 	discard_body(conn);
 	conn->state = CONN_CLOSING;
 	evbuffer_drain(in, evbuffer_get_length(in));
-	evbuffer_add_printf(bufferevent_get_output(conn->bev),
-	    "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\n"
-	    "Content-Length: %zu\r\nConnection: close\r\n%s"
-	    "Burdock-Outcome: not-run\r\n\r\n%s\n",
-	    status, reason_phrase(status), strlen(reason) + 1, header, reason);
+	evbuffer_drain(conn->pipelined, evbuffer_get_length(conn->pipelined));
+	bg_chunked_input_reset(&conn->chunks);
+	bg_rejection_write(bufferevent_get_output(conn->bev), rejection);
 	bufferevent_enable(conn->bev, EV_READ);
 	set_timer(conn, LINGER_TIMEOUT_MS);
 }
@@ -163,17 +105,21 @@
 static void
 reject(struct bg_ingress_conn *conn, int status, const char *reason)
 {
+	struct bg_rejection rejection = {status, "", reason};
+
 	bg_metrics_count_invalid_request();
-	respond_and_close(conn, status, "", reason);
+	respond_and_close(conn, &rejection);
 }
 
 /* Refuses a request whose body the node has no room for. */
 static void
 refuse_body(struct bg_ingress_conn *conn)
 {
+	struct bg_rejection rejection = {
+	    503, RETRY_AFTER_HEADER, bg_refusal_text(BG_XREFUSAL_BUFFERS)};
+
 	bg_metrics_count_refused(BG_XREFUSAL_BUFFERS);
-	respond_and_close(conn, 503, RETRY_AFTER_HEADER,
-	    bg_refusal_text(BG_XREFUSAL_BUFFERS));
+	respond_and_close(conn, &rejection);
 }
 
 /* The caller is read on when its earlier requests were answered. Until then,
@@ -207,26 +153,32 @@
 		reject(conn, 413, "the body is too large");
 	else if (has_too_much_framing(conn, bytes))
 		reject(conn, 400, "the chunks are framed by too many bytes");
-	else if (!bg_buffers_can_admit(conn->buffers, added_bytes))
+	else if (!bg_buffers_can_receive(conn->buffers, bytes, added_bytes))
 		refuse_body(conn);
 	else
-		count_body(conn, bytes);
+		bg_conn_recount(conn, &conn->counted_bytes, bytes);
 }
 
-/* Forwards the input of the current request, head and body, to libevhtp. Bytes
- * after the request are moved to conn->pipelined, because the head of the next
- * one is not checked yet. The end of a chunked body is not known here; libevhtp
- * leaves the bytes after it in the input. pending_head_bytes is the length of
- * the head, or 0 if the head was forwarded before. */
+/* Passes input to libevhtp, which takes all of it. */
 static void
-forward_input(struct bg_ingress_conn *conn, size_t pending_head_bytes)
+pass_input(struct bg_ingress_conn *conn)
+{
+	limit_pipelined(conn);
+	conn->evhtp_read(conn->bev, conn->evhtp_arg);
+	if (conn->state == CONN_READING_BODY && !conn->is_free_pending)
+		check_body(conn);
+}
+
+/* Passes a head, if one is pending, and what has arrived of a body with a
+ * length. */
+static void
+forward_plain(struct bg_ingress_conn *conn, size_t pending_head_bytes)
 {
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
 	size_t available_bytes = evbuffer_get_length(in);
 	struct evbuffer *current;
 
-	if (!conn->head.is_chunked &&
-	    available_bytes > conn->body_left_bytes + pending_head_bytes) {
+	if (available_bytes > conn->body_left_bytes + pending_head_bytes) {
 		if ((current = evbuffer_new()) == NULL)
 			return;
 		evbuffer_remove_buffer(in, current,
@@ -238,12 +190,51 @@
 		    (size_t)conn->body_left_bytes + pending_head_bytes;
 	}
 	conn->body_input_bytes += available_bytes - pending_head_bytes;
-	if (!conn->head.is_chunked)
-		conn->body_left_bytes -= available_bytes - pending_head_bytes;
-	limit_pipelined(conn);
-	conn->evhtp_read(conn->bev, conn->evhtp_arg);
-	if (conn->state == CONN_READING_BODY && !conn->is_free_pending)
-		check_body(conn);
+	conn->body_left_bytes -= available_bytes - pending_head_bytes;
+	pass_input(conn);
+}
+
+/* Passes a head, if one is pending, and what has arrived of a chunked body. */
+static void
+forward_chunks(struct bg_ingress_conn *conn, size_t pending_head_bytes)
+{
+	struct evbuffer *in = bufferevent_get_input(conn->bev);
+	struct evbuffer *current = evbuffer_new();
+	enum bg_response_progress progress;
+
+	if (current == NULL)
+		return;
+	evbuffer_remove_buffer(in, current, pending_head_bytes);
+	conn->body_input_bytes += evbuffer_get_length(in);
+	progress = bg_chunked_input_feed(
+	    &conn->chunks, current, in, conn->body_max_bytes);
+	evbuffer_prepend_buffer(in, current);
+	evbuffer_free(current);
+	if (progress == BG_RESPONSE_INVALID) {
+		reject(conn, 400, "the chunks are not valid");
+		return;
+	}
+	if (progress == BG_RESPONSE_OVERSIZED) {
+		reject(conn, 413, "the body is too large");
+		return;
+	}
+	if (progress == BG_RESPONSE_COMPLETE)
+		evbuffer_add_buffer(conn->pipelined, conn->chunks.undecoded);
+	if (evbuffer_get_length(in) > 0)
+		pass_input(conn);
+}
+
+/* Forwards the input of the current request, head and body, to libevhtp. Bytes
+ * after the request are moved to conn->pipelined, because the head of the next
+ * one is not checked yet. pending_head_bytes is the length of the head, or 0 if
+ * the head was forwarded before. */
+static void
+forward_input(struct bg_ingress_conn *conn, size_t pending_head_bytes)
+{
+	if (conn->head.is_chunked)
+		forward_chunks(conn, pending_head_bytes);
+	else
+		forward_plain(conn, pending_head_bytes);
 }
 
 static void
@@ -277,7 +268,8 @@
 		return;
 	}
 	conn->is_head_started = 0;
-	if (!bg_buffers_can_admit(conn->buffers, conn->head.body_bytes)) {
+	if (!bg_buffers_can_receive(
+		conn->buffers, conn->head.body_bytes, conn->head.body_bytes)) {
 		refuse_body(conn);
 		return;
 	}
@@ -285,6 +277,7 @@
 	head_bytes = conn->head.head_bytes;
 	conn->body_left_bytes = conn->head.body_bytes;
 	conn->body_input_bytes = 0;
+	bg_chunked_input_reset(&conn->chunks);
 	set_timer(conn, BG_INGRESS_BODY_TIMEOUT_MS);
 	/* Runs the request handler if the request is complete. The handler may
 	 * send its response at once, but on_request_fini runs only after that
@@ -311,6 +304,7 @@
 	struct bg_ingress_conn *conn = arg;
 
 	begin_callback(conn);
+	conn->progress_ms = bg_clock_now_ms();
 	handle_input(conn);
 	end_callback(conn);
 }
@@ -383,11 +377,29 @@
 {
 	void (*fn)(void *) = conn->on_request_end;
 
+	bg_conn_recount(conn, &conn->response_bytes, 0);
+	conn->has_served = 1;
 	conn->on_request_end = NULL;
 	if (fn != NULL)
 		fn(conn->on_request_end_arg);
 }
 
+/* libevhtp gives each piece of a body a buffer of its own, which for a small
+ * chunk takes hundreds of times its bytes. The piece is copied to the end of
+ * the body instead. */
+static evhtp_res
+on_body_piece(evhtp_request_t *req, struct evbuffer *piece, void *arg)
+{
+	char block[BODY_BLOCK_BYTES];
+	int bytes;
+
+	while ((bytes = evbuffer_remove(piece, block, sizeof(block))) > 0) {
+		if (evbuffer_add(req->buffer_in, block, (size_t)bytes) != 0)
+			return EVHTP_RES_ERROR;
+	}
+	return EVHTP_RES_OK;
+}
+
 static evhtp_res
 on_request_fini(evhtp_request_t *req, void *arg)
 {
@@ -409,13 +421,9 @@
 	 * request is reported here instead. */
 	evhtp_connection_unset_hook(evc, evhtp_hook_on_request_fini);
 	notify_request_end(conn);
-	count_body(conn, 0);
-	if (conn->prev != NULL)
-		conn->prev->next = conn->next;
-	else
-		*conn->list_head = conn->next;
-	if (conn->next != NULL)
-		conn->next->prev = conn->prev;
+	bg_conn_recount(conn, &conn->counted_bytes, 0);
+	bg_conn_recount(conn, &conn->input_bytes, 0);
+	bg_conn_unlink(conn);
 	conn->is_free_pending = 1;
 	event_del(conn->timer);
 	if (conn->callback_depth == 0)
@@ -428,17 +436,27 @@
     void (*on_request_end)(void *arg), void *on_request_end_arg)
 {
 	conn->state = CONN_BUSY;
-	count_body(conn, 0);
+	bg_conn_recount(conn, &conn->counted_bytes, 0);
 	conn->on_request_end = on_request_end;
 	conn->on_request_end_arg = on_request_end_arg;
 	event_del(conn->timer);
 }
 
 void
-bg_ingress_conn_close_all(struct bg_ingress_conn **list_head)
+bg_ingress_conn_abort(struct bg_ingress_conn *conn)
+{
+	evhtp_connection_free(conn->evhtp_conn);
+}
+
+void
+bg_ingress_conn_close(struct bg_ingress_conn *conn)
 {
-	while (*list_head != NULL)
-		evhtp_connection_free((*list_head)->evhtp_conn);
+	begin_callback(conn);
+	if (bg_conn_activity(conn) == BG_CONN_RECEIVING)
+		refuse_body(conn);
+	else
+		bg_ingress_conn_abort(conn);
+	end_callback(conn);
 }
 
 struct bg_ingress_conn *
@@ -471,23 +489,24 @@
 	conn->evhtp_conn = evc;
 	conn->bev = evc->bev;
 	conn->body_max_bytes = opts->body_max_bytes;
-	conn->buffers = opts->buffers;
-	conn->list_head = opts->list_head;
+	conn->list = opts->list;
+	conn->buffers = opts->list->buffers;
+	conn->progress_ms = bg_clock_now_ms();
 	conn->pipelined = evbuffer_new();
 	conn->timer = event_new(opts->base, -1, 0, on_timeout, conn);
-	if (conn->pipelined == NULL || conn->timer == NULL) {
+	if (bg_chunked_input_init(&conn->chunks) != 0 ||
+	    conn->pipelined == NULL || conn->timer == NULL) {
 		conn_free(conn);
 		return -1;
 	}
-	conn->next = *conn->list_head;
-	if (conn->next != NULL)
-		conn->next->prev = conn;
-	*conn->list_head = conn;
+	bg_conn_link(conn);
 	bufferevent_getcb(evc->bev, &conn->evhtp_read, &conn->evhtp_write,
 	    &conn->evhtp_event, &conn->evhtp_arg);
 	bufferevent_setcb(evc->bev, on_read, on_write, on_event, conn);
 	bufferevent_setwatermark(evc->bev, EV_READ, 0, INPUT_MAX_BYTES);
 	bufferevent_set_timeouts(evc->bev, NULL, &write_timeout);
+	evhtp_connection_set_hook(
+	    evc, evhtp_hook_on_read, (evhtp_hook)on_body_piece, conn);
 	evhtp_connection_set_hook(
 	    evc, evhtp_hook_on_request_fini, (evhtp_hook)on_request_fini, conn);
 	evhtp_connection_set_hook(evc, evhtp_hook_on_connection_fini,
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -51,6 +51,7 @@
 	lim->service_us = 0;
 	lim->failure_ratio = 0;
 	lim->low_load_shed_us = 0;
+	lim->start_interval_us = 0;
 	memset(lim->routes, 0, sizeof(lim->routes));
 }
 
@@ -86,6 +87,15 @@
 	return (uint64_t)(r == NULL ? lim->service_us : r->service_us);
 }
 
+static uint64_t
+entry_service_us(
+    const struct bg_limiter *lim, const struct bg_limiter_entry *entry)
+{
+	return entry->own_service_us != 0
+	    ? entry->own_service_us
+	    : bg_limiter_service_us(lim, entry->route);
+}
+
 /* Expected time between two starts while calls have to wait for them. */
 static uint64_t
 start_interval_us(const struct bg_limiter *lim, uint64_t now_us)
@@ -95,6 +105,8 @@
 	uint64_t slot_us = (uint64_t)(service_us / running_limit(lim));
 	uint64_t warmup_us = bg_warmup_interval_us(&lim->warmup, now_us);
 
+	if (lim->start_interval_us != 0)
+		slot_us = lim->start_interval_us;
 	return slot_us > warmup_us ? slot_us : warmup_us;
 }
 
@@ -129,10 +141,82 @@
 	return start_interval_us(lim, now_us) * (lim->queue.length + 1);
 }
 
+static struct bg_reserve_call
+reserve_call(const struct bg_limiter *lim, const struct bg_limiter_entry *entry,
+    uint64_t now_us)
+{
+	struct bg_reserve_call call = {entry->route, entry->priority,
+	    bg_limiter_service_us(lim, entry->route),
+	    entry->target_us > now_us ? entry->target_us - now_us : 0};
+
+	return call;
+}
+
+/* 1 if there is a slot for the call, beside those that are reserved for more
+ * urgent ones. */
+static int
+has_slot(const struct bg_limiter *lim, const struct bg_limiter_entry *entry,
+    uint64_t now_us)
+{
+	struct bg_reserve_call call;
+	uint32_t limit = running_limit(lim);
+
+	if (lim->running >= limit)
+		return 0;
+	if (entry->is_dependency)
+		return 1;
+	call = reserve_call(lim, entry, now_us);
+	return lim->running +
+	    bg_reserve_slots(&lim->reserve, &call, limit, now_us) <
+	    limit;
+}
+
+/* A queued call that must not take the free slots, since they are reserved. */
+struct held_call {
+	const struct bg_limiter *lim;
+	struct bg_reserve_call call;
+	uint64_t now_us;
+};
+
+static int
+may_pass(const void *arg, const struct bg_limiter_entry *entry)
+{
+	const struct held_call *held = arg;
+
+	return bg_reserve_is_for(&held->lim->reserve, entry->route,
+		   entry->priority, &held->call) &&
+	    has_slot(held->lim, entry, held->now_us);
+}
+
+/* 1 if there is a slot for a call that is not queued. While a queued call is
+ * held back, the free slots are for calls that precede it by priority and for
+ * those that they are reserved for. */
+static int
+can_start(const struct bg_limiter *lim, const struct bg_limiter_entry *entry,
+    uint64_t now_us)
+{
+	const struct bg_limiter_entry *first;
+	struct held_call held = {lim, {0}, now_us};
+
+	if (!has_slot(lim, entry, now_us))
+		return 0;
+	if (lim->queue.length == 0 || entry->is_dependency)
+		return 1;
+	first = bg_queue_next(&lim->queue, now_us);
+	if (entry->priority < first->priority || has_slot(lim, first, now_us))
+		return 1;
+	held.call = reserve_call(lim, first, now_us);
+	return may_pass(&held, entry);
+}
+
 static void
 start_entry(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
+	if (entry->service_us == 0)
+		entry->service_us = bg_limiter_service_us(lim, entry->route);
+	bg_queue_charge(&lim->queue, entry);
+	bg_reserve_record_start(&lim->reserve, entry->route, entry->priority);
 	entry->is_running = 1;
 	entry->started_us = now_us;
 	entry->running_at_start = ++lim->running;
@@ -144,7 +228,7 @@
 try_queue(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	entry->service_us = bg_limiter_service_us(lim, entry->route);
+	entry->service_us = entry_service_us(lim, entry);
 	bg_queue_insert(&lim->queue, entry, now_us);
 	if (!bg_queue_is_infeasible(
 		&lim->queue, entry, start_interval_us(lim, now_us), now_us))
@@ -157,7 +241,11 @@
 bg_limiter_acquire(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	if (may_start(lim, now_us)) {
+	struct bg_reserve_call call = reserve_call(lim, entry, now_us);
+
+	if (!entry->is_dependency)
+		bg_reserve_record_arrival(&lim->reserve, &call, now_us);
+	if (may_start(lim, now_us) && can_start(lim, entry, now_us)) {
 		start_entry(lim, entry, now_us);
 		return BG_LIMITER_STARTED;
 	}
@@ -169,7 +257,7 @@
 bg_limiter_is_feasible(
     struct bg_limiter *lim, struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	if (may_start(lim, now_us))
+	if (may_start(lim, now_us) && can_start(lim, entry, now_us))
 		return 1;
 	if (!try_queue(lim, entry, now_us))
 		return 0;
@@ -181,7 +269,7 @@
 bg_limiter_useful_start_us(const struct bg_limiter *lim,
     struct bg_limiter_entry *entry, uint64_t now_us)
 {
-	entry->service_us = bg_limiter_service_us(lim, entry->route);
+	entry->service_us = entry_service_us(lim, entry);
 	return bg_queue_useful_start_us(entry, now_us);
 }
 
@@ -282,6 +370,8 @@
 		return;
 	entry->is_running = 0;
 	lim->running--;
+	bg_reserve_record_end(&lim->reserve, entry->route, entry->priority);
+	bg_queue_settle(&lim->queue, entry, now_us - entry->started_us);
 	switch (sample) {
 	case BG_LIMITER_OK:
 		record_service_time(
@@ -300,15 +390,30 @@
 	}
 }
 
+/* The queued call to start next, if there is a slot for one. */
+static struct bg_limiter_entry *
+next_startable(struct bg_limiter *lim, uint64_t now_us)
+{
+	struct bg_limiter_entry *first = bg_queue_next(&lim->queue, now_us);
+	struct held_call held = {lim, {0}, now_us};
+
+	if (has_slot(lim, first, now_us))
+		return first;
+	lim->held_back++;
+	held.call = reserve_call(lim, first, now_us);
+	return bg_queue_next_of(&lim->queue, may_pass, &held, now_us);
+}
+
 struct bg_limiter_entry *
 bg_limiter_start_next(struct bg_limiter *lim, uint64_t now_us)
 {
 	struct bg_limiter_entry *entry;
 
 	if (lim->queue.length == 0 || lim->running >= running_limit(lim) ||
-	    !bg_warmup_may_start(&lim->warmup, now_us))
+	    !bg_warmup_may_start(&lim->warmup, now_us) ||
+	    (entry = next_startable(lim, now_us)) == NULL)
 		return NULL;
-	entry = bg_queue_next(&lim->queue, now_us);
+	bg_queue_record_choice(&lim->queue, entry, now_us);
 	bg_queue_remove(&lim->queue, entry);
 	start_entry(lim, entry, now_us);
 	return entry;
--- a/proxy/src/limiter/limiter.h
+++ b/proxy/src/limiter/limiter.h
@@ -10,6 +10,7 @@
 
 #include "burdockgrade/contract.h"
 
+#include "../fairness/reserve.h"
 #include "../warmup/warmup.h"
 #include "queue.h"
 
@@ -37,7 +38,13 @@
 	uint64_t low_load_shed_us; /**< last call that the server shed with
 					most of its slots free; 0: never */
 	struct bg_limiter_route routes[BG_LIMITER_ROUTES];
-	struct bg_warmup warmup; /**< limits the starts of a cold server */
+	struct bg_reserve reserve;
+	uint64_t held_back; /**< times that a free slot was left to urgent calls
+			       that may come */
+	struct bg_warmup warmup;    /**< limits the starts of a cold server */
+	uint64_t start_interval_us; /**< time between two starts while all slots
+					 are taken, if the owner knows it better
+					 than from service_us; else 0 */
 };
 
 enum bg_limiter_admission {
--- a/proxy/src/router/router.h
+++ b/proxy/src/router/router.h
@@ -7,6 +7,7 @@
  */
 
 #include "burdockgrade/clock.h"
+#include "burdockgrade/emptied.h"
 #include "burdockgrade/members.h"
 
 #include "cold.h"
@@ -45,22 +46,32 @@
 	void *arg;
 	const char *const *avoid; /**< addresses that are not picked */
 	size_t avoid_count;
+	/** Servers in these data centres are not picked; NULL: none. */
+	const struct bg_emptied_set *emptied;
 	uint64_t now_ms;
-	uint64_t wall_ms;	     /**< wall clock */
-	struct bg_cold_service cold; /**< warm-up of the service */
-	uint64_t target_us;	     /**< see struct bg_value_input */
-	uint64_t left_us;	     /**< see struct bg_value_input */
+	uint64_t wall_ms;	      /**< wall clock */
+	struct bg_cold_service cold;  /**< warm-up of the service */
+	uint64_t target_us;	      /**< see struct bg_value_input */
+	uint64_t left_us;	      /**< see struct bg_value_input */
+	uint32_t cost_permille;	      /**< expected cost of the call, of the
+					   route's mean; 0: unknown */
+	const struct bg_shape *shape; /**< distribution of the service times
+					   where servers report their slowness;
+					   NULL: unknown */
+	double shape_mean;	      /**< as from bg_shape_mean */
 };
 
 struct bg_pick {
 	const struct bg_member *member;
 	struct bg_endpoint *endpoint;
-	uint64_t wait_us;      /**< expected queueing time there */
-	uint32_t service_us;   /**< expected service time there */
-	uint32_t baseline_us;  /**< mean service time at servers of other
-				 versions than the picked one; 0: unknown */
-	uint32_t cold_left_ms; /**< until the server is warm; 0: it is */
-	double value;	       /**< as from bg_expected_value */
+	uint64_t wait_us;	    /**< expected queueing time there */
+	uint32_t service_us;	    /**< expected service time there */
+	uint32_t baseline_us;	    /**< mean service time at servers of other
+				      versions than the picked one; 0: unknown */
+	uint32_t cold_left_ms;	    /**< until the server is warm; 0: it is */
+	double value;		    /**< as from bg_expected_value */
+	uint32_t slowness_permille; /**< expected there; 0: unknown */
+	uint64_t work_left_us;	    /**< for each slot there; 0: unknown */
 };
 
 /** Picks the server of a call. @return 0, BG_ENOTFOUND if no server may serve
--- a/proxy/tests/test_limiter.c
+++ b/proxy/tests/test_limiter.c
@@ -364,6 +364,24 @@
 }
 END_TEST
 
+/* Load: large bodies that fill the memory. Guards against ordinary calls, with
+ * a small body or none, that are refused for their sake. */
+START_TEST(large_bodies_leave_room_for_small_ones)
+{
+	struct bg_buffers buf = {700000, 1000000};
+
+	ck_assert(!bg_buffers_can_receive(&buf, 100000, 1));
+	ck_assert(bg_buffers_can_receive(
+	    &buf, BG_BUFFERS_SMALL_BODY_BYTES, BG_BUFFERS_SMALL_BODY_BYTES));
+	ck_assert(bg_buffers_can_admit(&buf, 0));
+	ck_assert(bg_buffers_is_short(&buf));
+	ck_assert(!bg_buffers_is_full(&buf));
+	bg_buffers_remove(&buf, 200000);
+	ck_assert(!bg_buffers_is_short(&buf));
+	ck_assert(bg_buffers_can_receive(&buf, 100000, 100000));
+}
+END_TEST
+
 /* Queues a retried call (entry 11) and after it a new one (entry 12) in a queue
  * that has not been empty for standing_us, then frees a slot. */
 static void
@@ -471,6 +489,23 @@
 }
 END_TEST
 
+/* Guards against calls that queue in vain behind heavy ones: the owner, which
+ * knows what runs, expects fewer starts than the mean time says. */
+START_TEST(expectations_of_the_owner_replace_the_means)
+{
+	int i;
+
+	for (i = 0; i < SLOTS; i++)
+		acquire(i);
+	lim.start_interval_us = 300000;
+	ck_assert_uint_eq(bg_limiter_wait_us(&lim, now_us), 300000);
+	ck_assert_int_eq(
+	    acquire_with(SLOTS, 1, 200000, 0), BG_LIMITER_REJECTED);
+	lim.start_interval_us = 0;
+	ck_assert_int_eq(acquire_with(SLOTS, 1, 200000, 0), BG_LIMITER_QUEUED);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -495,8 +530,10 @@
 	tcase_add_test(tc, replaced_server_resets_the_limiter);
 	tcase_add_test(tc, slots_follow_the_server);
 	tcase_add_test(tc, buffers_reserve_room_for_responses);
+	tcase_add_test(tc, large_bodies_leave_room_for_small_ones);
 	tcase_add_test(tc, standing_queue_serves_new_calls_first);
 	tcase_add_test(tc, late_calls_are_refused_at_once);
 	tcase_add_test(tc, burst_serves_retried_calls_in_order);
+	tcase_add_test(tc, expectations_of_the_owner_replace_the_means);
 	return run_suite("limiter", tc);
 }
