Do not report a call as not run that was sent before

Cause: when a kept connection closed, an idempotent call is sent again; if its time was up or the server had begun to leave by then, the gatekeeper reported that it had not run, though the server had received it. is_resent was set only after the second send (found by the review of emptied data centres). Change: it is set before, and such a call ends with an unknown outcome. lookup_that_a_leaving_server_received_may_have_run: 503 before, 502 now.

--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -532,35 +532,42 @@
 	bg_gate_send(call, 1);
 }
 
+/* Ends a call that cannot be sent now. A call that is being sent again was
+ * written to the first connection, so the server may have run it. */
+static void
+finish_unsent(struct bg_gate_call *call, enum bg_xrefusal why,
+    uint32_t http_status, const char *reason)
+{
+	if (call->is_resent)
+		finish_unknown(call, http_status, reason);
+	else
+		finish_not_run(call, why);
+}
+
 void
 bg_gate_send(struct bg_gate_call *call, int needs_new_connection)
 {
 	uint32_t left_ms =
 	    bg_deadline_left_ms(call->deadline_us, bg_clock_now_us());
 
+	call->is_resent = needs_new_connection;
 	if (left_ms < BG_DEADLINE_MIN_MS) {
-		/* A resent call was already written to the first connection, so
-		 * the server may have run it. */
-		if (call->is_resent)
-			finish_unknown(call, STATUS_TIMEOUT, "deadline");
-		else
-			finish_not_run(call, BG_XREFUSAL_DEADLINE);
+		finish_unsent(
+		    call, BG_XREFUSAL_DEADLINE, STATUS_TIMEOUT, "deadline");
 		return;
 	}
-	/* The server may have begun to drain while the call was queued. */
-	if (!call->is_resent && !bg_gate_accepts_calls(call->gatekeeper)) {
-		finish_not_run(call, BG_XREFUSAL_DRAINING);
+	/* The server may have begun to drain while the call was queued or
+	 * running. */
+	if (!bg_gate_accepts_calls(call->gatekeeper)) {
+		finish_unsent(call, BG_XREFUSAL_DRAINING, STATUS_BAD_GATEWAY,
+		    "the backend server is leaving");
 		return;
 	}
 	if (send_request(call, left_ms, needs_new_connection) != 0) {
-		if (call->is_resent)
-			finish_unknown(
-			    call, STATUS_BAD_GATEWAY, "no connection");
-		else
-			finish_not_run(call, BG_XREFUSAL_NO_SERVER);
+		finish_unsent(call, BG_XREFUSAL_NO_SERVER, STATUS_BAD_GATEWAY,
+		    "no connection");
 		return;
 	}
-	call->is_resent = needs_new_connection;
 	bg_gate_work_started(call);
 	bg_gate_set_timer(call, connection_timeout_us(call));
 }
