Wait for the bytes before a cut in the test of the fault proxy

Cause: cut_closes_in_the_middle failed once beside load (echoed_bytes 0): the target runs on the test's loop and may get its four bytes after the peer has seen the close. Change: the test waits for them; it still demands that they are exactly four.

--- a/standins/test_faultproxy.c
+++ b/standins/test_faultproxy.c
@@ -343,6 +343,14 @@
 }
 END_TEST
 
+static int
+has_echoed_four(void *arg)
+{
+	return echoed_bytes >= 4;
+}
+
+/* The target, which runs on the same loop, may see its bytes after the peer has
+ * seen the close. */
 START_TEST(cut_closes_in_the_middle)
 {
 	struct peer peer;
@@ -352,6 +360,7 @@
 	peer_open(&peer);
 	send_ten(&peer);
 	ck_assert(wait_for(is_closed, &peer));
+	ck_assert(wait_for(has_echoed_four, NULL));
 	ck_assert_uint_eq(echoed_bytes, 4);
 	bufferevent_free(peer.bev);
 	stop_proxy();
