--- a/proxy/src/cost/work.h
+++ b/proxy/src/cost/work.h
@@ -49,16 +49,17 @@
 int bg_work_is_known(const struct bg_work *wrk);
 void bg_work_record(struct bg_work *wrk, const struct bg_work_sample *smp);
 /** Time that a call which starts now will hold a slot, in microseconds.
+ * @param name of the route, as in the functions below
  * @param cost_us 0: the mean of the route
  * @return 0 if unknown */
-uint64_t bg_work_slot_us(const struct bg_work *wrk, const char *route,
+uint64_t bg_work_slot_us(const struct bg_work *wrk, const char *name,
     uint32_t cost_us, uint64_t now_ms);
 /** The same for a mean call of the route, without the slowness. */
-uint64_t bg_work_base_slot_us(const struct bg_work *wrk, const char *route);
+uint64_t bg_work_base_slot_us(const struct bg_work *wrk, const char *name);
 
 /** Distribution of the ratio for a route; NULL while too little is known. */
 const struct bg_shape *bg_work_shape(
-    const struct bg_work *wrk, const char *route);
+    const struct bg_work *wrk, const char *name);
 
 /** Sum over the calls of the server. */
 struct bg_work_left {
@@ -68,10 +69,10 @@
 
 /** Adds a running call. @param elapsed_us since its start */
 void bg_work_add_running(struct bg_work_left *sum, const struct bg_work *wrk,
-    const char *route, uint32_t cost_us, uint64_t elapsed_us, uint64_t now_ms);
+    const char *name, uint32_t cost_us, uint64_t elapsed_us, uint64_t now_ms);
 /** Adds a queued call. */
 void bg_work_add_queued(struct bg_work_left *sum, const struct bg_work *wrk,
-    const char *route, uint32_t cost_us, uint64_t now_ms);
+    const char *name, uint32_t cost_us, uint64_t now_ms);
 /** Expected time between two starts while all slots are taken, in microseconds;
  * 0: unknown. */
 uint64_t bg_work_start_interval_us(const struct bg_work_left *sum);
