--- a/proxy/tests/test_cost_routing.c
+++ b/proxy/tests/test_cost_routing.c
@@ -333,6 +333,7 @@
 	uint64_t most = 0;
 	uint64_t sum = 0;
 	size_t good = 0;
+	size_t at;
 	size_t i;
 
 	for (i = 0; i < done; i++)
@@ -344,7 +345,8 @@
 			most = servers[i].load_sum;
 	}
 	out->in_target = (double)good / (double)done;
-	out->p99_ms = times_ms[done * 99 / 100];
+	at = done * 99 / 100;
+	out->p99_ms = times_ms[at];
 	out->busiest = (double)most * SERVERS / (double)sum;
 }
 
