Start the bucket of a lapsed tenure after the end of its lease

A renewal that was sent within the lease and answered after it made the same process owner again, with the time of the write as the last grant. Grants went on until the lease ended, so a bucket that was first used a lease and a window after the write started full while tokens of the tenure before were used in the same window.

--- a/quota/src/tenure/tenure.c
+++ b/quota/src/tenure/tenure.c
@@ -105,7 +105,9 @@
 {
 	if (is_own_address(tnr) && tnr->record.process != tnr->process)
 		return tnr->process_start_ms;
-	return sent_ms;
+	/* This process granted until its own lease ended, which may be after it
+	 * sent the write. */
+	return sent_ms > tnr->lease_end_ms ? sent_ms : tnr->lease_end_ms;
 }
 
 void
--- a/quota/tests/test_tenure.c
+++ b/quota/tests/test_tenure.c
@@ -159,6 +159,20 @@
 }
 END_TEST
 
+/* A renewal that was sent within the lease is answered after its end. The
+ * process granted tokens until then, also after it sent the write. */
+START_TEST(own_lapsed_tenure_is_clean_from_its_end)
+{
+	uint64_t end_ms = T0 + BG_TENURE_LEASE_MS;
+
+	observe(0, "", 0, 0, T0);
+	bg_tenure_written(&tnr, 5, T0, T0 + 10);
+	bg_tenure_written(&tnr, 9, end_ms - 4000, end_ms + 500);
+	ck_assert_uint_eq(tnr.tenure, 9);
+	ck_assert_uint_eq(tnr.clean_ms, end_ms);
+}
+END_TEST
+
 START_TEST(owner_that_was_replaced_stops)
 {
 	observe(0, "", 0, 0, T0);
@@ -183,6 +197,7 @@
 	tcase_add_test(tc, restarted_owner_takes_its_slot_at_once);
 	tcase_add_test(tc, released_slot_is_taken_at_once);
 	tcase_add_test(tc, unknown_outcome_is_read_back);
+	tcase_add_test(tc, own_lapsed_tenure_is_clean_from_its_end);
 	tcase_add_test(tc, owner_that_was_replaced_stops);
 	return run_suite("tenure", tc);
 }
