Admit repeats as calls are, without credit

A repeat at a further server was made without a token, up to four of each node and organisation, and paid for by the next ask. A repeat now waits for its token. If it is refused after that and the first attempt may have run, the call ends with 502 and outcome unknown. The budget of repeats is asked before, so that it costs no token.

--- a/proxy/src/call/admission.c
+++ b/proxy/src/call/admission.c
@@ -7,6 +7,7 @@
 #include "call_internal.h"
 
 #define STATUS_TOO_MANY 429
+#define STATUS_BAD_GATEWAY 502
 #define STATUS_UNAVAILABLE 503
 /* Lower bound of Retry-After. */
 #define RETRY_AFTER_MIN_MS 100
@@ -35,6 +36,13 @@
 	    "retry_after_ms=%u",
 	    call->args.request_id, call->organisation->name,
 	    is_over ? "over-cap" : "no-owner", ms);
+	/* A repeat whose first attempt may have run. */
+	if (call->may_have_run) {
+		bg_call_reply_error(call, BG_XOUTCOME_UNKNOWN,
+		    STATUS_BAD_GATEWAY, 0,
+		    "a backend server may have run the call");
+		return;
+	}
 	bg_call_reply_error(call, BG_XOUTCOME_NOT_RUN,
 	    is_over ? STATUS_TOO_MANY : STATUS_UNAVAILABLE, ms,
 	    is_over ? "the organisation has used its cap"
@@ -75,13 +83,19 @@
 		proceed(call, verdict, retry_after_ms);
 }
 
-int
-bg_call_admit_repeat(struct bg_call *call)
+enum bg_quota_verdict
+bg_call_admit_repeat(struct bg_call *call, void (*next)(struct bg_call *call))
 {
-	if (call->proxy->quota == NULL || call->organisation == NULL ||
-	    bg_quota_take(call->proxy->quota, call->organisation))
-		return 1;
-	bg_log_info("call", "not repeated request=%s reason=cap",
-	    call->args.request_id);
-	return 0;
+	enum bg_quota_verdict verdict;
+	uint32_t retry_after_ms;
+
+	if (call->proxy->quota == NULL || call->organisation == NULL)
+		return BG_QUOTA_ADMITTED;
+	call->admitted = next;
+	verdict = bg_quota_admit(&call->ticket, &retry_after_ms,
+	    call->proxy->quota, call->organisation, on_verdict, call);
+	if (verdict == BG_QUOTA_OVER || verdict == BG_QUOTA_NO_OWNER)
+		bg_log_info("call", "not repeated request=%s reason=cap",
+		    call->args.request_id);
+	return verdict;
 }
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -162,8 +162,8 @@
 
 /* The gatekeeper enforces the deadline; the timer adds a grace period for its
  * reply. */
-static void
-arm_deadline(struct bg_call *call)
+void
+bg_call_arm_deadline(struct bg_call *call)
 {
 	arm_timer(call, bg_call_left_us(call) + 2 * BG_ATTEMPT_GRACE_MS * 1000);
 }
@@ -378,7 +378,7 @@
 	    bg_endpoint_load(pick->endpoint, bg_clock_now_ms()),
 	    load_age_ms(pick->endpoint), call->args.wait_ms,
 	    call->args.deadline_ms, call->args.age_ms);
-	arm_deadline(call);
+	bg_call_arm_deadline(call);
 	/* The gatekeeper checks the version only for services with a move.
 	 * Without one, a server that was just replaced may have another
 	 * version than this node knows. */
@@ -484,6 +484,14 @@
 	return try_next_server(call, code);
 }
 
+/* Goes on with a repeat that waited for its admission. */
+static void
+step_repeat(struct bg_call *call)
+{
+	bg_metrics_count_retry();
+	step_pick(call);
+}
+
 /* Retries the call at another server after one failed or shed it.
  * @return 0, or -1 if no further attempt is made */
 static int
@@ -503,15 +511,20 @@
 	    bg_call_left_us(call) < BG_DEADLINE_MIN_MS * 1000 ||
 	    bg_call_pick_server(&pick, call) == BG_ENOTFOUND)
 		return -1;
-	if (!bg_call_admit_repeat(call))
-		return -1;
 	if (!bg_retry_take(&prx->retry, call->service, bg_clock_now_ms())) {
 		bg_log_info("call", "not repeated request=%s reason=budget",
 		    call->args.request_id);
 		return -1;
 	}
-	bg_metrics_count_retry();
-	return try_next_server(call, code);
+	switch (bg_call_admit_repeat(call, step_repeat)) {
+	case BG_QUOTA_ADMITTED:
+		bg_metrics_count_retry();
+		return try_next_server(call, code);
+	case BG_QUOTA_PENDING:
+		return 0;
+	default:
+		return -1;
+	}
 }
 
 static int
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -80,9 +80,16 @@
  * @param next runs once it is admitted, within this function or later
  */
 void bg_call_admit(struct bg_call *call, void (*next)(struct bg_call *call));
-/** 1 if the call may be sent to a further backend server, which counts against
- * the cap as well. */
-int bg_call_admit_repeat(struct bg_call *call);
+/**
+ * Admits a repeat at a further backend server, which counts against the cap as
+ * well. A call that is refused after it waited is replied to.
+ *
+ * @param next runs once it is admitted, if the verdict is pending
+ */
+enum bg_quota_verdict bg_call_admit_repeat(
+    struct bg_call *call, void (*next)(struct bg_call *call));
+/** Ends the call after its deadline, unless the timer is armed anew. */
+void bg_call_arm_deadline(struct bg_call *call);
 
 /** Picks the server of the next attempt. @return as bg_router_pick */
 int bg_call_pick_server(struct bg_pick *out, struct bg_call *call);
--- a/proxy/tests/test_admission.c
+++ b/proxy/tests/test_admission.c
@@ -12,8 +12,10 @@
 
 static struct event_base *base;
 static struct node node1;
+static struct node node2; /* started by setup_repeat() */
 static struct client cl;
 static enum bg_quota_verdict verdict;
+static enum bg_quota_verdict repeat_verdict;
 static bg_quota_fn pending_fn;
 static void *pending_arg;
 static int asked;
@@ -25,19 +27,15 @@
     struct bg_quota *quota, const struct bg_organisation *org, bg_quota_fn fn,
     void *arg)
 {
+	enum bg_quota_verdict given = asked == 0 ? verdict : repeat_verdict;
+
 	asked++;
-	*out = verdict == BG_QUOTA_PENDING ? (struct bg_quota_ticket *)&asked
-					   : NULL;
+	*out =
+	    given == BG_QUOTA_PENDING ? (struct bg_quota_ticket *)&asked : NULL;
 	*out_retry_after_ms = 400;
 	pending_fn = fn;
 	pending_arg = arg;
-	return verdict;
-}
-
-int
-bg_quota_take(struct bg_quota *quota, const struct bg_organisation *org)
-{
-	return 1;
+	return given;
 }
 
 void
@@ -157,6 +155,65 @@
 }
 END_TEST
 
+/* Two servers close the connection, so that the call may have run. */
+static void
+setup_repeat(enum bg_quota_verdict repeat)
+{
+	struct node *both[] = {&node1, &node2};
+
+	verdict = BG_QUOTA_ADMITTED;
+	repeat_verdict = repeat;
+	node_start(&node2, base);
+	node_set_roster(&node1, both, 2);
+	node1.backend.mode = node2.backend.mode = BACKEND_CLOSE;
+}
+
+static void
+assert_unknown_after_one_attempt(void)
+{
+	ck_assert_int_eq(client_status(&cl), 502);
+	ck_assert(client_has_header(&cl, "Burdock-Outcome: unknown"));
+	ck_assert(!client_has_header(&cl, "Retry-After"));
+	ck_assert_int_eq(node1.backend.requests + node2.backend.requests, 1);
+	node_stop(&node2);
+}
+
+START_TEST(repeat_over_a_cap_is_not_made)
+{
+	setup_repeat(BG_QUOTA_OVER);
+	(void)get("/lookup");
+	ck_assert_int_eq(asked, 2);
+	assert_unknown_after_one_attempt();
+}
+END_TEST
+
+/* A 429 would promise that the call has not run. */
+START_TEST(repeat_that_is_refused_later_promises_nothing)
+{
+	setup_repeat(BG_QUOTA_PENDING);
+	send_request("/lookup");
+	WAIT(base, asked == 2);
+	pending_fn(pending_arg, BG_QUOTA_OVER, 400);
+	WAIT(base, client_has_response(&cl));
+	assert_unknown_after_one_attempt();
+}
+END_TEST
+
+START_TEST(repeat_is_made_once_it_is_admitted)
+{
+	setup_repeat(BG_QUOTA_PENDING);
+	send_request("/lookup");
+	WAIT(base, asked == 2);
+	ck_assert_int_eq(node1.backend.requests + node2.backend.requests, 1);
+	node1.backend.mode = node2.backend.mode = BACKEND_OK;
+	pending_fn(pending_arg, BG_QUOTA_ADMITTED, 0);
+	WAIT(base, client_has_response(&cl));
+	ck_assert_int_eq(client_status(&cl), 200);
+	ck_assert_int_eq(node1.backend.requests + node2.backend.requests, 2);
+	node_stop(&node2);
+}
+END_TEST
+
 /* Calls without an organisation are not counted. */
 START_TEST(public_route_is_not_counted)
 {
@@ -176,6 +233,9 @@
 	tcase_add_test(tc, call_without_an_owner_gets_503);
 	tcase_add_test(tc, call_is_sent_once_it_is_admitted);
 	tcase_add_test(tc, caller_that_leaves_withdraws_its_call);
+	tcase_add_test(tc, repeat_over_a_cap_is_not_made);
+	tcase_add_test(tc, repeat_that_is_refused_later_promises_nothing);
+	tcase_add_test(tc, repeat_is_made_once_it_is_admitted);
 	tcase_add_test(tc, public_route_is_not_counted);
 	return run_suite("admission", tc);
 }
--- a/quota/include/burdockgrade/quota.h
+++ b/quota/include/burdockgrade/quota.h
@@ -68,7 +68,8 @@
 
 /**
  * Asks whether a call of an organisation may be admitted. One call is one
- * token, also if it does not run in the end.
+ * token, also if it does not run in the end, and each repeat at a further
+ * backend server is one more.
  *
  * @param out set if the verdict is pending, for bg_quota_cancel()
  * @param out_retry_after_ms set if the call is not admitted
@@ -79,10 +80,6 @@
     const struct bg_organisation *org, bg_quota_fn fn, void *arg);
 /** Withdraws a call that waits for its verdict. NULL is ignored. */
 void bg_quota_cancel(struct bg_quota_ticket *ticket);
-/** Counts a repeat of an admitted call at a further server. It does not wait:
- * without a token in hand, the next ask pays for it. @return 1, or 0 if it may
- * not be made, since the organisation is at its cap */
-int bg_quota_take(struct bg_quota *quota, const struct bg_organisation *org);
 /** Gives up the slots of this node, before it stops. */
 void bg_quota_leave(struct bg_quota *quota);
 /** Number of slots that this node owns now. */
--- a/quota/src/task/client.c
+++ b/quota/src/task/client.c
@@ -14,9 +14,6 @@
 /* A slot whose owner did not reply is not asked for this long. Its other
  * candidate is asked next. */
 #define DOWN_MS 150
-/* Repeats that a node makes without a token for each organisation; one that
- * reaches no owner makes no more. */
-#define DEBT_MAX 4
 /* An organisation without calls for this long has no purse. */
 #define IDLE_MS 10000
 #define RETRY_DEFAULT_MS 200
@@ -134,29 +131,6 @@
 	return 0;
 }
 
-int
-bg_client_owe(struct bg_quota *quota, const char *organisation)
-{
-	uint64_t now_ms = bg_clock_now_ms();
-	struct bg_quota_slot *slot;
-	struct bg_purse *purse;
-	uint32_t share;
-
-	for (share = 0; share < quota->rule.shares; share++) {
-		purse = find_purse(
-		    find_slot(quota, share, organisation), organisation);
-		if (purse != NULL && bg_wallet_is_dry(&purse->wallet, now_ms))
-			return 0;
-	}
-	slot = find_slot(quota, quota->home_share, organisation);
-	purse = get_purse(slot, organisation);
-	if (purse == NULL || purse->debt == DEBT_MAX)
-		return 0;
-	purse->debt++;
-	flush(slot);
-	return 1;
-}
-
 uint32_t
 bg_client_retry_after_ms(struct bg_quota *quota, const char *organisation)
 {
@@ -234,11 +208,10 @@
 {
 	struct bg_quota_ticket *ticket;
 
-	for (; tokens > 0 && (ticket = purse->first) != NULL; tokens--) {
+	while (tokens-- > 0 && (ticket = purse->first) != NULL) {
 		bg_client_remove(ticket);
 		bg_quota_finish(ticket, BG_QUOTA_ADMITTED);
 	}
-	purse->debt -= tokens < purse->debt ? tokens : purse->debt;
 }
 
 static void
@@ -328,13 +301,6 @@
 		handle_reply(arg, code, res);
 }
 
-/* 1 if tokens are wanted for calls that came already. */
-static int
-is_owed(const struct bg_purse *purse)
-{
-	return purse->first != NULL || purse->debt != 0;
-}
-
 /* Adds a purse to the ask. */
 static void
 add_ask(struct bg_quota_slot *slot, struct bg_xquota_ask *entries,
@@ -343,8 +309,7 @@
 	struct bg_xquota_ask *entry = &entries[slot->asked_count];
 	struct bg_wallet_ask ask;
 
-	bg_wallet_fill_ask(
-	    &ask, &purse->wallet, purse->waiting_count + purse->debt, now_ms);
+	bg_wallet_fill_ask(&ask, &purse->wallet, purse->waiting_count, now_ms);
 	entry->organisation = purse->organisation;
 	/* The owner can keep only what it has granted itself. */
 	entry->held = purse->wallet.tenure == slot->tenure_seen ? ask.held : 0;
@@ -367,8 +332,8 @@
 		     purse = purse->hh.next) {
 			if (slot->asked_count == BG_QUOTA_ENTRIES_MAX)
 				break;
-			if (pass == 0 ? is_owed(purse)
-				      : !is_owed(purse) &&
+			if (pass == 0 ? purse->first != NULL
+				      : purse->first == NULL &&
 				    bg_wallet_is_low(&purse->wallet, now_ms))
 				add_ask(slot, entries, purse, now_ms);
 		}
--- a/quota/src/task/internal.h
+++ b/quota/src/task/internal.h
@@ -38,7 +38,6 @@
 	struct bg_quota_ticket *first; /**< waiting calls */
 	struct bg_quota_ticket *last;
 	uint32_t waiting_count;
-	uint32_t debt; /**< repeats that were made without a token */
 	UT_hash_handle hh;
 };
 
@@ -141,9 +140,6 @@
 enum bg_quota_verdict bg_client_advance(struct bg_quota_ticket *ticket);
 /** Uses a token in hand. @return 1, or 0 if none is */
 int bg_client_take(struct bg_quota *quota, const char *organisation);
-/** Lets a repeat be made without a token, which the next ask pays for. @return
- * 1, or 0 if the organisation is at its cap or owes too much */
-int bg_client_owe(struct bg_quota *quota, const char *organisation);
 /** Time until one of the empty shares has room. */
 uint32_t bg_client_retry_after_ms(
     struct bg_quota *quota, const char *organisation);
--- a/quota/src/task/quota.c
+++ b/quota/src/task/quota.c
@@ -329,15 +329,6 @@
 	free(ticket);
 }
 
-int
-bg_quota_take(struct bg_quota *quota, const struct bg_organisation *org)
-{
-	if (quota->rule.window_ms == 0 || org->rate_milli_per_s == 0)
-		return 1;
-	return bg_client_take(quota, org->name) ||
-	    bg_client_owe(quota, org->name);
-}
-
 void
 bg_quota_leave(struct bg_quota *quota)
 {
--- a/quota/tests/test_quota.c
+++ b/quota/tests/test_quota.c
@@ -261,28 +261,33 @@
 }
 END_TEST
 
-/* Repeats do not wait for a token, and are paid for afterwards. A node that
- * reaches no owner cannot pay, and makes only a few. */
-START_TEST(repeats_without_a_token_are_bounded)
+/* Nothing is admitted on credit: a node that reaches no owner admits none. */
+START_TEST(node_that_reaches_no_owner_admits_nothing)
 {
-	int made = 0;
+	size_t before;
 	int i;
 
 	start_all();
 	flood(10);
 	run_loop(900);
+	before = admitted;
 	for (i = 0; i < 10; i++) {
-		made += bg_quota_take(nodes[3].quota, &orgs[0]);
+		admit(&nodes[3]);
 		run_loop(200);
 	}
-	ck_assert_int_eq(made, 10);
+	ck_assert_uint_eq(admitted, before + 10);
 	for (i = 0; i < 3; i++)
 		stop_node(i);
 	bg_quota_leave(nodes[3].quota);
 	run_loop(900);
-	for (i = 0, made = 0; i < 20; i++)
-		made += bg_quota_take(nodes[3].quota, &orgs[0]);
-	ck_assert_int_le(made, 4);
+	before = admitted;
+	no_owner = 0;
+	for (i = 0; i < 20; i++)
+		admit(&nodes[3]);
+	run_loop(900);
+	run_loop(900);
+	ck_assert_uint_eq(admitted, before);
+	ck_assert_uint_eq(no_owner, 20);
 }
 END_TEST
 
@@ -376,7 +381,7 @@
 	tcase_add_test(tc, sum_of_all_nodes_stays_under_the_cap);
 	tcase_add_test(tc, fleet_that_restarts_at_once_stays_under_the_cap);
 	tcase_add_test(tc, other_data_centre_goes_on_with_its_share);
-	tcase_add_test(tc, repeats_without_a_token_are_bounded);
+	tcase_add_test(tc, node_that_reaches_no_owner_admits_nothing);
 	tcase_add_test(tc, store_that_is_away_does_not_stop_admission);
 	tcase_add_test(tc, slots_of_a_node_that_stops_are_taken_over);
 	tcase_add_test(tc, nodes_of_an_earlier_build_are_understood);
