End calls that wait for their admission at their deadline

No timer was armed while a call waited for the owners of three shares, which can take more than a second, so that it was refused after its time limit.

--- a/proxy/src/call/admission.c
+++ b/proxy/src/call/admission.c
@@ -79,7 +79,9 @@
 	if (quota != NULL && call->organisation != NULL)
 		verdict = bg_quota_admit(&call->ticket, &retry_after_ms, quota,
 		    call->organisation, on_verdict, call);
-	if (verdict != BG_QUOTA_PENDING)
+	if (verdict == BG_QUOTA_PENDING)
+		bg_call_arm_deadline(call);
+	else
 		proceed(call, verdict, retry_after_ms);
 }
 
--- a/proxy/tests/test_admission.c
+++ b/proxy/tests/test_admission.c
@@ -155,6 +155,17 @@
 }
 END_TEST
 
+/* A call that waits for its verdict ends at its deadline. */
+START_TEST(call_that_waits_too_long_is_refused)
+{
+	verdict = BG_QUOTA_PENDING;
+	ck_assert_int_eq(get("/lookup"), 503);
+	ck_assert(client_has_header(&cl, "Burdock-Outcome: not-run"));
+	ck_assert_int_eq(canceled, 1);
+	ck_assert_int_eq(node1.observed.count, 0);
+}
+END_TEST
+
 /* Two servers close the connection, so that the call may have run. */
 static void
 setup_repeat(enum bg_quota_verdict repeat)
@@ -233,6 +244,7 @@
 	tcase_add_test(tc, call_without_an_owner_gets_503);
 	tcase_add_test(tc, call_is_sent_once_it_is_admitted);
 	tcase_add_test(tc, caller_that_leaves_withdraws_its_call);
+	tcase_add_test(tc, call_that_waits_too_long_is_refused);
 	tcase_add_test(tc, repeat_over_a_cap_is_not_made);
 	tcase_add_test(tc, repeat_that_is_refused_later_promises_nothing);
 	tcase_add_test(tc, repeat_is_made_once_it_is_admitted);
