--- a/quota/src/task/quota.c
+++ b/quota/src/task/quota.c
@@ -87,8 +87,6 @@
 	uint64_t now_ms = bg_clock_now_ms();
 	size_t i;
 
-	if (!bg_quota_is_active(quota))
-		return;
 	if (quota->is_roster_changed)
 		place_slots(quota);
 	for (i = 0; i < quota->slot_count; i++) {
@@ -139,13 +137,12 @@
 static int
 init_events(struct bg_quota *quota, struct bg_link_server *server)
 {
-	static const struct timeval tick = {0, BG_QUOTA_TICK_MS * 1000};
 	struct bg_rpc_handler handler = {BG_PROC_QUOTA,
 	    (xdrproc_t)xdr_bg_xquota_args, sizeof(struct bg_xquota_args),
 	    handle_quota, quota};
 
 	quota->timer = event_new(quota->base, -1, EV_PERSIST, on_timer, quota);
-	if (quota->timer == NULL || event_add(quota->timer, &tick) != 0)
+	if (quota->timer == NULL)
 		return BG_ENOMEM;
 	return bg_link_server_add_handler(server, &handler);
 }
@@ -202,6 +199,20 @@
 	free(quota);
 }
 
+/* Runs the timer only where there is a cap. Leases run out without it. */
+static void
+update_timer(struct bg_quota *quota)
+{
+	static const struct timeval tick = {0, BG_QUOTA_TICK_MS * 1000};
+
+	if (!bg_quota_is_active(quota))
+		event_del(quota->timer);
+	else if (!event_pending(quota->timer, EV_TIMEOUT, NULL) &&
+	    event_add(quota->timer, &tick) != 0)
+		bg_log_error(
+		    "quota", "slots not kept reason=\"out of memory\"");
+}
+
 void
 bg_quota_set_snapshot(struct bg_quota *quota, struct bg_snapshot *snap)
 {
@@ -212,6 +223,7 @@
 	bg_snapshot_release(last);
 	for (i = 0; i < quota->slot_count; i++)
 		bg_owner_apply_limits(&quota->slots[i]);
+	update_timer(quota);
 }
 
 void
--- a/quota/tests/test_quota.c
+++ b/quota/tests/test_quota.c
@@ -371,6 +371,27 @@
 }
 END_TEST
 
+/* Deployments without caps pay for nothing. */
+START_TEST(nothing_runs_without_a_cap)
+{
+	struct bg_snapshot without = {0};
+	struct bg_quota *quota;
+
+	without.reference_count = 1;
+	without.organisations = &orgs[1];
+	without.organisation_count = 1;
+	start_node(0, 1);
+	quota = nodes[0].quota;
+	bg_quota_set_snapshot(quota, &without);
+	ck_assert(!event_pending(quota->timer, EV_TIMEOUT, NULL));
+	bg_quota_set_snapshot(quota, &snapshot);
+	ck_assert(event_pending(quota->timer, EV_TIMEOUT, NULL));
+	bg_quota_set_snapshot(quota, &without);
+	ck_assert(!event_pending(quota->timer, EV_TIMEOUT, NULL));
+	bg_quota_set_snapshot(quota, &snapshot);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -382,6 +403,7 @@
 	tcase_add_test(tc, fleet_that_restarts_at_once_stays_under_the_cap);
 	tcase_add_test(tc, other_data_centre_goes_on_with_its_share);
 	tcase_add_test(tc, node_that_reaches_no_owner_admits_nothing);
+	tcase_add_test(tc, nothing_runs_without_a_cap);
 	tcase_add_test(tc, store_that_is_away_does_not_stop_admission);
 	tcase_add_test(tc, slots_of_a_node_that_stops_are_taken_over);
 	tcase_add_test(tc, nodes_of_an_earlier_build_are_understood);
