Test that a new owner's bucket is not full within a window

The start of a full bucket right after the leases of the owner before passed all tests: the limits of the test fill a bucket in less than a second.

--- a/quota/tests/test_bucket.c
+++ b/quota/tests/test_bucket.c
@@ -182,6 +182,8 @@
 START_TEST(new_owner_starts_empty_after_the_leases_of_the_last)
 {
 	struct bg_bucket_limits limits = LIMITS;
+	struct bg_bucket_limits bursty = {1000, 8 * BG_QUOTA_MICRO};
+	uint64_t start_ms = T0 + BG_QUOTA_LEASE_MS;
 
 	teardown();
 	bg_bucket_start(&bucket, &limits, 5000, T0, T0 + 10);
@@ -191,6 +193,10 @@
 	ck_assert_uint_eq(
 	    ask(1, 3, 0, 9, 0, T0 + BG_QUOTA_LEASE_MS + 200).granted, 2);
 	teardown();
+	/* Full only once no window has calls of both owners. */
+	bg_bucket_start(&bucket, &bursty, 5000, T0, start_ms + 4999);
+	ck_assert_uint_eq(ask(1, 1, 0, 9, 0, start_ms + 4999).granted, 4);
+	teardown();
 	bg_bucket_start(&bucket, &limits, 5000, T0, T0 + 6000);
 	ck_assert_uint_eq(bucket.level_micro, 8 * BG_QUOTA_MICRO);
 }
