End the leases of a lowered cap within its window

The bucket changed to the lower limits one window after, when tokens of the old cap could be in use for 0.6 s more. It now changes by the length of a lease earlier.

--- a/quota/src/bucket/bucket.c
+++ b/quota/src/bucket/bucket.c
@@ -202,7 +202,9 @@
 	}
 	bucket->lower = *limits;
 	if (bucket->lower_due_ms == 0)
-		bucket->lower_due_ms = now_ms + delay_ms;
+		bucket->lower_due_ms = now_ms +
+		    (delay_ms > BG_QUOTA_LEASE_MS ? delay_ms - BG_QUOTA_LEASE_MS
+						  : 0);
 	advance(bucket, now_ms);
 }
 
--- a/quota/src/bucket/bucket.h
+++ b/quota/src/bucket/bucket.h
@@ -109,7 +109,7 @@
 /**
  * Changes the limits. A raised cap is used at once. A lowered one binds after a
  * delay, since calls are owed by the old one until all nodes can know of the
- * new one; tokens beyond the new capacity are then taken away.
+ * new one; leases of the old cap have ended by then.
  */
 void bg_bucket_set_limits(struct bg_bucket *bucket,
     const struct bg_bucket_limits *limits, uint32_t delay_ms, uint64_t now_ms);
