--- a/core/include/burdockgrade/settings.h
+++ b/core/include/burdockgrade/settings.h
@@ -29,6 +29,10 @@
 	char server_id[BG_HEADER_NAME_BYTES];
 	/** Present if the backend server did not run the call. */
 	char not_run[BG_HEADER_NAME_BYTES];
+	/** Load of a backend server: calls running, calls waiting, slots and,
+	 * from some servers, the time that work takes at this moment, in
+	 * percent of the usual; empty name: not read. */
+	char server_load[BG_HEADER_NAME_BYTES];
 	/** Number of calls above this one in a chain; empty name: not sent. */
 	char call_depth[BG_HEADER_NAME_BYTES];
 	/** Key by which a caller identifies its organisation; never passed
@@ -36,6 +40,9 @@
 	char key[BG_HEADER_NAME_BYTES];
 	/** Organisation of the caller, set by the proxy; empty: not sent. */
 	char organisation[BG_HEADER_NAME_BYTES];
+	/** Remaining time for which a backend server is cold, in ms, in the
+	 * responses to probes; empty name: not read. */
+	char warmup_left[BG_HEADER_NAME_BYTES];
 };
 
 /** Retry budget of each service: a share of its calls plus a slack. */
@@ -51,6 +58,13 @@
 	uint32_t first_share_permille;
 };
 
+/** What the platform tolerates in one second beyond the rate of a cold backend
+ * server. */
+struct bg_warmup_settings {
+	uint32_t excess_permille; /**< share of the rate */
+	uint32_t excess_starts;	  /**< calls, whatever the rate */
+};
+
 /** Caps on the use of organisations, which hold over all nodes: in any window
  * at most (rate x window + burst) x (1 + share) + slack calls. shares and
  * groups have to be the same on all nodes. */
@@ -79,6 +93,9 @@
 	struct {
 		char address[BG_SETTING_BYTES]; /**< "ip:port" */
 		uint32_t timeout_ms;		/**< time limit of a call */
+		/** Data centres that operators empty in the store get no new
+		 * calls; 0: the store is not asked for any. */
+		int follows_emptied;
 	} platform;
 	struct {
 		/** "ip:port"; empty if the node has no backend server. */
@@ -98,6 +115,9 @@
 		uint32_t body_bytes;
 		/** Memory for all bodies that the node buffers. */
 		uint64_t buffered_bytes;
+		/** Largest number of connections of callers; 0: bounded by
+		 * buffered_bytes only. */
+		uint32_t caller_connections;
 		/** Rate of the VM's link, in Mbit/s; 0: unknown. */
 		uint32_t link_mbps;
 		/** Longest duration of a graceful stop. */
@@ -112,6 +132,7 @@
 	struct bg_header_names headers;
 	struct bg_retry_settings retry;
 	struct bg_move_settings move;
+	struct bg_warmup_settings warmup;
 	struct bg_quota_settings quota;
 	struct {
 		char level[BG_SETTING_BYTES];
--- a/core/src/settings.c
+++ b/core/src/settings.c
@@ -67,6 +67,7 @@
 	    "Burdock-Expected-Server");
 	snprintf(out->server_id, sizeof(out->server_id), "Burdock-Server-Id");
 	snprintf(out->not_run, sizeof(out->not_run), "X-Shed");
+	snprintf(out->server_load, sizeof(out->server_load), "X-Server-Load");
 	snprintf(out->call_depth, sizeof(out->call_depth), "X-Call-Depth");
 }
 
@@ -263,6 +264,8 @@
 		    "%llu",
 		    set->limits.body_bytes,
 		    (unsigned long long)set->limits.buffered_bytes);
+	bg_toml_u32(&set->limits.caller_connections, doc, tbl,
+	    "caller_connections", 0, CONNECTIONS_MAX, BG_TOML_OPTIONAL);
 	bg_toml_u32(&set->limits.link_mbps, doc, tbl, "link_mbps", 0,
 	    LINK_MAX_MBPS, BG_TOML_OPTIONAL);
 	bg_toml_u32(&set->limits.drain_ms, doc, tbl, "drain_ms", 0,
@@ -295,7 +298,9 @@
 	    {"expected_server", out->expected_server},
 	    {"server_id", out->server_id},
 	    {"not_run", out->not_run},
+	    {"server_load", out->server_load},
 	    {"call_depth", out->call_depth},
+	    {"warmup_left", out->warmup_left},
 	};
 	size_t i;
 
@@ -360,6 +365,7 @@
 	const struct bg_toml_table *limits;
 	const struct bg_toml_table *retry;
 	const struct bg_toml_table *moves;
+	const struct bg_toml_table *emptying;
 	const struct bg_toml_table *quota;
 	const struct bg_toml_table *log;
 	int level;
@@ -382,6 +388,10 @@
 	moves = bg_toml_subtable(doc, root, "moves", BG_TOML_OPTIONAL);
 	if (moves != NULL)
 		read_moves(&set->move, doc, moves);
+	emptying = bg_toml_subtable(doc, root, "emptying", BG_TOML_OPTIONAL);
+	if (emptying != NULL)
+		bg_toml_bool(&set->platform.follows_emptied, doc, emptying,
+		    "follow", BG_TOML_OPTIONAL);
 	quota = bg_toml_subtable(doc, root, "quota", BG_TOML_OPTIONAL);
 	if (quota != NULL)
 		read_quota(&set->quota, doc, quota);
--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -6,9 +6,12 @@
 #include <string.h>
 
 #include "burdockgrade/clock.h"
+#include "burdockgrade/counter.h"
 #include "burdockgrade/log.h"
 
+#include "call_cost.h"
 #include "call_internal.h"
+#include "cold_call.h"
 
 #define STATUS_NOT_FOUND 404
 #define STATUS_BAD_METHOD 405
@@ -22,9 +25,6 @@
 /* The queueing time of a call is limited so that this multiple of its expected
  * service time is left for running it. */
 #define SERVICE_TIME_MARGIN 1.2
-/* Queueing time allowed where a free slot is expected. A gatekeeper that turns
- * out to be busy refuses, and the call tries another one. */
-#define FREE_SLOT_WAIT_MS 5
 /* From this pick on, a call may queue at the picked server, which is the one
  * expected to run it soonest. */
 #define QUEUE_FROM_PICK 3
@@ -34,6 +34,14 @@
 /* Lower bound of Retry-After: an earlier retry would meet the same load. */
 #define RETRY_AFTER_MIN_MS 50
 #define RETRY_AFTER_MAX_MS 2000
+/* Retry-After while operators have emptied the data centres of the only
+ * servers. They are taken back after seconds or minutes, so that earlier
+ * retries would only add load. */
+#define RETRY_AFTER_EMPTIED_MS 1000
+
+static struct bg_counter emptied_calls =
+    BG_COUNTER("burdock_emptied_calls_refused_total",
+	"Calls refused because the data centres of all servers are emptied.");
 
 static void step_pick(struct bg_call *call);
 static void step_send(struct bg_call *call, const struct bg_pick *pick);
@@ -77,6 +85,7 @@
 	    ans->outcome != BG_XOUTCOME_DONE || ans->http_status >= 500;
 
 	bg_metrics_count_call(ans->outcome, elapsed_us);
+	bg_call_record_crest(call, ans->outcome);
 	/* Refusals and failures are warnings: the log drops those last. */
 	bg_log(is_failed ? BG_LOG_WARN : BG_LOG_INFO, "call",
 	    "ended request=%s status=%u outcome=%d took_us=%llu picks=%u "
@@ -115,9 +124,18 @@
 		base_ms = RETRY_AFTER_MIN_MS;
 	if (call->busy_wait_us != 0)
 		base_ms = call->busy_wait_us / 1000;
+	else if (refusal == BG_XREFUSAL_NO_SERVER && bg_call_is_emptied(call))
+		base_ms = RETRY_AFTER_EMPTIED_MS;
 	if (base_ms < RETRY_AFTER_MIN_MS)
 		base_ms = RETRY_AFTER_MIN_MS;
-	ms = base_ms + bg_rand_below(&call->proxy->router.rand, base_ms);
+	if (call->cold_left_ms != 0)
+		ms = bg_cold_call_retry_ms(&call->proxy->router.rand, base_ms,
+		    call->cold_left_ms, RETRY_AFTER_MAX_MS);
+	else if (call->is_server_uneven)
+		return bg_call_come_back_ms(call, (uint32_t)base_ms);
+	else
+		ms =
+		    base_ms + bg_rand_below(&call->proxy->router.rand, base_ms);
 	return ms > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS : (uint32_t)ms;
 }
 
@@ -251,6 +269,7 @@
 		return;
 	}
 	set_deadlines(call);
+	bg_call_predict_cost(call);
 	if (!bg_drain_accepts_call(&prx->drain,
 		(uint32_t)(bg_call_left_us(call) / 1000), bg_clock_now_ms())) {
 		bg_call_refuse(call, BG_XREFUSAL_DRAINING);
@@ -274,6 +293,41 @@
 	arm_timer(call, LINK_POLL_MS * 1000);
 }
 
+/* 1 if the best server is cold and would refuse the call. */
+static int
+is_hopeless(struct bg_call *call, const struct bg_pick *pick)
+{
+	uint64_t now_us = bg_clock_now_us();
+	uint64_t useful_us = bg_call_left_us(call);
+
+	/* A running request waits for a dependency call, so a late answer is
+	 * better than none. */
+	if (!call->is_dependency && call->target_us > now_us)
+		useful_us = call->target_us - now_us;
+	if (!bg_cold_call_is_hopeless(pick, call->picks, useful_us))
+		return 0;
+	call->cold_left_ms = pick->cold_left_ms;
+	bg_metrics_count_cold_unsent();
+	bg_log_info("call",
+	    "not sent request=%s reason=cold service=%s picks=%u wait_us=%llu "
+	    "cold_left_ms=%u",
+	    call->args.request_id, call->service, call->picks,
+	    (unsigned long long)pick->wait_us, pick->cold_left_ms);
+	return 1;
+}
+
+static void
+refuse_without_server(struct bg_call *call)
+{
+	if (bg_call_is_emptied(call)) {
+		bg_counter_add(&emptied_calls, 1);
+		bg_log_warn("call",
+		    "no server left request=%s service=%s reason=emptied",
+		    call->args.request_id, call->service);
+	}
+	bg_call_refuse(call, BG_XREFUSAL_NO_SERVER);
+}
+
 static void
 step_pick(struct bg_call *call)
 {
@@ -286,13 +340,16 @@
 	switch (bg_call_pick_server(&pick, call)) {
 	case 0:
 		call->link_wait_start_us = 0;
-		step_send(call, &pick);
+		if (is_hopeless(call, &pick))
+			bg_call_refuse(call, BG_XREFUSAL_BUSY);
+		else
+			step_send(call, &pick);
 		break;
 	case BG_EUNAVAILABLE:
 		wait_for_link(call);
 		break;
 	default:
-		bg_call_refuse(call, BG_XREFUSAL_NO_SERVER);
+		refuse_without_server(call);
 		break;
 	}
 }
@@ -306,11 +363,13 @@
 	step_result(call, code, res);
 }
 
-/* 1 if the call may queue at the server, 0 if it needs a free slot. */
+/* 1 if the call may queue at the server, 0 if it needs a free slot. A cold
+ * server is picked if no warm one is better, and starts calls one by one. */
 static int
 allows_queueing(const struct bg_call *call, const struct bg_pick *pick)
 {
-	return pick->wait_us != 0 || call->picks >= QUEUE_FROM_PICK;
+	return pick->wait_us != 0 || pick->cold_left_ms != 0 ||
+	    call->picks >= QUEUE_FROM_PICK;
 }
 
 /* Longest time the call may queue at the picked server. */
@@ -321,7 +380,7 @@
 	double left_us = (double)bg_call_left_us(call) - margin_us;
 
 	if (!allows_queueing(call, pick))
-		return FREE_SLOT_WAIT_MS;
+		return BG_ATTEMPT_FREE_SLOT_WAIT_MS;
 	return left_us <= 0 ? 0 : (uint32_t)(left_us / 1000);
 }
 
@@ -370,14 +429,17 @@
 	bg_log_info("call",
 	    "sent request=%s route=%s service=%s config=%llu to=%s server=%s "
 	    "version=%s pick=%u value=%.3f wait_us=%llu service_us=%u load=%u "
-	    "load_age_ms=%lld wait_allowed_ms=%u left_ms=%u age_ms=%u",
+	    "load_age_ms=%lld wait_allowed_ms=%u left_ms=%u age_ms=%u "
+	    "cost_us=%u cost_by=%s slowness=%u work_left_us=%llu",
 	    call->args.request_id, call->rule->name, call->service,
 	    (unsigned long long)call->snapshot->version, pick->member->address,
 	    pick->member->server_id, call->picked_version, call->picks,
 	    pick->value, (unsigned long long)pick->wait_us, pick->service_us,
 	    bg_endpoint_load(pick->endpoint, bg_clock_now_ms()),
 	    load_age_ms(pick->endpoint), call->args.wait_ms,
-	    call->args.deadline_ms, call->args.age_ms);
+	    call->args.deadline_ms, call->args.age_ms,
+	    call->args.extension.cost_us, bg_cost_trait_name(call->cost_trait),
+	    pick->slowness_permille, (unsigned long long)pick->work_left_us);
 	bg_call_arm_deadline(call);
 	/* The gatekeeper checks the version only for services with a move.
 	 * Without one, a server that was just replaced may have another
@@ -457,6 +519,8 @@
 		/* None of the servers left could run the call in time. */
 		if (pick.wait_us != 0 && allowed_wait_ms(call, &pick) == 0)
 			return -1;
+		if (is_hopeless(call, &pick))
+			return -1;
 		step_send(call, &pick);
 		return 0;
 	case BG_EUNAVAILABLE:
@@ -478,6 +542,8 @@
 	if (code == 0 && res->refusal == BG_XREFUSAL_BUSY &&
 	    (call->busy_wait_us == 0 || res->load.wait_us < call->busy_wait_us))
 		call->busy_wait_us = res->load.wait_us + 1;
+	if (code == 0)
+		call->cold_left_ms = res->load_extension.cold_left_ms;
 	if (call->picks >= BG_CALL_PICKS_MAX ||
 	    bg_call_left_us(call) < BG_DEADLINE_MIN_MS * 1000)
 		return -1;
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -46,13 +46,19 @@
 	uint64_t target_us;    /**< 0: no target */
 	uint64_t busy_wait_us; /**< shortest reported by a busy gatekeeper; 0:
 				  none */
+	uint32_t cold_left_ms; /**< of the server that refused it last, or
+				  would have; 0: it was warm */
 	uint32_t caller_deadline_ms;
 	int is_started;
 	int is_queueing_allowed;     /**< in the current attempt */
 	uint64_t link_wait_start_us; /**< 0: not waiting for a link */
 	int is_dependency;
 	struct bg_caller caller;
-	char *key; /**< owned copy, until the call is routed */
+	char *key;		/**< owned copy, until the call is routed */
+	uint32_t cost_permille; /**< expected cost, of the route's mean; 0:
+				     unknown */
+	int is_server_uneven;	/**< a server reported its slowness */
+	int cost_trait;		/**< as in struct bg_cost_prediction */
 	char picked_version[BG_NAME_BYTES];
 };
 
@@ -93,6 +99,9 @@
 
 /** Picks the server of the next attempt. @return as bg_router_pick */
 int bg_call_pick_server(struct bg_pick *out, struct bg_call *call);
+/** 1 if ready servers of the call's service are not picked, because operators
+ * have emptied their data centre. */
+int bg_call_is_emptied(const struct bg_call *call);
 /** Excludes a server from further attempts. */
 void bg_call_avoid(struct bg_call *call, const char *address);
 /** Records the result of the current attempt in the router's state. */
--- a/proxy/src/call/pick.c
+++ b/proxy/src/call/pick.c
@@ -4,6 +4,7 @@
 #include "burdockgrade/clock.h"
 #include "burdockgrade/log.h"
 
+#include "call_cost.h"
 #include "call_internal.h"
 
 /* The gatekeeper of this node is called without a link. */
@@ -40,6 +41,7 @@
 {
 	struct bg_proxy *prx = call->proxy;
 	const char *avoid[BG_CALL_AVOID_MAX];
+	const struct bg_service *svc;
 	struct bg_pick_query q;
 	uint64_t now_us = bg_clock_now_us();
 	size_t i;
@@ -65,12 +67,20 @@
 		avoid[i] = call->avoid[i];
 	q.avoid = avoid;
 	q.avoid_count = call->avoid_count;
+	q.emptied = bg_mesh_emptied(prx->mesh);
 	q.now_ms = bg_clock_now_ms();
+	q.wall_ms = bg_clock_wall_ms();
+	svc = bg_snapshot_service(call->snapshot, call->service);
+	if (svc != NULL) {
+		q.cold.duration_ms = svc->warmup_ms;
+		q.cold.rate_milli_per_s = svc->warmup_milli_per_s;
+	}
 	q.left_us = bg_call_left_us(call);
 	q.target_us = q.left_us;
 	if (call->target_us != 0)
 		q.target_us =
 		    call->target_us > now_us ? call->target_us - now_us : 0;
+	bg_call_fill_cost(&q, call);
 	return bg_router_pick(out, &prx->router, &q);
 }
 
@@ -101,6 +111,26 @@
 	return pick(out, call, &fallback);
 }
 
+int
+bg_call_is_emptied(const struct bg_call *call)
+{
+	struct bg_mesh *mesh = call->proxy->mesh;
+	const struct bg_emptied_set *emptied = bg_mesh_emptied(mesh);
+	const struct bg_member *m;
+	size_t count;
+	size_t i;
+
+	if (emptied->count == 0 || call->service == NULL)
+		return 0;
+	count = bg_roster_service(&m, bg_mesh_roster(mesh), call->service);
+	for (i = 0; i < count; i++) {
+		if (m[i].state == BG_MEMBER_READY &&
+		    bg_emptied_set_contains(emptied, m[i].data_centre))
+			return 1;
+	}
+	return 0;
+}
+
 void
 bg_call_avoid(struct bg_call *call, const char *address)
 {
@@ -137,6 +167,7 @@
 	    res->load_extension.cold_starts_milli_per_s;
 	load.cold_starts_left = res->load_extension.cold_starts_left;
 	bg_endpoint_answered(call->endpoint, call->rule->name, &load, now_ms);
+	bg_call_learn_cost(call, res);
 	if (res->outcome != BG_XOUTCOME_NOT_RUN)
 		return;
 	switch (res->refusal) {
--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -10,8 +10,12 @@
 #include "burdockgrade/log.h"
 
 #include "../call/deadline.h"
+#include "../cost/cost_metrics.h"
 #include "body.h"
+#include "emptying.h"
 #include "gate_call.h"
+#include "gate_warmup.h"
+#include "gate_work.h"
 #include "headers.h"
 
 #define STATUS_MISDIRECTED 421
@@ -90,6 +94,9 @@
 	}
 	bg_metrics_set_gatekeeper(gk->limiter.running, gk->limiter.queue.length,
 	    (uint32_t)gk->limiter.limit);
+	bg_metrics_set_fairness(
+	    gk->limiter.queue.passed_over, gk->limiter.held_back);
+	bg_gate_warmup_schedule(gk);
 }
 
 static void
@@ -100,7 +107,7 @@
 	out->running = lim->running;
 	out->queued = lim->queue.length;
 	out->slots = lim->slots;
-	out->wait_us = (u_int)bg_limiter_wait_us(lim);
+	out->wait_us = (u_int)bg_limiter_wait_us(lim, bg_clock_now_us());
 	out->service_us = (u_int)bg_limiter_service_us(lim, call->args->route);
 	out->bad_permille = bg_limiter_failure_permille(lim, bg_clock_now_us());
 	out->intake_wait_us =
@@ -123,6 +130,8 @@
 	res->server_version = gk->server.version;
 	res->server_id = gk->server.id;
 	fill_load(&res->load, call);
+	bg_gate_warmup_fill(&res->load_extension, gk);
+	bg_gate_work_fill_load(res, call);
 	bg_gate_call_free(call);
 	if (rpc != NULL)
 		bg_rpc_reply(rpc, (xdrproc_t)xdr_bg_xcall_res, res);
@@ -143,13 +152,15 @@
 	bg_metrics_count_refused(call->refusal);
 	bg_log_warn("gatekeeper",
 	    "refused request=%s reason=%s running=%u queued=%u slots=%u "
-	    "wait_allowed_ms=%u server=%s state=%d attempt=%u",
+	    "wait_allowed_ms=%u server=%s state=%d attempt=%u "
+	    "cold_left_ms=%u",
 	    call->args->request_id, bg_refusal_name(call->refusal),
 	    call->gatekeeper->limiter.running,
 	    call->gatekeeper->limiter.queue.length,
 	    call->gatekeeper->limiter.slots, call->args->wait_ms,
 	    call->gatekeeper->server.id, (int)call->gatekeeper->server.state,
-	    call->args->attempt);
+	    call->args->attempt,
+	    bg_gate_warmup_count_refusal(call->gatekeeper));
 	deliver(call, &res);
 }
 
@@ -184,10 +195,11 @@
 	obs.route = args->route;
 	obs.server_version = gk->server.version;
 	obs.is_failed = asmt->is_failed;
-	obs.is_slow = is_slow(args, own_us);
+	obs.is_slow = is_slow(args,
+	    (uint32_t)bg_gate_work_own_us(call, own_us, bg_clock_now_us()));
 	obs.is_dependency_fault =
 	    call->dependency.has_failed && (obs.is_failed || obs.is_slow);
-	obs.is_cold = bg_clock_now_ms() < gk->warmup_end_ms;
+	obs.is_cold = bg_warmup_is_cold(&gk->limiter.warmup, bg_clock_now_us());
 	obs.own_time_us = own_us;
 	gk->observer->observe(gk->observer, &obs);
 }
@@ -202,6 +214,8 @@
 	uint64_t own_us = bg_dependency_own_us(
 	    &call->dependency, call->entry.started_us, now_us);
 
+	if (asmt->sample == BG_LIMITER_OK)
+		bg_gate_work_ended(call, own_us, now_us);
 	bg_metrics_observe_backend_time(now_us - call->entry.started_us);
 	bg_limiter_release(&gk->limiter, &call->entry, now_us, asmt->sample);
 	res->own_time_us = own_us > UINT32_MAX ? UINT32_MAX : (uint32_t)own_us;
@@ -217,6 +231,7 @@
 	    call->args->attempt);
 	report_observation(call, asmt, res->own_time_us);
 	deliver(call, res);
+	bg_gate_emptying_handle_end(gk);
 	bg_gate_start_queued(gk);
 }
 
@@ -240,6 +255,25 @@
 	finish(call, &res, &asmt);
 }
 
+/* A server that has no room resets the connection, of an idle connection as of
+ * a new one. This is load and no fault of the version; whether the call ran is
+ * unknown, and a new connection would meet the same load. */
+static void
+finish_reset_by_full_server(struct bg_gate_call *call)
+{
+	struct assessment asmt = {0, BG_LIMITER_SHED};
+	struct bg_xcall_res res;
+
+	bg_cost_metrics_count_full_reset();
+	bg_log_warn("gatekeeper", "reset by a full server request=%s server=%s",
+	    call->args->request_id, call->gatekeeper->server.id);
+	memset(&res, 0, sizeof(res));
+	res.outcome = BG_XOUTCOME_UNKNOWN;
+	res.http_status = STATUS_BAD_GATEWAY;
+	res.reason = (char *)"the backend server was full";
+	finish(call, &res, &asmt);
+}
+
 /* Ends a call that was not sent to the backend server. */
 static void
 finish_not_run(struct bg_gate_call *call, enum bg_xrefusal why)
@@ -279,6 +313,7 @@
 		bg_server_mark_lost(&gk->server);
 		bg_gate_publish(gk);
 		res.refusal = BG_XREFUSAL_NO_SERVER;
+		bg_warmup_refund(&gk->limiter.warmup, bg_clock_now_us());
 	}
 	finish(call, &res, &asmt);
 }
@@ -326,18 +361,27 @@
 {
 	if (gk->probe != NULL)
 		bg_probe_trigger(gk->probe);
+	/* The server may have ended, and start again with the same id. */
+	bg_gate_warmup_doubt(gk, "connection-refused");
 	if (++gk->connect_failures >= CONNECT_FAILURES_MAX)
 		mark_server_lost(gk, "connection refused");
 }
 
 /* 1 if the call may be sent to the server a second time, which uses the retry
- * budget. */
+ * budget and is a start of its own at a cold server. */
 static int
 may_resend(const struct bg_gate_call *call)
 {
-	return call->args->idempotent && !call->is_resent &&
-	    bg_retry_take(call->gatekeeper->retry, call->args->service,
-		bg_clock_now_ms());
+	struct bg_gatekeeper *gk = call->gatekeeper;
+	struct bg_warmup *wu = &gk->limiter.warmup;
+
+	if (!call->args->idempotent || call->is_resent ||
+	    bg_gate_emptying_refusal(gk) != BG_XREFUSAL_NONE ||
+	    !bg_warmup_may_start(wu, bg_clock_now_us()) ||
+	    !bg_retry_take(gk->retry, call->args->service, bg_clock_now_ms()))
+		return 0;
+	bg_warmup_start(wu, bg_clock_now_us());
+	return 1;
 }
 
 static void
@@ -349,9 +393,15 @@
 	call->exchange = NULL;
 	if (rsp->code == 0) {
 		gk->connect_failures = 0;
+		bg_gate_work_response(call, rsp);
 		finish_done(call, rsp);
 		return;
 	}
+	if (rsp->code == BG_EIO && !rsp->has_received &&
+	    bg_gate_work_is_full(gk)) {
+		finish_reset_by_full_server(call);
+		return;
+	}
 	/* The reused connection may have been dead before the call was sent, so
 	 * an idempotent call is sent again on a new one. */
 	if (rsp->is_reused && !rsp->has_received && may_resend(call)) {
@@ -482,35 +532,43 @@
 	bg_gate_send(call, 1);
 }
 
+/* Ends a call that cannot be sent now. A call that is being sent again was
+ * written to the first connection, so the server may have run it. */
+static void
+finish_unsent(struct bg_gate_call *call, enum bg_xrefusal why,
+    uint32_t http_status, const char *reason)
+{
+	if (call->is_resent)
+		finish_unknown(call, http_status, reason);
+	else
+		finish_not_run(call, why);
+}
+
 void
 bg_gate_send(struct bg_gate_call *call, int needs_new_connection)
 {
 	uint32_t left_ms =
 	    bg_deadline_left_ms(call->deadline_us, bg_clock_now_us());
 
+	call->is_resent = needs_new_connection;
 	if (left_ms < BG_DEADLINE_MIN_MS) {
-		/* A resent call was already written to the first connection, so
-		 * the server may have run it. */
-		if (call->is_resent)
-			finish_unknown(call, STATUS_TIMEOUT, "deadline");
-		else
-			finish_not_run(call, BG_XREFUSAL_DEADLINE);
+		finish_unsent(
+		    call, BG_XREFUSAL_DEADLINE, STATUS_TIMEOUT, "deadline");
 		return;
 	}
-	/* The server may have begun to drain while the call was queued. */
-	if (!call->is_resent && !bg_gate_accepts_calls(call->gatekeeper)) {
-		finish_not_run(call, BG_XREFUSAL_DRAINING);
+	/* The server may have begun to drain while the call was queued or
+	 * running. */
+	if (!bg_gate_accepts_calls(call->gatekeeper)) {
+		finish_unsent(call, BG_XREFUSAL_DRAINING, STATUS_BAD_GATEWAY,
+		    "the backend server is leaving");
 		return;
 	}
 	if (send_request(call, left_ms, needs_new_connection) != 0) {
-		if (call->is_resent)
-			finish_unknown(
-			    call, STATUS_BAD_GATEWAY, "no connection");
-		else
-			finish_not_run(call, BG_XREFUSAL_NO_SERVER);
+		finish_unsent(call, BG_XREFUSAL_NO_SERVER, STATUS_BAD_GATEWAY,
+		    "no connection");
 		return;
 	}
-	call->is_resent = needs_new_connection;
+	bg_gate_work_started(call);
 	bg_gate_set_timer(call, connection_timeout_us(call));
 }
 
@@ -593,6 +651,8 @@
 	call->entry.priority = args->priority;
 	call->entry.is_dependency = args->is_dependency != 0;
 	call->entry.route = args->route;
+	call->entry.organisation = args->extension.organisation;
+	call->entry.cost_us = args->extension.cost_us;
 	call->next = gk->calls;
 	if (call->next != NULL)
 		call->next->prev = call;
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -6,6 +6,7 @@
  * gatekeeper.
  */
 
+#include "../cost/work.h"
 #include "../intake/intake.h"
 #include "../limiter/limiter.h"
 #include "../metrics/metrics.h"
@@ -32,6 +33,8 @@
 	uint64_t id; /* identifies the call in BODY messages */
 	uint64_t admitted_us;
 	uint64_t deadline_us;
+	uint32_t start_slowness_permille; /* of the server's machine; 0:
+					     unknown */
 	uint64_t buffered_bytes; /* body of a call from another node; the
 				    ingress accounts for those of this one */
 	int is_refused;		 /* the timer delivers the refusal */
@@ -43,19 +46,23 @@
 	struct event_base *base;
 	const struct bg_settings *settings;
 	struct bg_mesh *mesh;
+	const struct bg_link_server *link_server;
 	struct bg_observer *observer;
 	struct bg_backend *backend; /* NULL without a backend server */
 	struct bg_probe *probe;	    /* NULL if the server sends heartbeats */
 	struct bg_server server;
 	struct bg_limiter limiter;
+	struct bg_work work; /* what calls cost and how fast the server is */
 	struct bg_intake intake;
 	struct bg_gate_call *calls;
 	uint64_t last_call_id;
 	struct event *drain_timer; /* end of the grace period in which a leaving
 				      server accepts calls */
 	uint32_t in_flight;
-	uint32_t connect_failures; /* consecutive */
-	uint64_t warmup_end_ms;	   /* the server is slow until then */
+	uint32_t connect_failures;  /* consecutive */
+	struct event *warmup_timer; /* next change of a cold server's limit */
+	uint64_t limited_since_us;  /* valid while is_limited */
+	int is_limited;		    /* starts of the cold server are limited */
 	struct bg_buffers *buffers;
 	struct bg_retry_budget *retry;
 	struct bg_announcement
@@ -65,6 +72,7 @@
 	int is_recovered; /* what an earlier process announced is known */
 	int is_suspended; /* the server's version was judged bad */
 	int is_draining;  /* the node is stopping */
+	int is_emptied;	  /* emptying.c: so is the data centre */
 };
 
 /** @return 0 or BG_ENOMEM */
@@ -80,12 +88,16 @@
 void bg_gate_send(struct bg_gate_call *call, int needs_new_connection);
 /** Starts queued calls while slots are free. */
 void bg_gate_start_queued(struct bg_gatekeeper *gk);
+/** Refuses the queued calls that are not expected to start in time. */
+void bg_gate_refuse_infeasible(struct bg_gatekeeper *gk);
 /** Starts or queues a call whose request is complete, or refuses it. */
 void bg_gate_admit(struct bg_gate_call *call);
 /** Reason for which a call cannot be admitted whatever the load, or
  * BG_XREFUSAL_NONE. */
 enum bg_xrefusal bg_gate_find_refusal(
     const struct bg_gatekeeper *gk, const struct bg_xcall_args *args);
+/** Refuses the calls that wait for a slot. */
+void bg_gate_refuse_queued(struct bg_gatekeeper *gk);
 /** Cancel callback of the calls of other nodes; arg is the call. */
 void bg_gate_on_rpc_cancel(void *arg);
 /** 1 if calls may be sent to the backend server now. */
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -6,7 +6,10 @@
 #include "burdockgrade/log.h"
 
 #include "body.h"
+#include "emptying.h"
 #include "gate_call.h"
+#include "gate_warmup.h"
+#include "gate_work.h"
 
 /* A leaving server accepts calls for this long, since some are on their way to
  * it. Nodes that know that it is leaving send it no more calls. */
@@ -21,9 +24,6 @@
 /* An announcement that was held for longer is dropped; the server repeats it.
  */
 #define HELD_MAX_MS 2000
-/* Assumed warm-up time of a probed backend server, in which its slow responses
- * do not count against its version. */
-#define PROBED_WARMUP_MS 10000
 
 static uint32_t
 usable_connections(uint32_t connections)
@@ -36,6 +36,7 @@
 bg_gate_accepts_calls(const struct bg_gatekeeper *gk)
 {
 	return gk->backend != NULL &&
+	    bg_mesh_admission(gk->mesh) == BG_ADMISSION_OPEN &&
 	    bg_server_accepts_calls(
 		&gk->server, DRAIN_GRACE_MS, bg_clock_now_ms());
 }
@@ -68,10 +69,15 @@
 bg_gate_find_refusal(
     const struct bg_gatekeeper *gk, const struct bg_xcall_args *args)
 {
-	if (!bg_buffers_can_admit(gk->buffers, 0))
+	enum bg_xrefusal why;
+
+	if (!bg_buffers_can_admit(
+		gk->buffers, bg_link_server_output_bytes(gk->link_server)))
 		return BG_XREFUSAL_BUFFERS;
 	if (strcmp(args->service, gk->settings->server.service) != 0)
 		return BG_XREFUSAL_NO_SERVER;
+	if ((why = bg_gate_emptying_refusal(gk)) != BG_XREFUSAL_NONE)
+		return why;
 	if (!bg_gate_accepts_calls(gk))
 		return gk->server.leaving_since_ms != 0 ? BG_XREFUSAL_DRAINING
 							: BG_XREFUSAL_NO_SERVER;
@@ -83,8 +89,8 @@
 	return BG_XREFUSAL_NONE;
 }
 
-static void
-refuse_infeasible(struct bg_gatekeeper *gk)
+void
+bg_gate_refuse_infeasible(struct bg_gatekeeper *gk)
 {
 	struct bg_limiter_entry *entry;
 	uint64_t now_us = bg_clock_now_us();
@@ -107,6 +113,12 @@
 		bg_gate_refuse(call, why);
 		return;
 	}
+	if (bg_gate_work_hands_back(call)) {
+		bg_gate_work_log_hand_back(call);
+		bg_gate_refuse(call, BG_XREFUSAL_BUSY);
+		return;
+	}
+	bg_gate_work_prepare(call);
 	switch (
 	    bg_limiter_acquire(&gk->limiter, &call->entry, bg_clock_now_us())) {
 	case BG_LIMITER_STARTED:
@@ -114,7 +126,8 @@
 		break;
 	case BG_LIMITER_QUEUED:
 		bg_gate_set_timer(call, bg_queue_latest_start_us(&call->entry));
-		refuse_infeasible(gk);
+		bg_gate_refuse_infeasible(gk);
+		bg_gate_warmup_schedule(gk);
 		break;
 	case BG_LIMITER_REJECTED:
 		bg_gate_refuse(call, BG_XREFUSAL_BUSY);
@@ -209,17 +222,23 @@
 	    (call_id[bytes] == '\0' || call_id[bytes] == '.');
 }
 
+/* A request that the id extends goes before one with the same id, which may be
+ * an earlier attempt at this call that came back to this VM. */
 static struct bg_gate_call *
 find_parent(const struct bg_gatekeeper *gk, const char *request_id)
 {
+	struct bg_gate_call *same = NULL;
 	struct bg_gate_call *call;
 
 	for (call = gk->calls; call != NULL; call = call->next) {
-		if (call->entry.is_running &&
-		    is_made_by(request_id, call->args->request_id))
+		if (!call->entry.is_running ||
+		    !is_made_by(request_id, call->args->request_id))
+			continue;
+		if (strcmp(request_id, call->args->request_id) != 0)
 			return call;
+		same = call;
 	}
-	return NULL;
+	return same;
 }
 
 int
@@ -255,15 +274,11 @@
 		    &call->dependency, bg_clock_now_us(), is_failed);
 }
 
-/* Refuses the calls that are still queued when the grace period ends. */
-static void
-on_drain_timer(evutil_socket_t fd, short what, void *arg)
+void
+bg_gate_refuse_queued(struct bg_gatekeeper *gk)
 {
-	struct bg_gatekeeper *gk = arg;
 	struct bg_gate_call *call;
 
-	if (bg_gate_accepts_calls(gk))
-		return;
 	for (call = gk->calls; call != NULL; call = call->next) {
 		if (!call->entry.is_queued)
 			continue;
@@ -273,6 +288,16 @@
 	}
 }
 
+/* The grace period in which a leaving server accepts calls has ended. */
+static void
+on_drain_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct bg_gatekeeper *gk = arg;
+
+	if (!bg_gate_accepts_calls(gk))
+		bg_gate_refuse_queued(gk);
+}
+
 /* 1 if a server that reports to be ready may be one that left while an earlier
  * process ran. What that process announced has to be known first. */
 static int
@@ -296,9 +321,13 @@
 static void
 release_held(struct bg_gatekeeper *gk)
 {
-	int is_recent = bg_clock_now_ms() - gk->held_ms < HELD_MAX_MS;
+	uint64_t held_ms = bg_clock_now_ms() - gk->held_ms;
+	struct bg_announcement *ann = &gk->held;
 
-	if (gk->has_held && is_recent)
+	ann->warmup_left_ms = ann->warmup_left_ms > held_ms
+	    ? ann->warmup_left_ms - (uint32_t)held_ms
+	    : 0;
+	if (gk->has_held && held_ms < HELD_MAX_MS)
 		bg_gatekeeper_announce(gk, &gk->held);
 	gk->has_held = 0;
 }
@@ -340,12 +369,20 @@
 }
 
 static void
-reset_for_new_server(
-    struct bg_gatekeeper *gk, const struct bg_announcement *ann)
+reset_for_new_server(struct bg_gatekeeper *gk)
 {
 	bg_limiter_reset(&gk->limiter);
+	memset(&gk->work, 0, sizeof(gk->work));
 	bg_backend_close_idle(gk->backend);
-	gk->warmup_end_ms = bg_clock_now_ms() + ann->warmup_left_ms;
+}
+
+static int
+is_new_lifetime(
+    const struct bg_gatekeeper *gk, const struct bg_server *previous)
+{
+	return previous->state == BG_SERVER_UNKNOWN ||
+	    strcmp(previous->id, gk->server.id) != 0 ||
+	    previous->started_ms != gk->server.started_ms;
 }
 
 enum bg_announce_result
@@ -355,6 +392,7 @@
 	struct bg_server previous = gk->server;
 	struct bg_announcement copy = *ann;
 	enum bg_announce_result result;
+	int is_new;
 
 	if (gk->backend == NULL ||
 	    !bg_announcement_matches_service(ann, gk->settings->server.service))
@@ -366,6 +404,9 @@
 		return BG_ANNOUNCE_UNCHANGED;
 	}
 	result = bg_server_update(&gk->server, &copy, bg_clock_now_ms());
+	is_new = is_new_lifetime(gk, &previous);
+	if (result == BG_ANNOUNCE_UNCHANGED)
+		bg_gate_warmup_announced(gk, &copy, is_new);
 	if (result != BG_ANNOUNCE_CHANGED)
 		return result;
 	bg_log_info("gatekeeper",
@@ -375,16 +416,15 @@
 	    (int)previous.state, gk->server.slots,
 	    (unsigned long long)gk->server.started_ms,
 	    (unsigned long long)gk->server.sequence);
-	if (previous.state == BG_SERVER_UNKNOWN ||
-	    strcmp(previous.id, gk->server.id) != 0 ||
-	    previous.started_ms != gk->server.started_ms)
-		reset_for_new_server(gk, ann);
+	if (is_new)
+		reset_for_new_server(gk);
 	bg_limiter_set_slots(&gk->limiter, gk->server.slots);
 	gk->connect_failures = 0;
 	if (gk->server.leaving_since_ms != 0 && previous.leaving_since_ms == 0)
 		start_drain_timer(gk);
 	bg_gate_publish(gk);
-	bg_gate_start_queued(gk);
+	/* Starts queued calls, so the slots must be set. */
+	bg_gate_warmup_announced(gk, &copy, is_new);
 	return result;
 }
 
@@ -419,6 +459,7 @@
 
 	if (svc == NULL || gk->backend == NULL)
 		return;
+	bg_gate_warmup_configure(gk, svc);
 	connections = svc->contract.connections;
 	if (connections == 0 ||
 	    (set->server.connections != 0 &&
@@ -433,6 +474,12 @@
 	bg_gate_start_queued(gk);
 }
 
+void
+bg_gatekeeper_doubt_warmth(struct bg_gatekeeper *gk, const char *reason)
+{
+	bg_gate_warmup_doubt(gk, reason);
+}
+
 uint32_t
 bg_gatekeeper_in_flight(const struct bg_gatekeeper *gk)
 {
@@ -442,13 +489,7 @@
 static void
 on_probe_announce(void *arg, const struct bg_announcement *ann)
 {
-	struct bg_gatekeeper *gk = arg;
-	struct bg_announcement copy = *ann;
-
-	/* Probes report no warm-up time. bg_gatekeeper_announce uses it for a
-	 * new server only. */
-	copy.warmup_left_ms = PROBED_WARMUP_MS;
-	bg_gatekeeper_announce(gk, &copy);
+	bg_gatekeeper_announce(arg, ann);
 }
 
 static void
@@ -482,7 +523,7 @@
 	    set->server.connections == 0
 		? DEFAULT_CONNECTIONS
 		: usable_connections(set->server.connections),
-	    set->limits.body_bytes};
+	    set->limits.body_bytes, gk->buffers};
 	int error;
 
 	if (set->server.address[0] == '\0')
@@ -511,13 +552,14 @@
 	gk->base = opts->base;
 	gk->settings = opts->settings;
 	gk->mesh = opts->mesh;
+	gk->link_server = opts->link_server;
 	gk->observer = opts->observer;
 	gk->buffers = opts->buffers;
 	gk->retry = opts->retry;
 	bg_limiter_init(&gk->limiter, opts->settings->server.slots);
 	bg_intake_init(&gk->intake, opts->settings->limits.link_mbps);
 	gk->drain_timer = evtimer_new(opts->base, on_drain_timer, gk);
-	if (gk->drain_timer == NULL)
+	if (gk->drain_timer == NULL || bg_gate_warmup_init(gk) != 0)
 		goto on_error;
 	if ((error = init_backend(gk, err)) != 0)
 		goto on_error;
@@ -551,6 +593,7 @@
 	}
 	bg_probe_free(gk->probe);
 	bg_backend_free(gk->backend);
+	bg_gate_warmup_free(gk);
 	if (gk->drain_timer != NULL)
 		event_free(gk->drain_timer);
 	free(gk);
--- a/proxy/src/metrics/metrics.c
+++ b/proxy/src/metrics/metrics.c
@@ -95,8 +95,37 @@
 static struct bg_counter gate_limit =
     BG_GAUGE("burdock_gate_limit", "Adaptive limit of running calls.");
 
-static struct bg_counter buffered =
-    BG_GAUGE("burdock_buffered_bytes", "Bytes of bodies held by the node.");
+static struct bg_counter fair_passed_over =
+    BG_COUNTER("burdock_gate_fair_passed_over_total",
+	"Starts of a call of another organisation than the order by target "
+	"gives.");
+static struct bg_counter reserve_held_back =
+    BG_COUNTER("burdock_gate_reserved_total",
+	"Times that a free slot was left to urgent calls.");
+
+static struct bg_counter buffered = BG_GAUGE(
+    "burdock_buffered_bytes", "Bytes that the node holds for callers.");
+static struct bg_counter connections =
+    BG_GAUGE("burdock_ingress_connections", "Open connections of callers.");
+
+#define CLOSED "burdock_ingress_closed_total"
+#define CLOSED_HELP "Connections of callers closed for the sake of others."
+
+static struct bg_counter closed[BG_CLOSE_COUNT] = {
+    BG_COUNTER(CLOSED "{reason=\"stalled\"}", CLOSED_HELP),
+    BG_COUNTER(CLOSED "{reason=\"replaced\"}", CLOSED_HELP),
+    BG_COUNTER(CLOSED "{reason=\"refused\"}", CLOSED_HELP),
+};
+static struct bg_counter cold_left = BG_GAUGE(
+    "burdock_server_cold_left_ms", "Time until the backend server is warm.");
+static struct bg_counter cold_periods = BG_COUNTER(
+    "burdock_server_cold_total", "Times that the backend server turned cold.");
+static struct bg_counter cold_refused =
+    BG_COUNTER("burdock_cold_refused_total{at=\"gatekeeper\"}",
+	"Calls refused since the servers are cold.");
+static struct bg_counter cold_unsent =
+    BG_COUNTER("burdock_cold_refused_total{at=\"ingress\"}",
+	"Calls refused since the servers are cold.");
 
 const char *
 bg_refusal_text(enum bg_xrefusal reason)
@@ -172,12 +201,55 @@
 	bg_counter_set(&gate_limit, limit);
 }
 
+void
+bg_metrics_set_fairness(uint64_t passed_over, uint64_t held_back)
+{
+	bg_counter_set(&fair_passed_over, (int64_t)passed_over);
+	bg_counter_set(&reserve_held_back, (int64_t)held_back);
+}
+
+void
+bg_metrics_set_cold_left(uint32_t left_ms)
+{
+	bg_counter_set(&cold_left, left_ms);
+}
+
+void
+bg_metrics_count_cold_period(void)
+{
+	bg_counter_add(&cold_periods, 1);
+}
+
+void
+bg_metrics_count_cold_refused(void)
+{
+	bg_counter_add(&cold_refused, 1);
+}
+
+void
+bg_metrics_count_cold_unsent(void)
+{
+	bg_counter_add(&cold_unsent, 1);
+}
+
 void
 bg_metrics_set_buffered_bytes(uint64_t bytes)
 {
 	bg_counter_set(&buffered, (int64_t)bytes);
 }
 
+void
+bg_metrics_count_closed(enum bg_close_reason reason)
+{
+	bg_counter_add(&closed[reason], 1);
+}
+
+void
+bg_metrics_set_connections(uint32_t count)
+{
+	bg_counter_set(&connections, count);
+}
+
 void
 bg_metrics_observe_backend_time(uint64_t duration_us)
 {
--- a/proxy/tests/test_router.c
+++ b/proxy/tests/test_router.c
@@ -126,6 +126,28 @@
 }
 END_TEST
 
+/* Guards against a new call to a server of an emptied data centre. */
+START_TEST(emptied_data_centres_are_left_out)
+{
+	struct bg_emptied_set emptied = {0};
+	struct bg_pick pick;
+
+	set_data_centre(0, "b");
+	set_data_centre(1, "b");
+	emptied.count = 1;
+	emptied.reports[0].is_emptied = 1;
+	snprintf(emptied.reports[0].data_centre, BG_NAME_BYTES, "a");
+	q.emptied = &emptied;
+	pick_many(PICKS);
+	ck_assert_int_eq(picked[0] + picked[1], PICKS);
+	set_data_centre(0, "a");
+	set_data_centre(1, "a");
+	ck_assert_int_eq(bg_router_pick(&pick, &rtr, &q), BG_ENOTFOUND);
+	emptied.reports[0].is_emptied = 0;
+	pick_many(PICKS);
+}
+END_TEST
+
 /* A server that drains, leaves or starts must not get new calls (P8). */
 START_TEST(only_ready_servers_are_used)
 {
@@ -359,7 +381,7 @@
 value_of(uint32_t service_us, uint64_t delay_us, uint32_t bad, int is_remote)
 {
 	struct bg_value_input in = {
-	    service_us, delay_us, 400000, 1500000, bad, is_remote};
+	    service_us, delay_us, 400000, 1500000, bad, is_remote, NULL, 0};
 
 	return bg_expected_value(&in);
 }
@@ -393,14 +415,176 @@
 }
 END_TEST
 
+/* Guards against cold servers that get calls while warm ones have free slots,
+ * and against warm ones that queue calls which a cold one could start. */
+START_TEST(cold_server_is_used_when_warm_ones_are_busy)
+{
+	int i;
+
+	q.cold.duration_ms = 3000;
+	q.cold.rate_milli_per_s = 7200;
+	q.wall_ms = 1790000000000;
+	members[2].server_started_ms = q.wall_ms - 500;
+	for (i = 0; i < 4; i++)
+		if (i != 2)
+			report(i, 5);
+	pick_many(PICKS);
+	ck_assert_int_eq(picked[2], 0);
+	for (i = 0; i < 4; i++)
+		if (i != 2)
+			report(i, 25);
+	pick_many(PICKS);
+	ck_assert_int_eq(picked[2], PICKS);
+}
+END_TEST
+
+/* Load: all servers are cold. Guards against calls for those that have no start
+ * left while another one has. */
+START_TEST(cold_server_with_a_start_left_is_preferred)
+{
+	int i;
+
+	q.cold.duration_ms = 3000;
+	q.cold.rate_milli_per_s = 7200;
+	q.wall_ms = 1790000000000;
+	for (i = 0; i < 4; i++) {
+		report(i, 1);
+		endpoint(i)->load.cold_left_ms = 2000;
+		endpoint(i)->load.cold_starts_milli_per_s = 7200;
+		endpoint(i)->load.cold_starts_left = i == 2;
+	}
+	pick_many(PICKS);
+	ck_assert_int_eq(picked[2], PICKS);
+}
+END_TEST
+
+/* Reports a server with free slots whose machine is as slow as given. */
+static void
+report_slowness(int i, uint32_t permille, uint32_t work_left_us)
+{
+	struct bg_load ld = {.running = 2,
+	    .slots = 10,
+	    .service_us = SERVICE_US,
+	    .work_left_us = work_left_us,
+	    .slowness_permille = permille};
+
+	bg_endpoint_sent(endpoint(i));
+	bg_endpoint_answered(endpoint(i), "lookup", &ld, q.now_ms);
+}
+
+/* Guards against calls to a machine that is slow now, and against keeping away
+ * from it on news of the past. */
+START_TEST(slow_machine_is_avoided_while_the_news_is_fresh)
+{
+	int i;
+
+	for (i = 0; i < 4; i++)
+		report_slowness(i, i == 0 ? 4000 : 1000, 20000);
+	pick_many(100);
+	ck_assert_int_eq(picked[0], 0);
+	q.now_ms += 2500;
+	pick_many(PICKS);
+	ck_assert_int_gt(picked[0], PICKS / 8);
+}
+END_TEST
+
+/* Guards against calls that prefer servers which have not reported yet, such as
+ * those that have just died, to known ones. */
+START_TEST(unknown_server_is_a_usual_one)
+{
+	struct bg_shape shape;
+	int i;
+
+	memset(&shape, 0, sizeof(shape));
+	for (i = 0; i < 400; i++)
+		bg_shape_record(&shape, i % 10 == 0 ? 7 : 0.7);
+	q.shape = &shape;
+	q.shape_mean = bg_shape_mean(&shape);
+	q.left_us = 500000;
+	for (i = 1; i < 4; i++)
+		report_slowness(i, 1000, 20000);
+	pick_many(PICKS);
+	ck_assert_int_lt(picked[0], PICKS / 2);
+	ck_assert_int_gt(picked[0], PICKS / 8);
+}
+END_TEST
+
+/* Guards against a herd: the server with the least work left must be preferred,
+ * but not by every call. */
+START_TEST(least_work_is_preferred_of_two)
+{
+	int i;
+
+	for (i = 0; i < 4; i++)
+		report_slowness(i, 1000, i == 0 ? 1000 : 90000);
+	pick_many(PICKS);
+	ck_assert_int_gt(picked[0], PICKS * 3 / 8);
+	ck_assert_int_lt(picked[0], PICKS / 2);
+}
+END_TEST
+
+/* Guards against calls that a gatekeeper refuses again and again: it sends its
+ * server less than the slots, because the server sheds calls. */
+START_TEST(reached_limit_is_full_below_the_slots)
+{
+	struct bg_load ld = {.running = 5,
+	    .slots = 10,
+	    .wait_us = 50000,
+	    .service_us = SERVICE_US,
+	    .slowness_permille = 600};
+	int i;
+
+	for (i = 1; i < 4; i++)
+		report_slowness(i, 1000, 20000);
+	bg_endpoint_sent(endpoint(0));
+	bg_endpoint_answered(endpoint(0), "lookup", &ld, q.now_ms);
+	pick_many(100);
+	ck_assert_int_eq(picked[0], 0);
+	q.now_ms += 60;
+	pick_many(100);
+	ck_assert_int_gt(picked[0], 0);
+}
+END_TEST
+
+static double
+value_by_shape(const struct bg_shape *shape, uint64_t left_us)
+{
+	struct bg_value_input in = {
+	    SERVICE_US, 0, 400000, left_us, 0, 0, shape, 0};
+
+	if (shape != NULL)
+		in.shape_mean = bg_shape_mean(shape);
+	return bg_expected_value(&in);
+}
+
+/* Guards against calls to a server on which the few expensive ones would miss
+ * the deadline, although its mean time is well within the target. */
+START_TEST(expensive_calls_count_by_their_distribution)
+{
+	struct bg_shape shape;
+	int i;
+
+	memset(&shape, 0, sizeof(shape));
+	for (i = 0; i < 400; i++)
+		bg_shape_record(&shape, i % 20 == 0 ? 7 : 0.7);
+	ck_assert_double_lt(value_by_shape(&shape, 600000),
+	    value_by_shape(&shape, 1000000) - 0.02);
+	ck_assert_double_gt(
+	    value_by_shape(NULL, 600000), value_by_shape(NULL, 1000000) - 0.01);
+}
+END_TEST
+
 int
 main(void)
 {
 	TCase *tc = tcase_create("router");
 
 	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, cold_server_is_used_when_warm_ones_are_busy);
+	tcase_add_test(tc, cold_server_with_a_start_left_is_preferred);
 	tcase_add_test(tc, calls_spread_evenly);
 	tcase_add_test(tc, empty_member_list_is_not_found);
+	tcase_add_test(tc, emptied_data_centres_are_left_out);
 	tcase_add_test(tc, only_ready_servers_are_used);
 	tcase_add_test(tc, full_server_gets_no_calls);
 	tcase_add_test(tc, stale_load_report_is_ignored);
@@ -420,5 +604,10 @@
 	tcase_add_test(tc, server_with_bad_verdict_is_excluded);
 	tcase_add_test(tc, value_falls_with_each_penalty);
 	tcase_add_test(tc, short_local_queue_beats_remote_slot);
+	tcase_add_test(tc, slow_machine_is_avoided_while_the_news_is_fresh);
+	tcase_add_test(tc, reached_limit_is_full_below_the_slots);
+	tcase_add_test(tc, unknown_server_is_a_usual_one);
+	tcase_add_test(tc, least_work_is_preferred_of_two);
+	tcase_add_test(tc, expensive_calls_count_by_their_distribution);
 	return run_suite("router", tc);
 }
