--- a/proxy/src/call/call.c
+++ b/proxy/src/call/call.c
@@ -6,17 +6,13 @@
 #include <string.h>
 
 #include "burdockgrade/clock.h"
-#include "burdockgrade/counter.h"
 #include "burdockgrade/log.h"
 
 #include "call_cost.h"
 #include "call_internal.h"
-#include "cold_call.h"
 
 #define STATUS_NOT_FOUND 404
 #define STATUS_BAD_METHOD 405
-#define STATUS_BAD_GATEWAY 502
-#define STATUS_UNAVAILABLE 503
 #define STATUS_TIMEOUT 504
 /* Polling interval while a link is being established, and the time after which
  * a node that has not accepted is treated as unreachable. */
@@ -28,20 +24,6 @@
 /* From this pick on, a call may queue at the picked server, which is the one
  * expected to run it soonest. */
 #define QUEUE_FROM_PICK 3
-/* Retry-After without a known queueing time, for example when the node has no
- * servers or no configuration. */
-#define RETRY_AFTER_DEFAULT_MS 300
-/* Lower bound of Retry-After: an earlier retry would meet the same load. */
-#define RETRY_AFTER_MIN_MS 50
-#define RETRY_AFTER_MAX_MS 2000
-/* Retry-After while operators have emptied the data centres of the only
- * servers. They are taken back after seconds or minutes, so that earlier
- * retries would only add load. */
-#define RETRY_AFTER_EMPTIED_MS 1000
-
-static struct bg_counter emptied_calls =
-    BG_COUNTER("burdock_emptied_calls_refused_total",
-	"Calls refused because the data centres of all servers are emptied.");
 
 static void step_pick(struct bg_call *call);
 static void step_send(struct bg_call *call, const struct bg_pick *pick);
@@ -98,62 +80,6 @@
 	call_free(call);
 }
 
-void
-bg_call_reply_error(struct bg_call *call, enum bg_xoutcome outcome,
-    uint32_t http_status, uint32_t retry_after_ms, const char *reason)
-{
-	struct bg_call_answer ans;
-
-	memset(&ans, 0, sizeof(ans));
-	ans.outcome = outcome;
-	ans.http_status = http_status;
-	ans.retry_after_ms = retry_after_ms;
-	ans.reason = reason;
-	bg_call_reply(call, &ans);
-}
-
-/* Estimates when a slot will be free. Jitter keeps callers that were refused
- * together from retrying together. */
-static uint32_t
-retry_after_ms(struct bg_call *call, enum bg_xrefusal refusal)
-{
-	uint64_t base_ms = RETRY_AFTER_DEFAULT_MS;
-	uint64_t ms;
-
-	if (refusal == BG_XREFUSAL_SHED)
-		base_ms = RETRY_AFTER_MIN_MS;
-	if (call->busy_wait_us != 0)
-		base_ms = call->busy_wait_us / 1000;
-	else if (refusal == BG_XREFUSAL_NO_SERVER && bg_call_is_emptied(call))
-		base_ms = RETRY_AFTER_EMPTIED_MS;
-	if (base_ms < RETRY_AFTER_MIN_MS)
-		base_ms = RETRY_AFTER_MIN_MS;
-	if (call->cold_left_ms != 0)
-		ms = bg_cold_call_retry_ms(&call->proxy->router.rand, base_ms,
-		    call->cold_left_ms, RETRY_AFTER_MAX_MS);
-	else if (call->is_server_uneven)
-		return bg_call_come_back_ms(call, (uint32_t)base_ms);
-	else
-		ms =
-		    base_ms + bg_rand_below(&call->proxy->router.rand, base_ms);
-	return ms > RETRY_AFTER_MAX_MS ? RETRY_AFTER_MAX_MS : (uint32_t)ms;
-}
-
-void
-bg_call_refuse(struct bg_call *call, enum bg_xrefusal refusal)
-{
-	/* A refusal guarantees that no backend server ran the call. */
-	if (call->may_have_run) {
-		bg_call_reply_error(call, BG_XOUTCOME_UNKNOWN,
-		    STATUS_BAD_GATEWAY, 0,
-		    "a backend server may have run the call");
-		return;
-	}
-	bg_metrics_count_refused(refusal);
-	bg_call_reply_error(call, BG_XOUTCOME_NOT_RUN, STATUS_UNAVAILABLE,
-	    retry_after_ms(call, refusal), bg_refusal_text(refusal));
-}
-
 uint64_t
 bg_call_left_us(const struct bg_call *call)
 {
@@ -293,41 +219,6 @@
 	arm_timer(call, LINK_POLL_MS * 1000);
 }
 
-/* 1 if the best server is cold and would refuse the call. */
-static int
-is_hopeless(struct bg_call *call, const struct bg_pick *pick)
-{
-	uint64_t now_us = bg_clock_now_us();
-	uint64_t useful_us = bg_call_left_us(call);
-
-	/* A running request waits for a dependency call, so a late answer is
-	 * better than none. */
-	if (!call->is_dependency && call->target_us > now_us)
-		useful_us = call->target_us - now_us;
-	if (!bg_cold_call_is_hopeless(pick, call->picks, useful_us))
-		return 0;
-	call->cold_left_ms = pick->cold_left_ms;
-	bg_metrics_count_cold_unsent();
-	bg_log_info("call",
-	    "not sent request=%s reason=cold service=%s picks=%u wait_us=%llu "
-	    "cold_left_ms=%u",
-	    call->args.request_id, call->service, call->picks,
-	    (unsigned long long)pick->wait_us, pick->cold_left_ms);
-	return 1;
-}
-
-static void
-refuse_without_server(struct bg_call *call)
-{
-	if (bg_call_is_emptied(call)) {
-		bg_counter_add(&emptied_calls, 1);
-		bg_log_warn("call",
-		    "no server left request=%s service=%s reason=emptied",
-		    call->args.request_id, call->service);
-	}
-	bg_call_refuse(call, BG_XREFUSAL_NO_SERVER);
-}
-
 static void
 step_pick(struct bg_call *call)
 {
@@ -340,7 +231,7 @@
 	switch (bg_call_pick_server(&pick, call)) {
 	case 0:
 		call->link_wait_start_us = 0;
-		if (is_hopeless(call, &pick))
+		if (bg_call_is_hopeless(call, &pick))
 			bg_call_refuse(call, BG_XREFUSAL_BUSY);
 		else
 			step_send(call, &pick);
@@ -349,7 +240,7 @@
 		wait_for_link(call);
 		break;
 	default:
-		refuse_without_server(call);
+		bg_call_refuse_without_server(call);
 		break;
 	}
 }
@@ -455,37 +346,6 @@
 		step_result(call, BG_EUNAVAILABLE, NULL);
 }
 
-/* Replies with the result of the last attempt. */
-static void
-reply_result(struct bg_call *call, int code, struct bg_xcall_res *res)
-{
-	struct bg_call_answer ans;
-
-	if (code == BG_EUNAVAILABLE) {
-		bg_call_refuse(call, BG_XREFUSAL_UNREACHABLE);
-		return;
-	}
-	if (code != 0) {
-		bg_call_reply_error(call, BG_XOUTCOME_UNKNOWN,
-		    code == BG_ETIMEOUT ? STATUS_TIMEOUT : STATUS_BAD_GATEWAY,
-		    0, "no answer came from the node of the backend server");
-		return;
-	}
-	if (res->outcome == BG_XOUTCOME_NOT_RUN) {
-		bg_call_refuse(call, res->refusal);
-		return;
-	}
-	memset(&ans, 0, sizeof(ans));
-	ans.outcome = res->outcome;
-	ans.http_status = res->http_status;
-	ans.headers = res->headers.headers_val;
-	ans.header_count = res->headers.headers_len;
-	ans.body = res->body.body_val;
-	ans.body_bytes = res->body.body_len;
-	ans.reason = res->outcome == BG_XOUTCOME_DONE ? NULL : res->reason;
-	bg_call_reply(call, &ans);
-}
-
 /* 1 if the call certainly did not reach a backend server. */
 static int
 is_gatekeeper_refusal(int code, const struct bg_xcall_res *res)
@@ -519,7 +379,7 @@
 		/* None of the servers left could run the call in time. */
 		if (pick.wait_us != 0 && allowed_wait_ms(call, &pick) == 0)
 			return -1;
-		if (is_hopeless(call, &pick))
+		if (bg_call_is_hopeless(call, &pick))
 			return -1;
 		step_send(call, &pick);
 		return 0;
@@ -611,14 +471,14 @@
 	call->endpoint = NULL;
 	if (is_final(code, res)) {
 		call->sent++;
-		reply_result(call, code, res);
+		bg_call_reply_result(call, code, res);
 		return;
 	}
 	if (is_gatekeeper_refusal(code, res)) {
 		if (code == 0 && would_refuse_again(call, res))
 			bg_call_avoid(call, address);
 		if (try_next_gatekeeper(call, code, res) != 0)
-			reply_result(call, code, res);
+			bg_call_reply_result(call, code, res);
 		return;
 	}
 	call->sent++;
@@ -629,7 +489,7 @@
 	if (code == 0 || code == BG_EPROTO)
 		bg_call_avoid(call, address);
 	if (retry_call(call, code, res) != 0)
-		reply_result(call, code, res);
+		bg_call_reply_result(call, code, res);
 }
 
 /* Cancels the current attempt. @return 1 if it may have run */
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -79,6 +79,13 @@
 /** Replies that the call was not run, with a Retry-After, and frees the call.
  * If a backend server may have run it, replies BG_XOUTCOME_UNKNOWN instead. */
 void bg_call_refuse(struct bg_call *call, enum bg_xrefusal refusal);
+/** Refuses a call for which no server is left, and logs if that is because
+ * their data centres are emptied. */
+void bg_call_refuse_without_server(struct bg_call *call);
+/** Replies with the result of the last attempt.
+ * @param res NULL if code is not 0 */
+void bg_call_reply_result(
+    struct bg_call *call, int code, struct bg_xcall_res *res);
 
 /**
  * Admits the call if its organisation is within its cap, else replies.
@@ -99,6 +106,8 @@
 
 /** Picks the server of the next attempt. @return as bg_router_pick */
 int bg_call_pick_server(struct bg_pick *out, struct bg_call *call);
+/** 1 if the picked server is cold and would refuse the call. */
+int bg_call_is_hopeless(struct bg_call *call, const struct bg_pick *pick);
 /** 1 if ready servers of the call's service are not picked, because operators
  * have emptied their data centre. */
 int bg_call_is_emptied(const struct bg_call *call);
--- a/proxy/src/call/pick.c
+++ b/proxy/src/call/pick.c
@@ -6,6 +6,7 @@
 
 #include "call_cost.h"
 #include "call_internal.h"
+#include "cold_call.h"
 
 /* The gatekeeper of this node is called without a link. */
 static int
@@ -180,3 +181,25 @@
 		break;
 	}
 }
+
+int
+bg_call_is_hopeless(struct bg_call *call, const struct bg_pick *pick)
+{
+	uint64_t now_us = bg_clock_now_us();
+	uint64_t useful_us = bg_call_left_us(call);
+
+	/* A running request waits for a dependency call, so a late answer is
+	 * better than none. */
+	if (!call->is_dependency && call->target_us > now_us)
+		useful_us = call->target_us - now_us;
+	if (!bg_cold_call_is_hopeless(pick, call->picks, useful_us))
+		return 0;
+	call->cold_left_ms = pick->cold_left_ms;
+	bg_metrics_count_cold_unsent();
+	bg_log_info("call",
+	    "not sent request=%s reason=cold service=%s picks=%u wait_us=%llu "
+	    "cold_left_ms=%u",
+	    call->args.request_id, call->service, call->picks,
+	    (unsigned long long)pick->wait_us, pick->cold_left_ms);
+	return 1;
+}
