--- a/proxy/src/cost/shape.c
+++ b/proxy/src/cost/shape.c
@@ -17,10 +17,12 @@
 static int
 bucket_of(double ratio)
 {
-	double position =
-	    (log2(ratio) - FIRST_BUCKET_LOG2) * BUCKETS_PER_DOUBLING;
+	double position;
 
-	if (!(position > 0))
+	if (!(ratio > 0))
+		return 0;
+	position = (log2(ratio) - FIRST_BUCKET_LOG2) * BUCKETS_PER_DOUBLING;
+	if (position < 0)
 		return 0;
 	if (position >= BG_SHAPE_BUCKETS)
 		return BG_SHAPE_BUCKETS - 1;
--- a/quota/src/task/client.c
+++ b/quota/src/task/client.c
@@ -278,17 +278,17 @@
 	return 0;
 }
 
+/* @param res NULL if the ask failed */
 static void
-handle_reply(
-    struct bg_quota_slot *slot, int code, const struct bg_xquota_res *res)
+handle_reply(struct bg_quota_slot *slot, const struct bg_xquota_res *res)
 {
 	slot->is_asking = 0;
 	slot->is_settling = 1;
-	if (code == 0 && res->is_owner &&
+	if (res != NULL && res->is_owner &&
 	    res->grants.grants_len == slot->asked_count)
 		settle(slot, res);
 	else
-		handle_failure(slot, code == 0 ? res->owner : NULL);
+		handle_failure(slot, res == NULL ? NULL : res->owner);
 	slot->is_settling = 0;
 	if (is_waited_for(slot))
 		flush(slot);
@@ -298,7 +298,7 @@
 on_reply(void *arg, int code, void *res)
 {
 	if (code != BG_ECANCELED)
-		handle_reply(arg, code, res);
+		handle_reply(arg, code == 0 ? res : NULL);
 }
 
 /* Adds a purse to the ask. */
@@ -373,7 +373,7 @@
 
 	if (slot->has_send_failed) {
 		slot->has_send_failed = 0;
-		handle_reply(slot, BG_EUNAVAILABLE, NULL);
+		handle_reply(slot, NULL);
 		return;
 	}
 	slot->asked_ms = bg_clock_now_ms();
@@ -382,7 +382,7 @@
 	memset(grants, 0, sizeof(grants));
 	res.grants.grants_val = grants;
 	bg_owner_answer(slot->quota, &args, &res);
-	handle_reply(slot, 0, &res);
+	handle_reply(slot, &res);
 }
 
 static int
