--- a/proxy/tests/test_ingress.c
+++ b/proxy/tests/test_ingress.c
@@ -150,9 +150,9 @@
     "1\r\na\r\n2\r\nbc\r\n000\r\nX-Trailer: 1\r\n\r\n",
 };
 
-/* Guards against the parser of libevhtp, which takes an extension for digits of
- * the size on some machines: the end of the body, and so the next request, is
- * then elsewhere. */
+/* Guards against the parser of libevhtp, which does not read the extensions of
+ * chunks alike on all machines, so that the end of the body, and with it the
+ * next request, may be elsewhere. */
 START_TEST(request_after_a_chunked_body_is_served)
 {
 	setup();
