Keep the slots of a server that sheds calls beside free ones

Change: a shed response that reports a free slot counts as a failure of the server and does not decrease the limit.

--- a/proxy/src/gatekeeper/gate_call.c
+++ b/proxy/src/gatekeeper/gate_call.c
@@ -290,7 +290,9 @@
 static void
 finish_shed(struct bg_gate_call *call, uint32_t http_status)
 {
-	struct assessment asmt = {0, BG_LIMITER_SHED};
+	struct assessment asmt = {0,
+	    call->has_server_room ? BG_LIMITER_SHED_WITH_ROOM
+				  : BG_LIMITER_SHED};
 	struct bg_gatekeeper *gk = call->gatekeeper;
 	struct bg_xcall_res res;
 
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -39,6 +39,7 @@
 				    ingress accounts for those of this one */
 	int is_refused;		 /* the timer delivers the refusal */
 	int is_resent;		 /* sent a second time, on a new connection */
+	int has_server_room;	 /* by the load that the response reports */
 	enum bg_xrefusal refusal;
 };
 
--- a/proxy/src/gatekeeper/gate_work.c
+++ b/proxy/src/gatekeeper/gate_work.c
@@ -89,6 +89,8 @@
 		bg_cost_metrics_count_invalid_load();
 		return;
 	}
+	call->has_server_room =
+	    (uint64_t)load.running + load.waiting < load.slots;
 	gk->work.waiting = load.waiting;
 	gk->work.load_ms = bg_clock_now_ms();
 	if (load.slowness_permille == 0)
--- a/proxy/src/limiter/limiter.c
+++ b/proxy/src/limiter/limiter.c
@@ -332,17 +332,18 @@
 		lim->limit = lim->slots * LIMIT_MIN_SHARE;
 }
 
-/* Decreases the limit unless the server sheds calls regardless of its load. */
+/* Decreases the limit unless the server sheds calls regardless of its load.
+ * @param has_room the server reported a free slot */
 static void
-record_shed(
-    struct bg_limiter *lim, const struct bg_limiter_entry *e, uint64_t now_us)
+record_shed(struct bg_limiter *lim, const struct bg_limiter_entry *e,
+    int has_room, uint64_t now_us)
 {
 	uint32_t running = lim->running + 1;
 
 	if (running < e->running_at_start)
 		running = e->running_at_start;
 	record_result(lim, now_us, 1);
-	if (running <= lim->slots * LOW_LOAD_SHARE) {
+	if (has_room || running <= lim->slots * LOW_LOAD_SHARE) {
 		lim->low_load_shed_us = now_us;
 		lim->limit = lim->slots;
 	}
@@ -383,7 +384,9 @@
 		record_result(lim, now_us, 1);
 		break;
 	case BG_LIMITER_SHED:
-		record_shed(lim, entry, now_us);
+	case BG_LIMITER_SHED_WITH_ROOM:
+		record_shed(
+		    lim, entry, sample == BG_LIMITER_SHED_WITH_ROOM, now_us);
 		break;
 	case BG_LIMITER_IGNORED:
 		break;
--- a/proxy/src/limiter/limiter.h
+++ b/proxy/src/limiter/limiter.h
@@ -56,8 +56,10 @@
 /** Result of a call, as far as it concerns the limit. */
 enum bg_limiter_sample {
 	BG_LIMITER_OK,
-	BG_LIMITER_FAILED,  /**< failure caused by the server */
-	BG_LIMITER_SHED,    /**< refused by the server because of its load */
+	BG_LIMITER_FAILED, /**< failure caused by the server */
+	BG_LIMITER_SHED,   /**< refused by the server because of its load */
+	/** Refused by the server, although it reported a free slot. */
+	BG_LIMITER_SHED_WITH_ROOM,
 	BG_LIMITER_IGNORED, /**< no information about the server */
 };
 
--- a/proxy/tests/test_limiter.c
+++ b/proxy/tests/test_limiter.c
@@ -273,6 +273,28 @@
 }
 END_TEST
 
+/* Pattern: demand takes all slots while the server sheds half of its calls and
+ * reports free slots. Guards against a limit that falls to half of the slots,
+ * so that calls are refused beside idle ones. */
+START_TEST(shedding_with_free_slots_keeps_the_limit)
+{
+	int round;
+	int i;
+
+	for (round = 0; round < 20; round++) {
+		fill_slots();
+		now_us += 200000;
+		for (i = 1; i <= SLOTS; i++)
+			release_as(i, 0,
+			    i % 2 == 0 ? BG_LIMITER_OK
+				       : BG_LIMITER_SHED_WITH_ROOM);
+	}
+	ck_assert_double_eq(lim.limit, SLOTS);
+	/* Failures are counted all the same, for the choice of the server. */
+	ck_assert_uint_gt(bg_limiter_failure_permille(&lim, now_us), 300);
+}
+END_TEST
+
 /* Guards against decreasing the limit several times for one overload. */
 START_TEST(simultaneous_sheds_decrease_once)
 {
@@ -524,6 +546,7 @@
 	tcase_add_test(tc, canceled_call_frees_its_slot);
 	tcase_add_test(tc, shedding_decreases_and_success_restores_the_limit);
 	tcase_add_test(tc, shedding_at_low_load_keeps_the_limit);
+	tcase_add_test(tc, shedding_with_free_slots_keeps_the_limit);
 	tcase_add_test(tc, simultaneous_sheds_decrease_once);
 	tcase_add_test(tc, routes_are_timed_separately);
 	tcase_add_test(tc, failure_ratio_rises_and_decays);
--- a/proxy/tests/test_uneven_servers.c
+++ b/proxy/tests/test_uneven_servers.c
@@ -8,6 +8,11 @@
 #define CALL_MS 100
 #define LEARNED_CALLS 10
 #define CALLS 4
+/* Of a backend server, and rounds of shed calls that would halve them. */
+#define SLOTS 4
+#define SHED_ROUNDS 8
+/* The limit is decreased once in this time. */
+#define DECREASE_INTERVAL_MS 110
 
 static struct event_base *base;
 static struct node node1; /* its machine turns slow */
@@ -131,6 +136,64 @@
 }
 END_TEST
 
+static void
+wait_ms(uint32_t ms)
+{
+	struct timeval tv = {0, (suseconds_t)ms * 1000};
+
+	event_base_loopexit(base, &tv);
+	event_base_dispatch(base);
+}
+
+/* Sends calls that the server holds. */
+static void
+hold(struct client *clients, int count)
+{
+	int i;
+
+	node1.backend.mode = BACKEND_HOLD;
+	for (i = 0; i < count; i++)
+		client_send(
+		    &clients[i], "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n");
+	WAIT(base, node1.backend.held == count);
+}
+
+static void
+release(struct client *clients, int count)
+{
+	int i;
+
+	/* Failures do not raise the limit, as successes would. */
+	backend_release_held(&node1.backend, BACKEND_500);
+	for (i = 0; i < count; i++)
+		WAIT(base, client_has_response(&clients[i]));
+}
+
+/* Guards against slots of a server that stay empty, because it sheds part of
+ * its calls while it reports free slots. */
+START_TEST(shedding_beside_free_slots_is_not_taken_for_load)
+{
+	struct client clients[SLOTS];
+	int round;
+	int i;
+
+	for (i = 0; i < SLOTS; i++)
+		client_open(&clients[i], base, bg_proxy_port(node1.proxy));
+	node1.backend.load = "3,0,4,100";
+	for (round = 0; round < SHED_ROUNDS; round++) {
+		hold(clients, SLOTS - 1);
+		node1.backend.mode = BACKEND_SHED;
+		get(&clients[SLOTS - 1]);
+		release(clients, SLOTS - 1);
+		wait_ms(DECREASE_INTERVAL_MS);
+	}
+	hold(clients, SLOTS);
+	release(clients, SLOTS);
+	for (i = 0; i < SLOTS; i++)
+		client_close(&clients[i]);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -142,5 +205,6 @@
 	tcase_add_test(tc, slow_machine_serves_if_there_is_no_other);
 	tcase_add_test(tc, reset_by_a_full_server_counts_as_load);
 	tcase_add_test(tc, reset_by_a_server_with_room_counts_as_failure);
+	tcase_add_test(tc, shedding_beside_free_slots_is_not_taken_for_load);
 	return run_suite("uneven_servers", tc);
 }
