--- a/quota/src/tenure/tenure.c
+++ b/quota/src/tenure/tenure.c
@@ -7,10 +7,9 @@
 #define LEASE_MARGIN_MS 2000
 /* Interval at which candidates look for an owner that is gone. */
 #define POLL_MS 5000
-/* The same while other nodes ask this one for tokens. It doubles with each read
- * that finds the same record, since an owner that died is replaced only after
- * its lease. */
-#define ASKED_POLL_MS 500
+/* The same while other nodes ask this one for tokens: the owner may have given
+ * the slot up. */
+#define ASKED_POLL_MS 1000
 /* A slot that never had an owner is taken this long after the start of the
  * process: while a fleet starts, rosters are incomplete, and its owner would
  * not be among the candidates later. */
@@ -72,19 +71,6 @@
 	return now_ms >= due_ms ? BG_TENURE_WRITE : BG_TENURE_WAIT;
 }
 
-static uint64_t
-poll_interval_ms(const struct bg_tenure *tnr)
-{
-	uint64_t ms = ASKED_POLL_MS;
-	uint32_t i;
-
-	if (!tnr->is_asked)
-		return POLL_MS;
-	for (i = 0; i < tnr->asked_reads && ms < POLL_MS; i++)
-		ms *= 2;
-	return ms < POLL_MS ? ms : POLL_MS;
-}
-
 enum bg_tenure_action
 bg_tenure_next(struct bg_tenure *tnr, int rank, uint64_t now_ms)
 {
@@ -98,8 +84,10 @@
 		    : BG_TENURE_WAIT;
 	if (now_ms >= free_from_ms(tnr, rank))
 		return BG_TENURE_WRITE;
-	return now_ms >= tnr->read_ms + poll_interval_ms(tnr) ? BG_TENURE_READ
-							      : BG_TENURE_WAIT;
+	return now_ms >=
+		tnr->read_ms + (tnr->is_asked ? ASKED_POLL_MS : POLL_MS)
+	    ? BG_TENURE_READ
+	    : BG_TENURE_WAIT;
 }
 
 void
@@ -112,11 +100,8 @@
 bg_tenure_observe(struct bg_tenure *tnr, const struct bg_tenure_record *record,
     uint64_t now_ms)
 {
-	if (tnr->seen_ms == 0 || record->revision != tnr->record.revision) {
+	if (tnr->seen_ms == 0 || record->revision != tnr->record.revision)
 		tnr->seen_ms = now_ms;
-		tnr->asked_reads = 0;
-	} else
-		tnr->asked_reads += tnr->is_asked != 0;
 	tnr->is_asked = 0;
 	tnr->record = *record;
 	tnr->is_read = 1;
--- a/quota/src/tenure/tenure.h
+++ b/quota/src/tenure/tenure.h
@@ -45,8 +45,6 @@
 	struct bg_tenure_record record; /**< last read or written */
 	int is_read;			/**< record is known */
 	int is_asked;	       /**< by another node, since the last read */
-	uint32_t asked_reads;  /**< reads on request that found the same
-				* record */
 	uint64_t seen_ms;      /**< when the record's revision was first seen */
 	uint64_t read_ms;      /**< last read or write */
 	uint64_t lease_end_ms; /**< as owner; 0: this node is not the owner */
