Show cold backend servers in the status command, its JSON and the burn report

The parts of the command that fetch and print emptied data centres now do the same for cold servers (conditions.c, before emptied.c).

--- a/cli/src/burn.h
+++ b/cli/src/burn.h
@@ -12,6 +12,7 @@
 #include "burdockgrade/burn.h"
 #include "burdockgrade/change.h"
 
+#include "conditions.h"
 #include "node_list.h"
 
 /** Windows of the burn rates. */
@@ -67,9 +68,8 @@
 	size_t route_count;
 	struct bg_cli_burn_move *moves; /**< sorted by start time */
 	size_t move_count;
-	const struct bg_cli_nodes *nodes; /**< borrowed */
-	const json_t *emptied; /**< borrowed; data centres, see emptied.h.
-				    NULL: unknown */
+	const struct bg_cli_nodes *nodes;    /**< borrowed */
+	struct bg_cli_conditions conditions; /**< borrowed */
 };
 
 struct bg_cli_burn_input {
--- a/cli/src/burn_html.c
+++ b/cli/src/burn_html.c
@@ -7,7 +7,6 @@
 #include "burdockgrade/clock.h"
 
 #include "burn.h"
-#include "emptied.h"
 
 /* Size of a plot in SVG user units: 10 for each of 72 hours. */
 #define HOUR_WIDTH 10
@@ -76,7 +75,7 @@
 	    "<h1>Burn report at %s</h1>\n<p>%zu of %zu nodes answered.</p>\n",
 	    timestamp, rep->nodes->count - bg_cli_burn_missing_nodes(rep),
 	    rep->nodes->count);
-	bg_cli_emptied_print(fp, rep->emptied, "<p>", "</p>\n");
+	bg_cli_conditions_print(fp, &rep->conditions, "<p>", "</p>\n");
 	for (i = 0; i < rep->nodes->count; i++) {
 		if (rep->nodes->items[i].error_message[0] == '\0')
 			continue;
--- a/cli/src/burn_text.c
+++ b/cli/src/burn_text.c
@@ -7,7 +7,6 @@
 #include "burdockgrade/clock.h"
 
 #include "burn.h"
-#include "emptied.h"
 
 #define CELL_BYTES 48
 #define PERCENT 100.0
@@ -44,7 +43,7 @@
 {
 	size_t i;
 
-	bg_cli_emptied_print(fp, rep->emptied, "", "\n");
+	bg_cli_conditions_print(fp, &rep->conditions, "", "\n");
 	fprintf(fp, "nodes: %zu of %zu answered\n",
 	    rep->nodes->count - bg_cli_burn_missing_nodes(rep),
 	    rep->nodes->count);
@@ -193,8 +192,9 @@
 		json_array_append_new(routes, route_json(&rep->routes[i]));
 	for (i = 0; i < rep->move_count; i++)
 		json_array_append_new(moves, move_json(&rep->moves[i]));
-	return json_pack("{s:b, s:I, s:I, s:o, s:o, s:o, s:O*}", "ok",
+	return json_pack("{s:b, s:I, s:I, s:o, s:o, s:o, s:O*, s:O*}", "ok",
 	    json_array_size(missing) == 0, "time_ms", (json_int_t)rep->now_ms,
 	    "nodes", (json_int_t)rep->nodes->count, "missing", missing,
-	    "routes", routes, "moves", moves, "emptied", rep->emptied);
+	    "routes", routes, "moves", moves, "emptied",
+	    rep->conditions.emptied, "cold", rep->conditions.cold);
 }
--- a/cli/src/node.h
+++ b/cli/src/node.h
@@ -41,6 +41,8 @@
 	/** Emptied data centres: an array of lines, or of JSON objects. NULL:
 	 * the node tells of none. */
 	json_t *emptied;
+	/** Cold backend servers, in the same way. */
+	json_t *cold;
 };
 
 /**
--- a/cli/src/report.c
+++ b/cli/src/report.c
@@ -10,7 +10,7 @@
 
 #include "accepted.h"
 #include "burn.h"
-#include "emptied.h"
+#include "conditions.h"
 
 #define PATH_BURN "/burn"
 #define OPTION_HTML 'H'
@@ -26,7 +26,7 @@
 	struct bg_burn *counts;
 	struct bg_cli_accepted accepted;
 	struct bg_history history;
-	json_t *emptied; /* NULL: unknown */
+	struct bg_cli_conditions conditions;
 };
 
 static error_t
@@ -92,13 +92,14 @@
 
 /* Without them the report is as useful, so an error is only named. */
 static void
-fetch_emptied(const struct report_options *opts, struct report_data *data)
+fetch_conditions(const struct report_options *opts, struct report_data *data)
 {
 	struct bg_error err = {0};
 
-	if (bg_cli_emptied_fetch(&data->emptied, &opts->cli, &err) != 0)
+	if (bg_cli_conditions_fetch(&data->conditions, &opts->cli, &err) != 0)
 		fprintf(stderr,
-		    "burdockgrade report: emptied data centres unknown: %s\n",
+		    "burdockgrade report: emptied data centres and cold "
+		    "servers unknown: %s\n",
 		    err.message);
 }
 
@@ -173,7 +174,7 @@
 		bg_error_set(&err, BG_ENOMEM, "report", NULL, "out of memory");
 		return bg_cli_fail(&opts->cli, &err, NULL);
 	}
-	rep.emptied = data->emptied;
+	rep.conditions = data->conditions;
 	if (print_report(opts, &rep, &err) != 0)
 		code = bg_cli_fail(&opts->cli, &err, NULL);
 	else
@@ -207,10 +208,10 @@
 	    fetch_counts(&data, &err) != 0)
 		code = bg_cli_fail(&opts.cli, &err, NULL);
 	else {
-		fetch_emptied(&opts, &data);
+		fetch_conditions(&opts, &data);
 		code = create_report(&opts, &data);
 	}
-	json_decref(data.emptied);
+	bg_cli_conditions_free(&data.conditions);
 	bg_history_free(&data.history);
 	bg_cli_accepted_free(&data.accepted);
 	bg_burn_free(data.counts);
--- a/cli/src/status.c
+++ b/cli/src/status.c
@@ -44,14 +44,25 @@
 	return cli->arg_count == 0;
 }
 
+static void
+print_comments(const json_t *comments)
+{
+	size_t i;
+
+	for (i = 0; i < json_array_size(comments); i++)
+		puts(json_string_value(json_array_get(comments, i)));
+}
+
 static void
 print_status(const struct bg_cli *cli, const struct bg_cli_status_lines *lines)
 {
 	json_t *services = json_array();
 	size_t i;
 
-	for (i = 0; !cli->is_json && i < json_array_size(lines->emptied); i++)
-		puts(json_string_value(json_array_get(lines->emptied, i)));
+	if (!cli->is_json) {
+		print_comments(lines->emptied);
+		print_comments(lines->cold);
+	}
 	for (i = 0; i < lines->count; i++) {
 		if (!is_selected(cli, lines->items[i].service))
 			continue;
@@ -62,9 +73,9 @@
 			puts(lines->items[i].text);
 	}
 	if (cli->is_json)
-		bg_cli_print_json(
-		    json_pack("{s:b, s:o, s:O*}", "synced", lines->is_synced,
-			"services", services, "emptied", lines->emptied));
+		bg_cli_print_json(json_pack("{s:b, s:o, s:O*, s:O*}", "synced",
+		    lines->is_synced, "services", services, "emptied",
+		    lines->emptied, "cold", lines->cold));
 	else
 		json_decref(services);
 }
--- a/cli/src/status_lines.c
+++ b/cli/src/status_lines.c
@@ -7,8 +7,10 @@
 /* The states defined in docs/status-text.md. */
 static const char *const STATES[] = {"done", "in progress", "rolled back"};
 
-/* Begins a comment on an emptied data centre, as in docs/status-text.md. */
+/* Begin the comments on emptied data centres and cold backend servers, as in
+ * docs/status-text.md. */
 #define EMPTIED_COMMENT "# emptied "
+#define COLD_COMMENT "# cold "
 
 static const char *
 match_state(const char *text, size_t *out_len)
@@ -74,15 +76,21 @@
 								    : 0;
 }
 
-/* Keeps a comment on an emptied data centre. @return 0 or BG_ENOMEM */
+/* Keeps a comment. @return 0 or BG_ENOMEM */
 static int
-add_emptied(struct bg_cli_status_lines *out, const char *text)
+add_comment(json_t **comments, const char *text)
 {
-	json_t *line = json_string(text);
+	if (*comments == NULL)
+		*comments = json_array();
+	return json_array_append_new(*comments, json_string(text)) == 0
+	    ? 0
+	    : BG_ENOMEM;
+}
 
-	if (out->emptied == NULL)
-		out->emptied = json_array();
-	return json_array_append_new(out->emptied, line) == 0 ? 0 : BG_ENOMEM;
+static int
+begins_with(const char *text, const char *prefix)
+{
+	return strncmp(text, prefix, strlen(prefix)) == 0;
 }
 
 static int
@@ -96,9 +104,10 @@
 	out->is_synced = 1;
 	for (text = copy == NULL ? NULL : strtok_r(copy, "\n", &save);
 	     text != NULL && error == 0; text = strtok_r(NULL, "\n", &save)) {
-		if (strncmp(text, EMPTIED_COMMENT, strlen(EMPTIED_COMMENT)) ==
-		    0)
-			error = add_emptied(out, text);
+		if (begins_with(text, EMPTIED_COMMENT))
+			error = add_comment(&out->emptied, text);
+		else if (begins_with(text, COLD_COMMENT))
+			error = add_comment(&out->cold, text);
 		else if (text[0] == '#')
 			out->is_synced &= strstr(text, "not synced") == NULL;
 		else
@@ -145,6 +154,7 @@
 
 	out->is_synced = json_is_true(json_object_get(root, "synced"));
 	out->emptied = json_incref(json_object_get(root, "emptied"));
+	out->cold = json_incref(json_object_get(root, "cold"));
 	for (i = 0; error == 0 && i < json_array_size(services); i++)
 		error = parse_service(out, json_array_get(services, i));
 	json_decref(root);
@@ -175,6 +185,7 @@
 	}
 	free(lines->items);
 	json_decref(lines->emptied);
+	json_decref(lines->cold);
 	memset(lines, 0, sizeof(*lines));
 }
 
--- a/cli/tests/test_lines.c
+++ b/cli/tests/test_lines.c
@@ -2,8 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "conditions.h"
 #include "diff.h"
-#include "emptied.h"
 #include "node.h"
 
 #include "suite.h"
@@ -38,16 +38,20 @@
 }
 END_TEST
 
-/* Guards against a comment on an emptied data centre that is lost, or hides
- * that the node is not synced. */
-START_TEST(emptied_data_centres_are_kept)
+/* Guards against comments on emptied data centres and cold backend servers that
+ * are lost, or hide that the node is not synced. */
+START_TEST(conditions_are_kept)
 {
 	static const char text[] =
 	    "# not synced: this node knows no version yet\n"
-	    "# emptied data_centre=bureau since=T running=3 nodes=2\n";
+	    "# emptied data_centre=bureau since=T running=3 nodes=2\n"
+	    "# cold atelier node=10.0.0.1:1 dc=entrepot left=2000ms\n";
 	static const char json[] =
 	    "{\"synced\":true,\"services\":[],\"emptied\":["
-	    "{\"data_centre\":\"bureau\",\"since_ms\":0,\"running\":3}]}";
+	    "{\"data_centre\":\"bureau\",\"since_ms\":0,\"running\":3}],"
+	    "\"cold\":[{\"service\":\"atelier\",\"node\":\"10.0.0.1:1\","
+	    "\"data_centre\":\"entrepot\",\"left_ms\":2000}]}";
+	struct bg_cli_conditions cond;
 	char *printed = NULL;
 	size_t bytes;
 	FILE *fp;
@@ -55,14 +59,19 @@
 	ck_assert_int_eq(bg_cli_status_lines_parse(&lines, text, 0), 0);
 	ck_assert_int_eq(lines.is_synced, 0);
 	ck_assert_uint_eq(json_array_size(lines.emptied), 1);
+	ck_assert_uint_eq(json_array_size(lines.cold), 1);
 	bg_cli_status_lines_free(&lines);
 	ck_assert_int_eq(bg_cli_status_lines_parse(&lines, json, 1), 0);
+	cond.emptied = lines.emptied;
+	cond.cold = lines.cold;
 	fp = open_memstream(&printed, &bytes);
-	bg_cli_emptied_print(fp, lines.emptied, "<", ">");
+	bg_cli_conditions_print(fp, &cond, "<", ">");
 	fclose(fp);
 	ck_assert_str_eq(printed,
 	    "<data centre bureau is emptied since 1970-01-01T00:00:00Z, "
-	    "3 calls run>");
+	    "3 calls run>"
+	    "<backend server of atelier at node 10.0.0.1:1 in data centre "
+	    "entrepot is cold for another 2000 ms>");
 	free(printed);
 	bg_cli_status_lines_free(&lines);
 }
@@ -251,7 +260,7 @@
 	TCase *tc = tcase_create("lines");
 
 	tcase_add_test(tc, two_word_states_are_parsed);
-	tcase_add_test(tc, emptied_data_centres_are_kept);
+	tcase_add_test(tc, conditions_are_kept);
 	tcase_add_test(tc, unsynced_node_is_detected);
 	tcase_add_test(tc, json_comparison_ignores_age);
 	tcase_add_loop_test(tc, malformed_status_is_rejected, 0,
--- a/moves/src/status/cold.h
+++ b/moves/src/status/cold.h
@@ -2,10 +2,11 @@
 #define BG_STATUS_COLD_H
 
 /** @file
- * Comments of the status text that name the servers in their warm-up. No I/O
- * but to the given stream.
+ * The servers in their warm-up, for the status text and its JSON. No I/O but to
+ * the given stream.
  */
 
+#include <jansson.h>
 #include <stdio.h>
 
 #include "burdockgrade/members.h"
@@ -20,5 +21,8 @@
  */
 void bg_status_print_cold(FILE *fp, const struct bg_snapshot *snap,
     const struct bg_roster *ros, uint64_t now_ms);
+/** The same servers as an array. @return a new reference */
+json_t *bg_status_cold_json(const struct bg_snapshot *snap,
+    const struct bg_roster *ros, uint64_t now_ms);
 
 #endif
--- a/moves/src/status/render.c
+++ b/moves/src/status/render.c
@@ -118,6 +118,14 @@
 	    (json_int_t)sum->written_ms);
 }
 
+static json_t *
+cold_json(const struct bg_status_input *in)
+{
+	if (in->snapshot == NULL || in->roster == NULL)
+		return json_array();
+	return bg_status_cold_json(in->snapshot, in->roster, in->now_wall_ms);
+}
+
 int
 bg_status_render_json(char **out, const struct bg_status_input *in)
 {
@@ -139,10 +147,10 @@
 	for (i = 0; i < view.summary_count; i++)
 		json_array_append_new(
 		    centres, summary_json(&view.summaries[i]));
-	root = json_pack("{s:b,s:I,s:o,s:o,s:o}", "synced", snap != NULL,
+	root = json_pack("{s:b,s:I,s:o,s:o,s:o,s:o}", "synced", snap != NULL,
 	    "version", (json_int_t)(snap == NULL ? 0 : snap->version),
 	    "services", services, "data_centres", centres, "emptied",
-	    bg_status_emptied_json(in));
+	    bg_status_emptied_json(in), "cold", cold_json(in));
 	*out = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return *out == NULL ? BG_ENOMEM : 0;
--- a/moves/tests/test_cold_status.c
+++ b/moves/tests/test_cold_status.c
@@ -63,6 +63,26 @@
 }
 END_TEST
 
+/* Guards against a script that reads the JSON and does not see the ramp. */
+START_TEST(server_in_its_warmup_is_in_the_json)
+{
+	const char *node;
+	json_int_t left_ms;
+	json_t *cold;
+
+	add_server(0, "atelier", 1000);
+	add_server(1, "catalogue", 1000);
+	cold = bg_status_cold_json(&snap, &roster, NOW_MS);
+	ck_assert_uint_eq(json_array_size(cold), 1);
+	ck_assert_int_eq(json_unpack(json_array_get(cold, 0), "{s:s, s:I}",
+			     "node", &node, "left_ms", &left_ms),
+	    0);
+	ck_assert_str_eq(node, "10.0.0.0:1");
+	ck_assert_int_eq(left_ms, 2000);
+	json_decref(cold);
+}
+END_TEST
+
 /* Guards against comments for deployments without a rate, and for services and
  * starts that are not known. */
 START_TEST(other_servers_are_not_named)
@@ -84,6 +104,7 @@
 
 	tcase_add_checked_fixture(tc, setup, NULL);
 	tcase_add_test(tc, server_in_its_warmup_is_named);
+	tcase_add_test(tc, server_in_its_warmup_is_in_the_json);
 	tcase_add_test(tc, other_servers_are_not_named);
 	failed = run_suite("cold status", tc);
 	free(text);
