Add a command that explains where a request would go now

The operators' wish beside routing by cost. burdockgrade where asks a node for the way of a request that is not sent: rule, organisation, cost, and for each server of each service what the router expects of it or why it leaves it out.

The router's conditions for a server are now named (bg_exclusion), so that the explanation and the pick use the same code; pick.c fills one query for both.

--- a/cli/src/cli.h
+++ b/cli/src/cli.h
@@ -74,6 +74,7 @@
 int bg_cli_cmd_report(struct bg_cli *cli, int argc, char **argv);
 int bg_cli_cmd_keys(struct bg_cli *cli, int argc, char **argv);
 int bg_cli_cmd_explain(struct bg_cli *cli, int argc, char **argv);
+int bg_cli_cmd_where(struct bg_cli *cli, int argc, char **argv);
 
 /**
  * Parses the common options, those of the subcommand, and the arguments.
--- a/cli/src/main.c
+++ b/cli/src/main.c
@@ -45,6 +45,13 @@
 	"the request with this id in causal order. If there are none, prints "
 	"what the logs cover, and the exit code is 1.",
 	2, BG_CLI_ARGS_MAX, bg_cli_cmd_explain},
+    {"where", "METHOD URL",
+	"Explain where a request would go now, without sending it\n\nPrints "
+	"the rule that applies and, for each service, its servers with what "
+	"the node expects of them; * marks the one that would get the request. "
+	"--node is the address of the node's metrics. If the request would be "
+	"refused, says why, and the exit code is 1.",
+	2, 2, bg_cli_cmd_where},
     {NULL, NULL, NULL, 0, 0, NULL},
 };
 
--- a/cli/tests/test_cli.c
+++ b/cli/tests/test_cli.c
@@ -457,6 +457,56 @@
 }
 END_TEST
 
+/* Guards against a picked server, an excluded one or a refusal that is not
+ * shown, and against exit code 0 for a request that would go nowhere. */
+START_TEST(way_of_a_request)
+{
+	static const char *const page[] = {
+	    "{\"synced\":true,\"version\":7,\"route\":{\"name\":\"lookup\","
+	    "\"idempotent\":true,\"timeout_ms\":1500,\"target_ms\":400,"
+	    "\"attempts\":2,\"priority\":1},\"organisation\":{\"name\":"
+	    "\"beta\","
+	    "\"rate_milli_per_s\":2500,\"burst\":9},\"services\":[{"
+	    "\"service\":\"catalogue\",\"share_permille\":1000,\"move\":null,"
+	    "\"cost_us\":12500,\"cost_by\":\"path\",\"servers\":["
+	    "{\"node\":\"10.0.0.1:1\",\"data_centre\":\"bureau\","
+	    "\"version\":\"v1\",\"picked\":true,\"value\":0.91,"
+	    "\"wait_us\":1500,\"service_us\":20000,\"load\":3,\"slots\":6,"
+	    "\"slowness_permille\":2500,\"report_age_ms\":120},"
+	    "{\"node\":\"10.0.0.2:1\",\"data_centre\":\"entrepot\","
+	    "\"version\":\"v1\",\"picked\":false,"
+	    "\"excluded\":\"data centre emptied\"}]}]}",
+	    NULL};
+	static const char *const refused[] = {
+	    "{\"synced\":true,\"version\":7,\"refused\":\"no route has this "
+	    "path\"}",
+	    NULL};
+	static const char *const unsynced[] = {"{\"synced\":false}", NULL};
+	struct node_stub stub;
+
+	stub_start(&stub, page);
+	EXPECT(0, "* 10.0.0.1:1", "where", "GET", "http://shop.example/a?b=c",
+	    "--organisation", "beta", "--node", stub.address);
+	ck_assert_ptr_nonnull(strstr(output, "value=0.910 wait=1.5ms"));
+	ck_assert_ptr_nonnull(strstr(output, "slowness=2.50"));
+	ck_assert_ptr_nonnull(strstr(output, "excluded: data centre emptied"));
+	ck_assert_ptr_nonnull(strstr(output, "cap 2.500/s burst 9"));
+	EXPECT(0, "\"value\": 0.91", "where", "GET", "shop.example/a", "--json",
+	    "--node", stub.address);
+	EXPECT(2, "expected a URL", "where", "GET", "shop.example", "--node",
+	    stub.address);
+	stub_stop(&stub);
+	stub_start(&stub, refused);
+	EXPECT(1, "refused: no route has this path", "where", "GET",
+	    "shop.example/a", "--node", stub.address);
+	stub_stop(&stub);
+	stub_start(&stub, unsynced);
+	EXPECT(1, "not synced", "where", "GET", "shop.example/a", "--node",
+	    stub.address);
+	stub_stop(&stub);
+}
+END_TEST
+
 /* Guards against a status that fails because the first of several nodes is
  * down. */
 START_TEST(status_uses_first_responding_node)
@@ -614,6 +664,7 @@
 	tcase_add_test(tc, unreachable_platform_exits_with_4);
 	tcase_add_test(tc, lost_write_responses_are_resolved);
 	tcase_add_test(tc, status_of_named_services);
+	tcase_add_test(tc, way_of_a_request);
 	tcase_add_test(tc, organisations_of_a_node);
 	tcase_add_test(tc, status_uses_first_responding_node);
 	tcase_add_loop_test(tc, page_with_a_broken_status_is_not_printed, 0, 4);
--- a/daemon/src/node.c
+++ b/daemon/src/node.c
@@ -273,11 +273,19 @@
 					  : NULL);
 }
 
+static int
+explain(void *arg, char **out, const struct bg_explain_query *query)
+{
+	struct bg_node *node = arg;
+
+	return bg_proxy_explain(out, node->proxy, query);
+}
+
 static int
 init_platform(struct bg_node *node, struct bg_error *err)
 {
 	struct bg_platform_handler handler = {
-	    on_announcement, is_ready, render_organisations, node};
+	    on_announcement, is_ready, render_organisations, explain, node};
 
 	if (!node->is_platform_managed)
 		return bg_pages_init(node);
--- a/proxy/include/burdockgrade/proxy.h
+++ b/proxy/include/burdockgrade/proxy.h
@@ -108,6 +108,25 @@
 void bg_proxy_check_server(
     struct bg_proxy *prx, void (*fn)(void *arg, int is_listening), void *arg);
 
+/** A request whose way is asked for. */
+struct bg_explain_query {
+	const char *method;
+	const char *host; /**< lower case, without port */
+	const char *path;
+	const char *organisation; /**< of the caller; empty: none */
+};
+
+/**
+ * Explains where a request would go now, and why, without sending it: the rule
+ * and the organisation that decide, and for each service of the rule its
+ * servers with the router's estimates. Changes no state that a call uses.
+ *
+ * @param out JSON text, to be freed by the caller
+ * @return 0 or BG_ENOMEM
+ */
+int bg_proxy_explain(
+    char **out, struct bg_proxy *prx, const struct bg_explain_query *query);
+
 /** Bans a server version as bad, up to and including a move generation. This
  * node sends it no more calls. Logs an error if out of memory. */
 void bg_proxy_ban(struct bg_proxy *prx, const char *service,
--- a/proxy/src/call/call_internal.h
+++ b/proxy/src/call/call_internal.h
@@ -106,6 +106,9 @@
 
 /** Picks the server of the next attempt. @return as bg_router_pick */
 int bg_call_pick_server(struct bg_pick *out, struct bg_call *call);
+/** Evaluates the servers of the call's service for its next attempt.
+ * @param out free() it; NULL if out of memory @return their number */
+size_t bg_call_candidates(struct bg_candidate **out, struct bg_call *call);
 /** 1 if the picked server is cold and would refuse the call. */
 int bg_call_is_hopeless(struct bg_call *call, const struct bg_pick *pick);
 /** 1 if ready servers of the call's service are not picked, because operators
--- a/proxy/src/call/pick.c
+++ b/proxy/src/call/pick.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "burdockgrade/clock.h"
@@ -36,53 +37,86 @@
 	return (count * move->share_permille + 999) / 1000;
 }
 
-static int
-pick(struct bg_pick *out, struct bg_call *call,
+static void
+set_times(struct bg_pick_query *out, const struct bg_call *call)
+{
+	const struct bg_service *svc =
+	    bg_snapshot_service(call->snapshot, call->service);
+	uint64_t now_us = bg_clock_now_us();
+
+	out->now_ms = bg_clock_now_ms();
+	out->wall_ms = bg_clock_wall_ms();
+	if (svc != NULL) {
+		out->cold.duration_ms = svc->warmup_ms;
+		out->cold.rate_milli_per_s = svc->warmup_milli_per_s;
+	}
+	out->left_us = bg_call_left_us(call);
+	out->target_us = out->left_us;
+	if (call->target_us != 0)
+		out->target_us =
+		    call->target_us > now_us ? call->target_us - now_us : 0;
+}
+
+/* @param avoid has room for BG_CALL_AVOID_MAX; used by the query */
+static void
+fill_query(struct bg_pick_query *out, const char **avoid, struct bg_call *call,
     const struct bg_version_choice *choice)
 {
 	struct bg_proxy *prx = call->proxy;
-	const char *avoid[BG_CALL_AVOID_MAX];
-	const struct bg_service *svc;
-	struct bg_pick_query q;
-	uint64_t now_us = bg_clock_now_us();
 	size_t i;
 
-	memset(&q, 0, sizeof(q));
-	q.member_count = bg_roster_service(
-	    &q.members, bg_mesh_roster(prx->mesh), call->service);
-	q.route = call->rule->name;
-	q.data_centre = prx->settings->node.data_centre;
-	q.own_address = bg_mesh_address(prx->mesh);
-	q.body_bytes = call->args.body.body_len;
-	q.only_version = choice->only;
-	q.except_version = choice->except;
+	memset(out, 0, sizeof(*out));
+	out->member_count = bg_roster_service(
+	    &out->members, bg_mesh_roster(prx->mesh), call->service);
+	out->route = call->rule->name;
+	out->data_centre = prx->settings->node.data_centre;
+	out->own_address = bg_mesh_address(prx->mesh);
+	out->body_bytes = call->args.body.body_len;
+	out->only_version = choice->only;
+	out->except_version = choice->except;
 	if (choice->move != NULL &&
 	    choice->move->state == BG_MOVE_IN_PROGRESS) {
-		q.verdict_version = choice->move->to;
-		q.verdict_generation = choice->move->generation;
-		q.server_max = new_version_server_max(&q, choice->move);
+		out->verdict_version = choice->move->to;
+		out->verdict_generation = choice->move->generation;
+		out->server_max = new_version_server_max(out, choice->move);
 	}
-	q.is_reachable = is_reachable;
-	q.arg = prx;
+	out->is_reachable = is_reachable;
+	out->arg = prx;
 	for (i = 0; i < call->avoid_count; i++)
 		avoid[i] = call->avoid[i];
-	q.avoid = avoid;
-	q.avoid_count = call->avoid_count;
-	q.emptied = bg_mesh_emptied(prx->mesh);
-	q.now_ms = bg_clock_now_ms();
-	q.wall_ms = bg_clock_wall_ms();
-	svc = bg_snapshot_service(call->snapshot, call->service);
-	if (svc != NULL) {
-		q.cold.duration_ms = svc->warmup_ms;
-		q.cold.rate_milli_per_s = svc->warmup_milli_per_s;
-	}
-	q.left_us = bg_call_left_us(call);
-	q.target_us = q.left_us;
-	if (call->target_us != 0)
-		q.target_us =
-		    call->target_us > now_us ? call->target_us - now_us : 0;
-	bg_call_fill_cost(&q, call);
-	return bg_router_pick(out, &prx->router, &q);
+	out->avoid = avoid;
+	out->avoid_count = call->avoid_count;
+	out->emptied = bg_mesh_emptied(prx->mesh);
+	set_times(out, call);
+	bg_call_fill_cost(out, call);
+}
+
+static int
+pick(struct bg_pick *out, struct bg_call *call,
+    const struct bg_version_choice *choice)
+{
+	const char *avoid[BG_CALL_AVOID_MAX];
+	struct bg_pick_query q;
+
+	fill_query(&q, avoid, call, choice);
+	return bg_router_pick(out, &call->proxy->router, &q);
+}
+
+size_t
+bg_call_candidates(struct bg_candidate **out, struct bg_call *call)
+{
+	const char *avoid[BG_CALL_AVOID_MAX];
+	struct bg_version_choice choice;
+	struct bg_pick_query q;
+
+	bg_versions_choose(
+	    &choice, &call->proxy->versions, call->service, call->rule);
+	fill_query(&q, avoid, call, &choice);
+	*out = calloc(q.member_count + 1, sizeof(**out));
+	if (*out == NULL)
+		return 0;
+	bg_router_evaluate(*out, &call->proxy->router, &q);
+	return q.member_count;
 }
 
 int
--- a/proxy/src/router/router.c
+++ b/proxy/src/router/router.c
@@ -52,21 +52,31 @@
 	    strcmp(q->verdict_version, m->server_version) == 0;
 }
 
-static int
-is_eligible(const struct bg_pick_query *q, const struct bg_member *m)
+/* Why a server may not get the call, whatever its state. */
+static enum bg_exclusion
+exclusion_of(const struct bg_pick_query *q, const struct bg_member *m)
 {
-	if (m->state != BG_MEMBER_READY || is_avoided(q, m->address))
-		return 0;
+	if (m->state != BG_MEMBER_READY)
+		return BG_EXCLUSION_NOT_READY;
+	if (is_avoided(q, m->address))
+		return BG_EXCLUSION_AVOIDED;
 	if (q->emptied != NULL &&
 	    bg_emptied_set_contains(q->emptied, m->data_centre))
-		return 0;
+		return BG_EXCLUSION_EMPTIED;
 	if (q->only_version != NULL &&
 	    strcmp(q->only_version, m->server_version) != 0)
-		return 0;
+		return BG_EXCLUSION_VERSION;
 	if (q->except_version != NULL &&
 	    strcmp(q->except_version, m->server_version) == 0)
-		return 0;
-	return !has_bad_verdict(q, m);
+		return BG_EXCLUSION_VERSION;
+	return has_bad_verdict(q, m) ? BG_EXCLUSION_BAD_VERDICT
+				     : BG_EXCLUSION_NONE;
+}
+
+static int
+is_reachable(const struct bg_pick_query *q, const struct bg_member *m)
+{
+	return q->is_reachable == NULL || q->is_reachable(q->arg, m->address);
 }
 
 /* Mean service time of the route's calls over the servers that reported one; 0:
@@ -308,14 +318,13 @@
 	find_usual_slowness(&usual, rtr, q);
 	for (i = 0; i < q->member_count; i++) {
 		m = &q->members[i];
-		if (!is_eligible(q, m) ||
+		if (exclusion_of(q, m) != BG_EXCLUSION_NONE ||
 		    (ep = bg_endpoint_get(&rtr->endpoints, m->address)) == NULL)
 			continue;
 		search->has_eligible = 1;
 		if (q->server_max != 0 && ++eligible > q->server_max)
 			break;
-		if (q->is_reachable != NULL &&
-		    !q->is_reachable(q->arg, m->address))
+		if (!is_reachable(q, m))
 			continue;
 		evaluate(&pick, ep, m, q, &usual);
 		update_best(search, rtr, &pick,
@@ -341,3 +350,60 @@
 	    average_service_us(rtr, q, out->member->server_version);
 	return 0;
 }
+
+void
+bg_router_evaluate(struct bg_candidate *out, struct bg_router *rtr,
+    const struct bg_pick_query *q)
+{
+	struct usual usual = {typical_service_us(rtr, q), 0, 0};
+	struct bg_endpoint *ep;
+	uint32_t eligible = 0;
+	size_t i;
+
+	find_usual_slowness(&usual, rtr, q);
+	for (i = 0; i < q->member_count; i++) {
+		const struct bg_member *m = &q->members[i];
+
+		memset(&out[i], 0, sizeof(out[i]));
+		out[i].pick.member = m;
+		out[i].exclusion = exclusion_of(q, m);
+		if (out[i].exclusion != BG_EXCLUSION_NONE)
+			continue;
+		ep = bg_endpoint_get(&rtr->endpoints, m->address);
+		if (q->server_max != 0 && ++eligible > q->server_max)
+			out[i].exclusion = BG_EXCLUSION_SHARE;
+		else if (ep == NULL || !is_reachable(q, m))
+			out[i].exclusion = BG_EXCLUSION_UNREACHABLE;
+		else {
+			evaluate(&out[i].pick, ep, m, q, &usual);
+			if (bg_endpoint_is_unavailable(ep, q->now_ms))
+				out[i].exclusion = BG_EXCLUSION_UNAVAILABLE;
+		}
+	}
+}
+
+const char *
+bg_exclusion_name(enum bg_exclusion exclusion)
+{
+	switch (exclusion) {
+	case BG_EXCLUSION_NONE:
+		return "none";
+	case BG_EXCLUSION_NOT_READY:
+		return "not ready";
+	case BG_EXCLUSION_AVOIDED:
+		return "tried before";
+	case BG_EXCLUSION_EMPTIED:
+		return "data centre emptied";
+	case BG_EXCLUSION_VERSION:
+		return "other version";
+	case BG_EXCLUSION_BAD_VERDICT:
+		return "bad version";
+	case BG_EXCLUSION_SHARE:
+		return "beyond the share of the new version";
+	case BG_EXCLUSION_UNREACHABLE:
+		return "no link";
+	case BG_EXCLUSION_UNAVAILABLE:
+		return "failed lately";
+	}
+	return "unknown";
+}
--- a/proxy/src/router/router.h
+++ b/proxy/src/router/router.h
@@ -74,6 +74,35 @@
 	uint64_t work_left_us;	    /**< for each slot there; 0: unknown */
 };
 
+/** Why a server is not picked for a call. */
+enum bg_exclusion {
+	BG_EXCLUSION_NONE,
+	BG_EXCLUSION_NOT_READY,	  /**< its node has announced no ready server */
+	BG_EXCLUSION_AVOIDED,	  /**< it was tried before */
+	BG_EXCLUSION_EMPTIED,	  /**< operators emptied its data centre */
+	BG_EXCLUSION_VERSION,	  /**< the move asks for another version */
+	BG_EXCLUSION_BAD_VERDICT, /**< its version failed there */
+	BG_EXCLUSION_SHARE,	  /**< beyond the servers of a new version that
+				       get its share */
+	BG_EXCLUSION_UNREACHABLE, /**< no link to its node is up */
+	/** Calls to its node failed, or its node takes none for now. Picked
+	 * only if there is no other server. */
+	BG_EXCLUSION_UNAVAILABLE,
+};
+
+/** A server as the router sees it for a call. */
+struct bg_candidate {
+	enum bg_exclusion exclusion;
+	struct bg_pick pick; /**< estimates, unless it is excluded; of an
+				unavailable one, too */
+};
+
+/** Evaluates the servers of a query as bg_router_pick() does.
+ * @param out has room for q->member_count, in their order */
+void bg_router_evaluate(struct bg_candidate *out, struct bg_router *rtr,
+    const struct bg_pick_query *q);
+/** Name of an exclusion, for people. */
+const char *bg_exclusion_name(enum bg_exclusion exclusion);
 /** Picks the server of a call. @return 0, BG_ENOTFOUND if no server may serve
  *     the call, or BG_EUNAVAILABLE if none of those that may can be reached */
 int bg_router_pick(
--- a/proxy/tests/test_router.c
+++ b/proxy/tests/test_router.c
@@ -574,6 +574,36 @@
 }
 END_TEST
 
+/* Guards against an explanation that differs from what the router does. */
+START_TEST(evaluation_names_why_servers_are_not_picked)
+{
+	struct bg_candidate cand[MEMBERS];
+	struct bg_emptied_set emptied = {0};
+	struct bg_pick pick;
+
+	emptied.count = 1;
+	emptied.reports[0].is_emptied = 1;
+	snprintf(emptied.reports[0].data_centre, BG_NAME_BYTES, "b");
+	q.emptied = &emptied;
+	q.except_version = "v2";
+	set_data_centre(0, "b");
+	set_version(1, "v2");
+	report(2, 1);
+	fail_calls(3, BG_EJECT_FAILURES);
+	members[4].state = BG_MEMBER_LEAVING;
+	q.member_count = 5;
+	bg_router_evaluate(cand, &rtr, &q);
+	ck_assert_int_eq(cand[0].exclusion, BG_EXCLUSION_EMPTIED);
+	ck_assert_int_eq(cand[1].exclusion, BG_EXCLUSION_VERSION);
+	ck_assert_int_eq(cand[2].exclusion, BG_EXCLUSION_NONE);
+	ck_assert_int_eq(cand[3].exclusion, BG_EXCLUSION_UNAVAILABLE);
+	ck_assert_int_eq(cand[4].exclusion, BG_EXCLUSION_NOT_READY);
+	ck_assert_int_eq(bg_router_pick(&pick, &rtr, &q), 0);
+	ck_assert_ptr_eq(pick.member, cand[2].pick.member);
+	ck_assert_double_eq(pick.value, cand[2].pick.value);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -609,5 +639,6 @@
 	tcase_add_test(tc, unknown_server_is_a_usual_one);
 	tcase_add_test(tc, least_work_is_preferred_of_two);
 	tcase_add_test(tc, expensive_calls_count_by_their_distribution);
+	tcase_add_test(tc, evaluation_names_why_servers_are_not_picked);
 	return run_suite("router", tc);
 }
