Read a slot for the first time by a stale read

A stale read costs a tenth, and the condition of the write that follows fails if the record was old. Reads after a write whose outcome is not known stay exact.

test_tenure fails without the change.

--- a/quota/src/task/slots.c
+++ b/quota/src/task/slots.c
@@ -129,7 +129,7 @@
 	query.kind = KIND_SLOTS;
 	query.name = name;
 	/* Cheaper. An old record delays a takeover, and its condition fails. */
-	query.may_be_stale = slot->tenure.is_read && !slot->tenure.is_asked;
+	query.may_be_stale = !bg_tenure_needs_exact_read(&slot->tenure);
 	if (bg_store_read(slot->quota->store, &query, on_read, slot) == 0)
 		slot->is_store_call_pending = 1;
 	else
--- a/quota/src/tenure/tenure.c
+++ b/quota/src/tenure/tenure.c
@@ -96,6 +96,12 @@
 	tnr->is_asked = 1;
 }
 
+int
+bg_tenure_needs_exact_read(const struct bg_tenure *tnr)
+{
+	return tnr->is_asked || (!tnr->is_read && tnr->read_ms != 0);
+}
+
 void
 bg_tenure_observe(struct bg_tenure *tnr, const struct bg_tenure_record *record,
     uint64_t now_ms)
--- a/quota/src/tenure/tenure.h
+++ b/quota/src/tenure/tenure.h
@@ -72,6 +72,9 @@
 /** Another node asked this one for tokens, although it is not the owner. The
  * slot may be free, so the record is read again soon. */
 void bg_tenure_asked(struct bg_tenure *tnr);
+/** 1 if the next read has to show the newest record: after a write whose
+ * outcome is not known, or when the slot may have been given up. */
+int bg_tenure_needs_exact_read(const struct bg_tenure *tnr);
 /** A write failed, or its outcome is unknown: the record is read again. */
 void bg_tenure_forget(struct bg_tenure *tnr, uint64_t now_ms);
 /** 1 while this node may grant. */
--- a/quota/tests/test_tenure.c
+++ b/quota/tests/test_tenure.c
@@ -170,6 +170,21 @@
 }
 END_TEST
 
+/* Each process of a fleet that starts looks at its slots: an exact read costs
+ * ten times as much, and the condition of the write shows an old record. */
+START_TEST(first_read_may_be_stale)
+{
+	ck_assert(!bg_tenure_needs_exact_read(&tnr));
+	observe(5, "10.0.0.2:7000", 22, 0, T0);
+	ck_assert(!bg_tenure_needs_exact_read(&tnr));
+	bg_tenure_asked(&tnr);
+	ck_assert(bg_tenure_needs_exact_read(&tnr));
+	observe(5, "10.0.0.2:7000", 22, 0, T0 + 10);
+	bg_tenure_forget(&tnr, T0 + 20);
+	ck_assert(bg_tenure_needs_exact_read(&tnr));
+}
+END_TEST
+
 /* The outcome of a write is unknown: the record is read again, and an owner
  * goes on until its last confirmed lease ends. */
 START_TEST(unknown_outcome_is_read_back)
@@ -231,6 +246,7 @@
 	tcase_add_test(tc, released_slot_is_taken_at_once);
 	tcase_add_test(tc, record_is_read_soon_when_another_node_asks);
 	tcase_add_test(tc, asks_for_the_slot_of_a_dead_owner_cost_few_reads);
+	tcase_add_test(tc, first_read_may_be_stale);
 	tcase_add_test(tc, unknown_outcome_is_read_back);
 	tcase_add_test(tc, own_lapsed_tenure_is_clean_from_its_end);
 	tcase_add_test(tc, owner_that_was_replaced_stops);
