--- a/bench/managed.py
+++ b/bench/managed.py
@@ -27,13 +27,13 @@
 
 SETTINGS = """NodeName = "{name}"
 Ip = "{ip}"
-Zone = "dc-a"
+Zone = "{zone}"
 Region = "region"
 PortRange = [{inbound},{inbound}]
 Seeds = []
 HeartbeatS = 1.5
 Thresholds = ["DrainS=2","GraceS=6","RetryBudget=0.2","RetryWindowS=10",\
-"BudgetSlack=60","CanaryShare=0.1"]
+"BudgetSlack=60","CanaryShare=0.1"{thresholds}]
 AppAddr = "{ip}:{server}"
 Service = "{service}"
 [Bind]
@@ -73,13 +73,14 @@
 
 
 class Server(ThreadingHTTPServer):
-    """A backend server. `runs` has the monotonic time of each request. `raw`,
-    if it is set, is sent as its response; %s stands for the request id."""
+    """A backend server. `runs` has the monotonic time of each request, and
+    `requests` what its head says. `raw`, if it is set, is sent as its response;
+    %s stands for the request id. It is cold for `warmup_s` after its start."""
 
     daemon_threads = True
     allow_reuse_address = True
 
-    def __init__(self, node, server_id, version="v1"):
+    def __init__(self, node, server_id, version="v1", warmup_s=0.0):
         super().__init__((node.ip, node.ports["server"]), Handler)
         self.node = node
         self.id = server_id
@@ -87,17 +88,20 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = []
+        self.requests = []
         self.raw = None
+        self.warm_at = time.monotonic() + warmup_s
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def ping(self, state):
         """Returns a heartbeat; deliver() sends it, now or later."""
         self.sequence += 1
         return ("heartbeat", {
-            "Service": self.node.service, "Zone": "dc-a",
+            "Service": self.node.service, "Zone": self.node.zone,
             "Version": self.version,
             "Address": "%s:%d" % (self.node.ip, self.node.ports["server"]),
-            "Capacity": 6, "State": state, "WarmupLeftS": 0,
+            "Capacity": 6, "State": state,
+            "WarmupLeftS": max(0.0, self.warm_at - time.monotonic()),
             "Sequence": self.sequence, "born": self.born})
 
     def deliver(self, message):
@@ -130,6 +134,10 @@
         self.rfile.read(int(self.headers.get("Content-Length", 0)))
         if self.path != "/healthz":
             self.server.runs.append(time.monotonic())
+            self.server.requests.append(
+                (time.monotonic(), self.headers.get("X-Request-Id"),
+                 self.headers.get_all("X-Tenant", []),
+                 self.headers.get_all("X-Credential", [])))
         if self.server.raw is not None:
             request_id = self.headers.get("X-Request-Id", "").encode()
             self.wfile.write(self.server.raw.replace(b"%s", request_id))
@@ -150,8 +158,9 @@
 
 
 class Node:
-    def __init__(self, fleet, index, service):
+    def __init__(self, fleet, index, service, zone):
         self.fleet = fleet
+        self.zone = zone
         self.name = "node-%d" % index
         self.ip = "%s.%d" % (fleet.net, index + 1)
         self.service = service
@@ -164,6 +173,8 @@
         with open(settings, "w", encoding="ascii") as out:
             out.write(SETTINGS.format(
                 name=self.name, ip=self.ip, service=self.service,
+                zone=self.zone, thresholds="".join(
+                    ',"%s"' % t for t in self.fleet.thresholds),
                 store=self.fleet.store, memory_mb=self.fleet.memory_mb,
                 max_fds=self.fleet.max_fds, **self.ports))
         with open(self.log_path, "ab") as log:
@@ -213,9 +224,12 @@
 
 
 class Fleet:
-    """Nodes 0, 1, ... with one of the services each; none is started."""
+    """Nodes 0, 1, ... with one of the services each; none is started. Zones go
+    to the nodes in turn, thresholds ("Name=number") to their settings."""
 
-    def __init__(self, services, memory_mb=260, max_fds=4100):
+    def __init__(self, services, memory_mb=260, max_fds=4100, zones=("dc-a",),
+                 thresholds=()):
+        self.thresholds = thresholds
         self.memory_mb = memory_mb
         self.max_fds = max_fds
         self.dir = tempfile.mkdtemp(prefix="bg-managed-")
@@ -225,7 +239,8 @@
         addresses = ["%s.%d" % (self.net, i + 1) for i in range(len(services))]
         base = free_base_port(random.Random(), addresses)
         self.ports = {name: base + i for i, name in enumerate(PORTS)}
-        self.nodes = [Node(self, i, s) for i, s in enumerate(services)]
+        self.nodes = [Node(self, i, s, zones[i % len(zones)])
+                      for i, s in enumerate(services)]
         self.start_store()
 
     def start_store(self):
@@ -276,6 +291,12 @@
             status, _, text = http("POST", self.store, path, body)
         assert status == 200, text
 
+    def remove(self, kind, name):
+        """Removes an object; the answer acknowledges it."""
+        status, _, text = http(
+            "DELETE", self.store, "/api/objects/%s/%s" % (kind, name))
+        assert status == 200, text
+
     def stop(self):
         for child in [n.child for n in self.nodes] + [self.store_child]:
             if child is not None and child.poll() is None:
