--- a/proxy/src/cost/predictor.c
+++ b/proxy/src/cost/predictor.c
@@ -83,6 +83,14 @@
 	return route;
 }
 
+/* Tags are odd, since 0 means an empty cell. Their other bits choose the cell.
+ */
+static size_t
+cell_index(uint64_t tag)
+{
+	return (size_t)((tag >> 1) % BG_PREDICTOR_CELLS);
+}
+
 /* Log of the cost by one trait; the route's where the cell knows nothing. */
 static double
 cell_log(const struct bg_cost_cell *cell, uint64_t tag,
@@ -132,10 +140,10 @@
 	out->trait = best_trait(route);
 	if (out->trait >= 0) {
 		tag = trait_tag((enum bg_cost_trait)out->trait, q, seed);
-		cost_us *= exp(
-		    cell_log(&prd->cells[out->trait][tag % BG_PREDICTOR_CELLS],
-			tag, route) -
-		    route->mean_log);
+		cost_us *=
+		    exp(cell_log(&prd->cells[out->trait][cell_index(tag)], tag,
+			    route) -
+			route->mean_log);
 	}
 	out->cost_us = cost_us < UINT32_MAX ? (uint32_t)cost_us : UINT32_MAX;
 }
@@ -187,7 +195,7 @@
 	record_error(&route->error, cost_log - route->mean_log, weight);
 	for (i = 0; i < BG_COST_TRAITS; i++) {
 		tag = trait_tag((enum bg_cost_trait)i, q, seed);
-		cell = &prd->cells[i][tag % BG_PREDICTOR_CELLS];
+		cell = &prd->cells[i][cell_index(tag)];
 		record_error(&route->trait_error[i],
 		    cost_log - cell_log(cell, tag, route), weight);
 		record_cell(cell, tag, cost_log);
--- a/proxy/tests/test_cost.c
+++ b/proxy/tests/test_cost.c
@@ -183,6 +183,26 @@
 
 /* Guards against a server's bytes being taken for a load that they do not
  * give. */
+/* Guards against hashes that reach a part of the table only, so that values
+ * displace each other in a table that is half empty. */
+START_TEST(values_are_spread_over_all_cells)
+{
+	struct bg_cost_query q = {"lookup", "", "/lookup", 0};
+	char organisation[16];
+	int used = 0;
+	int i;
+
+	q.organisation = organisation;
+	for (i = 0; i < 20 * BG_PREDICTOR_CELLS; i++) {
+		snprintf(organisation, sizeof(organisation), "org-%d", i);
+		bg_predictor_record(&prd, &q, MEAN_US);
+	}
+	for (i = 0; i < BG_PREDICTOR_CELLS; i++)
+		used += prd.cells[BG_COST_ORGANISATION][i].tag != 0;
+	ck_assert_int_eq(used, BG_PREDICTOR_CELLS);
+}
+END_TEST
+
 START_TEST(parses_the_load_header)
 {
 	static const char *const invalid[] = {"", "3,0", "3,0,", "3,0,12,x",
@@ -218,6 +238,7 @@
 	tcase_add_test(tc, slowness_fades_to_the_usual);
 	tcase_add_test(tc, finds_the_trait_that_predicts);
 	tcase_add_test(tc, uses_the_mean_where_nothing_predicts);
+	tcase_add_test(tc, values_are_spread_over_all_cells);
 	tcase_add_test(tc, parses_the_load_header);
 	return run_suite("cost", tc);
 }
