--- a/proxy/tests/test_cost.c
+++ b/proxy/tests/test_cost.c
@@ -102,6 +102,21 @@
 }
 END_TEST
 
+/* Guards against a usual server that is taken for a slow one, since the
+ * slowness of its machine counts as its speed. */
+START_TEST(slowness_of_the_machine_is_no_speed)
+{
+	struct bg_pace pace = {0};
+	int i;
+
+	for (i = 0; i < CALLS; i++)
+		bg_pace_record(&pace, MEAN_US,
+		    i % 2 == 0 ? MEAN_US : MEAN_US * 5 / 2,
+		    i % 2 == 0 ? 1000 : 2500);
+	ck_assert_double_eq_tol(bg_pace_speed(&pace), 1, 0.01);
+}
+END_TEST
+
 /* Guards against estimates for servers that do not report their slowness, whose
  * deployments must not change. */
 START_TEST(is_unknown_without_a_report)
@@ -234,6 +249,7 @@
 	tcase_add_test(tc, a_call_that_ran_long_will_run_longer);
 	tcase_add_test(tc, heavy_calls_slow_the_rate_of_starts);
 	tcase_add_test(tc, learns_the_speed_of_a_server);
+	tcase_add_test(tc, slowness_of_the_machine_is_no_speed);
 	tcase_add_test(tc, is_unknown_without_a_report);
 	tcase_add_test(tc, slowness_fades_to_the_usual);
 	tcase_add_test(tc, finds_the_trait_that_predicts);
