--- a/proxy/tests/test_cost.c
+++ b/proxy/tests/test_cost.c
@@ -162,6 +162,60 @@
 	}
 }
 
+/* Guards against a call that has run far beyond all others and is expected to
+ * end soon: nothing is known of such a call but that it has not ended. */
+START_TEST(call_beyond_all_others_runs_as_long_again)
+{
+	struct bg_shape shape = {0};
+	int i;
+
+	for (i = 0; i < CALLS; i++)
+		bg_shape_record(&shape, 1);
+	ck_assert_double_ge(bg_shape_residual(&shape, 20), 20);
+}
+END_TEST
+
+/* Cell of an organisation in a table that knows no other. */
+static int
+cell_of(const char *organisation)
+{
+	static struct bg_predictor fresh;
+	struct bg_cost_query q = {"r", organisation, "/", 0};
+	int i;
+
+	memset(&fresh, 0, sizeof(fresh));
+	bg_predictor_record(&fresh, &q, MEAN_US);
+	for (i = 0; i < BG_PREDICTOR_CELLS; i++) {
+		if (fresh.cells[BG_COST_ORGANISATION][i].tag != 0)
+			return i;
+	}
+	return -1;
+}
+
+/* Guards against organisations that call once and displace what is known of one
+ * that calls all the time. */
+START_TEST(rare_value_does_not_displace_a_frequent_one)
+{
+	struct bg_cost_query q = {"r", "frequent", "/", 0};
+	int cell = cell_of("frequent");
+	char rare[16] = "";
+	uint64_t tag;
+	int i;
+
+	for (i = 0; cell_of(rare) != cell || i == 0; i++)
+		snprintf(rare, sizeof(rare), "rare-%d", i);
+	for (i = 0; i < 20; i++)
+		bg_predictor_record(&prd, &q, MEAN_US);
+	tag = prd.cells[BG_COST_ORGANISATION][cell].tag;
+	q.organisation = rare;
+	bg_predictor_record(&prd, &q, MEAN_US);
+	ck_assert(prd.cells[BG_COST_ORGANISATION][cell].tag == tag);
+	for (i = 0; i < 20; i++)
+		bg_predictor_record(&prd, &q, MEAN_US);
+	ck_assert(prd.cells[BG_COST_ORGANISATION][cell].tag != tag);
+}
+END_TEST
+
 /* Guards against a cost that follows from the organisation not being seen,
  * while many paths that are used once fill the table. */
 START_TEST(finds_the_trait_that_predicts)
@@ -252,6 +306,8 @@
 	tcase_add_test(tc, slowness_of_the_machine_is_no_speed);
 	tcase_add_test(tc, is_unknown_without_a_report);
 	tcase_add_test(tc, slowness_fades_to_the_usual);
+	tcase_add_test(tc, call_beyond_all_others_runs_as_long_again);
+	tcase_add_test(tc, rare_value_does_not_displace_a_frequent_one);
 	tcase_add_test(tc, finds_the_trait_that_predicts);
 	tcase_add_test(tc, uses_the_mean_where_nothing_predicts);
 	tcase_add_test(tc, values_are_spread_over_all_cells);
