--- a/proxy/include/burdockgrade/proxy.h
+++ b/proxy/include/burdockgrade/proxy.h
@@ -92,12 +92,6 @@
 /** Stops or resumes sending calls to the backend server. They are stopped while
  * this node judges the server's version bad. */
 void bg_proxy_set_suspended(struct bg_proxy *prx, int is_suspended);
-/** Takes the backend server for cold until its next announcement, because it
- * may have turned cold unnoticed, as when its data centre is taken back after
- * it was emptied. Does nothing if the configuration gives no rate for cold
- * servers.
- * @param reason one word for the log */
-void bg_proxy_doubt_warmth(struct bg_proxy *prx, const char *reason);
 /** 1 if the node accepts calls: it has a configuration and is not stopping. */
 int bg_proxy_is_ready(const struct bg_proxy *prx);
 /** 1 if the backend server announced that it is draining or gone. */
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -211,12 +211,6 @@
 	return bg_gatekeeper_server_is_leaving(prx->gatekeeper);
 }
 
-void
-bg_proxy_doubt_warmth(struct bg_proxy *prx, const char *reason)
-{
-	bg_gatekeeper_doubt_warmth(prx->gatekeeper, reason);
-}
-
 void
 bg_proxy_check_server(
     struct bg_proxy *prx, void (*fn)(void *arg, int is_listening), void *arg)
--- a/proxy/tests/test_cold_node.c
+++ b/proxy/tests/test_cold_node.c
@@ -170,7 +170,7 @@
 {
 	setup();
 	announce("a", 1000, 0);
-	bg_proxy_doubt_warmth(node1.proxy, "taken-back");
+	bg_gatekeeper_doubt_warmth(node1.proxy->gatekeeper, "taken-back");
 	get_with_all();
 	WAIT(base, count_status(200) + count_status(503) == CLIENTS);
 	ck_assert_int_gt(count_status(503), 0);
