--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,7 +6,6 @@
 
 A seed that failed is kept in SEEDS_FAILED with a line on its cause."""
 
-import argparse
 import json
 import os
 import random
@@ -23,6 +22,7 @@
 from faults import silence_rules  # noqa: E402
 from harness import Load, accept, mix_path, ready_cluster  # noqa: E402
 from judge import judge  # noqa: E402
+from seeds import play_all  # noqa: E402
 
 # Seeds that found a fault, each with its cause.
 SEEDS_FAILED = {
@@ -266,20 +266,5 @@
     return not failed
 
 
-def parse_seeds(text):
-    first, _, last = text.partition("-")
-    return range(int(first), int(last or first) + 1)
-
-
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=parse_seeds, default=range(1, 2),
-                        help="N or FIRST-LAST")
-    args = parser.parse_args()
-    bad = [s for s in args.seeds if not play(s)]
-    print("failed seeds: %s" % (bad or "none"))
-    return 1 if bad else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play_all(play, __doc__))
--- a/bench/soak_managed.py
+++ b/bench/soak_managed.py
@@ -8,7 +8,6 @@
 
 A seed that failed is kept in SEEDS_FAILED with a line on its cause."""
 
-import argparse
 import bisect
 import json
 import os
@@ -25,6 +24,7 @@
 from crowd import Crowd, chunked, half_head, with_length  # noqa: E402
 from managed import (HOST, LOOKUP_PREFIX, PREFIX, Fleet, Server,  # noqa: E402
                      configuration)
+from seeds import play_all  # noqa: E402
 
 # Seeds that found a fault, each with its cause.
 SEEDS_FAILED = {}
@@ -443,19 +443,5 @@
     return not failed
 
 
-def main():
-    def parse_seeds(text):
-        first, _, last = text.partition("-")
-        return range(int(first), int(last or first) + 1)
-
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=parse_seeds, default=range(1, 2),
-                        help="N or FIRST-LAST")
-    args = parser.parse_args()
-    bad = [s for s in args.seeds if not play(s)]
-    print("failed seeds: %s" % (bad or "none"))
-    return 1 if bad else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(play_all(play, __doc__))
