Close a connection that sends on after it was told to come back later

Change: after a refusal with a Retry-After, a connection whose caller has sent its next requests already is closed. They were not passed on, and callers repeat on a new connection. One that waits for the response keeps its connection.

--- a/bench/managed.py
+++ b/bench/managed.py
@@ -74,8 +74,9 @@
 
 class Server(ThreadingHTTPServer):
     """A backend server. `runs` has the monotonic time of each request, and
-    `requests` what its head says. `raw`, if it is set, is sent as its response;
-    %s stands for the request id. It is cold for `warmup_s` after its start."""
+    `requests`, if it is a list, gets what its head says. `raw`, if it is set, is
+    sent as its response; %s stands for the request id. It is cold for `warmup_s`
+    after its start."""
 
     daemon_threads = True
     allow_reuse_address = True
@@ -88,7 +89,7 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = []
-        self.requests = []
+        self.requests = None
         self.raw = None
         self.warm_at = time.monotonic() + warmup_s
         threading.Thread(target=self.serve_forever, daemon=True).start()
@@ -130,14 +131,18 @@
 class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
+    def record(self):
+        self.server.requests.append(
+            (time.monotonic(), self.headers.get("X-Request-Id"),
+             self.headers.get_all("X-Tenant", []),
+             self.headers.get_all("X-Credential", [])))
+
     def answer(self):
         self.rfile.read(int(self.headers.get("Content-Length", 0)))
         if self.path != "/healthz":
             self.server.runs.append(time.monotonic())
-            self.server.requests.append(
-                (time.monotonic(), self.headers.get("X-Request-Id"),
-                 self.headers.get_all("X-Tenant", []),
-                 self.headers.get_all("X-Credential", [])))
+            if self.server.requests is not None:
+                self.record()
         if self.server.raw is not None:
             request_id = self.headers.get("X-Request-Id", "").encode()
             self.wfile.write(self.server.raw.replace(b"%s", request_id))
--- a/bench/soak_managed.py
+++ b/bench/soak_managed.py
@@ -48,6 +48,10 @@
 # Requests a second and burst of an organisation with a cap.
 CAPS = {"capped": (15, 10), "small": (6, 5)}
 FREE = ("alpha", "beta")
+# Of the rate of an organisation: what its callers send. The slack of the rule is
+# half as much as the cap, so demand has to be a multiple.
+FAULTS_SHARE = 4
+CALM_SHARE = 0.5
 CALLERS = 4  # of each organisation
 HEARTBEAT_S = 1.5
 FAULTS = 9
@@ -74,8 +78,8 @@
 
     def pause_s(self):
         rate = CAPS.get(self.organisation, (12, 0))[0]
-        # Over its cap while faults last, well below it afterwards.
-        share = 0.5 if self.soak.is_calm else 1.5
+        # Far over its cap while faults last, well below it afterwards.
+        share = CALM_SHARE if self.soak.is_calm else FAULTS_SHARE
         return self.rng.expovariate(rate * share / CALLERS)
 
     def run(self):
@@ -146,6 +150,7 @@
     def serve(self, node, number, warmup_s=0.0):
         server = Server(node, "server-%s-%d" % (node.name, number), "v1",
                         warmup_s)
+        server.requests = []
         self.servers[node] = server
         self.every_server.append(server)
 
--- a/proxy/src/ingress/conn_account.c
+++ b/proxy/src/ingress/conn_account.c
@@ -81,10 +81,12 @@
 }
 
 int
-bg_ingress_conn_is_crowding(const struct bg_ingress_conn *conn)
+bg_ingress_conn_is_crowding(const struct bg_ingress_conn *conn, int is_refused)
 {
-	return bg_conn_is_crowding(
-	    conn->list->count, conn->list->limit, conn->input_bytes);
+	struct bg_conn_crowd crowd = {conn->list->count, conn->list->limit,
+	    conn->input_bytes, is_refused};
+
+	return bg_conn_is_crowding(&crowd);
 }
 
 struct bg_ingress_conn *
--- a/proxy/src/ingress/conn_policy.c
+++ b/proxy/src/ingress/conn_policy.c
@@ -36,11 +36,13 @@
 }
 
 int
-bg_conn_is_crowding(uint32_t count, uint32_t limit, uint64_t pipelined_bytes)
+bg_conn_is_crowding(const struct bg_conn_crowd *crowd)
 {
-	return pipelined_bytes > 0 &&
-	    (uint64_t)count * 1000 >=
-	    (uint64_t)limit * BG_CONN_CROWDED_PERMILLE;
+	if (crowd->pipelined_bytes == 0)
+		return 0;
+	return crowd->is_refused ||
+	    (uint64_t)crowd->count * 1000 >=
+	    (uint64_t)crowd->limit * BG_CONN_CROWDED_PERMILLE;
 }
 
 /* A caller that has used its connection may be about to use it again. */
--- a/proxy/src/ingress/conn_policy.h
+++ b/proxy/src/ingress/conn_policy.h
@@ -51,11 +51,20 @@
 int bg_conn_has_stalled(const struct bg_conn_view *conn, uint64_t now_ms);
 /** 1 if the connection may be closed to make room for a new one. */
 int bg_conn_is_replaceable(const struct bg_conn_view *conn, uint64_t now_ms);
-/** 1 if the connection is to be closed after its response, since it keeps
- * others from being opened.
- * @param pipelined_bytes input after the current request */
-int bg_conn_is_crowding(
-    uint32_t count, uint32_t limit, uint64_t pipelined_bytes);
+/** A connection whose response is about to be written. */
+struct bg_conn_crowd {
+	uint32_t count; /**< open connections, and their limit */
+	uint32_t limit;
+	uint64_t pipelined_bytes; /**< input after the current request */
+	int is_refused; /**< the response asks the caller to come back later */
+};
+
+/** 1 if the connection is to be closed after its response: its caller has sent
+ * its next requests already, and either keeps others from being connected or
+ * was told to come back later. Requests that follow a refusal without its delay
+ * are refused as fast as they are read, thousands a second, and leave callers
+ * who wait hardly a chance to get a slot. */
+int bg_conn_is_crowding(const struct bg_conn_crowd *crowd);
 /** 1 if a is closed rather than b; both are replaceable. */
 int bg_conn_is_replaced_before(
     const struct bg_conn_view *a, const struct bg_conn_view *b);
--- a/proxy/src/ingress/ingress.c
+++ b/proxy/src/ingress/ingress.c
@@ -146,7 +146,8 @@
 	if (close_after)
 		evhtp_request_set_keepalive(req, 0);
 	/* evhtp_request_set_keepalive() does not clear the flag. */
-	if (bg_ingress_conn_is_crowding(bg_ingress_conn_from_evhtp(req->conn)))
+	if (bg_ingress_conn_is_crowding(bg_ingress_conn_from_evhtp(req->conn),
+		ans->retry_after_ms != 0))
 		req->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
 	evhtp_send_reply(req, (evhtp_res)ans->http_status);
 }
--- a/proxy/src/ingress/ingress_conn.h
+++ b/proxy/src/ingress/ingress_conn.h
@@ -66,7 +66,8 @@
 void bg_ingress_conn_set_busy(struct bg_ingress_conn *conn,
     void (*on_request_end)(void *arg), void *on_request_end_arg);
 /** 1 if the connection is to be closed after the current response. */
-int bg_ingress_conn_is_crowding(const struct bg_ingress_conn *conn);
+int bg_ingress_conn_is_crowding(
+    const struct bg_ingress_conn *conn, int is_refused);
 /** Counts the bytes of a response that is about to be written, until the
  * request ends. */
 void bg_ingress_conn_hold_response(
--- a/proxy/tests/test_conn_policy.c
+++ b/proxy/tests/test_conn_policy.c
@@ -89,9 +89,28 @@
  */
 START_TEST(pipelining_caller_gives_way_near_the_limit)
 {
-	ck_assert(bg_conn_is_crowding(88, 100, 1));
-	ck_assert(!bg_conn_is_crowding(87, 100, 1));
-	ck_assert(!bg_conn_is_crowding(100, 100, 0));
+	struct bg_conn_crowd crowd = {88, 100, 1, 0};
+
+	ck_assert(bg_conn_is_crowding(&crowd));
+	crowd.count = 87;
+	ck_assert(!bg_conn_is_crowding(&crowd));
+	crowd.count = 100;
+	crowd.pipelined_bytes = 0;
+	ck_assert(!bg_conn_is_crowding(&crowd));
+}
+END_TEST
+
+/* Pattern: some hundred callers send thousands of requests ahead, which are
+ * refused at once and take each slot that becomes free. Guards against an
+ * ordinary caller who is refused all the time. */
+START_TEST(pipelining_caller_who_is_refused_gives_way)
+{
+	struct bg_conn_crowd crowd = {1, 100, 1, 1};
+
+	ck_assert(bg_conn_is_crowding(&crowd));
+	/* One who waits for the response keeps the connection. */
+	crowd.pipelined_bytes = 0;
+	ck_assert(!bg_conn_is_crowding(&crowd));
 }
 END_TEST
 
@@ -105,5 +124,6 @@
 	tcase_add_test(tc, idle_connection_gives_way);
 	tcase_add_test(tc, unused_connection_gives_way_first);
 	tcase_add_test(tc, pipelining_caller_gives_way_near_the_limit);
+	tcase_add_test(tc, pipelining_caller_who_is_refused_gives_way);
 	return run_suite("conn_policy", tc);
 }
--- a/proxy/tests/test_ingress.c
+++ b/proxy/tests/test_ingress.c
@@ -377,6 +377,26 @@
 }
 END_TEST
 
+/* Guards against requests that follow a refusal at once, although their caller
+ * was told to come back later. A caller who waits keeps its connection. */
+START_TEST(refused_caller_does_not_send_on)
+{
+	static const char request[] = "GET /lookup HTTP/1.1\r\nHost: x\r\n\r\n";
+
+	setup();
+	node1.mesh.roster.members[0].state = BG_MEMBER_LEAVING;
+	client_send(&cl, "%s", request);
+	WAIT(base, client_has_response(&cl));
+	ck_assert_int_eq(client_status(&cl), 503);
+	ck_assert(!cl.is_closed);
+	client_send(&cl, "%s%s%s", request, request, request);
+	WAIT(base, cl.is_closed);
+	ck_assert_int_eq(count_responses(&cl), 1);
+	ck_assert(client_has_header(&cl, "Retry-After: "));
+	teardown();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -400,5 +420,6 @@
 	tcase_add_test(tc, bodies_sent_to_pages_are_freed);
 	tcase_add_test(tc, unread_response_ends_while_memory_is_short);
 	tcase_add_test(tc, pipelined_input_is_limited);
+	tcase_add_test(tc, refused_caller_does_not_send_on);
 	return run_suite("ingress", tc);
 }
