Log on whose word an announcement counts as durable

The logs showed that a leaving was acknowledged while the store was down and that the process after it read `left=0`, but not whether the acknowledgement rested on the store or on the memory of a peer. A line "announcement durable by=store|peer" says so.

--- a/mesh/src/mesh/durable.c
+++ b/mesh/src/mesh/durable.c
@@ -32,6 +32,17 @@
 	    (age_ms >= STORE_WAIT_MS || !bg_mesh_is_store_reachable(mesh));
 }
 
+/* Tells on whose word an announcement counts as durable. A copy at a peer is
+ * lost if all processes end before the store has got the announcement. */
+static void
+log_durable(const struct bg_mesh *mesh, uint64_t seq, uint64_t age_ms)
+{
+	bg_log_info("mesh",
+	    "announcement durable by=%s seq=%" PRIu64 " wait_ms=%" PRIu64,
+	    mesh->store == NULL || mesh->stored_seq >= seq ? "store" : "peer",
+	    seq, age_ms);
+}
+
 static void
 finish(struct bg_durable_wait *wait, int code)
 {
@@ -42,6 +53,9 @@
 	while (*prev != wait)
 		prev = &(*prev)->next;
 	*prev = wait->next;
+	if (code == 0)
+		log_durable(
+		    wait->mesh, wait->seq, bg_clock_now_ms() - wait->began_ms);
 	event_free(wait->timer);
 	free(wait);
 	fn(arg, code);
@@ -98,6 +112,7 @@
 	struct bg_durable_wait *wait;
 
 	if (is_durable(mesh, mesh->self.seq, 0)) {
+		log_durable(mesh, mesh->self.seq, 0);
 		fn(arg, 0);
 		return;
 	}
