Move the announcements of the backend server out of gatekeeper.c

What is announced, held and restored stands in gate_announce.c now, unchanged, and the grace period that both files use in gate_call.h. test_proxy_process, test_server and test_cold_node pass.

--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -15,6 +15,10 @@
 #include "gatekeeper.h"
 #include "probe.h"
 
+/** A leaving server accepts calls for this long, since some are on their way to
+ * it. Nodes that know that it is leaving send it no more calls. */
+#define BG_GATE_DRAIN_GRACE_MS 500
+
 struct bg_gate_call {
 	struct bg_limiter_entry entry; /* first member */
 	struct bg_intake_entry intake; /* listed while the body arrives */
