Ask a server that is older than its node to repeat its first heartbeat

What callers saw: a server leaves while the store is down, and its node acknowledges that. All processes are killed and start again. A ready heartbeat from before the leaving arrives, and about 200 requests go to the server until it exits; 1 to 4 that were accepted are lost.

Cause: while the store is away, a copy in the memory of one peer is enough for the acknowledgement ("announcement durable by=peer seq=2 wait_ms=3"). The copies end with the processes. The process after that read the older record in the store ("recovered ... left=0 listed=1 compared=1"; the peer that it compared with had just started too) and took the first ready heartbeat (seq=7) for present.

Change: what an acknowledgement promised can't be known after that, but whether the server is there now can be asked. A ready heartbeat of a server that is older than the process of its node is refused once with 503. A server that is there repeats it with a higher Sequence, which a delayed heartbeat cannot do; only then is it used. This holds after each start, whatever the store and the peers say, so it does not matter how the record was lost. A heartbeat that comes before the record is read is answered after that, so that the refusal is not delayed until the next one (it was answered 200 and applied later).

--- a/bench/test_managed.py
+++ b/bench/test_managed.py
@@ -249,8 +249,8 @@
                     b"\r\nContent-Length: 6\r\n\r\nsecret")
 
 
-class Restart(unittest.TestCase):
-    """What a node acknowledged holds after its process has ended."""
+class RestartCase(unittest.TestCase):
+    """A fleet of two nodes, one of them beside a server that leaves."""
 
     def setUp(self):
         self.fleet = Fleet(["orders", "other"])
@@ -281,6 +281,10 @@
             time.sleep(0.05)
         self.assertEqual(len(self.server.runs), count)
 
+
+class Restart(RestartCase):
+    """What a node acknowledged holds after its process has ended."""
+
     def test_late_heartbeat_of_a_server_that_left(self):
         """Guards against a restarted node that takes a late heartbeat for a new
         server and uses a server that has left (review/1: DRAIN)."""
@@ -349,5 +353,54 @@
         wait_for("order served", lambda: self.sender.order()[0] == 200)
 
 
+class ForgottenLeaving(RestartCase):
+    """The store is down when the server leaves, and all processes are killed
+    before it has learned that: nobody remembers the acknowledgement."""
+
+    def setUp(self):
+        super().setUp()
+        # A node is a peer that takes copies once its server is announced.
+        other = Server(self.sender, "server-2")
+        self.addCleanup(other.stop)
+        other.deliver(other.ping("ready"))
+        wait_for("announced", lambda: self.fleet.stored_nodes() == 2)
+
+    def kill_all(self):
+        for node in self.fleet.nodes:
+            node.kill()
+        for node in self.fleet.nodes:
+            node.start()
+        self.fleet.control(outage=False)
+        for node in self.fleet.nodes:
+            node.wait_ready()
+
+    def assert_late_heartbeat_is_ignored(self, leave):
+        self.fleet.control(outage=True)
+        late = self.server.ping("ready")
+        wait_for("acknowledged", lambda: leave() == 200)
+        acked = time.monotonic()
+        self.kill_all()
+        self.server.deliver(late)
+        self.assert_unused(acked)
+
+    def test_deregistration(self):
+        """Guards against a late heartbeat that brings a server back after all
+        processes were killed (review/9: DRAIN)."""
+        self.assert_late_heartbeat_is_ignored(self.server.deregister)
+
+    def test_draining(self):
+        """The same for a server that reports that it drains."""
+        self.assert_late_heartbeat_is_ignored(
+            lambda: self.server.deliver(self.server.ping("draining")))
+
+    def test_server_that_is_there(self):
+        """Guards against a server that stays idle after all processes were
+        killed: it is used as soon as it repeats its heartbeat."""
+        self.kill_all()
+        self.assertEqual(self.server.deliver(self.server.ping("ready")), 503)
+        self.assertEqual(self.server.deliver(self.server.ping("ready")), 200)
+        wait_for("order served", lambda: self.sender.order()[0] == 200)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/core/include/burdockgrade/error.h
+++ b/core/include/burdockgrade/error.h
@@ -20,6 +20,7 @@
 	BG_EIO = -9,	      /**< operating system error */
 	BG_ESTALE = -10,      /**< older than the version already held */
 	BG_ECANCELED = -11,   /**< canceled by the caller */
+	BG_EAGAIN = -12,      /**< to be repeated by the caller */
 };
 
 #define BG_ERROR_STEP_BYTES 48
--- a/core/src/error.c
+++ b/core/src/error.c
@@ -48,6 +48,8 @@
 		return "stale";
 	case BG_ECANCELED:
 		return "canceled";
+	case BG_EAGAIN:
+		return "again";
 	default:
 		return "unknown";
 	}
--- a/proxy/include/burdockgrade/proxy.h
+++ b/proxy/include/burdockgrade/proxy.h
@@ -83,7 +83,9 @@
  *
  * @param fn runs once, in this function or later, with 0, also for an unchanged
  *     announcement or a stale heartbeat; BG_EINVAL if it comes from a server of
- *     another service or this node has no backend server; BG_ESTALE if another
+ *     another service or this node has no backend server; BG_EAGAIN if the
+ *     server may have left before this process started, which a repetition
+ *     rules out; BG_ECANCELED if a repetition came first; BG_ESTALE if another
  *     lifetime than the current one leaves, which has no effect; or BG_ETIMEOUT
  *     if neither the store nor a peer has got it in time
  */
--- /dev/null
+++ b/proxy/src/gatekeeper/challenge.c
@@ -0,0 +1,59 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "challenge.h"
+
+/* A server this much older than the process of its node may have left before.
+ * A younger one had no time to start, to leave and to have its node restarted.
+ */
+#define OLDER_MIN_MS 1000
+
+static int
+is_lifetime(
+    const char *id, uint64_t started_ms, const struct bg_announcement *ann)
+{
+	return strcmp(id, ann->server_id) == 0 && started_ms == ann->started_ms;
+}
+
+/* 1 if an earlier process may have acknowledged that this server leaves. */
+static int
+may_have_left(const struct bg_challenge *chl, const struct bg_server *srv,
+    const struct bg_announcement *ann)
+{
+	/* In any other state, this process knows the lifetime. */
+	if (is_lifetime(srv->id, srv->started_ms, ann))
+		return srv->state == BG_SERVER_UNKNOWN;
+	/* bg_server_update() does not take it for a new lifetime. */
+	if (srv->id[0] != '\0' && ann->started_ms <= srv->started_ms)
+		return 0;
+	return ann->started_ms + OLDER_MIN_MS < chl->node_started_ms;
+}
+
+static void
+refuse(struct bg_challenge *chl, const struct bg_announcement *ann)
+{
+	snprintf(chl->id, sizeof(chl->id), "%s", ann->server_id);
+	chl->started_ms = ann->started_ms;
+	chl->sequence = ann->sequence;
+}
+
+void
+bg_challenge_init(struct bg_challenge *chl, uint64_t node_started_ms)
+{
+	memset(chl, 0, sizeof(*chl));
+	chl->node_started_ms = node_started_ms;
+}
+
+int
+bg_challenge_accepts(struct bg_challenge *chl, const struct bg_server *srv,
+    const struct bg_announcement *ann)
+{
+	if (ann->state != BG_ANNOUNCED_READY || !may_have_left(chl, srv, ann))
+		return 1;
+	if (is_lifetime(chl->id, chl->started_ms, ann))
+		return ann->sequence > chl->sequence;
+	/* Heartbeats of an earlier lifetime may come in between. */
+	if (ann->started_ms >= chl->started_ms)
+		refuse(chl, ann);
+	return 0;
+}
--- a/proxy/src/gatekeeper/gate_announce.c
+++ b/proxy/src/gatekeeper/gate_announce.c
@@ -36,15 +36,19 @@
 static void
 release_held(struct bg_gatekeeper *gk)
 {
+	enum bg_announce_result result = BG_ANNOUNCE_UNCONFIRMED;
 	uint64_t held_ms = bg_clock_now_ms() - gk->held_ms;
 	struct bg_announcement *ann = &gk->held;
 
+	if (!gk->has_held)
+		return;
+	gk->has_held = 0;
 	ann->warmup_left_ms = ann->warmup_left_ms > held_ms
 	    ? ann->warmup_left_ms - (uint32_t)held_ms
 	    : 0;
-	if (gk->has_held && held_ms < HELD_MAX_MS)
-		bg_gatekeeper_announce(gk, &gk->held);
-	gk->has_held = 0;
+	if (held_ms < HELD_MAX_MS)
+		result = bg_gatekeeper_announce(gk, ann);
+	gk->on_decided(gk->decided_arg, result);
 }
 
 static void
@@ -75,6 +79,20 @@
 	release_held(gk);
 }
 
+static int
+is_unconfirmed(struct bg_gatekeeper *gk, const struct bg_announcement *ann)
+{
+	if (!gk->settings->server.sends_heartbeats ||
+	    bg_challenge_accepts(&gk->challenge, &gk->server, ann))
+		return 0;
+	bg_log_info("gatekeeper",
+	    "server unconfirmed id=%s born=%llu seq=%llu refused_seq=%llu",
+	    ann->server_id, (unsigned long long)ann->started_ms,
+	    (unsigned long long)ann->sequence,
+	    (unsigned long long)gk->challenge.sequence);
+	return 1;
+}
+
 static void
 start_drain_timer(struct bg_gatekeeper *gk)
 {
@@ -116,8 +134,10 @@
 		copy.started_ms = bg_clock_wall_ms();
 	if (must_hold(gk, &copy)) {
 		hold(gk, &copy);
-		return BG_ANNOUNCE_UNCHANGED;
+		return BG_ANNOUNCE_HELD;
 	}
+	if (is_unconfirmed(gk, &copy))
+		return BG_ANNOUNCE_UNCONFIRMED;
 	result = bg_server_update(&gk->server, &copy, bg_clock_now_ms());
 	is_new = is_new_lifetime(gk, &previous);
 	if (result == BG_ANNOUNCE_UNCHANGED)
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -11,6 +11,7 @@
 #include "../limiter/limiter.h"
 #include "../metrics/metrics.h"
 #include "backend.h"
+#include "challenge.h"
 #include "dependency.h"
 #include "gatekeeper.h"
 #include "probe.h"
@@ -56,6 +57,7 @@
 	struct bg_backend *backend; /* NULL without a backend server */
 	struct bg_probe *probe;	    /* NULL if the server sends heartbeats */
 	struct bg_server server;
+	struct bg_challenge challenge;
 	struct bg_limiter limiter;
 	struct bg_work work; /* what calls cost and how fast the server is */
 	struct bg_intake intake;
@@ -74,6 +76,8 @@
 	    held;	  /* last one that came before is_recovered */
 	uint64_t held_ms; /* monotonic time at which it came */
 	int has_held;
+	void (*on_decided)(void *arg, enum bg_announce_result result);
+	void *decided_arg;
 	int is_recovered; /* what an earlier process announced is known */
 	int is_suspended; /* the server's version was judged bad */
 	int is_draining;  /* the node is stopping */
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -420,6 +420,9 @@
 	gk->observer = opts->observer;
 	gk->buffers = opts->buffers;
 	gk->retry = opts->retry;
+	gk->on_decided = opts->on_decided;
+	gk->decided_arg = opts->decided_arg;
+	bg_challenge_init(&gk->challenge, bg_clock_wall_ms());
 	bg_limiter_init(&gk->limiter, opts->settings->server.slots);
 	bg_intake_init(&gk->intake, opts->settings->limits.link_mbps);
 	gk->drain_timer = evtimer_new(opts->base, on_drain_timer, gk);
--- a/proxy/src/gatekeeper/gatekeeper.h
+++ b/proxy/src/gatekeeper/gatekeeper.h
@@ -33,6 +33,9 @@
 	struct bg_observer *observer;  /**< may be NULL */
 	struct bg_buffers *buffers;    /**< shared with the ingress */
 	struct bg_retry_budget *retry; /**< of this node */
+	/** Called once for the announcement that was held last. */
+	void (*on_decided)(void *arg, enum bg_announce_result result);
+	void *decided_arg;
 };
 
 /** @return 0, BG_ENOMEM, BG_EINVAL if the address of the backend server is not
--- a/proxy/src/proxy.c
+++ b/proxy/src/proxy.c
@@ -63,6 +63,35 @@
 	bg_gatekeeper_restore(prx->gatekeeper, &record);
 }
 
+static void
+answer_held(struct bg_proxy *prx, int code)
+{
+	void (*fn)(void *arg, int code) = prx->held_fn;
+
+	prx->held_fn = NULL;
+	if (fn != NULL)
+		fn(prx->held_arg, code);
+}
+
+static int
+heartbeat_code(enum bg_announce_result result)
+{
+	switch (result) {
+	case BG_ANNOUNCE_REJECTED:
+		return BG_EINVAL;
+	case BG_ANNOUNCE_UNCONFIRMED:
+		return BG_EAGAIN;
+	default:
+		return 0;
+	}
+}
+
+static void
+on_decided(void *arg, enum bg_announce_result result)
+{
+	answer_held(arg, heartbeat_code(result));
+}
+
 static uint32_t
 count_running_calls(void *arg)
 {
@@ -84,6 +113,8 @@
 	gk_opts.observer = opts->observer;
 	gk_opts.buffers = &prx->buffers;
 	gk_opts.retry = &prx->retry;
+	gk_opts.on_decided = on_decided;
+	gk_opts.decided_arg = prx;
 	return bg_gatekeeper_init(&prx->gatekeeper, &gk_opts, err);
 }
 
@@ -126,6 +157,7 @@
 {
 	if (prx == NULL)
 		return;
+	answer_held(prx, BG_ECANCELED);
 	bg_ingress_free(prx->ingress);
 	bg_call_free_all(prx);
 	bg_gatekeeper_free(prx->gatekeeper);
@@ -188,10 +220,14 @@
 	enum bg_announce_result result =
 	    bg_gatekeeper_announce(prx->gatekeeper, ann);
 
-	if (result == BG_ANNOUNCE_REJECTED)
-		fn(arg, BG_EINVAL);
-	else if (ann->state == BG_ANNOUNCED_READY)
-		fn(arg, 0);
+	if (result == BG_ANNOUNCE_HELD) {
+		/* Its sender has repeated the one that was held before. */
+		answer_held(prx, BG_ECANCELED);
+		prx->held_fn = fn;
+		prx->held_arg = arg;
+	} else if (ann->state == BG_ANNOUNCED_READY ||
+	    result == BG_ANNOUNCE_REJECTED)
+		fn(arg, heartbeat_code(result));
 	else if (result == BG_ANNOUNCE_STALE)
 		fn(arg, BG_ESTALE);
 	else
--- a/proxy/src/proxy_internal.h
+++ b/proxy/src/proxy_internal.h
@@ -41,6 +41,9 @@
 	void (*drain_done)(void *arg);
 	void *drain_arg;
 	struct bg_call *calls;
+	/* Answers the announcement that the gatekeeper holds; NULL: none. */
+	void (*held_fn)(void *arg, int code);
+	void *held_arg;
 	uint32_t requests_open; /**< requests at the ingress whose response is
 				     not written yet */
 };
