Don't confirm a push that was not merged

While the store is away, the ack of an announcement rests on the reply of one peer to a push. The peer replied also when its merge had failed (a wrong digest, or items that can't be unpacked), so an ack could be given for a change that only its own node had.

Cause: handle_sync() took the result of bg_gossip_merge() only as the question whether to pass the items on, and replied in each case.

Change: a push whose merge fails gets no reply. The caller's push times out, and the wait for a copy goes on with another peer or the store.

Evidence: push_that_is_not_merged_is_not_confirmed in test_mesh had code 0 in place of BG_ETIMEOUT before (31 of 32 checks ok); now test_mesh, test_mesh_faults and test_mesh_process pass.

--- a/mesh/src/mesh/gossip.c
+++ b/mesh/src/mesh/gossip.c
@@ -505,7 +505,13 @@
 	set_packed(&packed, args->items.items_val, args->items.items_len,
 	    args->raw_bytes, args->items_digest);
 	changed = bg_gossip_merge(gsp, &packed, args->address);
-	if (changed >= 0 && is_comparison)
+	if (changed < 0) {
+		/* The caller would take a reply for a copy of its items. */
+		free(res.items.items_val);
+		bg_rpc_drop(rpc);
+		return;
+	}
+	if (is_comparison)
 		bg_mesh_recovery_handle_comparison(gsp->mesh);
 	/* With a reachable store, every node reads the change from the store,
 	 * unless its sender knows that it may come late or not at all. */
--- a/mesh/tests/test_mesh.c
+++ b/mesh/tests/test_mesh.c
@@ -888,6 +888,42 @@
 }
 END_TEST
 
+static void
+on_push_reply(void *arg, int code, void *res)
+{
+	int *out = arg;
+
+	*out = code;
+}
+
+/* Guards against a push that counts as a copy of an announcement although the
+ * peer could not merge it: the digest of its items is wrong. */
+START_TEST(push_that_is_not_merged_is_not_confirmed)
+{
+	char byte = 'x';
+	struct bg_xsync_args args = {0};
+	struct bg_link *link;
+	int code = 0;
+
+	has_servers = 1;
+	start_all();
+	args.address = nodes[0].mesh->self.address;
+	args.is_push = BG_PUSH_FORWARD;
+	args.items.items_val = &byte;
+	args.items.items_len = sizeof(byte);
+	ck_assert_int_eq(bg_link_pool_get(&link, nodes[0].mesh->links,
+			     nodes[1].mesh->self.address, NULL),
+	    0);
+	ck_assert_int_eq(
+	    bg_link_call(NULL, link, BG_PROC_SYNC, (xdrproc_t)xdr_bg_xsync_args,
+		&args, (xdrproc_t)xdr_bg_xsync_res, sizeof(struct bg_xsync_res),
+		500, on_push_reply, &code),
+	    0);
+	run_ms(700);
+	ck_assert_int_eq(code, BG_ETIMEOUT);
+}
+END_TEST
+
 /* Guards against a wait that is forgotten when the process stops. */
 START_TEST(wait_for_durable_announcement_ends_with_the_mesh)
 {
@@ -1012,6 +1048,7 @@
 	tcase_add_test(tc, announcement_is_durable_once_it_is_stored);
 	tcase_add_test(tc, announcement_is_durable_at_a_peer_during_an_outage);
 	tcase_add_test(tc, announcement_that_nobody_has_is_not_durable);
+	tcase_add_test(tc, push_that_is_not_merged_is_not_confirmed);
 	tcase_add_test(tc, wait_for_durable_announcement_ends_with_the_mesh);
 	tcase_add_test(tc, poll_reports_the_lowest_version);
 	tcase_add_test(tc, poll_reports_a_refused_version);
