Don't bring back a lifetime of a server that a later one replaced

Cause: update_candidate() takes a lifetime with a lower start time for the current one after three heartbeats over 2 s, for clocks that were set back. It did so for a lifetime that the node itself had known until a later one began under the same id, which can't be a new one.

Change: the node remembers the last four lifetimes that ended so, and counts none of their heartbeats. A lifetime that came by the rule for clocks that were set back isn't remembered, so that a late heartbeat of its predecessor can't shut it out.

--- a/proxy/src/gatekeeper/server.c
+++ b/proxy/src/gatekeeper/server.c
@@ -65,6 +65,46 @@
 	    (!ann->has_started_ms || ann->started_ms == srv->started_ms);
 }
 
+/* 1 if a later lifetime under the same id is known to have replaced this one.
+ */
+static int
+has_ended(const struct bg_server *srv, const struct bg_announcement *ann)
+{
+	size_t i;
+
+	if (strcmp(srv->id, ann->server_id) != 0 || ann->started_ms == 0)
+		return 0;
+	for (i = 0; i < BG_SERVER_ENDED_MAX; i++) {
+		if (srv->ended_ms[i] == ann->started_ms)
+			return 1;
+	}
+	return 0;
+}
+
+/* Replaces the current lifetime by one under the id. */
+static void
+begin_lifetime(struct bg_server *srv, const char *id)
+{
+	if (strcmp(srv->id, id) != 0)
+		memset(srv->ended_ms, 0, sizeof(srv->ended_ms));
+	srv->leaving_since_ms = 0;
+	srv->is_drained = 0;
+	srv->is_set_back = 0;
+}
+
+/* Replaces the current lifetime by a later one under the id. */
+static void
+begin_later_lifetime(struct bg_server *srv, const char *id)
+{
+	/* After the clock was set back, what seems to be later may be a late
+	 * heartbeat from before. */
+	if (!srv->is_set_back) {
+		srv->ended_ms[srv->next_ended] = srv->started_ms;
+		srv->next_ended = (srv->next_ended + 1) % BG_SERVER_ENDED_MAX;
+	}
+	begin_lifetime(srv, id);
+}
+
 /* Counts an announcement of a lifetime with a lower start time. @return 1 if it
  * is the current one */
 static int
@@ -74,7 +114,7 @@
 	struct bg_server_candidate *cand = &srv->candidate;
 
 	if (ann->state == BG_ANNOUNCED_GONE || !ann->has_started_ms ||
-	    ann->started_ms >= srv->started_ms)
+	    ann->started_ms >= srv->started_ms || has_ended(srv, ann))
 		return 0;
 	if (strcmp(cand->id, ann->server_id) != 0 ||
 	    cand->started_ms != ann->started_ms) {
@@ -128,10 +168,11 @@
 		/* Leaving is final within a lifetime. */
 		if (is_leaving(srv->state) && state == BG_SERVER_READY)
 			state = srv->state;
-	} else if (is_new_lifetime(srv, ann) ||
-	    update_candidate(srv, ann, now_ms)) {
-		srv->leaving_since_ms = 0;
-		srv->is_drained = 0;
+	} else if (is_new_lifetime(srv, ann)) {
+		begin_later_lifetime(srv, ann->server_id);
+	} else if (update_candidate(srv, ann, now_ms)) {
+		begin_lifetime(srv, ann->server_id);
+		srv->is_set_back = 1;
 	} else
 		return is_repeated_leaving(srv, ann) ? BG_ANNOUNCE_UNCHANGED
 						     : BG_ANNOUNCE_STALE;
@@ -179,7 +220,12 @@
 	}
 	if (srv->id[0] != '\0' && srv->started_ms >= record->started_ms)
 		return 0;
-	memset(srv, 0, sizeof(*srv));
+	begin_later_lifetime(srv, record->id);
+	srv->state = BG_SERVER_UNKNOWN;
+	srv->sequence = 0;
+	srv->slots = 0;
+	srv->last_announced_ms = 0;
+	memset(&srv->candidate, 0, sizeof(srv->candidate));
 	snprintf(srv->id, sizeof(srv->id), "%s", record->id);
 	snprintf(srv->version, sizeof(srv->version), "%s", record->version);
 	srv->started_ms = record->started_ms;
--- a/proxy/src/gatekeeper/server.h
+++ b/proxy/src/gatekeeper/server.h
@@ -31,6 +31,9 @@
 	uint32_t count;
 };
 
+/** Most lifetimes under one id that are remembered as ended. */
+#define BG_SERVER_ENDED_MAX 4
+
 struct bg_server {
 	enum bg_server_state state;
 	char id[BG_NAME_BYTES];
@@ -44,6 +47,11 @@
 				 leave  (draining or gone); 0: it has not */
 	int is_drained;		    /**< it left before this process started */
 	struct bg_server_candidate candidate;
+	int is_set_back; /**< this lifetime was a candidate */
+	/** Starts of the last lifetimes under this id that ended when a later
+	 * one began; 0: none. */
+	uint64_t ended_ms[BG_SERVER_ENDED_MAX];
+	uint32_t next_ended; /**< index of the oldest one */
 };
 
 /** What an earlier process of this node has announced of the server. */
--- a/proxy/tests/test_server.c
+++ b/proxy/tests/test_server.c
@@ -301,6 +301,55 @@
 }
 END_TEST
 
+/* Guards against a server that has left, under the id of a lifetime that crashed
+ * before, and is sent calls again since heartbeats of that one are late. */
+START_TEST(late_heartbeats_of_a_crashed_lifetime_are_not_accepted)
+{
+	uint64_t i;
+
+	announce_ready("a", 4000, 3);
+	announce_ready("a", 5000, 1);
+	announce("a", 5000, 0, BG_ANNOUNCED_GONE);
+	for (i = 4; i <= 8; i++) {
+		now_ms += 1500;
+		ck_assert_int_eq(
+		    announce_ready("a", 4000, i), BG_ANNOUNCE_STALE);
+	}
+	ck_assert_int_eq(bg_server_accepts_calls(&srv, DRAIN_MS, now_ms), 0);
+	/* The same if the later lifetime is known by its record only. */
+	memset(&srv, 0, sizeof(srv));
+	announce_ready("a", 4000, 3);
+	restore("a", 5000, 1);
+	for (i = 4; i <= 8; i++) {
+		now_ms += 1500;
+		ck_assert_int_eq(
+		    announce_ready("a", 4000, i), BG_ANNOUNCE_STALE);
+	}
+}
+END_TEST
+
+/* Guards against a server that is shut out for good: it started after the clock
+ * was set back, and a heartbeat of its predecessor comes late. */
+START_TEST(lifetime_after_a_set_back_clock_is_not_taken_for_a_crashed_one)
+{
+	uint64_t i;
+
+	announce_ready("a", 5000, 4);
+	for (i = 1; i <= 3; i++) {
+		announce_ready("a", 4000, i);
+		now_ms += 1500;
+	}
+	ck_assert_uint_eq(srv.started_ms, 4000);
+	announce_ready("a", 5000, 5);
+	for (i = 4; i <= 6; i++) {
+		announce_ready("a", 4000, i);
+		now_ms += 1500;
+	}
+	ck_assert_uint_eq(srv.started_ms, 4000);
+	ck_assert_int_eq(srv.state, BG_SERVER_READY);
+}
+END_TEST
+
 /* Guards against a leaving that is refused because it was accepted before. */
 START_TEST(repeated_leaving_is_accepted)
 {
@@ -335,6 +384,10 @@
 	tcase_add_test(tc, record_without_start_time_is_ignored);
 	tcase_add_test(tc, lower_start_time_is_accepted_if_heartbeats_go_on);
 	tcase_add_test(tc, late_heartbeats_do_not_replace_a_lifetime);
+	tcase_add_test(
+	    tc, late_heartbeats_of_a_crashed_lifetime_are_not_accepted);
+	tcase_add_test(
+	    tc, lifetime_after_a_set_back_clock_is_not_taken_for_a_crashed_one);
 	tcase_add_test(tc, repeated_leaving_is_accepted);
 	return run_suite("server", tc);
 }
