--- a/proxy/tests/test_server.c
+++ b/proxy/tests/test_server.c
@@ -301,8 +301,9 @@
 }
 END_TEST
 
-/* Guards against a server that has left, under the id of a lifetime that crashed
- * before, and is sent calls again since heartbeats of that one are late. */
+/* Guards against a server that has left, under the id of a lifetime that
+ * crashed before, and is sent calls again since heartbeats of that one are
+ * late. */
 START_TEST(late_heartbeats_of_a_crashed_lifetime_are_not_accepted)
 {
 	uint64_t i;
