Ask a server for its status before it is used after a challenge

After a loss of power that nobody remembers, the second of several late heartbeats of a server that has left looked like the repetition that the node asks for, and the server was used again.

Cause: the challenge tells a repeated heartbeat from a late one by its sequence only, and late ones have rising sequences as well.

Before a configuration with the path is in force, it is held for that; a service without a health path is not asked. Heartbeats that go on for 10 s after the first refused one can't be late any more, and are accepted in any case.

--- a/bench/managed.py
+++ b/bench/managed.py
@@ -98,12 +98,14 @@
         self.capacity = 6
         self.work_s = 0.0
         self.deaf_s = 0.0
+        self.is_leaving = False  # its status says so
         self.body_bytes = 0
         self.warm_at = time.monotonic() + warmup_s
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
     def ping(self, state):
         """Returns a heartbeat; deliver() sends it, now or later."""
+        self.is_leaving |= state == "draining"
         self.sequence += 1
         return ("heartbeat", {
             "Service": self.node.service, "Zone": self.node.zone,
@@ -124,6 +126,7 @@
         return status
 
     def deregister(self):
+        self.is_leaving = True
         return self.deliver(("deregister", {"born": self.born}))
 
     def handle_error(self, request, client_address):
@@ -173,7 +176,8 @@
             self.wfile.write(self.server.raw.replace(b"%s", request_id))
             return
         body = self.server.id.encode()
-        self.send_response(200)
+        is_probe = self.path == "/healthz"
+        self.send_response(503 if is_probe and self.server.is_leaving else 200)
         self.send_header("X-Request-Id", self.headers.get("X-Request-Id", ""))
         self.send_header("X-Instance-Id", self.server.id)
         self.send_header("X-Response-Signature", "s")
--- a/bench/test_managed.py
+++ b/bench/test_managed.py
@@ -370,6 +370,9 @@
             node.kill()
         for node in self.fleet.nodes:
             node.start()
+
+    def restart_all(self):
+        self.kill_all()
         self.fleet.control(outage=False)
         for node in self.fleet.nodes:
             node.wait_ready()
@@ -379,7 +382,7 @@
         late = self.server.ping("ready")
         wait_for("acknowledged", lambda: leave() == 200)
         acked = time.monotonic()
-        self.kill_all()
+        self.restart_all()
         self.server.deliver(late)
         self.assert_unused(acked)
 
@@ -393,14 +396,40 @@
         self.assert_late_heartbeat_is_ignored(
             lambda: self.server.deliver(self.server.ping("draining")))
 
+    def test_series_of_late_heartbeats(self):
+        """Guards against the same by several late heartbeats, where a later one
+        looks like a repetition: the server itself says that it is leaving."""
+        late = [self.server.ping("ready") for _ in range(3)]
+        self.fleet.control(outage=True)
+        wait_for("acknowledged", lambda: self.server.deregister() == 200)
+        acked = time.monotonic()
+        self.restart_all()
+        for message in late:
+            self.assertEqual(self.server.deliver(message), 503)
+        self.assert_unused(acked)
+
     def test_server_that_is_there(self):
         """Guards against a server that stays idle after all processes were
         killed: it is used as soon as it repeats its heartbeat."""
-        self.kill_all()
+        self.restart_all()
         self.assertEqual(self.server.deliver(self.server.ping("ready")), 503)
         self.assertEqual(self.server.deliver(self.server.ping("ready")), 200)
         wait_for("order served", lambda: self.sender.order()[0] == 200)
 
+    def test_server_that_is_there_before_the_configuration(self):
+        """The same if its heartbeats come before a node can learn at which path
+        it says that it serves."""
+        self.fleet.control(outage=True)
+        self.kill_all()
+        self.deliver_ready()
+        self.fleet.control(outage=False)
+        wait_for("order served", self.deliver_ready)
+
+    def deliver_ready(self):
+        """Returns whether an order is served after a heartbeat."""
+        self.server.deliver(self.server.ping("ready"))
+        return self.sender.order()[0] == 200
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/config/include/burdockgrade/snapshot.h
+++ b/config/include/burdockgrade/snapshot.h
@@ -129,8 +129,9 @@
 struct bg_service {
 	struct bg_head_service head;
 	struct bg_contract contract;
-	/** Health path of the backend servers, or empty. Currently not used:
-	 * probes take the path from the node's settings. */
+	/** Health path of the backend servers, or empty. A server that sends
+	 * heartbeats is asked there whether it serves, before it is used again
+	 * (challenge.h); probes take the path from the node's settings. */
 	char probe_path[BG_PREFIX_BYTES];
 	/** Time for which a server that has started is cold. 0: unknown. */
 	uint32_t warmup_ms;
--- a/proxy/src/gatekeeper/challenge.c
+++ b/proxy/src/gatekeeper/challenge.c
@@ -7,6 +7,9 @@
  * A younger one had no time to start, to leave and to have its node restarted.
  */
 #define OLDER_MIN_MS 1000
+/* Heartbeats come late by seconds. Those that go on for longer after the first
+ * one that was refused were sent after it. */
+#define LATE_MAX_MS 10000
 
 static int
 is_lifetime(
@@ -30,11 +33,14 @@
 }
 
 static void
-refuse(struct bg_challenge *chl, const struct bg_announcement *ann)
+refuse(struct bg_challenge *chl, const struct bg_announcement *ann,
+    uint64_t now_ms)
 {
 	snprintf(chl->id, sizeof(chl->id), "%s", ann->server_id);
 	chl->started_ms = ann->started_ms;
 	chl->sequence = ann->sequence;
+	chl->refused_ms = now_ms;
+	chl->is_confirmed = 0;
 }
 
 void
@@ -44,16 +50,29 @@
 	chl->node_started_ms = node_started_ms;
 }
 
-int
-bg_challenge_accepts(struct bg_challenge *chl, const struct bg_server *srv,
-    const struct bg_announcement *ann)
+enum bg_challenge_result
+bg_challenge_check(struct bg_challenge *chl, const struct bg_server *srv,
+    const struct bg_announcement *ann, uint64_t now_ms)
 {
 	if (ann->state != BG_ANNOUNCED_READY || !may_have_left(chl, srv, ann))
-		return 1;
+		return BG_CHALLENGE_ACCEPTED;
+	if (!is_lifetime(chl->id, chl->started_ms, ann)) {
+		/* Heartbeats of an earlier lifetime may come in between. */
+		if (ann->started_ms >= chl->started_ms)
+			refuse(chl, ann, now_ms);
+		return BG_CHALLENGE_REFUSED;
+	}
+	if (ann->sequence <= chl->sequence)
+		return BG_CHALLENGE_REFUSED;
+	if (chl->is_confirmed || now_ms - chl->refused_ms >= LATE_MAX_MS)
+		return BG_CHALLENGE_ACCEPTED;
+	return BG_CHALLENGE_ASK_SERVER;
+}
+
+void
+bg_challenge_confirm(
+    struct bg_challenge *chl, const struct bg_announcement *ann)
+{
 	if (is_lifetime(chl->id, chl->started_ms, ann))
-		return ann->sequence > chl->sequence;
-	/* Heartbeats of an earlier lifetime may come in between. */
-	if (ann->started_ms >= chl->started_ms)
-		refuse(chl, ann);
-	return 0;
+		chl->is_confirmed = 1;
 }
--- a/proxy/src/gatekeeper/gate_announce.c
+++ b/proxy/src/gatekeeper/gate_announce.c
@@ -7,6 +7,7 @@
 #include "burdockgrade/log.h"
 
 #include "gate_call.h"
+#include "gate_status.h"
 #include "gate_warmup.h"
 
 /* An announcement that was held for longer is dropped; the server repeats it.
@@ -18,16 +19,17 @@
 static int
 must_hold(const struct bg_gatekeeper *gk, const struct bg_announcement *ann)
 {
-	return !gk->is_recovered && gk->settings->server.sends_heartbeats &&
-	    ann->state == BG_ANNOUNCED_READY;
+	return !gk->is_recovered && ann->state == BG_ANNOUNCED_READY;
 }
 
 static void
 hold(struct bg_gatekeeper *gk, const struct bg_announcement *ann)
 {
 	if (!gk->has_held)
-		bg_log_info("gatekeeper", "server held id=%s born=%llu",
-		    ann->server_id, (unsigned long long)ann->started_ms);
+		bg_log_info("gatekeeper",
+		    "server held id=%s born=%llu seq=%llu recovered=%d",
+		    ann->server_id, (unsigned long long)ann->started_ms,
+		    (unsigned long long)ann->sequence, gk->is_recovered);
 	gk->held = *ann;
 	gk->held_ms = bg_clock_now_ms();
 	gk->has_held = 1;
@@ -48,7 +50,8 @@
 	    : 0;
 	if (held_ms < HELD_MAX_MS)
 		result = bg_gatekeeper_announce(gk, ann);
-	gk->on_decided(gk->decided_arg, result);
+	if (result != BG_ANNOUNCE_HELD)
+		gk->on_decided(gk->decided_arg, result);
 }
 
 static void
@@ -79,18 +82,55 @@
 	release_held(gk);
 }
 
-static int
-is_unconfirmed(struct bg_gatekeeper *gk, const struct bg_announcement *ann)
+void
+bg_gate_on_status(struct bg_gatekeeper *gk, int is_serving)
+{
+	if (!gk->has_held)
+		return;
+	if (is_serving) {
+		bg_challenge_confirm(&gk->challenge, &gk->held);
+		release_held(gk);
+		return;
+	}
+	gk->has_held = 0;
+	gk->on_decided(gk->decided_arg, BG_ANNOUNCE_UNCONFIRMED);
+}
+
+static void
+log_unconfirmed(
+    const struct bg_gatekeeper *gk, const struct bg_announcement *ann)
 {
-	if (!gk->settings->server.sends_heartbeats ||
-	    bg_challenge_accepts(&gk->challenge, &gk->server, ann))
-		return 0;
 	bg_log_info("gatekeeper",
 	    "server unconfirmed id=%s born=%llu seq=%llu refused_seq=%llu",
 	    ann->server_id, (unsigned long long)ann->started_ms,
 	    (unsigned long long)ann->sequence,
 	    (unsigned long long)gk->challenge.sequence);
-	return 1;
+}
+
+/* Decides whether an announcement waits for the record of an earlier process or
+ * for the status of the server, or has to be repeated.
+ *
+ * @return BG_ANNOUNCE_CHANGED if it may be applied */
+static enum bg_announce_result
+admit(struct bg_gatekeeper *gk, const struct bg_announcement *ann)
+{
+	enum bg_challenge_result check;
+	int error;
+
+	if (!gk->settings->server.sends_heartbeats)
+		return BG_ANNOUNCE_CHANGED;
+	if (must_hold(gk, ann))
+		return BG_ANNOUNCE_HELD;
+	check = bg_challenge_check(
+	    &gk->challenge, &gk->server, ann, bg_clock_now_ms());
+	if (check == BG_CHALLENGE_REFUSED)
+		return BG_ANNOUNCE_UNCONFIRMED;
+	if (check == BG_CHALLENGE_ACCEPTED)
+		return BG_ANNOUNCE_CHANGED;
+	error = bg_gate_status_ask(gk);
+	if (error == BG_ENOTFOUND)
+		return BG_ANNOUNCE_CHANGED;
+	return error == 0 ? BG_ANNOUNCE_HELD : BG_ANNOUNCE_UNCONFIRMED;
 }
 
 static void
@@ -132,12 +172,13 @@
 		return BG_ANNOUNCE_REJECTED;
 	if (!copy.has_started_ms)
 		copy.started_ms = bg_clock_wall_ms();
-	if (must_hold(gk, &copy)) {
+	result = admit(gk, &copy);
+	if (result == BG_ANNOUNCE_HELD)
 		hold(gk, &copy);
-		return BG_ANNOUNCE_HELD;
-	}
-	if (is_unconfirmed(gk, &copy))
-		return BG_ANNOUNCE_UNCONFIRMED;
+	else if (result == BG_ANNOUNCE_UNCONFIRMED)
+		log_unconfirmed(gk, &copy);
+	if (result != BG_ANNOUNCE_CHANGED)
+		return result;
 	result = bg_server_update(&gk->server, &copy, bg_clock_now_ms());
 	is_new = is_new_lifetime(gk, &previous);
 	if (result == BG_ANNOUNCE_UNCHANGED)
--- a/proxy/src/gatekeeper/gate_call.h
+++ b/proxy/src/gatekeeper/gate_call.h
@@ -72,12 +72,17 @@
 	int is_limited;		    /* starts of the cold server are limited */
 	struct bg_buffers *buffers;
 	struct bg_retry_budget *retry;
-	struct bg_announcement
-	    held;	  /* last one that came before is_recovered */
-	uint64_t held_ms; /* monotonic time at which it came */
+	struct bg_announcement held; /* last one that waits for the record of an
+					earlier process, or for the server's
+					status */
+	uint64_t held_ms;	     /* monotonic time at which it came */
 	int has_held;
 	void (*on_decided)(void *arg, enum bg_announce_result result);
 	void *decided_arg;
+	struct bg_exchange *status_exchange; /* NULL: not being asked */
+	struct event *status_timer;
+	char status_path[BG_PREFIX_BYTES]; /* empty: the service has none */
+	int is_status_path_known;
 	int is_recovered; /* what an earlier process announced is known */
 	int is_suspended; /* the server's version was judged bad */
 	int is_draining;  /* the node is stopping */
@@ -111,6 +116,8 @@
 void bg_gate_on_rpc_cancel(void *arg);
 /** 1 if calls may be sent to the backend server now. */
 int bg_gate_accepts_calls(const struct bg_gatekeeper *gk);
+/** Decides about the held heartbeat by the status of the server. */
+void bg_gate_on_status(struct bg_gatekeeper *gk, int is_serving);
 /** Announces the state of the backend server to the mesh. */
 void bg_gate_publish(struct bg_gatekeeper *gk);
 
--- a/proxy/src/gatekeeper/gatekeeper.c
+++ b/proxy/src/gatekeeper/gatekeeper.c
@@ -8,6 +8,7 @@
 #include "body.h"
 #include "emptying.h"
 #include "gate_call.h"
+#include "gate_status.h"
 #include "gate_warmup.h"
 #include "gate_work.h"
 
@@ -336,6 +337,7 @@
 	    svc->contract.slots < set->server.slots)
 		bg_limiter_set_slots(&gk->limiter, svc->contract.slots);
 	bg_gate_start_queued(gk);
+	bg_gate_status_configure(gk, svc);
 }
 
 void
@@ -426,7 +428,8 @@
 	bg_limiter_init(&gk->limiter, opts->settings->server.slots);
 	bg_intake_init(&gk->intake, opts->settings->limits.link_mbps);
 	gk->drain_timer = evtimer_new(opts->base, on_drain_timer, gk);
-	if (gk->drain_timer == NULL || bg_gate_warmup_init(gk) != 0)
+	if (gk->drain_timer == NULL || bg_gate_warmup_init(gk) != 0 ||
+	    bg_gate_status_init(gk) != 0)
 		goto on_error;
 	if ((error = init_backend(gk, err)) != 0)
 		goto on_error;
@@ -458,6 +461,7 @@
 		if (rpc != NULL)
 			bg_rpc_drop(rpc);
 	}
+	bg_gate_status_free(gk);
 	bg_probe_free(gk->probe);
 	bg_backend_free(gk->backend);
 	bg_gate_warmup_free(gk);
--- a/proxy/tests/test_challenge.c
+++ b/proxy/tests/test_challenge.c
@@ -9,11 +9,17 @@
 
 static struct bg_challenge challenge;
 static struct bg_server srv;
+static uint64_t now_ms;
+static int is_serving; /* what the server says if it is asked */
+static uint32_t asked; /* how often it was */
 
 static void
 setup(void)
 {
 	memset(&srv, 0, sizeof(srv));
+	now_ms = 1000;
+	is_serving = 1;
+	asked = 0;
 	bg_challenge_init(&challenge, NODE_STARTED_MS);
 }
 
@@ -31,9 +37,16 @@
 	ann.sequence = sequence;
 	ann.slots = 6;
 	ann.state = state;
-	if (!bg_challenge_accepts(&challenge, &srv, &ann))
+	if (bg_challenge_check(&challenge, &srv, &ann, now_ms) ==
+	    BG_CHALLENGE_ASK_SERVER) {
+		asked++;
+		if (is_serving)
+			bg_challenge_confirm(&challenge, &ann);
+	}
+	if (bg_challenge_check(&challenge, &srv, &ann, now_ms) !=
+	    BG_CHALLENGE_ACCEPTED)
 		return 0;
-	bg_server_update(&srv, &ann, 1000);
+	bg_server_update(&srv, &ann, now_ms);
 	return 1;
 }
 
@@ -54,6 +67,7 @@
 	ck_assert(!announce_ready("a", OLD_MS, 7));
 	ck_assert(!announce_ready("a", OLD_MS, 6));
 	ck_assert_int_eq(srv.state, BG_SERVER_UNKNOWN);
+	ck_assert_uint_eq(asked, 0);
 }
 END_TEST
 
@@ -72,6 +86,37 @@
 	ck_assert(announce_ready("a", OLD_MS, 8));
 	ck_assert_int_eq(srv.state, BG_SERVER_READY);
 	ck_assert(announce_ready("a", OLD_MS, 9));
+	ck_assert_uint_eq(asked, 1);
+}
+END_TEST
+
+/* Guards against a server that has left and is used again, since the second of
+ * its late heartbeats looks like a repetition. */
+START_TEST(series_of_late_heartbeats_is_refused)
+{
+	uint64_t i;
+
+	is_serving = 0;
+	for (i = 1; i <= 6; i++) {
+		ck_assert(!announce_ready("a", OLD_MS, i));
+		now_ms += 1500;
+	}
+	ck_assert_uint_eq(asked, 5);
+}
+END_TEST
+
+/* Guards against a server that is idle for good, since it sends heartbeats but
+ * does not say at its health path that it serves. */
+START_TEST(heartbeats_that_go_on_are_accepted)
+{
+	uint64_t i;
+
+	is_serving = 0;
+	for (i = 1; i <= 7; i++) {
+		ck_assert(!announce_ready("a", OLD_MS, i));
+		now_ms += 1500;
+	}
+	ck_assert(announce_ready("a", OLD_MS, 8));
 }
 END_TEST
 
@@ -126,6 +171,8 @@
 	tcase_add_test(tc, late_heartbeat_alone_is_refused);
 	tcase_add_test(tc, late_heartbeat_of_an_unknown_lifetime_is_refused);
 	tcase_add_test(tc, repeated_heartbeat_is_accepted);
+	tcase_add_test(tc, series_of_late_heartbeats_is_refused);
+	tcase_add_test(tc, heartbeats_that_go_on_are_accepted);
 	tcase_add_test(tc, young_server_is_accepted_at_once);
 	tcase_add_test(
 	    tc, recorded_lifetime_is_challenged_whatever_the_clock_says);
