Refuse a heartbeat that has to be repeated before the record is read

The node held the first heartbeat until it had read the record of its earlier process, and refused it only then; the repetition was one more round.

Cause: the challenge came after the wait, although its first answer doesn't depend on the record for a server that is older than the process.

--- a/proxy/src/gatekeeper/gate_announce.c
+++ b/proxy/src/gatekeeper/gate_announce.c
@@ -119,12 +119,14 @@
 
 	if (!gk->settings->server.sends_heartbeats)
 		return BG_ANNOUNCE_CHANGED;
-	if (must_hold(gk, ann))
-		return BG_ANNOUNCE_HELD;
 	check = bg_challenge_check(
 	    &gk->challenge, &gk->server, ann, bg_clock_now_ms());
+	/* Before the record is known, so that the server has repeated it by
+	 * then. */
 	if (check == BG_CHALLENGE_REFUSED)
 		return BG_ANNOUNCE_UNCONFIRMED;
+	if (must_hold(gk, ann))
+		return BG_ANNOUNCE_HELD;
 	if (check == BG_CHALLENGE_ACCEPTED)
 		return BG_ANNOUNCE_CHANGED;
 	error = bg_gate_status_ask(gk);
