--- a/mesh/src/mesh/gossip.c
+++ b/mesh/src/mesh/gossip.c
@@ -8,6 +8,7 @@
 #include "burdockgrade/log.h"
 
 #include "mesh/codec.h"
+#include "mesh/gossip_items.h"
 #include "mesh/internal.h"
 
 /* Interval of rounds, and the random time added to it. */
@@ -24,9 +25,6 @@
 /* A version installed more recently than this is not sent to a peer, which
  * reads it from the store at about the same time. */
 #define CONFIG_SETTLED_MS 500
-/* Largest list of one message, before compression. */
-#define LIST_MAX_BYTES (3u << 20)
-
 static struct bg_counter rounds =
     BG_COUNTER("burdock_gossip_rounds_total", "Comparisons begun with a peer.");
 static struct bg_counter repairs = BG_COUNTER(
@@ -51,8 +49,7 @@
 	struct bg_mesh *mesh;
 	struct event *timer;
 	struct exchange *exchanges;
-	struct bg_packed packed_config; /* see bg_gossip_pack_config() */
-	uint64_t packed_version;	/* 0: none */
+	struct bg_config_cache config;
 };
 
 static void on_sync(void *arg, int code, void *res);
@@ -91,65 +88,10 @@
 	return xch;
 }
 
-static int
-pack_selected(struct bg_packed *out, const struct bg_gossip *gsp,
-    uint64_t bucket_mask, uint64_t cursor)
-{
-	struct bg_table_select sel = {cursor, bucket_mask, LIST_MAX_BYTES};
-	struct bg_xitems items;
-	uint64_t end;
-	int error;
-
-	error = bg_table_select(&items, &end, gsp->mesh->table, &sel);
-	if (error != 0)
-		return error;
-	error = bg_items_pack(out, &items);
-	xdr_free((xdrproc_t)xdr_bg_xitems, (char *)&items);
-	return error;
-}
-
-static int
-pack_config(struct bg_packed *out, const struct bg_item *item)
-{
-	struct bg_xitem copy = {0};
-	struct bg_xitems list = {{1, &copy}};
-
-	copy.kind = item->kind;
-	copy.key = (char *)item->key;
-	copy.major = item->major;
-	copy.minor = item->minor;
-	copy.value.value_val = (char *)item->value;
-	copy.value.value_len = item->value_bytes;
-	return bg_items_pack(out, &list);
-}
-
-/* Many nodes may ask for the same version at about the same time, and packing a
- * large one takes long. So the last one is kept. */
 int
 bg_gossip_pack_config(struct bg_packed *out, struct bg_gossip *gsp)
 {
-	struct bg_item item;
-	int error;
-
-	memset(out, 0, sizeof(*out));
-	if (bg_table_get(
-		&item, gsp->mesh->table, BG_ITEM_CONFIG, BG_CONFIG_KEY) != 0)
-		return BG_ENOTFOUND;
-	if (gsp->packed_version != item.major) {
-		free(gsp->packed_config.data);
-		gsp->packed_version = 0;
-		error = pack_config(&gsp->packed_config, &item);
-		if (error != 0) {
-			gsp->packed_config.data = NULL;
-			return error;
-		}
-		gsp->packed_version = item.major;
-	}
-	*out = gsp->packed_config;
-	if ((out->data = malloc(out->bytes)) == NULL)
-		return BG_ENOMEM;
-	memcpy(out->data, gsp->packed_config.data, out->bytes);
-	return 0;
+	return bg_config_cache_pack(out, &gsp->config, gsp->mesh->table);
 }
 
 int
@@ -251,26 +193,12 @@
 	bg_table_digests(digests, gsp->mesh->table);
 	args.digests.digests_len = BG_DIGEST_BUCKETS;
 	args.digests.digests_val = (u_quad_t *)digests;
-	if (pack_selected(&packed, gsp, bucket_mask, 0) != 0 ||
+	if (bg_gossip_pack_items(&packed, gsp->mesh->table, bucket_mask, 0) !=
+		0 ||
 	    send_sync(xch, &args, &packed) != 0)
 		exchange_free(xch);
 }
 
-static uint64_t
-differing_buckets(const struct bg_gossip *gsp, const u_quad_t *digests)
-{
-	uint64_t own[BG_DIGEST_BUCKETS];
-	uint64_t mask = 0;
-	int i;
-
-	bg_table_digests(own, gsp->mesh->table);
-	for (i = 0; i < BG_DIGEST_BUCKETS; i++) {
-		if (own[i] != digests[i])
-			mask |= 1ULL << i;
-	}
-	return mask;
-}
-
 /* Sends the configuration to a peer that holds an older one. */
 static void
 push_config(struct bg_gossip *gsp, const char *peer)
@@ -287,16 +215,6 @@
 		exchange_free(xch);
 }
 
-static void
-set_packed(struct bg_packed *out, char *data, u_int bytes, u_int raw_bytes,
-    uint64_t digest)
-{
-	out->data = data;
-	out->bytes = bytes;
-	out->raw_bytes = raw_bytes;
-	out->digest = digest;
-}
-
 static void
 on_sync(void *arg, int code, void *result)
 {
@@ -312,15 +230,16 @@
 		exchange_free(xch);
 		return;
 	}
-	set_packed(&packed, res->items.items_val, res->items.items_len,
-	    res->raw_bytes, res->items_digest);
+	bg_gossip_set_packed(&packed, res->items.items_val,
+	    res->items.items_len, res->raw_bytes, res->items_digest);
 	merged = bg_gossip_merge(xch->gossip, &packed, xch->peer);
 	if (xch->is_round && is_config_settled(xch->gossip->mesh) &&
 	    res->config_version < bg_mesh_config_version(xch->gossip->mesh))
 		push_config(xch->gossip, xch->peer);
 	if (xch->bucket_mask == 0 &&
 	    res->digests.digests_len == BG_DIGEST_BUCKETS) {
-		mask = differing_buckets(xch->gossip, res->digests.digests_val);
+		mask = bg_gossip_differing_buckets(
+		    xch->gossip->mesh->table, res->digests.digests_val);
 		if (mask != 0) {
 			bg_counter_add(&repairs, 1);
 			send_buckets(xch, mask);
@@ -409,7 +328,7 @@
 		return;
 	args.is_push = (u_int)push;
 	xch->own_seq = own_seq;
-	if (pack_selected(&packed, gsp, 0, cursor) != 0 ||
+	if (bg_gossip_pack_items(&packed, gsp->mesh->table, 0, cursor) != 0 ||
 	    send_sync(xch, &args, &packed) != 0)
 		exchange_free(xch);
 }
@@ -471,8 +390,10 @@
 		res->digests.digests_val = (u_quad_t *)digests;
 		return;
 	}
-	mask = differing_buckets(gsp, args->digests.digests_val);
-	if (mask != 0 && pack_selected(&packed, gsp, mask, 0) == 0)
+	mask = bg_gossip_differing_buckets(
+	    gsp->mesh->table, args->digests.digests_val);
+	if (mask != 0 &&
+	    bg_gossip_pack_items(&packed, gsp->mesh->table, mask, 0) == 0)
 		set_items(res, &packed);
 }
 
@@ -502,8 +423,8 @@
 	/* The response is built before the merge, so that it does not return
 	 * the items just received. */
 	fill_response(gsp, args, &res, digests);
-	set_packed(&packed, args->items.items_val, args->items.items_len,
-	    args->raw_bytes, args->items_digest);
+	bg_gossip_set_packed(&packed, args->items.items_val,
+	    args->items.items_len, args->raw_bytes, args->items_digest);
 	changed = bg_gossip_merge(gsp, &packed, args->address);
 	if (changed < 0) {
 		/* The caller would take a reply for a copy of its items. */
@@ -563,6 +484,6 @@
 		event_free(gsp->timer);
 	while ((xch = gsp->exchanges) != NULL)
 		exchange_free(xch);
-	free(gsp->packed_config.data);
+	bg_config_cache_free(&gsp->config);
 	free(gsp);
 }
