Give the new server of a test in Restart its real start time

Why: test_new_server_after_a_restart started its second server with the start time of the first one plus 1 s. Since servers that are more than 1 s older than their node are asked to repeat their heartbeat, a node that took over 2 s to restart beside load would have answered 503, rightly, as that server would be older than it. A server that starts after the restart has the current time; the test still asks for 200 at the first heartbeat.

--- a/bench/test_managed.py
+++ b/bench/test_managed.py
@@ -347,7 +347,7 @@
         self.assertEqual(self.server.deregister(), 200)
         self.restart()
         self.server.id = "server-2"
-        self.server.born += 1000
+        self.server.born = int(time.time() * 1000)
         self.server.sequence = 0
         self.assertEqual(self.server.deliver(self.server.ping("ready")), 200)
         wait_for("order served", lambda: self.sender.order()[0] == 200)
