Don't shut out a server whose predecessor has a later start time

What callers saw: nothing; found by reading again. The clock is set back, a server starts, its node restarts, and a late heartbeat of the server's predecessor comes first. The challenge then belonged to the lifetime with the later start time, and refused each heartbeat of the server that is there, without an end.

Cause: bg_challenge_check() gave up a refused lifetime only for a later one, so that late heartbeats of earlier ones can't disturb a challenge.

Change: after 10 s, by when no late heartbeat is expected any more, any other lifetime takes its place. challenge.c says which one waits.

--- a/proxy/src/gatekeeper/challenge.c
+++ b/proxy/src/gatekeeper/challenge.c
@@ -32,6 +32,13 @@
 	return ann->started_ms + OLDER_MIN_MS < chl->node_started_ms;
 }
 
+/* 1 if no late heartbeat is expected any more. */
+static int
+has_waited(const struct bg_challenge *chl, uint64_t now_ms)
+{
+	return now_ms - chl->refused_ms >= LATE_MAX_MS;
+}
+
 static void
 refuse(struct bg_challenge *chl, const struct bg_announcement *ann,
     uint64_t now_ms)
@@ -57,14 +64,16 @@
 	if (ann->state != BG_ANNOUNCED_READY || !may_have_left(chl, srv, ann))
 		return BG_CHALLENGE_ACCEPTED;
 	if (!is_lifetime(chl->id, chl->started_ms, ann)) {
-		/* Heartbeats of an earlier lifetime may come in between. */
-		if (ann->started_ms >= chl->started_ms)
+		/* Late heartbeats of an earlier lifetime may come in between;
+		 * after the clock was set back, it is the current one. */
+		if (ann->started_ms >= chl->started_ms ||
+		    has_waited(chl, now_ms))
 			refuse(chl, ann, now_ms);
 		return BG_CHALLENGE_REFUSED;
 	}
 	if (ann->sequence <= chl->sequence)
 		return BG_CHALLENGE_REFUSED;
-	if (chl->is_confirmed || now_ms - chl->refused_ms >= LATE_MAX_MS)
+	if (chl->is_confirmed || has_waited(chl, now_ms))
 		return BG_CHALLENGE_ACCEPTED;
 	return BG_CHALLENGE_ASK_SERVER;
 }
--- a/proxy/src/gatekeeper/gate_finish.c
+++ b/proxy/src/gatekeeper/gate_finish.c
@@ -240,7 +240,8 @@
 }
 
 void
-bg_gate_finish_done(struct bg_gate_call *call, const struct bg_exchange_result *rsp)
+bg_gate_finish_done(
+    struct bg_gate_call *call, const struct bg_exchange_result *rsp)
 {
 	/* A server that gives up at the deadline is slow, which load can cause
 	 * with any version. */
--- a/proxy/tests/test_challenge.c
+++ b/proxy/tests/test_challenge.c
@@ -90,17 +90,24 @@
 }
 END_TEST
 
-/* Guards against a server that has left and is used again, since the second of
- * its late heartbeats looks like a repetition. */
-START_TEST(series_of_late_heartbeats_is_refused)
+/* Heartbeats of a server that does not say that it serves are refused. */
+static void
+refuse_heartbeats(uint64_t count)
 {
 	uint64_t i;
 
 	is_serving = 0;
-	for (i = 1; i <= 6; i++) {
+	for (i = 1; i <= count; i++) {
 		ck_assert(!announce_ready("a", OLD_MS, i));
 		now_ms += 1500;
 	}
+}
+
+/* Guards against a server that has left and is used again, since the second of
+ * its late heartbeats looks like a repetition. */
+START_TEST(series_of_late_heartbeats_is_refused)
+{
+	refuse_heartbeats(6);
 	ck_assert_uint_eq(asked, 5);
 }
 END_TEST
@@ -109,17 +116,24 @@
  * does not say at its health path that it serves. */
 START_TEST(heartbeats_that_go_on_are_accepted)
 {
-	uint64_t i;
-
-	is_serving = 0;
-	for (i = 1; i <= 7; i++) {
-		ck_assert(!announce_ready("a", OLD_MS, i));
-		now_ms += 1500;
-	}
+	refuse_heartbeats(7);
 	ck_assert(announce_ready("a", OLD_MS, 8));
 }
 END_TEST
 
+/* Guards against a server that is shut out for good: it started after the clock
+ * was set back, and a late heartbeat of its predecessor came first. */
+START_TEST(later_lifetime_that_has_ended_does_not_shut_out_the_server)
+{
+	ck_assert(!announce_ready("a", OLD_MS + 5000, 7));
+	ck_assert(!announce_ready("a", OLD_MS, 1));
+	ck_assert(!announce_ready("a", OLD_MS, 2));
+	now_ms += 10500;
+	ck_assert(!announce_ready("a", OLD_MS, 9));
+	ck_assert(announce_ready("a", OLD_MS, 10));
+}
+END_TEST
+
 /* Guards against a delay of servers that start together with their node. */
 START_TEST(young_server_is_accepted_at_once)
 {
@@ -173,6 +187,8 @@
 	tcase_add_test(tc, repeated_heartbeat_is_accepted);
 	tcase_add_test(tc, series_of_late_heartbeats_is_refused);
 	tcase_add_test(tc, heartbeats_that_go_on_are_accepted);
+	tcase_add_test(
+	    tc, later_lifetime_that_has_ended_does_not_shut_out_the_server);
 	tcase_add_test(tc, young_server_is_accepted_at_once);
 	tcase_add_test(
 	    tc, recorded_lifetime_is_challenged_whatever_the_clock_says);
