--- a/bench/soak_managed.py
+++ b/bench/soak_managed.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Randomized fault soak of a fleet on the users' platform: organisations with
-keys and caps, cold backend servers, emptied data centres and hard clients, with
-real processes under overlapping faults drawn from a seed. The promises are
+keys and caps, cold backend servers, servers that leave, emptied data centres and
+hard clients, with real processes under overlapping faults drawn from a seed. The promises are
 checked from what backend servers saw and callers got.
 
     BG_BIN=build/bin python3 bench/soak_managed.py --seeds 1-50
@@ -9,6 +9,7 @@
 A seed that failed is kept in SEEDS_FAILED with a line on its cause."""
 
 import bisect
+import contextlib
 import json
 import os
 import random
@@ -22,8 +23,8 @@
 
 from cluster import http  # noqa: E402
 from crowd import Crowd, chunked, half_head, with_length  # noqa: E402
-from managed import (HOST, LOOKUP_PREFIX, PREFIX, Fleet, Server,  # noqa: E402
-                     configuration)
+from managed import (DRAIN_S, HOST, LOOKUP_PREFIX, PREFIX, Fleet,  # noqa: E402
+                     Server, configuration)
 from seeds import play_all  # noqa: E402
 
 # Seeds that found a fault, each with its cause.
@@ -35,6 +36,9 @@
 APPLY_S = 2.5
 EMPTY_S = 5.0
 WINDOW_S = 5.0
+LEAVING_MAX = 2   # the other servers have to bear the calls
+LATE_PINGS = 4
+LATE_MAX_S = 4.0
 CAP_SHARE = 0.1
 CAP_SLACK = 20
 WARMUP_S = 3.0
@@ -118,6 +122,7 @@
         self.every_key = {k for keys in self.keys.values() for k in keys}
         self.mappings = []  # (acknowledged, key -> organisation)
         self.emptied = []   # [zone, acknowledged, removed]
+        self.left = []      # (server, acknowledged)
         self.version = 0
         self.is_calm = False
         self.is_over = False
@@ -264,12 +269,48 @@
 
         def run():
             with self.node_locks[node]:
+                if node not in self.servers:
+                    return
                 self.note("cold server beside " + node.name)
                 self.servers.pop(node).stop()
                 time.sleep(0.3)
                 self.serve(node, len(self.every_server), WARMUP_S)
         return run
 
+    def leave(self, span_s):
+        """A server leaves and serves on; its last heartbeats come late."""
+        node = self.rng.choice(self.fleet.nodes)
+        late_s = sorted(self.rng.uniform(0, LATE_MAX_S)
+                        for _ in range(LATE_PINGS))
+
+        def run():
+            with self.node_locks[node]:
+                if node not in self.servers or len(self.left) == LEAVING_MAX:
+                    return
+                server = self.servers.pop(node)
+                late = [server.ping("ready") for _ in late_s]
+                is_acked = server.deregister() == 200
+                since = time.monotonic()
+                self.left.append((server, since if is_acked else None))
+                self.note("leave %s acked=%d" % (node.name, is_acked))
+            for at_s, message in zip(late_s, late):
+                time.sleep(max(0, since + at_s - time.monotonic()))
+                server.deliver(message)
+        return run
+
+    def lose_power(self, span_s):
+        def run():
+            with contextlib.ExitStack() as locks:
+                for node in self.fleet.nodes:
+                    locks.enter_context(self.node_locks[node])
+                self.note("kill all nodes")
+                for node in self.fleet.nodes:
+                    node.kill()
+                time.sleep(min(span_s, 1.0))
+                for node in self.fleet.nodes:
+                    node.start()
+        return run
+
     def crowd(self, span_s):
         node = self.rng.choice(self.fleet.nodes)
         data = self.rng.choice((
@@ -289,18 +330,30 @@
         kinds = (self.change_keys, self.change_keys, self.change_keys,
                  self.kill, self.stop, self.pause, self.outage,
                  self.forget_history, self.empty, self.replace_server,
-                 self.replace_server, self.crowd)
+                 self.replace_server, self.crowd, self.leave,
+                 self.lose_power)
         faults = []
         for _ in range(FAULTS):
             at_s = self.rng.uniform(0, FAULTS_S)
             span_s = self.rng.uniform(0.5, 4)
             faults.append((at_s, self.rng.choice(kinds)(span_s)))
+        return faults
+
+    def forgotten_leaving(self):
+        """A server leaves while the store is away, and all nodes are killed."""
+        at_s = self.rng.uniform(0, FAULTS_S)
+        return [(at_s, self.outage(self.rng.uniform(1.5, 3))),
+                (at_s + 0.5, self.leave(0)),
+                (at_s + self.rng.uniform(0.7, 1.5), self.lose_power(0.3))]
+
+    def faults(self):
+        faults = self.plan() + self.forgotten_leaving()
         return sorted(faults, key=lambda f: f[0])
 
     def inject(self):
         start = time.monotonic()
         threads = []
-        for at_s, run in self.plan():
+        for at_s, run in self.faults():
             time.sleep(max(0, start + at_s - time.monotonic()))
             threads.append(threading.Thread(target=run))
             threads[-1].start()
@@ -398,6 +451,11 @@
                     acked + EMPTY_S < sent and ran < removed
         return late
 
+    def used_after_leaving(self, recovered):
+        return sum(at > max(acked + DRAIN_S, recovered)
+                   for server, acked in self.left if acked is not None
+                   for at in server.runs)
+
     def keys_in_logs(self):
         found = 0
         for node in self.fleet.nodes:
@@ -415,12 +473,14 @@
             "over_cap": self.over_cap(calls),
             "over_warmup": self.over_warmup(),
             "run_in_emptied": self.run_in_emptied(calls),
+            "used_after_leaving": self.used_after_leaving(recovered),
             "keys_in_logs": self.keys_in_logs(),
             "ended": sum(n.child.poll() is not None
                          for n in self.fleet.nodes),
             "not_recovered": int(not late or served < SERVED_MIN * len(late))}
         figures = {"calls": len(calls), "late": len(late), "served": served,
                    "versions": self.version, "emptied": len(self.emptied),
+                   "left": len(self.left),
                    "answers": {s: sum(c[3] == s for c in calls.values())
                                for s in sorted({c[3] for c in calls.values()})}}
         figures.update(verdict)
@@ -437,7 +497,7 @@
         print("seed %d: %r" % (seed, err), flush=True)
     finally:
         soak.is_over = True
-        for server in soak.servers.values():
+        for server in [*soak.servers.values(), *(s for s, _ in soak.left)]:
             server.stop()
         if failed:
             print("seed %d failed: %s\n  %s" % (
