Say in full what holds an announcement, and name the check for it

Why: found by reading the change as a newcomer. The comments of the results named the record of an earlier process alone, and admit() is also the name of what the gatekeeper does with calls. No change of behaviour.

--- a/proxy/src/gatekeeper/gate_announce.c
+++ b/proxy/src/gatekeeper/gate_announce.c
@@ -108,11 +108,10 @@
 }
 
 /* Decides whether an announcement waits for the record of an earlier process or
- * for the status of the server, or has to be repeated.
- *
- * @return BG_ANNOUNCE_CHANGED if it may be applied */
+ * for the status of the server (BG_ANNOUNCE_HELD), has to be repeated
+ * (BG_ANNOUNCE_UNCONFIRMED), or may be applied (BG_ANNOUNCE_CHANGED). */
 static enum bg_announce_result
-admit(struct bg_gatekeeper *gk, const struct bg_announcement *ann)
+check_announcement(struct bg_gatekeeper *gk, const struct bg_announcement *ann)
 {
 	enum bg_challenge_result check;
 	int error;
@@ -174,7 +173,7 @@
 		return BG_ANNOUNCE_REJECTED;
 	if (!copy.has_started_ms)
 		copy.started_ms = bg_clock_wall_ms();
-	result = admit(gk, &copy);
+	result = check_announcement(gk, &copy);
 	if (result == BG_ANNOUNCE_HELD)
 		hold(gk, &copy);
 	else if (result == BG_ANNOUNCE_UNCONFIRMED)
--- a/proxy/src/gatekeeper/server.h
+++ b/proxy/src/gatekeeper/server.h
@@ -68,10 +68,12 @@
 	BG_ANNOUNCE_STALE,     /**< from an earlier lifetime, or out of order */
 	BG_ANNOUNCE_REJECTED,  /**< from a server of another service, or this
 				  node has no backend server */
-	BG_ANNOUNCE_HELD,      /**< decided once it is known what an earlier
-				  process of the node announced */
+	BG_ANNOUNCE_HELD, /**< decided once it is known what an earlier process
+			     of the node announced, or what the server says of
+			     itself */
 	BG_ANNOUNCE_UNCONFIRMED, /**< the server may have left; accepted if it
-				    is repeated */
+				    is repeated and the server says that it
+				    serves */
 };
 
 /** 1 if the announcement comes from a server of the service. A deregistration
